--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer decides which published configuration is in force.
+package configurer
--- /dev/null
+++ b/encoder/chat.go
@@ -0,0 +1,198 @@
+package encoder
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// defaultMaxTokens is assumed for a request that does not limit its answer.
+const defaultMaxTokens = 256
+
+// bytesPerToken is the usual estimate for text of mixed languages.
+const bytesPerToken = 4
+
+// ChatRequest is a chat-completions request; fields that it does not know are kept and passed on.
+type ChatRequest struct {
+	Model     string
+	Messages  []Message
+	Stream    bool
+	MaxTokens int
+	Seed      *int64
+	// Priority is for the engine; a smaller number is more urgent.
+	Priority int
+	// RequestID identifies the generation at the engine.
+	RequestID string
+	// Version is the model version that the engine must have loaded; empty means any.
+	Version string
+	// Prefix is the part of the answer that the caller already has; the engine goes on after it.
+	Prefix string
+
+	fields map[string]json.RawMessage
+}
+
+type chatFields struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Seed      *int64    `json:"seed,omitempty"`
+	Priority  int       `json:"priority,omitempty"`
+	RequestID string    `json:"request_id,omitempty"`
+	Version   string    `json:"model_version,omitempty"`
+	Prefix    string    `json:"answer_prefix,omitempty"`
+}
+
+// UnmarshalJSON decodes and checks a chat request.
+func (r *ChatRequest) UnmarshalJSON(data []byte) error {
+	var f chatFields
+	if err := json.Unmarshal(data, &f); err != nil {
+		return fmt.Errorf("chat request: %w", err)
+	}
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return fmt.Errorf("chat request: %w", err)
+	}
+	if f.Model == "" {
+		return fmt.Errorf("chat request: field model is missing")
+	}
+	if len(f.Messages) == 0 {
+		return fmt.Errorf("chat request: field messages is empty")
+	}
+	if f.MaxTokens < 0 {
+		return fmt.Errorf("chat request: field max_tokens is %d, want 0 or more", f.MaxTokens)
+	}
+	*r = ChatRequest{
+		Model: f.Model, Messages: f.Messages, Stream: f.Stream, MaxTokens: f.MaxTokens, Seed: f.Seed,
+		Priority: f.Priority, RequestID: f.RequestID, Version: f.Version, Prefix: f.Prefix, fields: raw,
+	}
+	return nil
+}
+
+// MarshalJSON encodes the request with the fields that it did not know.
+func (r ChatRequest) MarshalJSON() ([]byte, error) {
+	known, err := json.Marshal(chatFields{
+		Model: r.Model, Messages: r.Messages, Stream: r.Stream, MaxTokens: r.MaxTokens, Seed: r.Seed,
+		Priority: r.Priority, RequestID: r.RequestID, Version: r.Version, Prefix: r.Prefix,
+	})
+	if err != nil || len(r.fields) == 0 {
+		return known, err
+	}
+	var knownFields map[string]json.RawMessage
+	if err := json.Unmarshal(known, &knownFields); err != nil {
+		return nil, err
+	}
+	merged := make(map[string]json.RawMessage, len(r.fields)+len(knownFields))
+	for name, value := range r.fields {
+		merged[name] = value
+	}
+	// Messages may hold parts that Message does not know, so the caller's own bytes win.
+	original, hasOriginal := r.fields["messages"]
+	for name, value := range knownFields {
+		merged[name] = value
+	}
+	if hasOriginal {
+		merged["messages"] = original
+	}
+	return json.Marshal(merged)
+}
+
+// AnswerTokens returns the largest number of tokens that the answer may have.
+func (r ChatRequest) AnswerTokens() int {
+	if r.MaxTokens == 0 {
+		return defaultMaxTokens
+	}
+	return r.MaxTokens
+}
+
+// PromptTokens estimates the number of tokens of the prompt.
+func (r ChatRequest) PromptTokens() int {
+	n := 0
+	for _, m := range r.Messages {
+		n += len(m.Content)/bytesPerToken + 1
+	}
+	return n
+}
+
+// Cost estimates the work of the request in tokens.
+func (r ChatRequest) Cost() float64 {
+	return float64(r.PromptTokens() + r.AnswerTokens())
+}
+
+// Fingerprint identifies a request by its organisation and content, alike in every process.
+func (r ChatRequest) Fingerprint(organisation string) uint64 {
+	d := xxhash.New()
+	writeField := func(s string) {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	writeField(organisation)
+	writeField(r.Model)
+	for _, m := range r.Messages {
+		writeField(m.Role)
+		writeField(m.Content)
+	}
+	return d.Sum64()
+}
+
+// ChatKey returns the routing key of a chat: its identifier if the caller gives one, else the start of its first messages.
+// The first messages of a chat stay the same from turn to turn, so that its turns share a key.
+func (r ChatRequest) ChatKey(organisation, chat string) uint64 {
+	if chat != "" {
+		return xxhash.Sum64String(organisation + "\x00" + chat)
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(organisation)
+	for _, m := range r.Messages {
+		_, _ = d.WriteString("\x00" + m.Role + "\x00" + m.Content)
+		if m.Role == "user" {
+			break
+		}
+	}
+	return d.Sum64()
+}
+
+// Chunk is one event of a streamed answer in the chat-completions shape.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is one alternative of an answer.
+type Choice struct {
+	Index        int      `json:"index"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    *PromptDetail `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptDetail says how much of the prompt came from the engine's cache, in tokens.
+type PromptDetail struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Text returns the text that the chunk adds to the answer.
+func (c Chunk) Text() string {
+	if len(c.Choices) == 0 || c.Choices[0].Delta == nil {
+		return ""
+	}
+	return c.Choices[0].Delta.Content
+}
--- /dev/null
+++ b/encoder/envelope.go
@@ -0,0 +1,242 @@
+package encoder
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"clementineramp/judge"
+)
+
+// Names of the headers between the system's own processes.
+const (
+	// EnvelopeHeader carries an Envelope from a router to an agent.
+	EnvelopeHeader = "Clementine-Envelope"
+	// ReportHeader carries a Report from an agent to a router.
+	ReportHeader = "Clementine-Report"
+	// StreamHeader carries the identity of the answer's stream.
+	StreamHeader = "Clementine-Stream"
+)
+
+// maxHeaderBytes bounds a decoded header, so that a faulty peer cannot make a process allocate without limit.
+const maxHeaderBytes = 16 << 10
+
+// Envelope accompanies a request from a router to an agent.
+type Envelope struct {
+	RequestID    string `json:"request_id"`
+	Organisation string `json:"organisation"`
+	Rank         string `json:"rank"`
+	ChatKey      uint64 `json:"chat_key,string"`
+	// DeadlineMS is the time left until the first byte of the answer is due, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// Attempt counts the agents tried before this one.
+	Attempt int `json:"attempt"`
+	// Last says that no further agent will be tried, so that the request may wait in the queue.
+	Last bool `json:"last,omitempty"`
+	// Mark counts the engine crashes in which the request was in flight.
+	Mark int `json:"mark,omitempty"`
+	// Offset is the number of events of the answer that the caller already has.
+	Offset int `json:"offset,omitempty"`
+	// Version is the model version that the answer began with; empty means any.
+	Version string `json:"version,omitempty"`
+	// Load holds the freshest entries of the sender's load table.
+	Load []LoadEntry `json:"load,omitempty"`
+}
+
+// Deadline returns the time left until the first byte is due.
+func (e Envelope) Deadline() time.Duration {
+	return time.Duration(e.DeadlineMS) * time.Millisecond
+}
+
+// check says which field of the envelope is out of range.
+func (e Envelope) check() error {
+	switch {
+	case e.RequestID == "":
+		return fmt.Errorf("field request_id is missing")
+	case e.Attempt < 0:
+		return fmt.Errorf("field attempt is %d, want 0 or more", e.Attempt)
+	case e.Offset < 0:
+		return fmt.Errorf("field offset is %d, want 0 or more", e.Offset)
+	case e.Mark < 0:
+		return fmt.Errorf("field mark is %d, want 0 or more", e.Mark)
+	}
+	return checkLoad(e.Load)
+}
+
+// LoadEntry is what is known of the load of one upstream.
+type LoadEntry struct {
+	Upstream    string `json:"u"`
+	Incarnation uint64 `json:"i,string"`
+	Sequence    uint64 `json:"q"`
+	// Work is the work running in the engine, in tokens.
+	Work float64 `json:"w"`
+	// Queued is the work waiting at the agent, in tokens.
+	Queued float64 `json:"b,omitempty"`
+	// AgeMS is the time since the agent measured it, in milliseconds.
+	AgeMS int64 `json:"a"`
+	// UptimeMS is the time since the upstream became ready, in milliseconds.
+	UptimeMS int64 `json:"t"`
+	Leaving  bool  `json:"l,omitempty"`
+	// Version is the model version that is ready in the engine.
+	Version string `json:"v,omitempty"`
+}
+
+func checkLoad(entries []LoadEntry) error {
+	for _, e := range entries {
+		if e.Upstream == "" || e.Work < 0 || e.Queued < 0 || e.AgeMS < 0 || e.UptimeMS < 0 {
+			return fmt.Errorf("load entry %q is out of range", e.Upstream)
+		}
+	}
+	return nil
+}
+
+// Report accompanies an answer or refusal from an agent to a router.
+type Report struct {
+	Self LoadEntry   `json:"self"`
+	Load []LoadEntry `json:"load,omitempty"`
+}
+
+func (r Report) check() error {
+	if err := checkLoad([]LoadEntry{r.Self}); err != nil {
+		return err
+	}
+	return checkLoad(r.Load)
+}
+
+// checked is a wire type that validates itself.
+type checked interface {
+	check() error
+}
+
+// EncodeHeader encodes a value for a header.
+func EncodeHeader[T checked](v T) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// The wire types hold only strings and finite numbers.
+		return ""
+	}
+	return asciiOnly(string(b))
+}
+
+// asciiOnly escapes runes that must not stand in a header.
+func asciiOnly(s string) string {
+	q := strconv.QuoteToASCII(s)
+	if len(q) == len(s)+2+strings.Count(s, `"`)+strings.Count(s, `\`) {
+		return s
+	}
+	var b strings.Builder
+	for _, r := range s {
+		if r < 0x80 {
+			b.WriteRune(r)
+			continue
+		}
+		if r > 0xffff {
+			r -= 0x10000
+			fmt.Fprintf(&b, `\u%04x\u%04x`, 0xd800+(r>>10), 0xdc00+(r&0x3ff))
+			continue
+		}
+		fmt.Fprintf(&b, `\u%04x`, r)
+	}
+	return b.String()
+}
+
+// DecodeHeader decodes and checks a value from a header.
+func DecodeHeader[T checked](h http.Header, name string) (T, error) {
+	var v T
+	text := h.Get(name)
+	if text == "" {
+		return v, fmt.Errorf("header %s is missing", name)
+	}
+	if len(text) > maxHeaderBytes {
+		return v, fmt.Errorf("header %s has %d bytes, want at most %d", name, len(text), maxHeaderBytes)
+	}
+	if err := json.Unmarshal([]byte(text), &v); err != nil {
+		return v, fmt.Errorf("header %s: %w", name, err)
+	}
+	if err := v.check(); err != nil {
+		return v, fmt.Errorf("header %s: %w", name, err)
+	}
+	return v, nil
+}
+
+// Refusal is the body of every error answer, to callers and between own processes.
+type Refusal struct {
+	Error RefusalError `json:"error"`
+	// Mark counts the engine crashes in which the refused request was in flight.
+	Mark int `json:"mark,omitempty"`
+}
+
+// RefusalError is the customary error object of the chat-completions shape, with a verdict.
+type RefusalError struct {
+	Message      string        `json:"message"`
+	Type         string        `json:"type"`
+	Code         judge.Reason  `json:"code"`
+	Verdict      judge.Verdict `json:"verdict"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+}
+
+// NewRefusal returns the wire form of err.
+func NewRefusal(err error) Refusal {
+	r := Refusal{Error: RefusalError{
+		Message: err.Error(), Type: "clementineramp_error",
+		Code: judge.ReasonOf(err), Verdict: judge.VerdictOf(err),
+	}}
+	if e, ok := asJudged(err); ok {
+		r.Error.RetryAfterMS = e.RetryAfter.Milliseconds()
+		if e.Err != nil {
+			r.Error.Message = e.Err.Error()
+		}
+	}
+	return r
+}
+
+// Judged returns the refusal as an error of package judge.
+func (r Refusal) Judged() *judge.Error {
+	return &judge.Error{
+		Verdict: r.Error.Verdict, Reason: r.Error.Code,
+		RetryAfter: time.Duration(r.Error.RetryAfterMS) * time.Millisecond,
+		Err:        fmt.Errorf("%s", r.Error.Message),
+	}
+}
+
+// Status returns the HTTP status that fits the reason of a refusal.
+func (r Refusal) Status() int {
+	switch r.Error.Code {
+	case judge.ReasonInvalid, judge.ReasonTicket:
+		return http.StatusBadRequest
+	case judge.ReasonUnauthorised:
+		return http.StatusUnauthorized
+	case judge.ReasonNotFound, judge.ReasonStreamLost:
+		return http.StatusNotFound
+	case judge.ReasonConvicted:
+		return http.StatusUnprocessableEntity
+	case judge.ReasonBound, judge.ReasonQueueFull, judge.ReasonRetryBudget, judge.ReasonCredit, judge.ReasonDeadline:
+		return http.StatusTooManyRequests
+	case judge.ReasonTimeout:
+		return http.StatusGatewayTimeout
+	case judge.ReasonBroken, judge.ReasonEngineCrashed:
+		return http.StatusBadGateway
+	case judge.ReasonTicketExpired, judge.ReasonIncarnation, judge.ReasonKeyUnknown:
+		return http.StatusConflict
+	case judge.ReasonInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// WriteRefusal answers a request with err.
+func WriteRefusal(w http.ResponseWriter, err error, mark int) {
+	r := NewRefusal(err)
+	r.Mark = mark
+	w.Header().Set("Content-Type", "application/json")
+	if r.Error.RetryAfterMS > 0 {
+		seconds := (r.Error.RetryAfterMS + 999) / 1000
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(r.Status())
+	_ = json.NewEncoder(w).Encode(r)
+}
--- /dev/null
+++ b/judge/judge.go
@@ -0,0 +1,126 @@
+package judge
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run at an upstream.
+type Verdict int
+
+const (
+	// MayHaveRun is the verdict when it cannot be known whether the request ran; it is the zero value.
+	MayHaveRun Verdict = iota
+	// NotRun is the verdict of a request that did not run and that nothing will run later.
+	NotRun
+	// Ran is the verdict of a request that the upstream ran, wholly or in part.
+	Ran
+)
+
+var verdictNames = [...]string{MayHaveRun: "may_have_run", NotRun: "not_run", Ran: "ran"}
+
+// String returns the name of the verdict in logs and on the wire.
+func (v Verdict) String() string {
+	if v < 0 || int(v) >= len(verdictNames) {
+		return verdictNames[MayHaveRun]
+	}
+	return verdictNames[v]
+}
+
+// MarshalText encodes the verdict as its name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText decodes the name of a verdict and refuses any other text.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q: want not_run, may_have_run or ran", text)
+}
+
+// Reason is a short machine-readable cause of a refusal or failure.
+type Reason string
+
+// The reasons that processes give for a refusal or failure.
+const (
+	ReasonInvalid       Reason = "invalid_request"
+	ReasonUnauthorised  Reason = "unauthorised"
+	ReasonNotFound      Reason = "not_found"
+	ReasonNoUpstream    Reason = "no_upstream"
+	ReasonUnreachable   Reason = "unreachable"
+	ReasonBound         Reason = "load_bound"
+	ReasonQueueFull     Reason = "queue_full"
+	ReasonDeadline      Reason = "deadline"
+	ReasonLeaving       Reason = "leaving"
+	ReasonNotReady      Reason = "not_ready"
+	ReasonCredit        Reason = "no_credit"
+	ReasonSuspect       Reason = "crash_suspect"
+	ReasonConvicted     Reason = "crashes_upstream"
+	ReasonEngineCrashed Reason = "engine_crashed"
+	ReasonWrongVersion  Reason = "wrong_version"
+	ReasonTimeout       Reason = "timeout"
+	ReasonBroken        Reason = "connection_broken"
+	ReasonRetryBudget   Reason = "retry_budget"
+	ReasonTicket        Reason = "ticket_invalid"
+	ReasonTicketExpired Reason = "ticket_expired"
+	ReasonIncarnation   Reason = "other_incarnation"
+	ReasonKeyUnknown    Reason = "key_history_unknown"
+	ReasonStreamLost    Reason = "stream_lost"
+	ReasonInternal      Reason = "internal"
+)
+
+// Error is a refusal or failure together with its verdict.
+type Error struct {
+	Verdict Verdict
+	Reason  Reason
+	// RetryAfter is the time after which a repeat may succeed; zero means that none is known.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error describes the failure in one line.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s (%s)", e.Reason, e.Verdict)
+	}
+	return fmt.Sprintf("%s (%s): %v", e.Reason, e.Verdict, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Refuse returns an error whose verdict is NotRun.
+func Refuse(reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Reason: reason, Err: fmt.Errorf(format, args...)}
+}
+
+// Doubt returns an error whose verdict is MayHaveRun.
+func Doubt(reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Reason: reason, Err: fmt.Errorf(format, args...)}
+}
+
+// VerdictOf returns the verdict that err carries; an error without one may have run.
+func VerdictOf(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
+
+// ReasonOf returns the reason that err carries, or ReasonInternal.
+func ReasonOf(err error) Reason {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ReasonInternal
+}
--- /dev/null
+++ b/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads the settings of a daemon from a JSON file with comments.
+package loader
