--- /dev/null
+++ b/caller/chat.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"clementineramp/encoder"
+	"clementineramp/judge"
+)
+
+func (e *Edge) readBody(c echo.Context) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, e.cfg.Limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, judge.Refuse(judge.ReasonInvalid, "body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, judge.Refuse(judge.ReasonInvalid, "read body: %w", err)
+	}
+	return b, nil
+}
+
+func (e *Edge) serveChat(c echo.Context) error {
+	started := time.Now()
+	id, err := e.authenticate(c.Request())
+	if err != nil {
+		return err
+	}
+	body, err := e.readBody(c)
+	if err != nil {
+		return err
+	}
+	chat := Chat{Organisation: id.organisation, Rank: id.rank, Deadline: id.deadline, Started: started}
+	if err := json.Unmarshal(body, &chat.Body); err != nil {
+		return judge.Refuse(judge.ReasonInvalid, "%w", err)
+	}
+	if chat.Chat, err = nameHeader(c.Request(), ChatHeader); err != nil {
+		return err
+	}
+	// Fields that only the system's own processes may set.
+	chat.Body.Prefix, chat.Body.RequestID, chat.Body.Version, chat.Body.Priority = "", "", "", 0
+	if !chat.Body.Stream {
+		return e.collect(c, chat)
+	}
+	s := &sseWriter{w: c.Response()}
+	return s.finish(e.cfg.Chat(c.Request().Context(), chat, s.emit))
+}
+
+func (e *Edge) serveResume(c echo.Context) error {
+	id, err := e.authenticate(c.Request())
+	if err != nil {
+		return err
+	}
+	stream, err := encoder.ParseStreamID(c.Param("id"))
+	if err != nil {
+		return judge.Refuse(judge.ReasonInvalid, "%w", err)
+	}
+	r := Resume{Organisation: id.organisation, Stream: stream}
+	if last := c.Request().Header.Get("Last-Event-ID"); last != "" {
+		lastStream, offset, err := encoder.ParseEventID(last)
+		if err != nil || lastStream != stream {
+			return judge.Refuse(judge.ReasonInvalid, "header Last-Event-ID %q is not of stream %s", last, stream)
+		}
+		r.Offset = offset
+	}
+	s := &sseWriter{w: c.Response()}
+	return s.finish(e.cfg.Resume(c.Request().Context(), r, s.emit))
+}
+
+// sseWriter writes the events of an answer and decides how a failure reaches the caller.
+type sseWriter struct {
+	w       *echo.Response
+	started bool
+}
+
+func (s *sseWriter) emit(ev encoder.Event) error {
+	if !s.started {
+		s.started = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	if err := encoder.WriteEvent(s.w, ev); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// finish turns an error into a refusal before the first event and into an error event after it.
+func (s *sseWriter) finish(err error) error {
+	if err == nil || !s.started {
+		return err
+	}
+	if writeErr := encoder.WriteErrorEvent(s.w, err); writeErr != nil {
+		return nil
+	}
+	_ = http.NewResponseController(s.w).Flush()
+	return nil
+}
+
+// collect answers a request without streaming from the same events.
+func (e *Edge) collect(c echo.Context, chat Chat) error {
+	var text strings.Builder
+	var last encoder.Chunk
+	finish := "stop"
+	emit := func(ev encoder.Event) error {
+		if ev.Done {
+			return nil
+		}
+		text.WriteString(ev.Text)
+		if err := json.Unmarshal([]byte(ev.Data), &last); err != nil {
+			return judge.Doubt(judge.ReasonInternal, "chunk: %w", err)
+		}
+		if len(last.Choices) > 0 && last.Choices[0].FinishReason != nil {
+			finish = *last.Choices[0].FinishReason
+		}
+		return c.Request().Context().Err()
+	}
+	if err := e.cfg.Chat(c.Request().Context(), chat, emit); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, encoder.Chunk{
+		ID: last.ID, Object: "chat.completion", Model: chat.Body.Model, Usage: last.Usage,
+		Choices: []encoder.Choice{{
+			Message:      &encoder.Message{Role: "assistant", Content: text.String()},
+			FinishReason: &finish,
+		}},
+	})
+}
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is the HTTP edge of a router towards callers.
+package caller
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -1,6 +1,9 @@
 package encoder
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -19,6 +22,12 @@
 	ReportHeader = "Clementine-Report"
 	// StreamHeader carries the identity of the answer's stream.
 	StreamHeader = "Clementine-Stream"
+	// SignatureHeader authenticates an Envelope with the fleet's shared key.
+	SignatureHeader = "Clementine-Signature"
+	// VersionHeader carries the version of the model that gives the answer.
+	VersionHeader = "Clementine-Model-Version"
+	// AnswerHeader marks a response that the upstream gave, whatever its status.
+	AnswerHeader = "Clementine-Answer"
 )
 
 // maxHeaderBytes bounds a decoded header, so that a faulty peer cannot make a process allocate without limit.
@@ -42,6 +51,12 @@
 	Offset int `json:"offset,omitempty"`
 	// Version is the model version that the answer began with; empty means any.
 	Version string `json:"version,omitempty"`
+	// Service names the plain service of an order.
+	Service string `json:"service,omitempty"`
+	// Key is the idempotency key or ticket of an order; empty means that there is one attempt only.
+	Key string `json:"key,omitempty"`
+	// ConfigVersion is the version of the configuration by which the router chose the agent.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Load holds the freshest entries of the sender's load table.
 	Load []LoadEntry `json:"load,omitempty"`
 }
@@ -162,6 +177,18 @@
 	return v, nil
 }
 
+// Sign returns the signature of an encoded header under the fleet's shared key.
+func Sign(sharedKey, header string) string {
+	mac := hmac.New(sha256.New, []byte(sharedKey))
+	_, _ = mac.Write([]byte(header))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// Verify reports in constant time whether a signature fits an encoded header.
+func Verify(sharedKey, header, signature string) bool {
+	return hmac.Equal([]byte(Sign(sharedKey, header)), []byte(signature))
+}
+
 // Refusal is the body of every error answer, to callers and between own processes.
 type Refusal struct {
 	Error RefusalError `json:"error"`
--- /dev/null
+++ b/forwarder/doc.go
@@ -0,0 +1,2 @@
+// Package forwarder is the HTTP client that a router uses to talk to agents.
+package forwarder
--- /dev/null
+++ b/standin/cache.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"clementineramp/encoder"
+)
+
+// prefixCache holds prompt prefixes up to a number of tokens, least recently used out first.
+type prefixCache struct {
+	capacity int
+	tokens   int
+	entries  *lru.Cache[uint64, int]
+}
+
+// maxCachedPrefixes only bounds the table; the capacity in tokens is reached long before.
+const maxCachedPrefixes = 1 << 20
+
+func newPrefixCache(capacity int) *prefixCache {
+	c := &prefixCache{capacity: capacity}
+	c.entries, _ = lru.NewWithEvict[uint64, int](maxCachedPrefixes, func(_ uint64, n int) { c.tokens -= n })
+	return c
+}
+
+// messageTokens estimates the tokens of one message as the router does.
+func messageTokens(m encoder.Message) int {
+	return encoder.ChatRequest{Messages: []encoder.Message{m}}.PromptTokens()
+}
+
+// chain returns the hash of each prefix of the messages.
+func chain(messages []encoder.Message) []uint64 {
+	d := xxhash.New()
+	hashes := make([]uint64, len(messages))
+	for i, m := range messages {
+		_, _ = d.WriteString(m.Role + "\x00" + m.Content + "\x00")
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
+// hit returns the number of prompt tokens that the cache holds.
+func (c *prefixCache) hit(messages []encoder.Message) int {
+	n := 0
+	for i, h := range chain(messages) {
+		if _, ok := c.entries.Get(h); !ok {
+			break
+		}
+		n += messageTokens(messages[i])
+	}
+	return n
+}
+
+func (c *prefixCache) add(messages []encoder.Message) {
+	hashes := chain(messages)
+	for i, h := range hashes {
+		if c.entries.Contains(h) {
+			continue
+		}
+		n := messageTokens(messages[i])
+		c.entries.Add(h, n)
+		c.tokens += n
+	}
+	for c.tokens > c.capacity {
+		c.entries.RemoveOldest()
+	}
+}
+
+func (c *prefixCache) clear() {
+	c.entries.Purge()
+	c.tokens = 0
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,462 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementineramp/encoder"
+	"clementineramp/engine"
+)
+
+// CrashText is a message content that crashes the engine that runs it.
+const CrashText = "crash the engine"
+
+// tokenBytes is the length of each token of a stand-in's answer.
+const tokenBytes = 6
+
+// EngineConfig describes a stand-in engine.
+type EngineConfig struct {
+	Name    string
+	Address string
+	Model   string
+	Version string
+	// Slots is the size of the batch; further requests wait by priority.
+	Slots int
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// PrefillPerToken is the time for a prompt token that is not cached.
+	PrefillPerToken time.Duration
+	// TokenInterval is the time between tokens of an answer.
+	TokenInterval time.Duration
+	// LoadTime is the time that a load order takes.
+	LoadTime time.Duration
+	// ChecksFence says that the engine refuses an order with an old fencing number.
+	ChecksFence bool
+}
+
+// Run is the record of one generation at an engine.
+type Run struct {
+	Engine       string
+	RequestID    string
+	Organisation string
+	Version      string
+	PromptTokens int
+	CachedTokens int
+	// Work is the estimated work of the request, in tokens.
+	Work float64
+	// Emitted counts the tokens that this run added to the answer.
+	Emitted   int
+	Completed bool
+	// Foreign says that the answer prefix was not the start of this generation.
+	Foreign bool
+}
+
+// Engine is a stand-in model engine with a batch, a prefix cache and a deterministic answer.
+type Engine struct {
+	cfg    EngineConfig
+	server *Server
+
+	mu         sync.Mutex
+	model      string
+	version    string
+	ready      bool
+	fence      uint64
+	controller string
+	cache      *prefixCache
+	running    map[string]context.CancelFunc
+	work       float64
+	maxWork    float64
+	waiting    []*waiter
+	runs       []*Run
+	crashes    int
+	frozen     chan struct{}
+	generation int
+}
+
+type waiter struct {
+	priority int
+	ready    chan struct{}
+}
+
+// StartEngine starts a stand-in engine on loopback.
+func StartEngine(cfg EngineConfig) (*Engine, error) {
+	if cfg.Slots == 0 {
+		cfg.Slots = 8
+	}
+	if cfg.CacheTokens == 0 {
+		cfg.CacheTokens = 100_000
+	}
+	e := &Engine{
+		cfg: cfg, model: cfg.Model, version: cfg.Version, ready: true,
+		cache: newPrefixCache(cfg.CacheTokens), running: map[string]context.CancelFunc{},
+	}
+	s, err := Start(cfg.Address, e.handler())
+	e.server = s
+	return e, err
+}
+
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.cfg.Name }
+
+// Address returns the address that the engine serves.
+func (e *Engine) Address() string { return e.server.Address() }
+
+// Kill ends the engine at once; its cache is lost.
+func (e *Engine) Kill() {
+	e.server.Kill()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, cancel := range e.running {
+		cancel()
+	}
+	e.cache.clear()
+	e.generation++
+}
+
+// Restart starts the engine again at the same address.
+func (e *Engine) Restart() error { return e.server.Restart() }
+
+// SetFrozen stops the engine from answering while it keeps its connections.
+func (e *Engine) SetFrozen(frozen bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if frozen && e.frozen == nil {
+		e.frozen = make(chan struct{})
+	}
+	if !frozen && e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+// Runs returns the record of all generations.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make([]Run, len(e.runs))
+	for i, r := range e.runs {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// Crashes returns how often a request crashed the engine.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Work returns the work that runs now and the largest that ever ran, in tokens.
+func (e *Engine) Work() (now, largest float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.work, e.maxWork
+}
+
+// Loaded returns the model version in service.
+func (e *Engine) Loaded() (model, version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model, e.version
+}
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/status", e.serveStatus)
+	mux.HandleFunc("POST /v1/load", e.serveLoad)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	return mux
+}
+
+// thaw waits while the engine is frozen.
+func (e *Engine) thaw(ctx context.Context) error {
+	e.mu.Lock()
+	frozen := e.frozen
+	e.mu.Unlock()
+	if frozen == nil {
+		return nil
+	}
+	select {
+	case <-frozen:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *Engine) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if e.thaw(r.Context()) != nil {
+		return
+	}
+	e.mu.Lock()
+	s := engine.Status{
+		Model: e.model, Version: e.version, Ready: e.ready, Fence: e.fence,
+		Slots: e.cfg.Slots, Running: len(e.running), Controller: e.controller,
+	}
+	e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	var o engine.LoadOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	if e.cfg.ChecksFence && o.Fence <= e.fence {
+		e.mu.Unlock()
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.ready = false
+	e.controller = o.Controller
+	e.cache.clear()
+	e.mu.Unlock()
+	time.Sleep(e.cfg.LoadTime)
+	e.mu.Lock()
+	e.model, e.version, e.ready = o.Model, o.Version, true
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		RequestID string `json:"request_id"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	if cancel, ok := e.running[body.RequestID]; ok {
+		cancel()
+	}
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req encoder.ChatRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.thaw(r.Context()) != nil {
+		return
+	}
+	e.mu.Lock()
+	version, ready, generation := e.version, e.ready && req.Model == e.model, e.generation
+	e.mu.Unlock()
+	if !ready {
+		http.Error(w, "model is not loaded", http.StatusServiceUnavailable)
+		return
+	}
+	if req.Version != "" && req.Version != version {
+		http.Error(w, "version in service is "+version, http.StatusConflict)
+		return
+	}
+	if e.crashOn(req) {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if e.enter(ctx, req, cancel) != nil {
+		return
+	}
+	defer e.leave(req)
+	run := e.record(req, version)
+	e.stream(ctx, w, req, run, generation)
+}
+
+// crashOn kills the engine if the request asks for it.
+func (e *Engine) crashOn(req encoder.ChatRequest) bool {
+	for _, m := range req.Messages {
+		if strings.Contains(m.Content, CrashText) {
+			e.mu.Lock()
+			e.crashes++
+			e.mu.Unlock()
+			e.Kill()
+			return true
+		}
+	}
+	return false
+}
+
+// enter waits for a slot of the batch.
+func (e *Engine) enter(ctx context.Context, req encoder.ChatRequest, cancel context.CancelFunc) error {
+	e.mu.Lock()
+	if len(e.running) >= e.cfg.Slots {
+		wt := &waiter{priority: req.Priority, ready: make(chan struct{})}
+		e.waiting = append(e.waiting, wt)
+		e.mu.Unlock()
+		select {
+		case <-wt.ready:
+		case <-ctx.Done():
+			e.forget(wt)
+			return ctx.Err()
+		}
+		e.mu.Lock()
+	}
+	e.running[req.RequestID] = cancel
+	e.work += req.Cost()
+	e.maxWork = max(e.maxWork, e.work)
+	e.mu.Unlock()
+	return nil
+}
+
+func (e *Engine) forget(wt *waiter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, other := range e.waiting {
+		if other == wt {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			return
+		}
+	}
+	// The slot was granted while the request left, so the next waiter gets it.
+	e.grant()
+}
+
+func (e *Engine) leave(req encoder.ChatRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, req.RequestID)
+	e.work -= req.Cost()
+	e.grant()
+}
+
+// grant gives a free slot to the waiting request with the smallest priority number.
+func (e *Engine) grant() {
+	if len(e.waiting) == 0 {
+		return
+	}
+	best := 0
+	for i, wt := range e.waiting {
+		if wt.priority < e.waiting[best].priority {
+			best = i
+		}
+	}
+	close(e.waiting[best].ready)
+	e.waiting = append(e.waiting[:best], e.waiting[best+1:]...)
+}
+
+func (e *Engine) record(req encoder.ChatRequest, version string) *Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run := &Run{
+		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version,
+		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
+		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
+	}
+	e.runs = append(e.runs, run)
+	return run
+}
+
+// Answer returns the whole answer that any engine gives to a request with a version.
+func Answer(req encoder.ChatRequest, version string) string {
+	n := req.AnswerTokens()
+	var b strings.Builder
+	b.Grow(n * tokenBytes)
+	for i := range n {
+		b.WriteString(token(req, version, i))
+	}
+	return b.String()
+}
+
+func token(req encoder.ChatRequest, version string, i int) string {
+	seed := int64(0)
+	if req.Seed != nil {
+		seed = *req.Seed
+	}
+	h := xxhash.Sum64String(fmt.Sprint(req.Fingerprint(""), version, seed, i))
+	return fmt.Sprintf("%05x ", h&0xfffff)
+}
+
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, req encoder.ChatRequest, run *Run, generation int) {
+	if !sleep(ctx, time.Duration(run.PromptTokens-run.CachedTokens)*e.cfg.PrefillPerToken) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Model-Version", run.Version)
+	total := req.AnswerTokens()
+	var text strings.Builder
+	text.WriteString(req.Prefix)
+	for i := len(req.Prefix) / tokenBytes; i < total; i++ {
+		if !sleep(ctx, e.cfg.TokenInterval) || e.thaw(ctx) != nil {
+			return
+		}
+		t := token(req, run.Version, i)
+		text.WriteString(t)
+		if writeChunk(w, req, t, "", nil) != nil {
+			return
+		}
+		e.mu.Lock()
+		run.Emitted++
+		e.mu.Unlock()
+	}
+	usage := &encoder.Usage{
+		PromptTokens: run.PromptTokens, CompletionTokens: total, TotalTokens: run.PromptTokens + total,
+		PromptDetails: &encoder.PromptDetail{CachedTokens: run.CachedTokens},
+	}
+	if ctx.Err() != nil || writeChunk(w, req, "", "stop", usage) != nil {
+		return
+	}
+	if encoder.WriteEvent(w, encoder.DoneEvent("")) != nil {
+		return
+	}
+	flush(w)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Completed = true
+	if generation == e.generation {
+		e.cache.add(append(append([]encoder.Message{}, req.Messages...), encoder.Message{Role: "assistant", Content: text.String()}))
+	}
+}
+
+func writeChunk(w http.ResponseWriter, req encoder.ChatRequest, text, finish string, usage *encoder.Usage) error {
+	choice := encoder.Choice{Delta: &encoder.Message{Role: "assistant", Content: text}}
+	if finish != "" {
+		choice.FinishReason = &finish
+	}
+	b, err := json.Marshal(encoder.Chunk{
+		ID: req.RequestID, Object: "chat.completion.chunk", Model: req.Model,
+		Choices: []encoder.Choice{choice}, Usage: usage,
+	})
+	if err != nil {
+		return err
+	}
+	if err := encoder.WriteEvent(w, encoder.Event{Data: string(b)}); err != nil {
+		return err
+	}
+	flush(w)
+	return nil
+}
+
+func flush(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
