chooser: order candidates by weighted rendezvous hashing with a load bound

Every router has to compute the same order for a chat without a table of chats, and a list change may move only the chats of the changed upstream. The scan keeps the best few candidates of each tier in fixed arrays, so a choice allocates only its result. The weight rises in nine steps, so that routers whose uptimes differ by milliseconds agree between the steps.

Ruled out: skipping candidates at the bound itself. With loads that are 2 s old on average it saves no attempts and loses reuse, so candidates are skipped only above 1.2 times the bound.

--- /dev/null
+++ b/chooser/choice.go
@@ -0,0 +1,223 @@
+package chooser
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Reasons of a Choice: why its first candidate leads. A baseline gives the name of its policy instead.
+const (
+	// ReasonAffinity says that the chat's own upstream leads.
+	ReasonAffinity = "affinity"
+	// ReasonAboveBound says that the chat's own upstream is known to be above the bound.
+	ReasonAboveBound = "above_bound"
+	// ReasonSuspect says that the chat's own upstream is suspect.
+	ReasonSuspect = "suspect"
+	// ReasonDown says that the chat's own upstream is down.
+	ReasonDown = "down"
+	// ReasonAllAboveBound says that every usable upstream is above the bound.
+	ReasonAllAboveBound = "all_above_bound"
+	// ReasonAllSuspect says that there are only suspect upstreams.
+	ReasonAllSuspect = "all_suspect"
+	// ReasonAllDown says that there are only upstreams that are down.
+	ReasonAllDown = "all_down"
+	// ReasonNoCandidate says that there is no upstream, or that all are leaving.
+	ReasonNoCandidate = "no_candidate"
+)
+
+// Notes of a Candidate: why it has its place.
+const (
+	NoteFit        = "fit"
+	NoteLessLoaded = "less_loaded_of_two"
+	NoteAboveBound = "above_bound"
+	NoteSuspect    = "suspect"
+	NoteDown       = "down"
+	NoteLeaving    = "leaving"
+)
+
+var tierNotes = [...]string{
+	tierFit:     NoteFit,
+	tierAbove:   NoteAboveBound,
+	tierSuspect: NoteSuspect,
+	tierDown:    NoteDown,
+	tierNone:    NoteLeaving,
+}
+
+// Candidate is an upstream with its place in a choice.
+type Candidate struct {
+	Upstream
+	// Position is the place in the chat's order over all usable upstreams, from 1; only Explain sets it.
+	Position int     `json:"position,omitempty"`
+	Weight   float64 `json:"weight"`
+	Score    float64 `json:"score"`
+	Note     string  `json:"note"`
+}
+
+// Choice is the outcome of Choose and the grounds for it.
+type Choice struct {
+	Policy Policy `json:"policy"`
+	// Order lists the upstreams to try; the last one takes the attempt that may wait in the agent's queue.
+	Order []Candidate `json:"order"`
+	// Skipped lists candidates that come before the first of Order in the chat's order but do not lead,
+	// at most Attempts+1 for each cause.
+	Skipped []Candidate `json:"skipped,omitempty"`
+	Reason  string      `json:"reason"`
+	// Mean is the mean of the known work, in tokens, and Known the number of upstreams whose load is known.
+	Mean  float64 `json:"mean"`
+	Known int     `json:"known"`
+	// Limit is the work above which a candidate is skipped, in tokens; zero means that there is no limit.
+	Limit float64 `json:"limit,omitempty"`
+}
+
+func (r *ranking) choice(picked []ranked, tiers *[tierCount]top) Choice {
+	ch := Choice{Policy: r.cfg.Policy, Mean: r.mean, Known: r.known}
+	if !math.IsInf(r.limit, 1) && r.cfg.Policy == Rendezvous {
+		ch.Limit = r.limit
+	}
+	if len(picked) == 0 {
+		ch.Reason = ReasonNoCandidate
+		return ch
+	}
+	ch.Order = make([]Candidate, len(picked))
+	for i, item := range picked {
+		ch.Order[i] = r.candidate(item)
+	}
+	if r.replaced(picked, tiers) {
+		ch.Order[len(picked)-1].Note = NoteLessLoaded
+	}
+	ch.Skipped = r.skipped(picked[0], tiers)
+	ch.Reason = r.reason(picked[0], ch.Skipped)
+	return ch
+}
+
+// replaced reports whether the last candidate took the place of one that fits better by hash.
+func (r *ranking) replaced(picked []ranked, tiers *[tierCount]top) bool {
+	last := picked[len(picked)-1]
+	place := len(picked)
+	for t := tierFit; t < last.tier; t++ {
+		place -= tiers[t].n
+	}
+	return place < 1 || tiers[last.tier].items[place-1].index != last.index
+}
+
+func (r *ranking) candidate(item ranked) Candidate {
+	u := r.ups[item.index]
+	return Candidate{
+		Upstream: u,
+		Weight:   weight(u.Uptime, r.cfg.Ramp),
+		Score:    item.score,
+		Note:     tierNotes[item.tier],
+	}
+}
+
+// skipped lists the candidates of worse tiers that outrank the first one.
+func (r *ranking) skipped(first ranked, tiers *[tierCount]top) []Candidate {
+	var list []Candidate
+	for t := first.tier + 1; t < tierCount; t++ {
+		for _, item := range tiers[t].items[:tiers[t].n] {
+			if !item.before(first, r.ups) {
+				break
+			}
+			list = append(list, r.candidate(item))
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Candidate) int { return cmp.Compare(b.Score, a.Score) })
+	return list
+}
+
+func (r *ranking) reason(first ranked, skipped []Candidate) string {
+	if r.cfg.Policy != Rendezvous {
+		return r.cfg.Policy.String()
+	}
+	switch first.tier {
+	case tierAbove:
+		return ReasonAllAboveBound
+	case tierSuspect:
+		return ReasonAllSuspect
+	case tierDown:
+		return ReasonAllDown
+	default:
+	}
+	if len(skipped) > 0 {
+		return skipped[0].Note
+	}
+	return ReasonAffinity
+}
+
+// KeyValues returns the choice as alternating keys and values for one log line.
+func (ch Choice) KeyValues() []any {
+	chosen := ""
+	if len(ch.Order) > 0 {
+		chosen = ch.Order[0].Name
+	}
+	return []any{
+		"chosen", chosen,
+		"reason", ch.Reason,
+		"policy", ch.Policy.String(),
+		"candidates", describe(ch.Order),
+		"skipped", describe(ch.Skipped),
+		"mean", math.Round(ch.Mean),
+		"limit", math.Round(ch.Limit),
+		"known", ch.Known,
+	}
+}
+
+// describe lists candidates in the form name(note,state,work/age) and writes ? for an unknown load.
+func describe(list []Candidate) string {
+	var b strings.Builder
+	for i, cand := range list {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		load := "?"
+		if cand.Known {
+			load = fmt.Sprintf("%.0f/%v", cand.Work, cand.WorkAge.Round(time.Millisecond))
+		}
+		fmt.Fprintf(&b, "%s(%s,%v,%s)", cand.Name, cand.Note, cand.State, load)
+	}
+	return b.String()
+}
+
+// Explanation is a choice together with the place of every upstream.
+type Explanation struct {
+	Choice  Choice      `json:"choice"`
+	Ranking []Candidate `json:"ranking"`
+}
+
+// Explain returns what Choose decides for the same arguments, and ranks all upstreams; leaving ones come last.
+func (c *Chooser) Explain(key uint64, cost float64, ups []Upstream) Explanation {
+	// A separate chooser keeps an explanation from advancing the turn of the random and round-robin policies.
+	copied := &Chooser{cfg: c.cfg}
+	copied.turn.Store(c.turn.Load())
+	ex := Explanation{Choice: copied.Choose(key, cost, ups)}
+	copied.turn.Store(c.turn.Load())
+	r := copied.newRanking(key, cost, ups)
+	items := make([]ranked, len(ups))
+	for i := range ups {
+		items[i] = r.rank(i)
+	}
+	slices.SortFunc(items, func(a, b ranked) int {
+		switch {
+		case (a.tier == tierNone) != (b.tier == tierNone):
+			return int(a.tier) - int(b.tier)
+		case a.before(b, ups):
+			return -1
+		case b.before(a, ups):
+			return 1
+		default:
+			return 0
+		}
+	})
+	for i, item := range items {
+		cand := r.candidate(item)
+		if item.tier != tierNone {
+			cand.Position = i + 1
+		}
+		ex.Ranking = append(ex.Ranking, cand)
+	}
+	return ex
+}
--- /dev/null
+++ b/chooser/chooser.go
@@ -0,0 +1,218 @@
+package chooser
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultAttempts = 3
+	DefaultRamp     = 30 * time.Second
+	// DefaultLoadLife is longer than the few seconds in which gossip refreshes the whole load table.
+	DefaultLoadLife = 10 * time.Second
+	// DefaultSkipFactor leaves close cases to the agent, which knows its load exactly. In TestPoliciesThroughChurn
+	// skipping at the bound itself saves no attempts and loses reuse, since the router's table is some seconds old.
+	DefaultSkipFactor = 1.2
+)
+
+// Config configures a Chooser; a zero field takes its default.
+type Config struct {
+	Policy Policy
+	// Bound is the multiple of the mean work that an engine may carry.
+	Bound float64
+	// SkipFactor times Bound is the multiple of the mean work above which a candidate is skipped.
+	SkipFactor float64
+	// Attempts is the number of candidates that a request may try.
+	Attempts int
+	// Ramp is the uptime at which an upstream gets its full weight.
+	Ramp time.Duration
+	// LoadLife is the age above which a load report is not used.
+	LoadLife time.Duration
+	// Domain is the router's own failure domain; it only breaks ties of load in the last attempt.
+	Domain string
+	// Seed makes the random policy repeatable.
+	Seed uint64
+}
+
+// Chooser orders candidates; it is safe for concurrent use.
+type Chooser struct {
+	cfg Config
+	// turn counts the choices of the policies that differ from one choice to the next.
+	turn atomic.Uint64
+}
+
+// New returns a Chooser, or an error if the configuration is out of range.
+func New(cfg Config) (*Chooser, error) {
+	cfg.Bound = cmp.Or(cfg.Bound, DefaultBound)
+	cfg.SkipFactor = cmp.Or(cfg.SkipFactor, DefaultSkipFactor)
+	cfg.Attempts = cmp.Or(cfg.Attempts, DefaultAttempts)
+	cfg.Ramp = cmp.Or(cfg.Ramp, DefaultRamp)
+	cfg.LoadLife = cmp.Or(cfg.LoadLife, DefaultLoadLife)
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	return &Chooser{cfg: cfg}, nil
+}
+
+func (cfg Config) check() error {
+	switch {
+	case cfg.Policy < Rendezvous || cfg.Policy > LeastLoad:
+		return fmt.Errorf("unknown %v", cfg.Policy)
+	case !(cfg.Bound >= 1):
+		return fmt.Errorf("bound %g is below 1", cfg.Bound)
+	case !(cfg.SkipFactor >= 1):
+		return fmt.Errorf("skip factor %g is below 1", cfg.SkipFactor)
+	case cfg.Attempts < 1 || cfg.Attempts > MaxAttempts:
+		return fmt.Errorf("attempts %d are not within 1 to %d", cfg.Attempts, MaxAttempts)
+	case cfg.Ramp < 0 || cfg.LoadLife < 0:
+		return fmt.Errorf("negative ramp %v or load life %v", cfg.Ramp, cfg.LoadLife)
+	default:
+		return nil
+	}
+}
+
+// Choose returns the upstreams that a request of the given cost (in tokens) tries, in this order.
+// The key is that of the chat; the order of ups does not matter except to the round-robin policy.
+func (c *Chooser) Choose(key uint64, cost float64, ups []Upstream) Choice {
+	r := c.newRanking(key, cost, ups)
+	var tiers [tierCount]top
+	for i := range ups {
+		item := r.rank(i)
+		if item.tier != tierNone {
+			tiers[item.tier].add(item, c.cfg.Attempts+1, ups)
+		}
+	}
+	var buf [MaxAttempts + 1]ranked
+	picked := r.pick(&tiers, buf[:0])
+	return r.choice(picked, &tiers)
+}
+
+// ranking holds what is the same for all candidates of one choice.
+type ranking struct {
+	cfg  *Config
+	key  uint64
+	cost float64
+	ups  []Upstream
+	turn uint64
+	// mean and known describe the load of the upstreams whose load is known.
+	mean  float64
+	known int
+	limit float64
+}
+
+func (c *Chooser) newRanking(key uint64, cost float64, ups []Upstream) ranking {
+	r := ranking{cfg: &c.cfg, key: key, cost: cost, ups: ups}
+	if c.cfg.Policy == Random || c.cfg.Policy == RoundRobin {
+		r.turn = c.turn.Add(1) - 1
+	}
+	total := 0.0
+	for i := range ups {
+		u := &ups[i]
+		if u.State == Leaving || u.State == Down || !r.knows(u) {
+			continue
+		}
+		total += u.Work
+		r.known++
+	}
+	if r.known > 0 {
+		r.mean = total / float64(r.known)
+	}
+	r.limit = Limit(c.cfg.SkipFactor*c.cfg.Bound, total, r.known, cost)
+	return r
+}
+
+func (r *ranking) knows(u *Upstream) bool {
+	return u.Known && u.WorkAge <= r.cfg.LoadLife
+}
+
+// rank scores the upstream at an index and finds its tier.
+func (r *ranking) rank(i int) ranked {
+	u := &r.ups[i]
+	item := ranked{index: i, tier: r.tier(u)}
+	if item.tier == tierNone {
+		return item
+	}
+	item.tie = hash(r.key, u.Name)
+	switch r.cfg.Policy {
+	case Random:
+		item.score = rendezvous(hash(r.cfg.Seed+r.turn, u.Name), 1)
+	case RoundRobin:
+		n := uint64(len(r.ups))
+		item.score = -float64((uint64(i) + n - r.turn%n) % n)
+	case LeastLoad:
+		item.score = -r.load(u)
+	default:
+		item.score = rendezvous(item.tie, weight(u.Uptime, r.cfg.Ramp))
+	}
+	return item
+}
+
+func (r *ranking) tier(u *Upstream) tier {
+	switch u.State {
+	case Leaving:
+		return tierNone
+	case Down:
+		return tierDown
+	case Suspect:
+		return tierSuspect
+	default:
+	}
+	if r.cfg.Policy == Rendezvous && r.knows(u) && !Admits(u.Work, r.cost, r.limit) {
+		return tierAbove
+	}
+	return tierFit
+}
+
+// load returns the running and queued work of an upstream; an unknown load counts as the mean.
+func (r *ranking) load(u *Upstream) float64 {
+	if !r.knows(u) {
+		return r.mean
+	}
+	return u.Work + u.Queued
+}
+
+// pick appends the candidates of a request to dst, the best tier first. Upstreams that are down are picked only if
+// there is no other, because a refused connection costs little and may find that they are back.
+func (r *ranking) pick(tiers *[tierCount]top, dst []ranked) []ranked {
+	for t := range tiers {
+		if tier(t) == tierDown && len(dst) > 0 {
+			break
+		}
+		room := r.cfg.Attempts + 1 - len(dst)
+		dst = append(dst, tiers[t].items[:min(room, tiers[t].n)]...)
+	}
+	if len(dst) <= r.cfg.Attempts {
+		return dst
+	}
+	last := r.cfg.Attempts - 1
+	if r.lighter(dst) {
+		dst[last] = dst[last+1]
+	}
+	return dst[:r.cfg.Attempts]
+}
+
+// lighter reports whether the candidate after the last attempt takes the last attempt, because it is less loaded or
+// because it has an equal load and a failure domain that suits better. A sole attempt always follows the chat's order.
+func (r *ranking) lighter(picked []ranked) bool {
+	last := r.cfg.Attempts - 1
+	if r.cfg.Policy != Rendezvous || last == 0 || picked[last+1].tier > tierAbove {
+		return false
+	}
+	a, b := &r.ups[picked[last].index], &r.ups[picked[last+1].index]
+	if la, lb := r.load(a), r.load(b); la != lb {
+		return lb < la
+	}
+	if ta, tb := r.tried(a.Domain, picked[:last]), r.tried(b.Domain, picked[:last]); ta != tb {
+		return ta
+	}
+	return a.Domain != r.cfg.Domain && b.Domain == r.cfg.Domain
+}
+
+// tried reports whether an earlier attempt goes to the failure domain.
+func (r *ranking) tried(domain string, earlier []ranked) bool {
+	return slices.ContainsFunc(earlier, func(e ranked) bool { return r.ups[e.index].Domain == domain })
+}
--- /dev/null
+++ b/chooser/experiment_test.go
@@ -0,0 +1,356 @@
+package chooser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/chooser"
+)
+
+// Sizes of the experiment, chosen so that an engine runs about 24 requests at a time.
+const (
+	engines     = 30
+	views       = 4
+	tick        = 100 * time.Millisecond
+	length      = 60 * time.Second
+	arrivals    = 18 // requests per tick
+	cachedChats = 400
+	warm        = 15 * time.Second
+	// Each view learns the load of an engine with this probability per tick, so that its entries are 2 s old on average.
+	refresh = 0.05
+)
+
+type run struct {
+	chat uint64
+	cost float64
+	ends time.Duration
+}
+
+type chatState struct {
+	key    uint64
+	prompt int
+	due    time.Duration
+}
+
+// rule is the admission rule of the agents.
+type rule int
+
+const (
+	unbounded rule = iota
+	// strict admits within the bound, and to an idle engine.
+	strict
+	// even also admits to an engine that carries no more than the mean.
+	even
+	// demand is even with queued work counted in the mean.
+	demand
+)
+
+// trial counts what one policy does with one seeded sequence of arrivals and churn.
+type trial struct {
+	rng    *rand.Rand
+	c      *chooser.Chooser
+	exact  *chooser.Chooser
+	rule   rule
+	cold   bool
+	oracle bool
+
+	now     time.Duration
+	truth   []chooser.Upstream
+	seen    [views][]chooser.Upstream
+	ready   []time.Duration
+	running [][]run
+	waiting [][]run
+	cache   []*simplelru.LRU[uint64, int]
+
+	reused, reusable          float64
+	attempts, requests, waits int
+	over                      int
+	waited                    time.Duration
+	maxAdmitted               float64
+	skews                     []float64
+}
+
+func newTrial(cfg chooser.Config, r rule, cold, oracle bool) *trial {
+	t := &trial{
+		rng:     rand.New(rand.NewPCG(1, 2)),
+		c:       mustNew(cfg),
+		exact:   mustNew(chooser.Config{SkipFactor: 1}),
+		rule:    r,
+		cold:    cold,
+		oracle:  oracle,
+		truth:   fleet(engines),
+		ready:   make([]time.Duration, engines),
+		running: make([][]run, engines),
+		waiting: make([][]run, engines),
+	}
+	for i := range t.truth {
+		t.truth[i].Work = 0
+		t.ready[i] = -time.Hour
+		lru, _ := simplelru.NewLRU[uint64, int](cachedChats, nil)
+		t.cache = append(t.cache, lru)
+	}
+	for v := range t.seen {
+		t.seen[v] = append([]chooser.Upstream(nil), t.truth...)
+	}
+	return t
+}
+
+// mean returns the work of the engines that take work and their number.
+func mean(ups []chooser.Upstream) (total float64, n int) {
+	for _, u := range ups {
+		if u.State == chooser.Live {
+			total += u.Work
+			n++
+		}
+	}
+	return total, n
+}
+
+// churn drains one engine every 5 s; it is down after 2 s and back with an empty cache after 10 s.
+func (t *trial) churn() {
+	for i := range t.truth {
+		phase := t.now - time.Duration(i*7%engines)*5*time.Second
+		u := &t.truth[i]
+		switch {
+		case phase < 0 || t.now < time.Second:
+		case phase < 2*time.Second:
+			u.State = chooser.Leaving
+		case phase < 10*time.Second:
+			u.State, u.Work = chooser.Down, 0
+			t.running[i], t.waiting[i] = nil, nil
+			t.cache[i].Purge()
+			t.ready[i] = t.now
+		default:
+			u.State = chooser.Live
+		}
+		u.Uptime = t.now - t.ready[i]
+	}
+}
+
+func (t *trial) step() {
+	t.churn()
+	for i := range t.truth {
+		keep := t.running[i][:0]
+		for _, r := range t.running[i] {
+			if r.ends > t.now {
+				keep = append(keep, r)
+				continue
+			}
+			t.truth[i].Work -= r.cost
+		}
+		t.running[i] = keep
+		if len(keep) == 0 {
+			t.truth[i].Work = 0
+		}
+	}
+	for v := range t.seen {
+		for i := range t.truth {
+			u := &t.seen[v][i]
+			u.WorkAge += tick
+			u.Uptime = t.truth[i].Uptime
+			if t.rng.Float64() < refresh {
+				*u = t.truth[i]
+			}
+		}
+	}
+	for i, queue := range t.waiting {
+		t.waiting[i] = nil
+		t.truth[i].Queued = 0
+		for _, r := range queue {
+			if !t.admit(i, r) {
+				t.enqueue(i, r)
+			}
+		}
+	}
+}
+
+func (t *trial) enqueue(i int, r run) {
+	t.waiting[i] = append(t.waiting[i], r)
+	t.truth[i].Queued += r.cost
+	t.waited += tick
+}
+
+// admit starts a request unless the agent, which knows its own work exactly and the mean late, refuses it.
+func (t *trial) admit(i int, r run) bool {
+	u := &t.truth[i]
+	if u.State != chooser.Live {
+		return false
+	}
+	if !t.oracle && !t.allowed(u.Work, r.cost, t.seen[0], chooser.AdmissionBound(chooser.DefaultBound)) {
+		return false
+	}
+	if t.oracle && !t.allowed(u.Work, r.cost, t.truth, chooser.DefaultBound) {
+		return false
+	}
+	idle := u.Work == 0
+	u.Work += r.cost
+	total, live := mean(t.truth)
+	if ratio := u.Work * float64(live) / total; !idle {
+		if t.now > warm {
+			t.maxAdmitted = max(t.maxAdmitted, ratio)
+			if ratio > chooser.DefaultBound {
+				t.over++
+			}
+		}
+	}
+	r.ends = t.now + 4*time.Second
+	t.running[i] = append(t.running[i], r)
+	return true
+}
+
+// allowed applies the rule; a warm trial starts without one, so that it begins with the load of the steady state.
+func (t *trial) allowed(work, cost float64, ups []chooser.Upstream, bound float64) bool {
+	if t.rule == unbounded || !t.cold && t.now < warm/2 {
+		return true
+	}
+	total, n := mean(ups)
+	if t.rule == demand {
+		for _, u := range ups {
+			if u.State == chooser.Live {
+				total += u.Queued
+			}
+		}
+	}
+	return chooser.Admits(work, cost, chooser.Limit(bound, total, n, cost)) || t.rule >= even && chooser.Even(work, total, n)
+}
+
+// order returns the engines that a request tries. The oracle knows every cache and load.
+func (t *trial) order(ch *chatState, cost float64) []int {
+	ups, c := t.seen[t.rng.IntN(views)], t.c
+	if t.oracle {
+		ups, c = t.truth, t.exact
+		total, n := mean(ups)
+		limit := chooser.Limit(chooser.DefaultBound, total, n, cost)
+		best, most := -1, 0
+		for i, u := range ups {
+			if tokens, _ := t.cache[i].Peek(ch.key); tokens > most && u.State == chooser.Live && chooser.Admits(u.Work, cost, limit) {
+				best, most = i, tokens
+			}
+		}
+		if best >= 0 {
+			return []int{best}
+		}
+	}
+	var out []int
+	for _, cand := range c.Choose(ch.key, cost, ups).Order {
+		var i int
+		_, _ = fmt.Sscanf(cand.Name, "engine-%d", &i)
+		out = append(out, i)
+	}
+	return out
+}
+
+func (t *trial) serve(ch *chatState) {
+	t.requests++
+	cost := float64(ch.prompt + 200)
+	previous := ch.prompt - 150
+	var at int
+	r := run{chat: ch.key, cost: cost}
+	order := t.order(ch, cost)
+	for try, i := range order {
+		t.attempts++
+		at = i
+		if t.admit(i, r) {
+			break
+		}
+		if try == len(order)-1 {
+			t.waits++
+			t.enqueue(i, r)
+		}
+	}
+	if previous >= 200 {
+		tokens, _ := t.cache[at].Get(ch.key)
+		t.reused += float64(min(tokens, previous))
+		t.reusable += float64(previous)
+	}
+	t.cache[at].Add(ch.key, ch.prompt)
+	ch.prompt = min(ch.prompt+150, 3000)
+	ch.due = t.now + time.Duration(t.rng.ExpFloat64()*float64(20*time.Second))
+}
+
+func (t *trial) run() {
+	var chats []*chatState
+	for t.now = 0; t.now < length; t.now += tick {
+		t.step()
+		left := arrivals
+		for n := 0; n < 200 && left > 0 && len(chats) > 0; n++ {
+			ch := chats[t.rng.IntN(len(chats))]
+			if ch.due <= t.now && t.rng.Float64() < 0.8 {
+				t.serve(ch)
+				left--
+			}
+		}
+		for ; left > 0; left-- {
+			ch := &chatState{key: t.rng.Uint64(), prompt: 100 + t.rng.IntN(1000)}
+			chats = append(chats, ch)
+			t.serve(ch)
+		}
+		if t.now > warm {
+			total, n := mean(t.truth)
+			most := 0.0
+			for _, u := range t.truth {
+				if u.State == chooser.Live {
+					most = max(most, u.Work)
+				}
+			}
+			t.skews = append(t.skews, most*float64(n)/total)
+		}
+	}
+}
+
+func (t *trial) skew() (average, most float64) {
+	for _, s := range t.skews {
+		average += s / float64(len(t.skews))
+		most = max(most, s)
+	}
+	return average, most
+}
+
+// Guards against a bound that breaks, or a reuse that falls towards that of the baselines, while engines are replaced, with knowledge that lags by 2 s.
+func TestPoliciesThroughChurn(t *testing.T) {
+	reference := newTrial(chooser.Config{}, strict, false, true)
+	reference.run()
+	best := reference.reused / reference.reusable
+	report := func(name string, tr *trial) {
+		average, most := tr.skew()
+		t.Logf("%-26s reuse %.3f (%.3f of complete) skew mean %.2f max %.2f, admitted at most %.3f, over the bound %d, attempts %.3f, waits %d of %d, mean wait %v",
+			name, tr.reused/tr.reusable, tr.reused/tr.reusable/best, average, most, tr.maxAdmitted, tr.over,
+			float64(tr.attempts)/float64(tr.requests), tr.waits, tr.requests, (tr.waited / time.Duration(tr.requests)).Round(time.Millisecond))
+	}
+	report("complete knowledge", reference)
+	var inService *trial
+	for _, row := range []struct {
+		name string
+		skip float64
+		rule rule
+		cold bool
+	}{
+		{"skip at the bound", 1, demand, false},
+		{"no skip", 100, demand, false},
+		{"strict rule, cold start", 0, strict, true},
+		{"even rule, cold start", 0, even, true},
+		{"demand rule, cold start", 0, demand, true},
+		{"in service", 0, demand, false},
+	} {
+		tr := newTrial(chooser.Config{SkipFactor: row.skip}, row.rule, row.cold, false)
+		tr.run()
+		report(row.name, tr)
+		inService = tr
+	}
+	require.Zero(t, inService.over)
+	baselines := make([]*trial, len(chooser.Policies()))
+	for _, p := range chooser.Policies()[1:] {
+		baselines[p] = newTrial(chooser.Config{Policy: p}, unbounded, false, false)
+		baselines[p].run()
+		report(p.String(), baselines[p])
+	}
+	require.Greater(t, inService.reused, 5*baselines[chooser.Random].reused)
+	own, _ := inService.skew()
+	plain, _ := baselines[chooser.Hashing].skew()
+	require.Less(t, own, plain)
+}
--- /dev/null
+++ b/chooser/score.go
@@ -0,0 +1,75 @@
+package chooser
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultBound is the multiple of the mean load of its pool that an engine may carry.
+	DefaultBound = 1.25
+	// AdmissionFactor is the part of the bound that an agent uses, because its table of the other engines lags.
+	AdmissionFactor = 0.92
+)
+
+const (
+	minWeight = 0.1
+	// The weight rises in steps, so that routers whose knowledge of an uptime differs by milliseconds agree
+	// on the weight except at the edge of a step.
+	rampSteps = 9
+)
+
+// Limit returns the work that an engine may carry once a request of the given cost runs in it, in tokens.
+// Without any known load (n is 0) there is no limit.
+func Limit(bound, totalWork float64, n int, cost float64) float64 {
+	if n <= 0 {
+		return math.Inf(1)
+	}
+	return bound * (totalWork + cost) / float64(n)
+}
+
+// Admits reports whether an engine that carries work may take a request; an idle engine always may.
+func Admits(work, cost, limit float64) bool {
+	return work <= 0 || work+cost <= limit
+}
+
+// Even reports whether an engine that carries work is at or below the known mean. One more request there keeps the
+// pool as even as whole requests allow. Without this exception to the limit, engines that run one request each would
+// never start a second one, because two requests are above 1.25 times a mean of about one.
+func Even(work, totalWork float64, n int) bool {
+	return n > 0 && work <= totalWork/float64(n)
+}
+
+// AdmissionBound returns the multiple of the mean that an agent enforces for a bound.
+func AdmissionBound(bound float64) float64 {
+	return AdmissionFactor * bound
+}
+
+// weight returns the weight of an upstream that has been ready for uptime.
+func weight(uptime, ramp time.Duration) float64 {
+	if uptime >= ramp {
+		return 1
+	}
+	if uptime <= 0 {
+		return minWeight
+	}
+	step := math.Floor(rampSteps * float64(uptime) / float64(ramp))
+	return minWeight + (1-minWeight)*step/rampSteps
+}
+
+// hash mixes a chat's key with the name of an upstream.
+func hash(key uint64, name string) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], key)
+	binary.LittleEndian.PutUint64(buf[8:], xxhash.Sum64String(name))
+	return xxhash.Sum64(buf[:])
+}
+
+// rendezvous returns the score -weight/ln(u), where u in (0, 1) comes from the upper 53 bits of the hash.
+func rendezvous(h uint64, weight float64) float64 {
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
