--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,359 @@
+package admitter
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"clementineramp/configurer"
+	"clementineramp/judge"
+)
+
+const (
+	// defaultWindow is the time over which guaranteed shares hold.
+	defaultWindow = 10 * time.Second
+	// minRetryAfter keeps refused callers from returning before anything can have changed.
+	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter bounds the advice, since predictions far ahead are rarely right.
+	maxRetryAfter = 30 * time.Second
+)
+
+// Request is a request that asks for a slot of the engine.
+type Request struct {
+	ID                 uint64
+	Rank, Organisation string
+	// Cost is the estimated work, in tokens; for a paused request it is the work left.
+	Cost float64
+	// Weight is the organisation's part beside others of the rank; zero means 1.
+	Weight float64
+	// Deadline is the time left until the first byte is due; zero means none.
+	Deadline time.Duration
+	// Last says that no further agent will be tried, so that the request may wait for the load bound.
+	Last bool
+	// Suspect says that the request is marked by an engine crash; only one such request runs at a time.
+	Suspect bool
+	// Pinned says that the request cannot be paused, as a call to a plain service.
+	Pinned bool
+}
+
+func (r Request) weight() float64 {
+	if r.Weight > 0 {
+		return r.Weight
+	}
+	return 1
+}
+
+// Refusal is a queued request that will not run, and the error for its caller.
+type Refusal struct {
+	Request Request
+	Err     *judge.Error
+}
+
+// State is what the admitter does with a request at present.
+type State int
+
+const (
+	// Unknown is the state of a request that was never accepted or has left.
+	Unknown State = iota
+	// Queued is the state of a request that waits and has not started.
+	Queued
+	// Running is the state of a request that holds a slot.
+	Running
+	// Pausing is the state of a request that holds a slot until Paused is called.
+	Pausing
+	// Paused is the state of a request that started and waits for a slot to go on.
+	Paused
+)
+
+// Config holds the parameters of an Admitter.
+type Config struct {
+	// Slots is the number of requests that the engine batches.
+	Slots int
+	// Ranks are listed from the most to the least urgent.
+	Ranks []configurer.Rank
+	// MaxQueueWork bounds the waiting work of each rank, in tokens; zero means no bound.
+	MaxQueueWork float64
+	// MaxQueueTime bounds the wait of a request that has not started; zero means no bound.
+	MaxQueueTime time.Duration
+	// Window is the time over which guaranteed shares hold; zero means 10 s.
+	Window time.Duration
+	// PauseWithinRank also pauses for a request of the same rank whose organisation holds fewer
+	// slots, and serves the organisations with the fewest slots first. Without it a small
+	// organisation waits for a free slot: a run time divided by the number of slots.
+	PauseWithinRank bool
+	// Jitter returns a number in [0, 1) that spreads retry times; nil means a random one.
+	Jitter func() float64
+}
+
+// Admitter decides which requests the engine runs.
+type Admitter struct {
+	cfg   Config
+	limit float64
+	// ranks are ordered by urgency: configured, then removed ones that still hold requests, then fallback.
+	ranks []*rankQueue
+	// fallback takes requests of ranks that this configuration does not know; it is served last.
+	fallback *rankQueue
+	byName   map[string]*rankQueue
+
+	entries  map[uint64]*entry
+	running  []*entry
+	work     float64
+	pausing  int
+	suspects int
+	serial   uint64
+	due      indexHeap[*entry]
+	refused  []Refusal
+
+	rates      rates
+	born, last time.Time
+	bucket     int64
+	order      []*rankQueue
+	decision   Decision
+}
+
+// New returns an Admitter without a load bound.
+func New(cfg Config) *Admitter {
+	if cfg.Window <= 0 {
+		cfg.Window = defaultWindow
+	}
+	if cfg.Jitter == nil {
+		cfg.Jitter = rand.Float64
+	}
+	cfg.Slots = max(cfg.Slots, 1)
+	a := &Admitter{
+		cfg: cfg, limit: math.Inf(1),
+		fallback: newRankQueue("", cfg.PauseWithinRank),
+		byName:   map[string]*rankQueue{},
+		entries:  map[uint64]*entry{},
+		due: indexHeap[*entry]{
+			less:  func(a, b *entry) bool { return a.due.Before(b.due) },
+			index: func(e *entry) *int { return &e.dueIndex },
+		},
+	}
+	a.SetRanks(cfg.Ranks)
+	return a
+}
+
+// SetRanks adopts the ranks of a new configuration; requests of removed ranks are served after the others.
+func (a *Admitter) SetRanks(ranks []configurer.Rank) {
+	old := a.byName
+	a.byName = make(map[string]*rankQueue, len(ranks))
+	next := make([]*rankQueue, 0, len(ranks)+1)
+	for _, r := range ranks {
+		if a.byName[r.Name] != nil {
+			continue
+		}
+		q := old[r.Name]
+		if q == nil {
+			q = newRankQueue(r.Name, a.cfg.PauseWithinRank)
+		}
+		q.share = math.Max(r.Share, 0)
+		a.byName[r.Name] = q
+		next = append(next, q)
+	}
+	for _, q := range a.ranks {
+		if a.byName[q.name] == nil && q != a.fallback && q.waiting()+q.running > 0 {
+			q.share = 0
+			a.byName[q.name] = q
+			next = append(next, q)
+		}
+	}
+	next = append(next, a.fallback)
+	a.ranks = next
+	for i, q := range a.ranks {
+		q.position = i
+	}
+}
+
+// SetLimit sets the work that the engine may carry now, from the load bound; an idle engine may always take one request.
+func (a *Admitter) SetLimit(work float64) {
+	a.limit = work
+}
+
+// Work returns the work of the running requests, in tokens.
+func (a *Admitter) Work() float64 { return a.work }
+
+// Queued returns the work of the waiting requests, in tokens.
+func (a *Admitter) Queued() float64 {
+	sum := 0.0
+	for _, q := range a.ranks {
+		sum += q.work + q.pausedWork
+	}
+	return sum
+}
+
+// Waiting returns the number of waiting requests.
+func (a *Admitter) Waiting() int {
+	n := 0
+	for _, q := range a.ranks {
+		n += q.waiting()
+	}
+	return n
+}
+
+// Running returns the number of requests that hold a slot.
+func (a *Admitter) Running() int { return len(a.running) }
+
+// State returns what the admitter does with a request at present.
+func (a *Admitter) State(id uint64) State {
+	if e := a.entries[id]; e != nil {
+		return e.state
+	}
+	return Unknown
+}
+
+func (a *Admitter) rankOf(name string) *rankQueue {
+	if q := a.byName[name]; q != nil {
+		return q
+	}
+	return a.fallback
+}
+
+// fits reports whether the load bound lets a request start.
+func (a *Admitter) fits(cost float64) bool {
+	return len(a.running) == 0 || a.work+cost <= a.limit
+}
+
+// Started says that the engine has taken the request; without the call, its run counts from Next.
+func (a *Admitter) Started(now time.Time, id uint64) {
+	if e := a.entries[id]; e != nil && e.state == Running {
+		e.started = now
+	}
+}
+
+// Done says that a started request has ended and what work it did since it last started.
+// It reports false for a request that has not started.
+func (a *Admitter) Done(now time.Time, id uint64, actualWork float64) bool {
+	a.advance(now)
+	e := a.entries[id]
+	if e == nil || e.state == Queued {
+		return false
+	}
+	if e.state == Paused {
+		// The engine finished the stream before the command to pause it took effect.
+		e.rank.removePaused(e)
+		e.rank.delta += actualWork
+		a.account()
+	} else {
+		a.rates.add(e.req.Cost, actualWork, now.Sub(e.started))
+		a.correct(e, actualWork)
+		a.stop(e)
+	}
+	e.rank.settle(e, e.before+actualWork)
+	a.leave(e)
+	a.decide(Decision{Action: ActionDone, Work: actualWork}, e)
+	return true
+}
+
+// Cancel removes a request whose caller has left, and reports false for an unknown one.
+// For a running request the agent also cancels the stream; its work so far is estimated.
+func (a *Admitter) Cancel(now time.Time, id uint64) bool {
+	a.advance(now)
+	e := a.entries[id]
+	if e == nil {
+		return false
+	}
+	switch e.state {
+	case Unknown:
+		return false
+	case Queued:
+		e.rank.unlink(e)
+	case Paused:
+		e.rank.removePaused(e)
+		e.rank.settle(e, e.before)
+	case Running, Pausing:
+		a.stop(e)
+		e.rank.settle(e, e.before+e.counted)
+	}
+	a.leave(e)
+	a.decide(Decision{Action: ActionCancel}, e)
+	return true
+}
+
+// Paused says that the engine has stopped a request that Preempt named; work is what the request has left.
+// The request goes to the head of the queue of its rank. It reports false for a request that holds no slot.
+func (a *Admitter) Paused(now time.Time, id uint64, work float64) bool {
+	a.advance(now)
+	e := a.entries[id]
+	if e == nil || (e.state != Running && e.state != Pausing) {
+		return false
+	}
+	work = math.Max(0, math.Min(work, e.req.Cost))
+	done := e.req.Cost - work
+	a.rates.add(done, done, now.Sub(e.started))
+	a.correct(e, done)
+	a.stop(e)
+	e.before += done
+	e.req.Cost = work
+	e.state = Paused
+	e.rank.pushPaused(e)
+	e.within = false
+	a.decide(Decision{Action: ActionPaused, Work: work}, e)
+	return true
+}
+
+// stop frees the slot of a running request.
+func (a *Admitter) stop(e *entry) {
+	last := len(a.running) - 1
+	a.running[e.runIndex] = a.running[last]
+	a.running[e.runIndex].runIndex = e.runIndex
+	a.running[last] = nil
+	a.running = a.running[:last]
+	if e.state == Pausing {
+		a.pausing--
+		e.rank.pausing--
+	}
+	if e.req.Suspect {
+		a.suspects--
+	}
+	e.rank.release(e.req.Organisation)
+	a.work -= e.req.Cost
+	if last == 0 {
+		// Sums of floats drift; an idle engine is the point where the exact value is known.
+		a.work = 0
+	}
+}
+
+// leave forgets a request that is neither waiting nor running any more.
+func (a *Admitter) leave(e *entry) {
+	a.due.remove(e)
+	delete(a.entries, e.req.ID)
+	e.state = Unknown
+	e.rank.forget()
+}
+
+// Expire returns the queued requests that will not run: those whose queue time or deadline
+// ran out, those evicted from a full queue, and those that the load bound turned away.
+func (a *Admitter) Expire(now time.Time) []Refusal {
+	a.advance(now)
+	a.sweep(now)
+	out := a.refused
+	a.refused = nil
+	return out
+}
+
+// NextExpiry returns when the next queued request expires.
+func (a *Admitter) NextExpiry() (time.Time, bool) {
+	if e, ok := a.due.first(); ok {
+		return e.due, true
+	}
+	return time.Time{}, false
+}
+
+func (a *Admitter) sweep(now time.Time) {
+	for {
+		e, ok := a.due.first()
+		if !ok || now.Before(e.due) {
+			return
+		}
+		e.rank.unlink(e)
+		a.refuseQueued(e, ActionExpire, a.refusal(judge.ReasonDeadline, a.predict(e.rank, e.req)))
+	}
+}
+
+// refuseQueued hands a request that was taken out of its queue to the next Expire.
+func (a *Admitter) refuseQueued(e *entry, action Action, err *judge.Error) {
+	a.leave(e)
+	a.refused = append(a.refused, Refusal{e.req, err})
+	a.decide(Decision{Action: action, Reason: err.Reason, RetryAfter: err.RetryAfter}, e)
+}
--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,553 @@
+package admitter_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"clementineramp/admitter"
+	"clementineramp/configurer"
+	"clementineramp/judge"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed makes each run draw the same cases; the flag on the command line overrides it.
+	if err := flag.Set("rapid.seed", "20260301"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func request(id uint64, rank, organisation string, cost float64) admitter.Request {
+	return admitter.Request{ID: id, Rank: rank, Organisation: organisation, Cost: cost, Last: true}
+}
+
+func start(t *testing.T, a *admitter.Admitter, now time.Time, want uint64) {
+	t.Helper()
+	r, ok := a.Next(now)
+	require.True(t, ok)
+	require.Equal(t, want, r.ID)
+}
+
+// Guards against a full queue that turns small organisations away because of a large one.
+func TestFullQueueRefusesLargestOrganisation(t *testing.T) {
+	type offer struct {
+		organisation string
+		cost         float64
+	}
+	tests := []struct {
+		name    string
+		offers  []offer
+		refused bool
+		evicted []uint64
+	}{
+		{"fits", []offer{{"large", 50}, {"small", 50}}, false, nil},
+		{"newest of the largest goes", []offer{{"large", 40}, {"large", 40}, {"small", 30}}, false, []uint64{2}},
+		{"own organisation is the largest", []offer{{"small", 30}, {"large", 40}, {"large", 40}}, true, nil},
+		{"several are evicted", []offer{{"large", 30}, {"large", 30}, {"large", 30}, {"small", 45}}, false, []uint64{3, 2}},
+		{"eviction that does not help is undone", []offer{{"large", 50}, {"b", 20}, {"c", 20}, {"small", 70}}, true, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), MaxQueueWork: 100})
+			require.NoError(t, a.Offer(at(0), request(99, "normal", "running", 1)))
+			start(t, a, at(0), 99)
+			var err error
+			for i, o := range tt.offers {
+				require.NoError(t, err)
+				err = a.Offer(at(0), request(uint64(i+1), "normal", o.organisation, o.cost))
+			}
+			require.Equal(t, tt.refused, err != nil)
+			if err != nil {
+				require.Equal(t, judge.ReasonQueueFull, judge.ReasonOf(err))
+				require.Equal(t, judge.NotRun, judge.VerdictOf(err))
+			}
+			var evicted []uint64
+			for _, r := range a.Expire(at(0)) {
+				require.Equal(t, judge.NotRun, r.Err.Verdict)
+				evicted = append(evicted, r.Request.ID)
+			}
+			require.Equal(t, tt.evicted, evicted)
+			require.Equal(t, len(tt.offers)-len(evicted)-map[bool]int{true: 1}[tt.refused], a.Waiting())
+		})
+	}
+}
+
+// Guards against requests that wait for the load bound although another agent could take them.
+func TestBoundAtOffer(t *testing.T) {
+	tests := []struct {
+		name   string
+		limit  float64
+		last   bool
+		reason judge.Reason
+	}{
+		{"fits", 200, false, ""},
+		{"beyond the bound", 150, false, judge.ReasonBound},
+		{"last attempt waits", 150, true, ""},
+		{"slots taken, bound kept", 1000, false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
+			a.SetLimit(1)
+			require.NoError(t, a.Offer(at(0), request(1, "urgent", "a", 100)), "an idle engine takes any request")
+			start(t, a, at(0), 1)
+			a.SetLimit(tt.limit)
+			r := request(2, "urgent", "a", 100)
+			r.Last = tt.last
+			err := a.Offer(at(1), r)
+			if tt.reason == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.Equal(t, tt.reason, judge.ReasonOf(err))
+			require.Equal(t, judge.NotRun, judge.VerdictOf(err))
+		})
+	}
+}
+
+// Guards against a request that queued for a slot and then waits for the bound.
+func TestBoundAtNext(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 2, Ranks: ranks(0, 0, 0)})
+	for id := uint64(1); id <= 3; id++ {
+		r := request(id, "urgent", "a", 100)
+		r.Last = id != 3
+		require.NoError(t, a.Offer(at(0), r))
+	}
+	start(t, a, at(0), 1)
+	start(t, a, at(0), 2)
+	require.True(t, a.Done(at(1000), 1, 100))
+	a.SetLimit(150)
+	_, ok := a.Next(at(1000))
+	require.False(t, ok)
+	refused := a.Expire(at(1000))
+	require.Len(t, refused, 1)
+	require.Equal(t, judge.ReasonBound, refused[0].Err.Reason)
+	require.Equal(t, judge.NotRun, refused[0].Err.Verdict)
+}
+
+// Guards against a large request that starves behind small urgent ones, and against urgent ones that wait for it at once.
+func TestBlockedRequestGetsItsTurn(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 8, Ranks: ranks(0, 0, 0.5)})
+	a.SetLimit(100)
+	id := uint64(0)
+	offer := func(ms int, rank string, cost float64) {
+		id++
+		require.NoError(t, a.Offer(at(ms), request(id, rank, rank, cost)))
+	}
+	offer(0, "urgent", 40)
+	start(t, a, at(0), 1)
+	a.Done(at(1000), 1, 40)
+	offer(1000, "urgent", 40)
+	offer(1000, "urgent", 40)
+	start(t, a, at(1000), 2)
+	start(t, a, at(1000), 3)
+	offer(1000, "batch", 100)
+	offer(1100, "urgent", 20)
+	start(t, a, at(1100), 5)
+	offer(2200, "urgent", 40)
+	a.Done(at(2200), 2, 40)
+	_, ok := a.Next(at(2200))
+	require.False(t, ok, "after its patience the large request holds the room")
+	a.Done(at(2200), 3, 40)
+	a.Done(at(2200), 5, 20)
+	start(t, a, at(2200), 4)
+}
+
+// Guards against a pause that loses a request, refuses it after it ran, or puts it behind later ones.
+func TestPauseAndResume(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), MaxQueueTime: time.Second})
+	require.NoError(t, a.Offer(at(0), request(1, "batch", "a", 100)))
+	start(t, a, at(0), 1)
+	require.NoError(t, a.Offer(at(1), request(2, "batch", "b", 100)))
+	_, ok := a.Preempt(at(1))
+	require.False(t, ok, "a request of the same rank pauses none")
+	require.NoError(t, a.Offer(at(500), request(3, "urgent", "c", 10)))
+	r, ok := a.Preempt(at(500))
+	require.True(t, ok)
+	require.Equal(t, uint64(1), r.ID)
+	require.Contains(t, a.Explain().String(), `action="preempt" id=1 rank="batch"`)
+	_, ok = a.Preempt(at(500))
+	require.False(t, ok, "one pause makes room enough")
+	_, ok = a.Next(at(500))
+	require.False(t, ok, "the slot is taken until the engine has paused")
+	require.True(t, a.Paused(at(510), 1, 60))
+	require.Equal(t, 170.0, a.Queued())
+	start(t, a, at(510), 3)
+	refused := a.Expire(at(5000))
+	require.Len(t, refused, 1, "only the request that never started expires")
+	require.Equal(t, uint64(2), refused[0].Request.ID)
+	require.NoError(t, a.Offer(at(5000), request(4, "batch", "b", 100)))
+	require.True(t, a.Done(at(5000), 3, 10))
+	r, ok = a.Next(at(5000))
+	require.True(t, ok)
+	require.Equal(t, uint64(1), r.ID)
+	require.Equal(t, 60.0, r.Cost)
+	require.Equal(t, 60.0, a.Work())
+}
+
+// Guards against a stream that ends while it is being paused, and against calls to plain services being paused.
+func TestPauseExceptions(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
+	pinned := request(1, "batch", "a", 100)
+	pinned.Pinned = true
+	require.NoError(t, a.Offer(at(0), pinned))
+	start(t, a, at(0), 1)
+	require.NoError(t, a.Offer(at(0), request(2, "normal", "b", 100)))
+	_, ok := a.Preempt(at(0))
+	require.False(t, ok)
+	a.Done(at(10), 1, 100)
+	start(t, a, at(10), 2)
+	require.NoError(t, a.Offer(at(20), request(3, "urgent", "c", 100)))
+	_, ok = a.Preempt(at(20))
+	require.True(t, ok)
+	require.True(t, a.Done(at(25), 2, 100))
+	require.False(t, a.Paused(at(30), 2, 0))
+	start(t, a, at(30), 3)
+	require.Zero(t, a.Queued())
+}
+
+// Guards against two requests that may crash the engine running together.
+func TestOneSuspectAtATime(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 4, Ranks: ranks(0, 0, 0)})
+	for id := uint64(1); id <= 4; id++ {
+		r := request(id, "urgent", "a", 10)
+		r.Suspect = id <= 2
+		require.NoError(t, a.Offer(at(0), r))
+	}
+	started := map[uint64]bool{}
+	for r, ok := a.Next(at(0)); ok; r, ok = a.Next(at(0)) {
+		started[r.ID] = true
+	}
+	require.Len(t, started, 3, "unmarked requests pass the second suspect")
+	require.True(t, started[1] && !started[2])
+	a.Done(at(100), 1, 10)
+	start(t, a, at(100), 2)
+}
+
+// Guards against work that is lost or starved when a configuration changes the ranks.
+func TestSetRanks(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
+	require.NoError(t, a.Offer(at(0), request(1, "batch", "a", 10)))
+	require.NoError(t, a.Offer(at(0), request(2, "normal", "a", 10)))
+	require.NoError(t, a.Offer(at(0), request(3, "unknown", "a", 10)))
+	start(t, a, at(0), 2)
+	a.SetRanks([]configurer.Rank{{Name: "batch"}, {Name: "new"}, {Name: "new"}})
+	require.NoError(t, a.Offer(at(1), request(4, "new", "a", 10)))
+	require.NoError(t, a.Offer(at(1), request(5, "normal", "a", 10)))
+	for _, id := range []uint64{2, 1, 4, 5, 3} {
+		if id != 2 {
+			start(t, a, at(2), id)
+		}
+		require.True(t, a.Done(at(3), id, 10))
+	}
+	require.Zero(t, a.Waiting())
+}
+
+// Guards against refusals that all return at the same moment or not in time.
+func TestRetryAfterHasJitter(t *testing.T) {
+	jitter := 0.0
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), Jitter: func() float64 { return jitter }})
+	require.NoError(t, a.Offer(at(0), request(1, "urgent", "a", 100)))
+	start(t, a, at(0), 1)
+	a.Done(at(1000), 1, 100) // 100 tokens per second
+	require.NoError(t, a.Offer(at(1000), request(2, "urgent", "a", 100)))
+	start(t, a, at(1000), 2)
+	require.NoError(t, a.Offer(at(1000), request(3, "urgent", "a", 500)))
+	late := request(4, "urgent", "a", 100)
+	late.Deadline = time.Second
+	for _, jitter = range []float64{0, 0.5} {
+		var refused *judge.Error
+		require.ErrorAs(t, a.Offer(at(1000), late), &refused)
+		require.Equal(t, judge.ReasonDeadline, refused.Reason)
+		require.Equal(t, time.Duration((1+jitter)*4*float64(time.Second)), refused.RetryAfter)
+	}
+	a.Cancel(at(1001), 2)
+	a.Cancel(at(1001), 3)
+	require.NoError(t, a.Offer(at(1001), late), "no refusal by prediction while a slot is free and the queue is empty")
+	due, ok := a.NextExpiry()
+	require.True(t, ok)
+	require.Equal(t, at(2001), due)
+	refused := a.Expire(due)
+	require.Len(t, refused, 1)
+	require.Equal(t, judge.ReasonDeadline, refused[0].Err.Reason)
+}
+
+// Guards against a caller's text forging log fields, and against NaN costs that poison the sums.
+func TestInvalid(t *testing.T) {
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
+	for _, cost := range []float64{math.NaN(), math.Inf(1), 0, -1} {
+		require.Equal(t, judge.ReasonInvalid, judge.ReasonOf(a.Offer(at(0), request(1, "urgent", "a", cost))))
+	}
+	require.NoError(t, a.Offer(at(0), request(1, "urgent", "a action=start", 1)))
+	require.Contains(t, a.Explain().String(), `organisation="a action=start"`)
+	require.Equal(t, judge.ReasonInvalid, judge.ReasonOf(a.Offer(at(0), request(1, "urgent", "a", 1))))
+	require.False(t, a.Done(at(0), 1, 1), "a request that never started cannot be done")
+	require.False(t, a.Cancel(at(0), 2))
+}
+
+// ledger follows every offered request through the answers of the admitter.
+type ledger struct {
+	*rapid.T
+	a        *admitter.Admitter
+	now      time.Time
+	limit    float64
+	slots    int
+	next     uint64
+	requests map[uint64]admitter.Request
+	state    map[uint64]string
+}
+
+func (l *ledger) move(id uint64, to string, from ...string) {
+	for _, f := range from {
+		if l.state[id] == f {
+			l.state[id] = to
+			return
+		}
+	}
+	l.Fatalf("request %d goes from %q to %q", id, l.state[id], to)
+}
+
+func (l *ledger) pick(states ...string) (uint64, bool) {
+	var ids []uint64
+	for id := uint64(1); id <= l.next; id++ {
+		for _, s := range states {
+			if l.state[id] == s {
+				ids = append(ids, id)
+			}
+		}
+	}
+	if len(ids) == 0 {
+		return 0, false
+	}
+	return rapid.SampledFrom(ids).Draw(l.T, "id"), true
+}
+
+func (l *ledger) offer() {
+	l.next++
+	r := admitter.Request{
+		ID:           l.next,
+		Rank:         rapid.SampledFrom([]string{"urgent", "normal", "batch", "other"}).Draw(l.T, "rank"),
+		Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(l.T, "organisation"),
+		Cost:         float64(rapid.IntRange(1, 100).Draw(l.T, "cost")),
+		Weight:       float64(rapid.IntRange(0, 3).Draw(l.T, "weight")),
+		Deadline:     time.Duration(rapid.IntRange(0, 3000).Draw(l.T, "deadline")) * time.Millisecond,
+		Last:         rapid.Bool().Draw(l.T, "last"),
+		Suspect:      rapid.IntRange(0, 4).Draw(l.T, "suspect") == 0,
+		Pinned:       rapid.IntRange(0, 4).Draw(l.T, "pinned") == 0,
+	}
+	l.requests[r.ID] = r
+	l.state[r.ID] = "queued"
+	if err := l.a.Offer(l.now, r); err != nil {
+		if judge.VerdictOf(err) != judge.NotRun {
+			l.Fatalf("refusal %v", err)
+		}
+		l.move(r.ID, "refused", "queued")
+	}
+}
+
+func (l *ledger) start() {
+	work, running := l.a.Work(), l.a.Running()
+	r, ok := l.a.Next(l.now)
+	l.expire()
+	if !ok {
+		l.checkNothingHeldBack()
+		return
+	}
+	l.move(r.ID, "running", "queued", "paused")
+	l.requests[r.ID] = r
+	if running > 0 && work+r.Cost > l.limit {
+		l.Fatalf("work %v + %v beyond the bound %v", work, r.Cost, l.limit)
+	}
+}
+
+// checkNothingHeldBack applies where neither the load bound nor a suspect may keep a request waiting.
+func (l *ledger) checkNothingHeldBack() {
+	for id, s := range l.state {
+		if (s == "queued" || s == "paused") && !l.requests[id].Suspect && l.a.Running() < l.slots && math.IsInf(l.limit, 1) {
+			l.Fatalf("request %d waits beside a free slot", id)
+		}
+	}
+}
+
+func (l *ledger) expire() {
+	for _, r := range l.a.Expire(l.now) {
+		if r.Err.Verdict != judge.NotRun {
+			l.Fatalf("refusal %v", r.Err)
+		}
+		l.move(r.Request.ID, "expired", "queued")
+	}
+}
+
+func (l *ledger) check() {
+	l.expire()
+	sums := map[admitter.State]float64{}
+	suspects, running := 0, 0
+	known := map[string][]admitter.State{
+		"queued": {admitter.Queued}, "paused": {admitter.Paused}, "running": {admitter.Running, admitter.Pausing},
+	}
+	for id, s := range l.state {
+		got := l.a.State(id)
+		want, held := known[s]
+		if held && got != want[0] && got != want[len(want)-1] || !held && got != admitter.Unknown {
+			l.Fatalf("request %d is %q, the admitter has it as %v", id, s, got)
+		}
+		sums[got] += l.requests[id].Cost
+		if s == "running" {
+			running++
+			if l.requests[id].Suspect {
+				suspects++
+			}
+		}
+	}
+	if suspects > 1 || running > l.slots || running != l.a.Running() {
+		l.Fatalf("%d suspects, %d running, the admitter counts %d", suspects, running, l.a.Running())
+	}
+	if d := l.a.Work() - sums[admitter.Running] - sums[admitter.Pausing]; math.Abs(d) > 1e-6 {
+		l.Fatalf("work is off by %v", d)
+	}
+	if d := l.a.Queued() - sums[admitter.Queued] - sums[admitter.Paused]; math.Abs(d) > 1e-6 {
+		l.Fatalf("queued work is off by %v", d)
+	}
+}
+
+// Guards against a request that a refusal, preemption or change of configuration loses or counts twice.
+func TestNoRequestIsLost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &ledger{
+			T: rt, now: epoch, limit: math.Inf(1), slots: rapid.IntRange(1, 4).Draw(rt, "slots"),
+			requests: map[uint64]admitter.Request{}, state: map[uint64]string{},
+		}
+		l.a = admitter.New(admitter.Config{
+			Slots: l.slots, Ranks: ranks(0.5, 0.2, 0.1), MaxQueueWork: 300, MaxQueueTime: 2 * time.Second,
+			PauseWithinRank: rapid.Bool().Draw(rt, "within"), Jitter: func() float64 { return 0 },
+		})
+		act := func(f func(id uint64), states ...string) func(*rapid.T) {
+			return func(*rapid.T) {
+				if id, ok := l.pick(states...); ok {
+					f(id)
+				}
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"":      func(*rapid.T) { l.check() },
+			"offer": func(*rapid.T) { l.offer() },
+			"next":  func(*rapid.T) { l.start() },
+			"wait": func(*rapid.T) {
+				l.now = l.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"limit": func(*rapid.T) {
+				l.limit = rapid.SampledFrom([]float64{50, 150, math.Inf(1)}).Draw(rt, "limit")
+				l.a.SetLimit(l.limit)
+			},
+			"ranks": func(*rapid.T) {
+				l.a.SetRanks(ranks(0.5, 0.2, 0.1)[rapid.IntRange(0, 2).Draw(rt, "first"):])
+			},
+			"preempt": func(*rapid.T) {
+				if r, ok := l.a.Preempt(l.now); ok && (l.state[r.ID] != "running" || l.requests[r.ID].Pinned) {
+					l.Fatalf("request %d cannot be paused", r.ID)
+				}
+				l.expire()
+			},
+			"done": act(func(id uint64) {
+				if !l.a.Done(l.now, id, l.requests[id].Cost/2) {
+					l.Fatalf("request %d is not known as started", id)
+				}
+				l.move(id, "done", "running", "paused")
+			}, "running", "paused"),
+			"paused": act(func(id uint64) {
+				r := l.requests[id]
+				r.Cost = math.Floor(r.Cost / 2)
+				l.requests[id] = r
+				l.a.Paused(l.now, id, r.Cost)
+				l.move(id, "paused", "running")
+			}, "running"),
+			"cancel": act(func(id uint64) {
+				known := l.a.State(id) != admitter.Unknown
+				if l.a.Cancel(l.now, id) != known {
+					l.Fatalf("cancel of request %d", id)
+				}
+				l.move(id, "cancelled", "queued", "paused", "running")
+			}, "queued", "paused", "running"),
+		})
+		// Once the load bound is lifted, all accepted work drains.
+		l.a.SetLimit(math.Inf(1))
+		for range 10 * (l.next + 1) {
+			for r, ok := l.a.Next(l.now); ok; r, ok = l.a.Next(l.now) {
+				l.move(r.ID, "running", "queued", "paused")
+			}
+			l.expire()
+			if id, ok := l.pick("running"); ok {
+				l.a.Done(l.now, id, 1)
+				l.move(id, "done", "running")
+			}
+		}
+		if l.a.Waiting()+l.a.Running() > 0 {
+			l.Fatalf("%d requests wait and %d run for ever", l.a.Waiting(), l.a.Running())
+		}
+	})
+}
+
+// organisations is the number of organisations of the target size.
+const organisations = 14000
+
+func BenchmarkOfferNextDone(b *testing.B) {
+	for _, depth := range []int{0, organisations} {
+		b.Run(fmt.Sprintf("queued=%d", depth), func(b *testing.B) {
+			names := make([]string, organisations)
+			for i := range names {
+				names[i] = fmt.Sprintf("org-%05d", i)
+			}
+			a := admitter.New(admitter.Config{Slots: 64, Ranks: ranks(0.5, 0.3, 0.1), MaxQueueTime: time.Hour})
+			now, id := epoch, uint64(0)
+			offer := func() {
+				id++
+				_ = a.Offer(now, request(id, "normal", names[id%organisations], 100))
+			}
+			for range depth + 64 {
+				offer()
+			}
+			running := make([]uint64, 0, 64)
+			for r, ok := a.Next(now); ok; r, ok = a.Next(now) {
+				running = append(running, r.ID)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				offer()
+				a.Done(now, running[i%64], 80)
+				if r, ok := a.Next(now); ok {
+					running[i%64] = r.ID
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkEvict measures an offer to a full queue of 14,000 organisations.
+func BenchmarkEvict(b *testing.B) {
+	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), MaxQueueWork: 2 * organisations * 100})
+	names := make([]string, organisations)
+	for i := range names {
+		names[i] = fmt.Sprintf("org-%05d", i)
+	}
+	for i := range 2*organisations + 1 {
+		_ = a.Offer(epoch, request(uint64(i+1), "normal", names[i%organisations], 100))
+		a.Next(epoch)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		_ = a.Offer(epoch, request(uint64(3*organisations+i), "normal", names[i%7], 10))
+		a.Expire(epoch)
+	}
+}
--- /dev/null
+++ b/admitter/decision.go
@@ -0,0 +1,98 @@
+package admitter
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"clementineramp/judge"
+)
+
+// Action is what a decision does with a request.
+type Action string
+
+// The actions of a decision.
+const (
+	ActionQueue   Action = "queue"
+	ActionRefuse  Action = "refuse"
+	ActionEvict   Action = "evict"
+	ActionExpire  Action = "expire"
+	ActionStart   Action = "start"
+	ActionResume  Action = "resume"
+	ActionPreempt Action = "preempt"
+	ActionPaused  Action = "paused"
+	ActionDone    Action = "done"
+	ActionCancel  Action = "cancel"
+)
+
+// Decision explains the latest decision of an Admitter.
+type Decision struct {
+	Action             Action
+	ID                 uint64
+	Rank, Organisation string
+	// Reason is the cause of a refusal.
+	Reason judge.Reason
+	// Cause says why a request started: below_share or most_urgent.
+	Cause string
+	// For is the request that a preemption makes room for.
+	For uint64
+	// Cost is the estimated work, and Work what a finished request did or a paused one has left, in tokens.
+	Cost, Work float64
+	// Deficit is the work by which the rank was below its share, in tokens.
+	Deficit    float64
+	RetryAfter time.Duration
+	// EngineWork and Limit are the work that the engine carries and may carry, in tokens.
+	EngineWork, Limit       float64
+	Running, Slots, Waiting int
+}
+
+// Explain returns the latest decision.
+func (a *Admitter) Explain() Decision { return a.decision }
+
+func (a *Admitter) decide(d Decision, e *entry) {
+	d.ID, d.Rank, d.Organisation, d.Cost = e.req.ID, e.rank.name, e.req.Organisation, e.req.Cost
+	d.EngineWork, d.Limit = a.work, a.limit
+	d.Running, d.Slots, d.Waiting = len(a.running), a.cfg.Slots, a.Waiting()
+	a.decision = d
+}
+
+// Pairs returns the fields of the decision as alternating keys and values for a structured logger.
+func (d Decision) Pairs() []any {
+	pairs := []any{"action", string(d.Action), "id", d.ID, "rank", d.Rank, "organisation", d.Organisation, "cost", d.Cost}
+	if d.Reason != "" {
+		pairs = append(pairs, "reason", string(d.Reason), "retry_after", d.RetryAfter)
+	}
+	if d.Cause != "" {
+		pairs = append(pairs, "cause", d.Cause, "deficit", d.Deficit)
+	}
+	if d.For != 0 {
+		pairs = append(pairs, "for", d.For, "deficit", d.Deficit)
+	}
+	if d.Action == ActionDone || d.Action == ActionPaused {
+		pairs = append(pairs, "work", d.Work)
+	}
+	return append(pairs, "engine_work", d.EngineWork, "limit", d.Limit,
+		"running", d.Running, "slots", d.Slots, "waiting", d.Waiting)
+}
+
+// String returns the decision as one line of key=value fields.
+func (d Decision) String() string {
+	var b strings.Builder
+	pairs := d.Pairs()
+	for i := 0; i < len(pairs); i += 2 {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=", pairs[i])
+		switch v := pairs[i+1].(type) {
+		case string:
+			// Quoting keeps a name from forging fields.
+			fmt.Fprintf(&b, "%q", v)
+		case float64:
+			fmt.Fprintf(&b, "%.0f", v)
+		default:
+			fmt.Fprint(&b, v)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/admitter/offer.go
@@ -0,0 +1,178 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"clementineramp/judge"
+)
+
+// maxCost bounds the cost of one request, so that sums of work stay exact enough.
+const maxCost = 1e12
+
+// predictionMargin is the part of the deadline that a predicted wait may take. Waits vary with
+// later, more urgent arrivals: of the accepted requests of a rank at twice its capacity,
+// TestRefusalByPrediction saw 19.0% miss their deadline with 1.0, 11.6% with 0.8, 8.5% with 0.7.
+const predictionMargin = 0.8
+
+// Offer queues a request or refuses it with the verdict NotRun and a retry time with jitter.
+// When the queue of the rank is full it may refuse other requests, which Expire returns.
+func (a *Admitter) Offer(now time.Time, r Request) error {
+	a.advance(now)
+	a.sweep(now)
+	q := a.rankOf(r.Rank)
+	if err := a.check(q, r); err != nil {
+		return a.refuseOffer(q, r, err)
+	}
+	if !a.idle(r) {
+		wait := a.predict(q, r)
+		if r.Deadline > 0 && wait.Seconds() > predictionMargin*r.Deadline.Seconds() {
+			return a.refuseOffer(q, r, a.refusal(judge.ReasonDeadline, wait-r.Deadline))
+		}
+		if !a.makeRoom(q, r) {
+			return a.refuseOffer(q, r, a.refusal(judge.ReasonQueueFull, wait))
+		}
+	}
+	e := &entry{req: r, rank: q, state: Queued, dueIndex: -1}
+	a.entries[r.ID] = e
+	q.push(e)
+	if due, ok := a.dueTime(now, r); ok {
+		e.due = due
+		a.due.add(e)
+	}
+	a.decide(Decision{Action: ActionQueue}, e)
+	return nil
+}
+
+// check refuses what cannot run here whatever the queue is like.
+func (a *Admitter) check(q *rankQueue, r Request) *judge.Error {
+	if a.entries[r.ID] != nil {
+		return judge.Refuse(judge.ReasonInvalid, "request id %d is in use", r.ID)
+	}
+	if !(r.Cost > 0 && r.Cost <= maxCost) {
+		return judge.Refuse(judge.ReasonInvalid, "cost %v is out of range", r.Cost)
+	}
+	if r.Deadline < 0 {
+		return a.refusal(judge.ReasonDeadline, a.predict(q, r))
+	}
+	if !r.Last && !a.fits(r.Cost) {
+		return a.refusal(judge.ReasonBound, 0)
+	}
+	return nil
+}
+
+// idle reports whether a request would start at once, or at least as soon as the load bound allows.
+func (a *Admitter) idle(r Request) bool {
+	return len(a.running) < a.cfg.Slots && a.Waiting() == 0 && (a.suspects == 0 || !r.Suspect)
+}
+
+func (a *Admitter) dueTime(now time.Time, r Request) (time.Time, bool) {
+	switch d := a.cfg.MaxQueueTime; {
+	case r.Deadline > 0 && (d <= 0 || r.Deadline < d):
+		return now.Add(r.Deadline), true
+	case d > 0:
+		return now.Add(d), true
+	}
+	return time.Time{}, false
+}
+
+// victim is a request taken out of a full queue, with what is needed to put it back.
+type victim struct {
+	e   *entry
+	tag float64
+}
+
+// makeRoom evicts the newest requests of the organisations with the most waiting work
+// until the request fits its queue. It evicts none and reports false if the request's
+// own organisation would have the most.
+func (a *Admitter) makeRoom(q *rankQueue, r Request) bool {
+	limit := a.cfg.MaxQueueWork
+	if limit <= 0 || q.work+r.Cost <= limit {
+		return true
+	}
+	own := (q.flowWork(r) + r.Cost) / r.weight()
+	var victims []victim
+	for q.work+r.Cost > limit {
+		f, ok := q.largest.first()
+		if !ok || f.work/f.weight <= own {
+			q.restore(victims)
+			return false
+		}
+		victims = append(victims, victim{f.tail, f.tag})
+		q.unlink(f.tail)
+	}
+	for _, v := range victims {
+		a.refuseQueued(v.e, ActionEvict, a.refusal(judge.ReasonQueueFull, a.predict(q, v.e.req)))
+	}
+	return true
+}
+
+// restore puts requests back that were taken from the ends of their queues, newest last.
+func (q *rankQueue) restore(victims []victim) {
+	for i := len(victims) - 1; i >= 0; i-- {
+		q.push(victims[i].e)
+		f := victims[i].e.flow
+		f.tag = victims[i].tag
+		q.heapOf(f).fix(f)
+	}
+}
+
+// predict estimates how long a request would wait, from the measured service rate.
+func (a *Admitter) predict(q *rankQueue, r Request) time.Duration {
+	perSlot := a.rates.perSlot()
+	if perSlot == 0 {
+		return 0
+	}
+	slots := a.cfg.Slots
+	if n := len(a.running); n < slots && n > 0 {
+		// Requests wait beside free slots only when the load bound limits the batch.
+		slots = n
+	}
+	capacity := perSlot * float64(slots)
+	ahead := q.ahead(r)
+	urgentWaits, urgentUses := a.moreUrgent(q)
+	free := math.Max(capacity-urgentUses, q.share*capacity)
+	wait := urgentWaits / capacity
+	if ahead > 0 {
+		wait += ahead / free
+	}
+	if q.share > 0 {
+		wait = math.Min(wait, ahead/(q.share*capacity))
+	}
+	if ahead+urgentWaits == 0 && a.victimFor(q.position) == nil {
+		return a.rates.runTime() / time.Duration(slots)
+	}
+	return seconds(wait)
+}
+
+// ahead returns the work that fair queueing serves before a new request of an organisation.
+func (q *rankQueue) ahead(r Request) float64 {
+	rounds := q.flowWork(r) / r.weight()
+	return q.pausedWork + math.Min(q.work, rounds*math.Max(q.weight, r.weight()))
+}
+
+// moreUrgent returns the waiting work of more urgent ranks and the work per second that they use.
+func (a *Admitter) moreUrgent(q *rankQueue) (waits, uses float64) {
+	for _, u := range a.ranks[:q.position] {
+		waits += u.work + u.pausedWork
+		uses += u.window.servedSum
+	}
+	seen := math.Min(a.last.Sub(a.born).Seconds(), a.cfg.Window.Seconds())
+	if seen <= 0 {
+		return waits, 0
+	}
+	return waits, uses / seen
+}
+
+// refusal returns an error for a request that did not run, with advice when to return.
+func (a *Admitter) refusal(reason judge.Reason, wait time.Duration) *judge.Error {
+	err := judge.Refuse(reason, "running %d of %d, work %.0f of %.0f", len(a.running), a.cfg.Slots, a.work, a.limit)
+	base := min(max(wait, minRetryAfter), maxRetryAfter)
+	err.RetryAfter = base + time.Duration(a.cfg.Jitter()*float64(base))
+	return err
+}
+
+func (a *Admitter) refuseOffer(q *rankQueue, r Request, err *judge.Error) error {
+	a.decide(Decision{Action: ActionRefuse, Reason: err.Reason, RetryAfter: err.RetryAfter}, &entry{req: r, rank: q})
+	return err
+}
--- /dev/null
+++ b/admitter/sim_test.go
@@ -0,0 +1,231 @@
+package admitter_test
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"clementineramp/admitter"
+)
+
+// policy is what the engine model asks; the baselines implement it too.
+type policy interface {
+	Offer(now time.Time, r admitter.Request) error
+	Next(now time.Time) (admitter.Request, bool)
+	Done(now time.Time, id uint64, work float64) bool
+	Preempt(now time.Time) (admitter.Request, bool)
+	Paused(now time.Time, id uint64, left float64) bool
+	Expire(now time.Time) []admitter.Refusal
+}
+
+const (
+	prefill   = 200 * time.Millisecond
+	pauseTime = 10 * time.Millisecond
+	// slotRate is the number of tokens that a slot of the model generates in a second.
+	slotRate = 50.0
+	slots    = 16
+	// queueWork is the queue bound, in tokens.
+	queueWork = 20 * slots * slotRate
+)
+
+const (
+	warmUp = 30 * time.Second
+	simEnd = 330 * time.Second
+)
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// job is a request in the model and what became of it.
+type job struct {
+	req                     admitter.Request
+	at, first, end          time.Duration
+	begun, left             float64
+	run                     int
+	resumedAt               time.Duration
+	accepted, started, done bool
+}
+
+func (j *job) latency() time.Duration { return j.end - j.at }
+func (j *job) ttft() time.Duration    { return j.first - j.at }
+
+type event struct {
+	at   time.Duration
+	j    *job
+	run  int
+	kind int // 0 arrival, 1 completion, 2 end of a pause
+}
+
+type events []event
+
+func (h events) Len() int           { return len(h) }
+func (h events) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// engine runs jobs on slots; a run takes prefill plus cost over slotRate.
+type engine struct {
+	p    policy
+	jobs map[uint64]*job
+	heap events
+	// served is the work done by rank after warm up; carried is the work of the running requests.
+	served  map[string]float64
+	carried float64
+	running int
+	// watch sees each request before it starts.
+	watch func(e *engine, j *job)
+}
+
+func runEngine(p policy, jobs []*job, watch func(*engine, *job)) *engine {
+	e := &engine{p: p, jobs: map[uint64]*job{}, served: map[string]float64{}, watch: watch}
+	for i, j := range jobs {
+		j.req.ID = uint64(i + 1)
+		j.left = j.req.Cost
+		e.jobs[j.req.ID] = j
+		e.heap = append(e.heap, event{at: j.at, j: j})
+	}
+	heap.Init(&e.heap)
+	for len(e.heap) > 0 {
+		ev := heap.Pop(&e.heap).(event)
+		if ev.at > simEnd {
+			break
+		}
+		e.step(ev)
+	}
+	return e
+}
+
+func (e *engine) step(ev event) {
+	now, j := epoch.Add(ev.at), ev.j
+	switch {
+	case ev.kind == 0:
+		if e.p.Offer(now, j.req) != nil {
+			return
+		}
+		j.accepted = true
+	case ev.run != j.run || j.done:
+		return
+	case ev.kind == 1:
+		e.stop(ev.at, j, j.left)
+		j.done, j.end = true, ev.at
+		e.p.Done(now, j.req.ID, j.begun)
+	case ev.kind == 2:
+		work := min(max(0, (ev.at-j.resumedAt-prefill).Seconds()*slotRate), j.left)
+		e.stop(ev.at, j, work)
+		j.left -= work
+		j.run++
+		e.p.Paused(now, j.req.ID, j.left)
+	}
+	e.p.Expire(now)
+	for r, ok := e.p.Next(now); ok; r, ok = e.p.Next(now) {
+		e.start(ev.at, e.jobs[r.ID])
+	}
+	for r, ok := e.p.Preempt(now); ok; r, ok = e.p.Preempt(now) {
+		v := e.jobs[r.ID]
+		heap.Push(&e.heap, event{ev.at + pauseTime, v, v.run, 2})
+	}
+}
+
+func (e *engine) start(at time.Duration, j *job) {
+	if e.watch != nil {
+		e.watch(e, j)
+	}
+	if !j.started {
+		j.started, j.first = true, at+prefill
+	}
+	j.resumedAt, j.begun = at, j.left
+	e.carried += j.left
+	e.running++
+	heap.Push(&e.heap, event{at + prefill + time.Duration(j.left/slotRate*float64(time.Second)), j, j.run, 1})
+}
+
+func (e *engine) stop(at time.Duration, j *job, work float64) {
+	e.carried -= j.begun
+	e.running--
+	if at > warmUp {
+		e.served[j.req.Rank] += work
+	}
+}
+
+// poisson adds requests that keep a mean number of slots busy.
+func poisson(seed uint64, jobs []*job, r admitter.Request, load float64) []*job {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	r.Last = true
+	mean := time.Duration((r.Cost + prefill.Seconds()*slotRate) / (load * slotRate) * float64(time.Second))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(mean))
+		if at > simEnd {
+			return jobs
+		}
+		req := r
+		req.Cost *= 0.5 + rng.Float64()
+		jobs = append(jobs, &job{req: req, at: at})
+	}
+}
+
+// fifo is first come first served without ranks, organisations or a load bound.
+type fifo struct {
+	queue   []admitter.Request
+	running int
+	slots   int
+	work    float64
+}
+
+func (f *fifo) Offer(_ time.Time, r admitter.Request) error {
+	if f.work+r.Cost > queueWork {
+		return errFull
+	}
+	f.work += r.Cost
+	f.queue = append(f.queue, r)
+	return nil
+}
+
+func (f *fifo) Next(time.Time) (admitter.Request, bool) {
+	if f.running == f.slots || len(f.queue) == 0 {
+		return admitter.Request{}, false
+	}
+	r := f.queue[0]
+	f.queue = f.queue[1:]
+	f.work -= r.Cost
+	f.running++
+	return r, true
+}
+
+func (f *fifo) Done(time.Time, uint64, float64) bool            { f.running--; return true }
+func (f *fifo) Preempt(time.Time) (r admitter.Request, ok bool) { return r, false }
+func (f *fifo) Paused(time.Time, uint64, float64) bool          { return false }
+func (f *fifo) Expire(time.Time) []admitter.Refusal             { return nil }
+
+// noPreempt switches preemption off.
+type noPreempt struct{ *admitter.Admitter }
+
+func (noPreempt) Preempt(time.Time) (r admitter.Request, ok bool) { return r, false }
+
+// oneOrganisation switches fairness between organisations off.
+type oneOrganisation struct{ *admitter.Admitter }
+
+func (p oneOrganisation) Offer(now time.Time, r admitter.Request) error {
+	r.Organisation = "all"
+	return p.Admitter.Offer(now, r)
+}
+
+// quantile returns the q-quantile of f over the jobs that are selected and for which done holds.
+func quantile(jobs []*job, q float64, keep func(*job) bool, f func(*job) time.Duration) time.Duration {
+	var values []time.Duration
+	for _, j := range jobs {
+		if keep(j) {
+			values = append(values, f(j))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.SortFunc(values, cmp.Compare[time.Duration])
+	return values[int(q*float64(len(values)-1))]
+}
--- /dev/null
+++ b/admitter/window.go
@@ -0,0 +1,175 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// windowBuckets divides the window; more buckets slide more smoothly and cost more memory per rank.
+const windowBuckets = 32
+
+// horizonFraction is the part of the window by which running requests count ahead.
+// Without it each free slot goes to a rank below its share until its first results
+// are counted, and the rank overshoots.
+const horizonFraction = 0.1
+
+// rateMemory is the number of past runs over which the service rate is averaged.
+const rateMemory = 64
+
+// window holds what a rank was served and what its share entitled it to, over a sliding time.
+type window struct {
+	served, entitled       [windowBuckets]float64
+	servedSum, entitledSum float64
+}
+
+func (w *window) clear(bucket int) {
+	w.served[bucket], w.entitled[bucket] = 0, 0
+	w.servedSum, w.entitledSum = 0, 0
+	for i := range windowBuckets {
+		w.servedSum += w.served[i]
+		w.entitledSum += w.entitled[i]
+	}
+}
+
+func (w *window) add(bucket int, served, entitled float64) {
+	w.served[bucket] += served
+	w.entitled[bucket] += entitled
+	w.servedSum += served
+	w.entitledSum += entitled
+}
+
+// rates measures the service of one slot over recent runs.
+type rates struct {
+	cost, actual, seconds, runs float64
+}
+
+func (m *rates) add(cost, actual float64, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	const keep = 1 - 1.0/rateMemory
+	m.cost = m.cost*keep + cost
+	m.actual = m.actual*keep + actual
+	m.seconds = m.seconds*keep + d.Seconds()
+	m.runs = m.runs*keep + 1
+}
+
+// perSlot returns the estimated work that a slot finishes in a second, 0 when nothing was measured.
+func (m *rates) perSlot() float64 {
+	if m.seconds == 0 {
+		return 0
+	}
+	return m.cost / m.seconds
+}
+
+// done returns the actual work that a slot does in a second.
+func (m *rates) done() float64 {
+	if m.seconds == 0 {
+		return 0
+	}
+	return m.actual / m.seconds
+}
+
+// runTime returns the mean length of a run.
+func (m *rates) runTime() time.Duration {
+	if m.runs == 0 {
+		return 0
+	}
+	return seconds(m.seconds / m.runs)
+}
+
+// maxSeconds keeps a predicted time within the range of time.Duration.
+const maxSeconds = 1e6
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, maxSeconds) * float64(time.Second))
+}
+
+// advance counts the work that running requests did since the last call.
+func (a *Admitter) advance(now time.Time) {
+	if a.born.IsZero() {
+		a.born, a.last = now, now
+		a.bucket = a.bucketOf(now)
+	}
+	if now.Before(a.last) {
+		return
+	}
+	a.last = now
+	a.slide(now)
+	rate := a.rates.done()
+	if rate == 0 {
+		return
+	}
+	for _, e := range a.running {
+		done := math.Min(rate*now.Sub(e.started).Seconds(), e.req.Cost)
+		if done > e.counted {
+			e.rank.delta += done - e.counted
+			e.counted = done
+		}
+	}
+	a.account()
+}
+
+func (a *Admitter) bucketOf(now time.Time) int64 {
+	return now.UnixNano() / (a.cfg.Window.Nanoseconds() / windowBuckets)
+}
+
+func (a *Admitter) slide(now time.Time) {
+	target := a.bucketOf(now)
+	if target-a.bucket > windowBuckets {
+		a.bucket = target - windowBuckets
+	}
+	for a.bucket < target {
+		a.bucket++
+		for _, q := range a.ranks {
+			q.window.clear(int(a.bucket % windowBuckets))
+		}
+	}
+}
+
+// account moves the work in each rank's delta into its window. A rank with waiting
+// requests is entitled to its share of all work done; a rank without any is entitled
+// to no more than it used, so that idle time does not turn into a claim for later.
+func (a *Admitter) account() {
+	total := 0.0
+	for _, q := range a.ranks {
+		total += q.delta
+	}
+	bucket := int(a.bucket % windowBuckets)
+	for _, q := range a.ranks {
+		entitled := q.share * total
+		if q.waiting() == 0 {
+			entitled = nearerZero(entitled, q.delta)
+		}
+		q.window.add(bucket, q.delta, entitled)
+		q.delta = 0
+	}
+}
+
+func nearerZero(a, b float64) float64 {
+	if math.Abs(a) < math.Abs(b) {
+		return a
+	}
+	return b
+}
+
+// correct replaces the estimate of the current run's work by the actual work.
+func (a *Admitter) correct(e *entry, actual float64) {
+	e.rank.delta += actual - e.counted
+	e.counted = actual
+	a.account()
+}
+
+// deficit returns the work by which a rank is below its share if it had change more requests running.
+func (a *Admitter) deficit(q *rankQueue, change int) float64 {
+	ahead := a.rates.done() * a.cfg.Window.Seconds() * horizonFraction
+	running := float64(q.running + change)
+	return q.window.entitledSum - q.window.servedSum + ahead*(q.share*float64(len(a.running))-running)
+}
+
+// minDeficit is the least work that counts as a deficit; smaller values are rounding errors of the sums.
+const minDeficit = 1e-6
+
+func (a *Admitter) belowShare(q *rankQueue, change int) bool {
+	return q.share > 0 && a.deficit(q, change) > minDeficit
+}
