--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,257 @@
+// Package standin holds the stand-ins for the outside systems: the platform, the engines and a plain service.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"clementineramp/platform"
+)
+
+// platformWatchLimit is the time after which the platform answers a watch with the unchanged value.
+const platformWatchLimit = 20 * time.Second
+
+// Platform is a stand-in for the configuration service and the host list.
+type Platform struct {
+	// WatchLimit is the time after which a watch is answered with the unchanged value; set it before the first request.
+	WatchLimit time.Duration
+
+	mu       sync.Mutex
+	revision uint64
+	data     platformData
+	// frozen is what a stale platform answers from; nil when it is not stale.
+	frozen *platformData
+	down   bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	reads   int
+	waiting int
+	limit   *rate.Limiter
+	perSec  float64
+	second  time.Time
+	inSec   int
+	peak    int
+}
+
+type platformValue struct {
+	revision uint64
+	data     []byte
+}
+
+type platformData struct {
+	values map[string]platformValue
+	hosts  platformValue
+}
+
+func (d platformData) clone() *platformData {
+	c := platformData{values: make(map[string]platformValue, len(d.values)), hosts: d.hosts}
+	for k, v := range d.values {
+		c.values[k] = v
+	}
+	return &c
+}
+
+// NewPlatform returns a platform without values and with an empty list of hosts.
+func NewPlatform() *Platform {
+	p := &Platform{
+		WatchLimit: platformWatchLimit,
+		data:       platformData{values: map[string]platformValue{}},
+		changed:    make(chan struct{}),
+	}
+	p.SetHosts(nil)
+	return p
+}
+
+// SetValue publishes a value.
+func (p *Platform) SetValue(key string, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.data.values[key] = platformValue{revision: p.revision, data: append([]byte(nil), data...)}
+	p.wake()
+}
+
+// SetHosts publishes a list of hosts.
+func (p *Platform) SetHosts(hosts []platform.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	if hosts == nil {
+		hosts = []platform.Host{}
+	}
+	// A list of plain strings always encodes.
+	data, _ := json.Marshal(platform.HostList{Revision: p.revision, Hosts: hosts})
+	p.data.hosts = platformValue{revision: p.revision, data: data}
+	p.wake()
+}
+
+// SetDown makes the platform answer every request, and every waiting watch, with status 503.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetStale makes the platform answer from a copy frozen at this moment, until it is set back.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if stale {
+		p.frozen = p.data.clone()
+	}
+	p.wake()
+}
+
+// SetReadRate makes the platform answer reads past a rate with status 429; 0 means no limit.
+// A waiting watch takes one read per second from the rate.
+func (p *Platform) SetReadRate(perSecond int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.perSec = float64(perSecond)
+	p.limit = nil
+	if perSecond > 0 {
+		p.limit = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+	}
+}
+
+// Reads returns the number of reads and watches that arrived, refused ones included.
+func (p *Platform) Reads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// PeakReads returns the largest number of reads that arrived within one second plus the watches that waited then.
+func (p *Platform) PeakReads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peak
+}
+
+// Waiting returns the number of watches that wait now.
+func (p *Platform) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{key...}", func(w http.ResponseWriter, r *http.Request) {
+		key := r.PathValue("key")
+		p.serve(w, r, func(d platformData) (platformValue, bool) {
+			v, ok := d.values[key]
+			return v, ok
+		})
+	})
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		p.serve(w, r, func(d platformData) (platformValue, bool) {
+			return d.hosts, true
+		})
+	})
+	return mux
+}
+
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request, find func(platformData) (platformValue, bool)) {
+	if !p.admit() {
+		http.Error(w, "too many reads", http.StatusTooManyRequests)
+		return
+	}
+	var after uint64
+	watch := r.URL.Query().Has("watch")
+	if watch {
+		n, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+		if err != nil {
+			http.Error(w, "query watch is not a revision", http.StatusBadRequest)
+			return
+		}
+		after = n
+	}
+	limit := time.NewTimer(p.WatchLimit)
+	defer limit.Stop()
+	for {
+		v, found, down, changed := p.look(find)
+		if down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if !watch || found && v.revision > after || !p.wait(r, changed, limit.C) {
+			writeValue(w, v, found)
+			return
+		}
+	}
+}
+
+func writeValue(w http.ResponseWriter, v platformValue, found bool) {
+	if !found {
+		http.Error(w, "no such value", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set(platform.RevisionHeader, strconv.FormatUint(v.revision, 10))
+	_, _ = w.Write(v.data)
+}
+
+// admit counts a read and says whether the rate allows it.
+func (p *Platform) admit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.reads++
+	if now.Sub(p.second) >= time.Second {
+		p.second, p.inSec = now, 0
+	}
+	p.inSec++
+	p.peak = max(p.peak, p.inSec+p.waiting)
+	if p.limit == nil {
+		return true
+	}
+	p.limit.SetLimit(rate.Limit(max(0, p.perSec-float64(p.waiting))))
+	return p.limit.Allow()
+}
+
+func (p *Platform) look(find func(platformData) (platformValue, bool)) (platformValue, bool, bool, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.data
+	if p.frozen != nil {
+		d = *p.frozen
+	}
+	v, found := find(d)
+	return v, found, p.down, p.changed
+}
+
+// wait returns false when the watch has reached its limit or its caller has left.
+func (p *Platform) wait(r *http.Request, changed <-chan struct{}, limit <-chan time.Time) bool {
+	p.addWaiting(1)
+	defer p.addWaiting(-1)
+	select {
+	case <-changed:
+		return true
+	case <-limit:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (p *Platform) addWaiting(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting += n
+	p.peak = max(p.peak, p.inSec+p.waiting)
+}
+
+// wake lets every waiting watch look again; the caller holds the lock.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
