--- a/configurer/manifest.go
+++ b/configurer/manifest.go
@@ -22,8 +22,9 @@
 // UnmarshalText decodes and checks a digest.
 func (d *Digest) UnmarshalText(text []byte) error {
 	raw, err := hex.DecodeString(string(text))
-	if err != nil || len(raw) != digestBytes {
-		return fmt.Errorf("digest %q: want %d hexadecimal digits", text, 2*digestBytes)
+	// One spelling only: digests are compared as text.
+	if err != nil || len(raw) != digestBytes || hex.EncodeToString(raw) != string(text) {
+		return fmt.Errorf("digest %q: want %d hexadecimal digits in lower case", text, 2*digestBytes)
 	}
 	*d = Digest(text)
 	return nil
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -100,21 +100,20 @@
 
 	organisations map[string]Organisation
 	byKey         map[keyHash]string
+	// parts holds the parts by digest, so that the next snapshot reuses what did not change.
+	parts map[Digest]*content
 }
 
 type keyHash [sha256.Size]byte
 
-// NewSnapshot joins parts into a snapshot.
+// NewSnapshot joins parts into a snapshot without checking them; a Holder checks what it adopts.
 func NewSnapshot(version uint64, digest Digest, parts []Part) *Snapshot {
 	s := &Snapshot{
 		Version: version, Digest: digest,
 		organisations: map[string]Organisation{}, byKey: map[keyHash]string{},
 	}
 	for _, p := range parts {
-		s.Ranks = append(s.Ranks, p.Ranks...)
-		s.Pools = append(s.Pools, p.Pools...)
-		s.Services = append(s.Services, p.Services...)
-		s.Accounts = append(s.Accounts, p.Accounts...)
+		s.addSections(p)
 		for _, o := range p.Organisations {
 			s.addOrganisation(o)
 		}
@@ -122,6 +121,13 @@
 	return s
 }
 
+func (s *Snapshot) addSections(p Part) {
+	s.Ranks = append(s.Ranks, p.Ranks...)
+	s.Pools = append(s.Pools, p.Pools...)
+	s.Services = append(s.Services, p.Services...)
+	s.Accounts = append(s.Accounts, p.Accounts...)
+}
+
 func (s *Snapshot) addOrganisation(o Organisation) {
 	s.organisations[o.Name] = o
 	raw, err := hex.DecodeString(o.KeyHash)
@@ -131,6 +137,11 @@
 	s.byKey[keyHash(raw)] = o.Name
 }
 
+// Pair returns the version and digest of the snapshot.
+func (s *Snapshot) Pair() Pair {
+	return Pair{Version: s.Version, Digest: s.Digest}
+}
+
 // OrganisationCount returns the number of organisations.
 func (s *Snapshot) OrganisationCount() int {
 	return len(s.organisations)
