Add the compiler from the operators' sheet to manifest and parts

Operators need every fault of a sheet at once, with file, line, field and the allowed values, before anything is published.

The first row of a kind is its header, so that columns may be left out or moved; a fixed column order was ruled out, because a spreadsheet export with a moved column would compile to wrong values.

--- /dev/null
+++ b/compiler/compiler.go
@@ -0,0 +1,290 @@
+package compiler
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/bits"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementineramp/configurer"
+)
+
+// organisationsPerShard keeps a part at a few KB: 14,000 organisations give 128 shards, and their number doubles at 20,480.
+const organisationsPerShard = 160
+
+// Source is one CSV file of a sheet.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// Part is one part ready for publication.
+type Part struct {
+	Name   string
+	Digest configurer.Digest
+	Data   []byte
+}
+
+// Sheet is a compiled sheet.
+type Sheet struct {
+	Version  uint64
+	Manifest []byte
+	Digest   configurer.Digest
+	Parts    []Part
+	// Rows holds all rows; ranks stand in their order of urgency, other rows are sorted by name.
+	Rows configurer.Part
+}
+
+// Compile checks the files of a sheet and returns its manifest and parts; the error is an Errors with every fault.
+func Compile(files ...Source) (*Sheet, error) {
+	c := newCompilation()
+	for _, f := range files {
+		c.read(f)
+	}
+	c.checkReferences()
+	if len(c.errs) > 0 {
+		c.errs.sort(files)
+		return nil, c.errs
+	}
+	return c.sheet()
+}
+
+// Shards returns the number of parts over which a number of organisations is spread, a power of two.
+func Shards(organisations int) int {
+	if organisations <= organisationsPerShard {
+		return 1
+	}
+	return 1 << bits.Len(uint((organisations-1)/organisationsPerShard))
+}
+
+type compilation struct {
+	errs     Errors
+	version  uint64
+	versions int
+	rows     configurer.Part
+	// names holds the names of each kind, those of faulty rows included, so that one fault does not cause others.
+	names map[string]map[string]place
+	// words holds the names of each kind in the order of the sheet.
+	words map[string][]string
+	refs  []reference
+	// keys maps a key hash to the place that first lists it.
+	keys   map[string]place
+	models map[string]place
+}
+
+// reference is a cell that names a row of another kind.
+type reference struct {
+	at                place
+	field, kind, name string
+}
+
+func newCompilation() *compilation {
+	return &compilation{
+		names: map[string]map[string]place{}, words: map[string][]string{},
+		keys: map[string]place{}, models: map[string]place{},
+	}
+}
+
+func (c *compilation) fail(at place, field, format string, args ...any) {
+	c.errs = append(c.errs, Error{File: at.file, Line: at.line, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// read takes the rows of a file.
+func (c *compilation) read(f Source) {
+	r := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(f.Data, []byte("\xef\xbb\xbf"))))
+	r.FieldsPerRecord = -1
+	r.Comment = '#'
+	headers := map[string][]string{}
+	for {
+		record, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			c.failCSV(f.Name, err)
+			continue
+		}
+		line, _ := r.FieldPos(0)
+		for i := range record {
+			record[i] = strings.TrimSpace(record[i])
+		}
+		if strings.Join(record, "") == "" {
+			continue
+		}
+		c.record(place{f.Name, line}, record, headers)
+	}
+}
+
+func (c *compilation) failCSV(file string, err error) {
+	var e *csv.ParseError
+	if errors.As(err, &e) {
+		c.fail(place{file, e.Line}, "", "column %d: %v", e.Column, e.Err)
+		return
+	}
+	c.fail(place{file, 0}, "", "%v", err)
+}
+
+// record takes the header of a kind, or a row of data.
+func (c *compilation) record(at place, record []string, headers map[string][]string) {
+	k, ok := kindOf(record[0])
+	if !ok {
+		c.fail(at, "", "%s", unknown("kind of row", record[0], kindNames()))
+		return
+	}
+	header, ok := headers[k.name]
+	if !ok {
+		headers[k.name] = c.header(at, k, record[1:])
+		return
+	}
+	cells := record[1:]
+	// Files that were joined repeat their headers.
+	if header == nil || slices.Equal(header, cells) {
+		return
+	}
+	r := &row{c: c, at: at, cells: map[string]string{}}
+	for i, cell := range cells {
+		switch {
+		case i < len(header):
+			r.cells[header[i]] = cell
+		case cell != "":
+			r.fail("", "%d cells, but the header of %s has %d columns", len(cells), k.name, len(header))
+			return
+		}
+	}
+	k.add(c, r)
+}
+
+// header checks the columns of a kind; nil means that the rows of the kind cannot be read.
+func (c *compilation) header(at place, k kind, columns []string) []string {
+	before := len(c.errs)
+	// Spreadsheets pad each row to the width of the widest one.
+	for len(columns) > 0 && columns[len(columns)-1] == "" {
+		columns = columns[:len(columns)-1]
+	}
+	known := append(slices.Clone(k.required), k.optional...)
+	for i, col := range columns {
+		switch {
+		case !slices.Contains(known, col):
+			c.fail(at, "", "header of %s: %s", k.name, unknown("column", col, known))
+		case slices.Contains(columns[:i], col):
+			c.fail(at, "", "header of %s: column %q stands twice", k.name, col)
+		}
+	}
+	for _, col := range k.required {
+		if !slices.Contains(columns, col) {
+			c.fail(at, "", "header of %s: column %q is missing; the first row of a kind names its columns: %s", k.name, col, strings.Join(known, ","))
+		}
+	}
+	if len(c.errs) > before {
+		return nil
+	}
+	return slices.Clone(columns)
+}
+
+// name registers the name of a row and reports a second row with the same name.
+func (c *compilation) name(r *row, kind, name string) {
+	if name == "" {
+		return
+	}
+	if c.names[kind] == nil {
+		c.names[kind] = map[string]place{}
+	}
+	if first, ok := c.names[kind][name]; ok {
+		r.fail("name", "%s %q is already listed in %s:%d", kind, name, first.file, first.line)
+		return
+	}
+	c.names[kind][name] = r.at
+	c.words[kind] = append(c.words[kind], name)
+}
+
+func (c *compilation) refer(r *row, field, kind string, names ...string) {
+	for _, n := range names {
+		if n != "" {
+			c.refs = append(c.refs, reference{r.at, field, kind, n})
+		}
+	}
+}
+
+func (c *compilation) checkReferences() {
+	for _, ref := range c.refs {
+		if _, ok := c.names[ref.kind][ref.name]; !ok {
+			c.fail(ref.at, ref.field, "%s", unknown(ref.kind, ref.name, c.words[ref.kind]))
+		}
+	}
+	for name, at := range c.names[kindService] {
+		if _, ok := c.names[kindPool][name]; ok {
+			c.fail(at, "name", "%q is the name of a pool too", name)
+		}
+	}
+	if c.versions == 0 && len(c.errs) == 0 {
+		c.fail(place{}, "", "the sheet has no version row")
+	}
+	if len(c.words[kindRank]) == 0 && len(c.errs) == 0 {
+		c.fail(place{}, "", "the sheet has no rank row")
+	}
+}
+
+// sheet encodes the checked rows.
+func (c *compilation) sheet() (*Sheet, error) {
+	slices.SortFunc(c.rows.Pools, func(a, b configurer.Pool) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.rows.Services, func(a, b configurer.Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.rows.Accounts, func(a, b configurer.Account) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.rows.Organisations, func(a, b configurer.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	s := &Sheet{Version: c.version, Rows: c.rows}
+	s.add("ranks", configurer.Part{Ranks: c.rows.Ranks})
+	s.add("pools", configurer.Part{Pools: c.rows.Pools})
+	s.add("services", configurer.Part{Services: c.rows.Services})
+	s.add("accounts", configurer.Part{Accounts: c.rows.Accounts})
+	for i, shard := range shard(c.rows.Organisations) {
+		s.add(fmt.Sprintf("organisations-%03d", i), configurer.Part{Organisations: shard})
+	}
+	m := configurer.Manifest{Version: s.Version}
+	for _, p := range s.Parts {
+		m.Parts = append(m.Parts, configurer.PartRef{Name: p.Name, Digest: p.Digest})
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, Errors{{Message: err.Error()}}
+	}
+	s.Manifest, s.Digest = data, configurer.DigestOf(data)
+	// The processes apply this check, so a sheet that fails it must not be published.
+	if _, err := configurer.Load(s.Manifest, s.Part); err != nil {
+		return nil, Errors{{Message: err.Error()}}
+	}
+	return s, nil
+}
+
+func shard(organisations []configurer.Organisation) [][]configurer.Organisation {
+	shards := make([][]configurer.Organisation, Shards(len(organisations)))
+	for _, o := range organisations {
+		i := xxhash.Sum64String(o.Name) % uint64(len(shards))
+		shards[i] = append(shards[i], o)
+	}
+	return shards
+}
+
+func (s *Sheet) add(name string, p configurer.Part) {
+	data := configurer.EncodePart(p)
+	if bytes.Equal(data, configurer.EncodePart(configurer.Part{})) {
+		return
+	}
+	s.Parts = append(s.Parts, Part{Name: name, Digest: configurer.DigestOf(data), Data: data})
+}
+
+// Part returns the content of a part.
+func (s *Sheet) Part(d configurer.Digest) ([]byte, bool) {
+	for _, p := range s.Parts {
+		if p.Digest == d {
+			return p.Data, true
+		}
+	}
+	return nil, false
+}
--- a/configurer/manifest.go
+++ b/configurer/manifest.go
@@ -66,3 +66,11 @@
 	}
 	return m, nil
 }
+
+// ManifestKey is the platform's key of the newest manifest.
+const ManifestKey = "config/manifest"
+
+// PartKey returns the platform's key of a part.
+func PartKey(d Digest) string {
+	return "config/part/" + string(d)
+}
