--- a/configurer/manifest.go
+++ b/configurer/manifest.go
@@ -22,8 +22,9 @@
 // UnmarshalText decodes and checks a digest.
 func (d *Digest) UnmarshalText(text []byte) error {
 	raw, err := hex.DecodeString(string(text))
-	if err != nil || len(raw) != digestBytes {
-		return fmt.Errorf("digest %q: want %d hexadecimal digits", text, 2*digestBytes)
+	// One spelling only: digests are compared as text.
+	if err != nil || len(raw) != digestBytes || hex.EncodeToString(raw) != string(text) {
+		return fmt.Errorf("digest %q: want %d hexadecimal digits in lower case", text, 2*digestBytes)
 	}
 	*d = Digest(text)
 	return nil
@@ -65,3 +66,11 @@
 	}
 	return m, nil
 }
+
+// ManifestKey is the platform's key of the newest manifest.
+const ManifestKey = "config/manifest"
+
+// PartKey returns the platform's key of a part.
+func PartKey(d Digest) string {
+	return "config/part/" + string(d)
+}
