loader: read settings from JSON with comments

A daemon that starts with a misspelt or misplaced setting runs with a default that nobody chose, so every unknown field, wrong type, unit, range or address is an error with file, line, column, field and allowed values, and all faults are reported together.

Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and gives no place for a wrong value; wildcard listen addresses, because a process learns its own address from its settings; numbers without units. The parser's message for an invalid literal is cut, since it repeats the literal, which may be the shared key.

--- /dev/null
+++ b/loader/effective.go
@@ -0,0 +1,86 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Effective returns the settings in force, defaults included, as indented JSON without secrets.
+func (s *Settings) Effective() string {
+	shown := *s
+	if shown.SharedKeyEnv != "" {
+		shown.SharedKey = ""
+	}
+	v := hujson.Value{Value: effectiveObject(reflect.ValueOf(shown))}
+	var b bytes.Buffer
+	if err := json.Indent(&b, v.Pack(), "", "  "); err != nil {
+		// The tree is built from values that JSON can express.
+		panic(fmt.Sprintf("effective settings: %v", err))
+	}
+	return b.String()
+}
+
+// effectiveObject returns the fields of a struct that are set, in their order.
+func effectiveObject(v reflect.Value) *hujson.Object {
+	obj := &hujson.Object{}
+	for f := range fields(v.Type()) {
+		value := effectiveValue(v.FieldByIndex(f.Index))
+		if value == nil {
+			continue
+		}
+		obj.Members = append(obj.Members, hujson.ObjectMember{
+			Name:  hujson.Value{Value: hujson.String(nameOf(f))},
+			Value: hujson.Value{Value: value},
+		})
+	}
+	return obj
+}
+
+// effectiveValue returns nil for an optional field that is not set.
+func effectiveValue(v reflect.Value) hujson.ValueTrimmed {
+	switch x := v.Interface().(type) {
+	case Secret:
+		if x == "" {
+			return nil
+		}
+		return hujson.String(x.String())
+	case Size:
+		return hujson.String(x.String())
+	case time.Duration:
+		return hujson.String(x.String())
+	case netip.AddrPort:
+		return hujson.String(x.String())
+	case []netip.AddrPort:
+		arr := &hujson.Array{}
+		for _, a := range x {
+			arr.Elements = append(arr.Elements, hujson.Value{Value: hujson.String(a.String())})
+		}
+		return arr
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			return nil
+		}
+		return effectiveObject(v.Elem())
+	case reflect.Struct:
+		return effectiveObject(v)
+	case reflect.Bool:
+		return hujson.Bool(v.Bool())
+	case reflect.Int:
+		return hujson.Int(v.Int())
+	case reflect.Float64:
+		return hujson.Float(v.Float())
+	default:
+		if v.String() == "" {
+			return nil
+		}
+		return hujson.String(v.String())
+	}
+}
--- /dev/null
+++ b/loader/load.go
@@ -0,0 +1,109 @@
+package loader
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+)
+
+// maxFileBytes bounds a settings file; 1,000 peers take about 25 KB.
+const maxFileBytes = 256 << 10
+
+// Env looks up an environment variable, as os.LookupEnv does.
+type Env func(name string) (value string, ok bool)
+
+// Load reads settings from a file for a daemon that starts; a faulty file gives an error of type Problems.
+func Load(file string) (*Settings, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, data, os.LookupEnv)
+}
+
+// Check reads settings from a file as Load does, but looks up no environment variable.
+// The shared key is empty when the file takes it from the environment.
+func Check(file string) (*Settings, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return parse(file, data, nil)
+}
+
+// Parse decodes settings; file is the name that errors give.
+func Parse(file string, data []byte, env Env) (*Settings, error) {
+	if env == nil {
+		env = func(string) (string, bool) { return "", false }
+	}
+	return parse(file, data, env)
+}
+
+func readFile(file string) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return data, nil
+}
+
+// parse decodes settings; with a nil env the shared key is not looked up.
+func parse(file string, data []byte, env Env) (*Settings, error) {
+	if len(data) > maxFileBytes {
+		return nil, Problems{{
+			File: file, Line: 1, Column: 1, Message: "the file is too large",
+			Allowed: fmt.Sprintf("at most %d bytes", maxFileBytes),
+		}}
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, Problems{syntaxProblem(file, err)}
+	}
+	s := &Settings{}
+	out := reflect.ValueOf(s).Elem()
+	applyDefaults(out)
+	d := &decoder{file: file, data: data, at: map[string]int{"": root.StartOffset}, bad: map[string]bool{}}
+	d.object("", root, out)
+	if !d.bad[""] {
+		d.check(s, env)
+	}
+	if len(d.problems) > 0 {
+		slices.SortStableFunc(d.problems, func(a, b Problem) int {
+			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		})
+		return nil, d.problems
+	}
+	return s, nil
+}
+
+// syntaxProblem takes the place out of an error of the parser, whose text begins with it.
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Line: 1, Column: 1}
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &p.Line, &p.Column); scanErr != nil {
+		p.Line, p.Column = 1, 1
+	}
+	if cause := errors.Unwrap(err); cause != nil {
+		err = cause
+	}
+	// The parser repeats a faulty literal, which may be the shared key.
+	message, _, _ := strings.Cut(err.Error(), "invalid literal:")
+	if message != err.Error() {
+		message += "invalid literal"
+	}
+	p.Message = message
+	p.Allowed = "JSON, with comments and trailing commas"
+	return p
+}
