logger: write one key=value line per event

The text format of hclog leaves messages and keys unquoted and spreads a value with newlines over several lines, so text of a caller could look like a line of its own. Values are quoted unless they are one plain word, cut to 2,048 bytes, and freed from known secrets and HTTP credentials before the cut. Keys hold letters, digits and marks only and cannot repeat time, level, logger or event.

Ruled out: hclog.Quote at each call, which one forgotten call defeats; a second implementation of hclog.Logger, which is longer.

--- /dev/null
+++ b/logger/encode.go
@@ -0,0 +1,167 @@
+package logger
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// The bounds of a line, in bytes before quoting.
+const (
+	// maxEventBytes bounds the name of an event and of a logger; the standard logger puts whole sentences there.
+	maxEventBytes = 512
+	// maxKeyBytes bounds the key of a field.
+	maxKeyBytes = 64
+	// maxValueBytes bounds a value; a routing decision with 600 candidates is cut.
+	maxValueBytes = 2048
+	// maxLineBytes bounds a line; the fields beyond it are left out.
+	maxLineBytes = 16 << 10
+)
+
+// redacted stands in the place of a secret.
+const redacted = "(redacted)"
+
+// secretKeys are the keys of fields whose values are never written.
+var secretKeys = map[string]bool{
+	"api_key":             true,
+	"authorization":       true,
+	"cookie":              true,
+	"password":            true,
+	"proxy_authorization": true,
+	"secret":              true,
+	"set_cookie":          true,
+	"shared_key":          true,
+	"token":               true,
+}
+
+// reservedKeys are the fields that each line begins with.
+var reservedKeys = map[string]bool{"time": true, "level": true, "logger": true, "event": true}
+
+// credentials matches an HTTP authorisation in any text, such as an error that repeats a header.
+var credentials = regexp.MustCompile(`(?i)\b(bearer|basic)[\s:=%"]+[^\s"]+`)
+
+// encoder writes keys and values.
+type encoder struct {
+	secrets []string
+}
+
+func newEncoder(secrets []string) *encoder {
+	e := &encoder{}
+	for _, s := range secrets {
+		if s == "" {
+			continue
+		}
+		e.secrets = append(e.secrets, s)
+		// An error may repeat a secret in quoted form.
+		if quoted := strings.Trim(strconv.Quote(s), `"`); quoted != s {
+			e.secrets = append(e.secrets, quoted)
+		}
+	}
+	// The longest come first, so that no rest of a secret remains that begins with another one.
+	slices.SortFunc(e.secrets, func(a, b string) int { return len(b) - len(a) })
+	return e
+}
+
+// fields appends pairs of key and value.
+func (e *encoder) fields(line []byte, args []any) []byte {
+	for i := 0; i < len(args); i += 2 {
+		if len(line) > maxLineBytes {
+			return append(line, " fields_left_out="+strconv.Itoa((len(args)-i+1)/2)...)
+		}
+		if i+1 == len(args) {
+			line = append(line, " field_without_key="...)
+			return e.value(line, text(args[i]), maxValueBytes)
+		}
+		k := e.key(text(args[i]))
+		line = append(line, ' ')
+		line = append(line, k...)
+		line = append(line, '=')
+		if isSecret(k) {
+			line = append(line, redacted...)
+			continue
+		}
+		line = e.value(line, text(args[i+1]), maxValueBytes)
+	}
+	return line
+}
+
+// key returns a key that holds only letters, digits and marks.
+func (e *encoder) key(k string) string {
+	k = e.redact(k)
+	k = k[:min(len(k), maxKeyBytes)]
+	clean := []byte(k)
+	for i, c := range clean {
+		if !isKeyByte(c) {
+			clean[i] = '_'
+		}
+	}
+	if len(clean) == 0 || reservedKeys[string(clean)] {
+		return "field_" + string(clean)
+	}
+	return string(clean)
+}
+
+func isKeyByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' || c == '-' || c == '.'
+}
+
+func isSecret(key string) bool {
+	return secretKeys[strings.ReplaceAll(strings.ToLower(key), "-", "_")]
+}
+
+// value appends a text without secrets, cut to a number of bytes, and quoted unless it is one plain word.
+func (e *encoder) value(line []byte, s string, most int) []byte {
+	// A secret is removed before the cut, which may leave only a part of it.
+	s = e.redact(s)
+	if len(s) > most {
+		total := len(s)
+		s = strings.ToValidUTF8(s[:most], "") + "...(" + strconv.Itoa(total) + " bytes)"
+	}
+	if isPlain(s) {
+		return append(line, s...)
+	}
+	return strconv.AppendQuote(line, s)
+}
+
+func (e *encoder) redact(s string) string {
+	for _, secret := range e.secrets {
+		s = strings.ReplaceAll(s, secret, redacted)
+	}
+	if !strings.ContainsAny(s, " \t\n\v\f\r:=%\"") {
+		// Most values are one word, which the pattern cannot match, and the pattern takes most of the time of a line.
+		return s
+	}
+	return credentials.ReplaceAllString(s, "$1 "+redacted)
+}
+
+// isPlain reports whether a text is a word of visible ASCII without the marks that separate and quote fields.
+func isPlain(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c > '~' || c == '"' || c == '=' || c == '\\' || c == '\'' || c == '`' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// text returns the text of a key or value.
+func text(v any) string {
+	switch v := v.(type) {
+	case string:
+		return v
+	case hclog.Format:
+		if len(v) == 0 {
+			return ""
+		}
+		return fmt.Sprintf(fmt.Sprint(v[0]), v[1:]...)
+	case hclog.Quote:
+		return string(v)
+	default:
+		// The package fmt recovers from a panic in a String or Error method.
+		return fmt.Sprint(v)
+	}
+}
