commander: add settings check, status and drain to clementinectl

Operators need to check settings before a start and to watch and stop a process. The command tree lies in a package with one file a command, so that further commands are added in files of their own. Exit codes are 0, 1 for a failed check or an unreachable process, and 2 for wrong usage. The shared key comes from an environment variable, since other users of a machine can read arguments. Text of remote processes is quoted when it holds control characters.

Ruled out: the exit handler and the help command of urfave/cli, which end the process themselves, with code 3 for an unknown command.

--- a/cmd/clementinectl/main.go
+++ b/cmd/clementinectl/main.go
@@ -1,8 +1,21 @@
-// Command clementinectl checks, explains, demonstrates and measures a clementineramp fleet.
+// Command clementinectl checks, watches and stops the processes of a clementineramp fleet.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"clementineramp/commander"
+)
 
 func main() {
-	fmt.Println("clementinectl: no command is built yet")
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return commander.Run(ctx, os.Args, os.Stdout, os.Stderr)
 }
--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,123 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/commander"
+	"clementineramp/operator"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"clementinectl": func() {
+			os.Exit(commander.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+		},
+	})
+}
+
+// TestScripts runs each script with the operators' address of a process in ADDR and its shared key in KEY.
+// It guards against commands whose output, exit code or help differs from what operators rely on.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup: func(env *testscript.Env) error {
+			address, err := startProcess(env)
+			if err != nil {
+				return err
+			}
+			env.Setenv("ADDR", address)
+			env.Setenv("KEY", sharedKey)
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"exitcode": runForCode,
+		},
+	})
+}
+
+// Guards against a remote process that steers the operator's terminal with control characters.
+func TestRemoteTextIsQuoted(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = io.WriteString(w, `{"error":{"message":"\u001b[2J\nforged","verdict":"not_run"}}`)
+	}))
+	defer server.Close()
+	var stdout, stderr bytes.Buffer
+	args := []string{"clementinectl", "status", server.Listener.Addr().String()}
+	require.Equal(t, commander.ExitFailed, commander.Run(t.Context(), args, &stdout, &stderr))
+	require.Contains(t, stderr.String(), `\x1b[2J\nforged`)
+	require.Equal(t, 1, strings.Count(stderr.String(), "\n"))
+	require.NotContains(t, stderr.String(), "\x1b")
+}
+
+// runForCode runs a program and compares its exit code: exitcode CODE PROGRAM [ARG...].
+func runForCode(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exitcode CODE PROGRAM [ARG...]")
+	}
+	err := ts.Exec(args[1], args[2:]...)
+	got := "0"
+	if exit, ok := err.(interface{ ExitCode() int }); ok {
+		got = string(rune('0' + exit.ExitCode()))
+	} else if err != nil {
+		ts.Fatalf("run %s: %v", args[1], err)
+	}
+	if got != args[0] {
+		ts.Fatalf("exit code is %s, want %s", got, args[0])
+	}
+}
+
+const sharedKey = "a key for the tests only"
+
+// startProcess serves the operators' endpoints of a process that stays in the state leaving after a drain.
+func startProcess(env *testscript.Env) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	var leaving atomic.Bool
+	state := func() operator.State {
+		if leaving.Load() {
+			return operator.StateLeaving
+		}
+		return operator.StateReady
+	}
+	server := operator.NewServer(operator.Config{
+		SharedKey: sharedKey,
+		State:     state,
+		Status: func() operator.Status {
+			return operator.Status{
+				Name: "router-1", Role: "router", Region: "svealand", FailureDomain: "malaren", Incarnation: 255,
+				State: state(), UptimeMS: 90_000, Running: 2, Queued: 1, ControlBytesPerSecond: 312.4,
+				Configuration: operator.Configuration{Version: 7, Digest: "000102030405060708090a0b0c0d0e0f", ConfirmedMS: 40},
+				Alarms:        []string{"two manifests of version 7\x1b[2J"},
+				Upstreams: []operator.Upstream{
+					{Name: "vavrad-1", Pool: "vavrad", FailureDomain: "malaren", State: "live", Work: 300, AgeMS: 120, Version: "v3"},
+					{Name: "vavrad-12", Pool: "vavrad", FailureDomain: "vanern", State: "down", AgeMS: 8000, Version: "v3"},
+				},
+			}
+		},
+		Drain:    func() { leaving.Store(true) },
+		Registry: metrics.NewRegistry(),
+		Logger:   hclog.NewNullLogger(),
+	})
+	go func() { _ = server.Serve(listener) }()
+	env.Defer(func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
--- /dev/null
+++ b/commander/root.go
@@ -0,0 +1,135 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/urfave/cli/v3"
+)
+
+// The exit codes of clementinectl.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitFailed means that a check failed or that a process could not be asked.
+	ExitFailed = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+)
+
+// programName begins each message on standard error.
+const programName = "clementinectl"
+
+// commands lists the commands of the program.
+func commands() []*cli.Command {
+	return []*cli.Command{
+		settingsCommand(),
+		statusCommand(),
+		drainCommand(),
+	}
+}
+
+// New returns the command tree, whose commands write to two outputs.
+func New(stdout, stderr io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:  programName,
+		Usage: "check, watch and stop the processes of a clementineramp fleet",
+		Description: `Exit codes: 0 success, 1 a check failed or a process could not be asked, 2 wrong usage.
+
+Examples:
+  clementinectl settings check router.json
+  clementinectl status 10.1.0.1:8082`,
+		Commands:  commands(),
+		Writer:    stdout,
+		ErrWriter: stderr,
+		// Run chooses the exit code; the default handler would end the process itself.
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		HideHelpCommand: true,
+	}
+	prepare(root)
+	return root
+}
+
+// prepare makes a command and those below it report wrong usage alike.
+func prepare(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usageError{command: cmd.FullName(), err: err}
+	}
+	if cmd.Action == nil {
+		cmd.Action = requireSubcommand
+	}
+	for _, sub := range cmd.Commands {
+		prepare(sub)
+	}
+}
+
+// requireSubcommand is the action of a command that only groups others.
+func requireSubcommand(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return wrongUsage(cmd, "unknown command %q", name)
+	}
+	return wrongUsage(cmd, "a command is missing")
+}
+
+// Run runs a command line, program name included, and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	err := New(stdout, stderr).Run(ctx, args)
+	var usage usageError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintf(stderr, "%s: %v\nSee '%s --help'.\n", usage.command, usage.err, usage.command)
+		return ExitUsage
+	case errors.Is(err, errShown):
+		return ExitFailed
+	default:
+		fmt.Fprintf(stderr, "%s: %s\n", programName, printable(err.Error()))
+		return ExitFailed
+	}
+}
+
+// errShown ends a command that failed and has already shown why.
+var errShown = errors.New("the command failed")
+
+// usageError is a fault of the command line.
+type usageError struct {
+	command string
+	err     error
+}
+
+// Error returns the cause.
+func (e usageError) Error() string {
+	return e.err.Error()
+}
+
+// wrongUsage returns an error that ends the program with ExitUsage.
+func wrongUsage(cmd *cli.Command, format string, args ...any) error {
+	return usageError{command: cmd.FullName(), err: fmt.Errorf(format, args...)}
+}
+
+// oneArgument returns the only argument of a command.
+func oneArgument(cmd *cli.Command, name string) (string, error) {
+	if n := cmd.Args().Len(); n != 1 {
+		return "", wrongUsage(cmd, "want one argument %s, have %d", name, n)
+	}
+	return cmd.Args().First(), nil
+}
+
+// jsonFlag is the flag of each command that can print JSON.
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+}
+
+// printable returns text of a remote process, quoted if it could steer the terminal.
+func printable(s string) string {
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) || r == unicode.ReplacementChar }) {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- /dev/null
+++ b/commander/settings.go
@@ -0,0 +1,97 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"clementineramp/loader"
+)
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "settings",
+		Usage:    "work with the settings file of a process",
+		Commands: []*cli.Command{settingsCheckCommand()},
+	}
+}
+
+func settingsCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a settings file without starting a process",
+		ArgsUsage: "FILE",
+		Description: `Reports each fault with its line, column, field and allowed values.
+The variable that shared_key_env names is not looked up.
+
+Examples:
+  clementinectl settings check router.json
+  clementinectl settings check --effective router.json
+  clementinectl settings check --json router.json`,
+		Flags: []cli.Flag{
+			jsonFlag(),
+			&cli.BoolFlag{Name: "effective", Usage: "print the settings in force, defaults included, without secrets"},
+		},
+		Action: checkSettings,
+	}
+}
+
+// settingsReport is the JSON form of the outcome of a check.
+type settingsReport struct {
+	File     string          `json:"file"`
+	OK       bool            `json:"ok"`
+	Problems loader.Problems `json:"problems"`
+	// Settings are the settings in force; they are absent if the file has a fault.
+	Settings json.RawMessage `json:"settings,omitempty"`
+}
+
+func checkSettings(_ context.Context, cmd *cli.Command) error {
+	file, err := oneArgument(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	settings, err := loader.Check(file)
+	var problems loader.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return err
+	}
+	if cmd.Bool("json") {
+		return printSettingsReport(cmd, file, settings, problems)
+	}
+	out := cmd.Root().Writer
+	if err != nil {
+		fmt.Fprintln(cmd.Root().ErrWriter, problems)
+		return errShown
+	}
+	if cmd.Bool("effective") {
+		fmt.Fprintln(out, settings.Effective())
+		return nil
+	}
+	fmt.Fprintf(out, "%s: ok, %s %s\n", file, settings.Role, settings.Name)
+	return nil
+}
+
+func printSettingsReport(cmd *cli.Command, file string, settings *loader.Settings, problems loader.Problems) error {
+	report := settingsReport{File: file, OK: len(problems) == 0, Problems: problems}
+	if report.OK {
+		report.Problems = loader.Problems{}
+		report.Settings = json.RawMessage(settings.Effective())
+	}
+	if err := printJSON(cmd, report); err != nil {
+		return err
+	}
+	if !report.OK {
+		return errShown
+	}
+	return nil
+}
+
+// printJSON prints a value as indented JSON.
+func printJSON[T any](cmd *cli.Command, v T) error {
+	enc := json.NewEncoder(cmd.Root().Writer)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
