--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -287,6 +287,22 @@
 	require.Greater(t, n, 40)
 }
 
+// Guards against an example of the operators' page that a daemon would refuse.
+func TestDocumentedExamples(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	require.NoError(t, err)
+	blocks := strings.Split(string(page), "```")
+	require.GreaterOrEqual(t, len(blocks), 4)
+	router := strings.TrimPrefix(blocks[1], "json")
+	_, err = loader.Parse("router", []byte(router), testEnv)
+	require.NoError(t, err)
+	agent := strings.Replace(router, `"router",`, `"agent",`+strings.TrimPrefix(blocks[3], "json"), 1)
+	s, err := loader.Parse("agent", []byte(agent), testEnv)
+	require.NoError(t, err)
+	require.Equal(t, loader.RoleAgent, s.Role)
+	require.Equal(t, "vavrad", s.Upstream.Name)
+}
+
 // FuzzParse guards against input that makes the decoder panic, and against accepted settings that do not survive printing.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(readTestdata(f, "router.json")))
