chooser: test the baselines, the sole attempt and the tie by own domain

Trial mutations of a scratch copy showed that no test noticed when a sole attempt left the chat's own upstream, when the router's own failure domain no longer broke a tie, or when equal scores were not spread by the chat's key. Each of these mutations now fails a test.

--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -131,7 +131,7 @@
 // Guards against a first candidate that is known to refuse, and against a wrong reason in the log.
 func TestReasons(t *testing.T) {
 	const key = 7
-	c := mustNew(chooser.Config{})
+	c := mustNew(chooser.Config{Domain: "own"})
 	order := names(c.Explain(key, 10, fleet(6)).Ranking)
 	at := func(ups []chooser.Upstream, place int) *chooser.Upstream {
 		i := slices.IndexFunc(ups, func(u chooser.Upstream) bool { return u.Name == order[place] })
@@ -168,6 +168,12 @@
 			all(func(u *chooser.Upstream) { u.Domain = "a" })(ups)
 			at(ups, 3).Domain = "b"
 		}, chooser.ReasonAffinity, []int{0, 1, 3}},
+		{"own domain breaks a tie", func(ups []chooser.Upstream) {
+			for i := range 4 {
+				at(ups, i).Domain = string(rune('a' + i))
+			}
+			at(ups, 3).Domain = "own"
+		}, chooser.ReasonAffinity, []int{0, 1, 3}},
 		{"suspect never replaces a live one", func(ups []chooser.Upstream) {
 			all(func(u *chooser.Upstream) { u.State = chooser.Suspect })(ups)
 			for i := range 3 {
@@ -202,6 +208,48 @@
 	}
 }
 
+// Guards against baselines that are not what their names say, and against a sole attempt that leaves the chat's own upstream.
+func TestPolicies(t *testing.T) {
+	ups := fleet(4)
+	first := func(c *chooser.Chooser, key uint64) string { return c.Choose(key, 10, ups).Order[0].Name }
+	turns := mustNew(chooser.Config{Policy: chooser.RoundRobin})
+	for i := range 8 {
+		require.Equal(t, ups[i%4].Name, turns.Explain(1, 10, ups).Choice.Order[0].Name, "explaining takes no turn")
+		require.Equal(t, ups[i%4].Name, first(turns, 1))
+	}
+	a := mustNew(chooser.Config{Policy: chooser.Random, Seed: 3})
+	b := mustNew(chooser.Config{Policy: chooser.Random, Seed: 3})
+	seen := make(map[string]int)
+	for range 400 {
+		name := first(a, 1)
+		require.Equal(t, name, first(b, 1))
+		seen[name]++
+	}
+	for _, n := range seen {
+		require.InDelta(t, 100, n, 40)
+	}
+	least, hashing := mustNew(chooser.Config{Policy: chooser.LeastLoad}), mustNew(chooser.Config{Policy: chooser.Hashing})
+	sole := mustNew(chooser.Config{Attempts: 1})
+	ties := make(map[string]bool)
+	for key := range uint64(50) {
+		require.Equal(t, first(hashing, key), first(sole, key))
+		ties[first(least, key)] = true
+	}
+	require.Len(t, ties, 4, "equal loads are spread over all")
+	ups[2].Work = 1
+	require.Equal(t, ups[2].Name, first(least, 1))
+	for key := range uint64(50) {
+		require.Equal(t, first(hashing, key), first(sole, key), "a sole attempt ignores which of two is less loaded")
+	}
+	for _, p := range chooser.Policies() {
+		text, err := p.MarshalText()
+		require.NoError(t, err)
+		var back chooser.Policy
+		require.NoError(t, back.UnmarshalText(text))
+		require.Equal(t, p, back)
+	}
+}
+
 // Guards against a limit that admits work above the bound, or none while nothing is known.
 func TestLimit(t *testing.T) {
 	require.InDelta(t, 1.25*1010/10, chooser.Limit(1.25, 1000, 10, 10), 1e-9)
