tracker: join host list, own observations and peer reports

Each process needs one view of membership, state and load that survives a lagging or faulty host list, frozen and flapping upstreams, and its own pauses. States and ages are computed when they are asked for, so nothing that expired during a pause is used.

Ruled out: finding restarts by the computed ready time, because a report that waited in a socket moves it and would count as a flap of the whole fleet; uptimes are compared as reported instead. Ruled out: ending the wait of a damped upstream at the first fresh report, because a crash loop sends fresh reports at each start.

--- /dev/null
+++ b/tracker/entry.go
@@ -0,0 +1,187 @@
+package tracker
+
+import (
+	"time"
+
+	"clementineramp/chooser"
+	"clementineramp/encoder"
+)
+
+// entry is what is known of one upstream. Its state is computed when it is asked for, so that knowledge that expired
+// during a pause is never used.
+type entry struct {
+	host   Host
+	listed bool
+	// firstListed is zero for upstreams of the first list.
+	firstListed time.Time
+
+	reported bool
+	report   encoder.LoadEntry
+	// measured is the time at which the agent took the report, and ready the time at which the upstream became
+	// ready; both are on this process's clock.
+	measured time.Time
+	ready    time.Time
+
+	answered time.Time
+	refusing time.Time
+
+	// failure is Live while no failure stands.
+	failure  chooser.State
+	failed   time.Time
+	eligible time.Time
+	flaps    int
+	flapped  time.Time
+}
+
+// lastLife returns the time of the newest sign of life.
+func (e *entry) lastLife() time.Time {
+	if e.reported && e.measured.After(e.answered) {
+		return e.measured
+	}
+	return e.answered
+}
+
+// visible reports whether the upstream is a member: the list has it, or it still answers.
+func (e *entry) visible(now time.Time, cfg *Config) bool {
+	return e.listed || e.alive(now, cfg)
+}
+
+// leaving reports whether any source says that the upstream takes no new work. A newer report revokes what an older
+// report or refusal said, but not what the host list says. What is not renewed for the longest wait is dropped,
+// because a process that came back under the name may not have been heard of.
+func (e *entry) leaving(now time.Time, cfg *Config) bool {
+	if e.listed && e.host.Leaving {
+		return true
+	}
+	if e.reported && e.measured.After(e.refusing) {
+		return e.report.Leaving && now.Sub(e.measured) <= cfg.MaxWait
+	}
+	return !e.refusing.IsZero() && now.Sub(e.refusing) <= cfg.MaxWait
+}
+
+// failing reports whether a failure stands that no later sign of life disproves.
+func (e *entry) failing() bool {
+	return e.failure != chooser.Live && !e.lastLife().After(e.failed)
+}
+
+func (e *entry) state(now time.Time, cfg *Config) chooser.State {
+	switch {
+	case e.leaving(now, cfg):
+		return chooser.Leaving
+	case e.held(now):
+		return e.failure
+	case e.failing() || !e.alive(now, cfg):
+		return chooser.Joining
+	default:
+		return chooser.Live
+	}
+}
+
+// held reports whether the wait after a failure still runs.
+func (e *entry) held(now time.Time) bool {
+	return e.failure != chooser.Live && now.Before(e.eligible)
+}
+
+// alive reports whether there is a recent sign of life.
+func (e *entry) alive(now time.Time, cfg *Config) bool {
+	life := e.lastLife()
+	return !life.IsZero() && now.Sub(life) <= cfg.AnswerLife
+}
+
+// fail records a failure. A failure during the wait after an earlier one changes only its kind, because requests
+// that were sent before fail late.
+func (e *entry) fail(kind chooser.State, at, now time.Time, flap bool, cfg *Config) {
+	if e.held(now) {
+		e.failure = kind
+		e.failed = at
+		return
+	}
+	wait := cfg.MinWait
+	if flap {
+		if now.Sub(e.flapped) > cfg.FlapWindow {
+			e.flaps = 0
+		}
+		e.flaps++
+		e.flapped = now
+		for i := 1; i < e.flaps && wait < cfg.MaxWait; i++ {
+			wait *= 2
+		}
+	}
+	e.failure = kind
+	e.failed = at
+	e.eligible = now.Add(min(wait, cfg.MaxWait))
+}
+
+// newer reports whether a report supersedes the one that is held. No copy of an old report is relayed for as long as
+// the longest wait, so after that time a lower incarnation means that the clock behind it was set back.
+func (e *entry) newer(r *encoder.LoadEntry, measured time.Time, cfg *Config) bool {
+	if e.reported && measured.Sub(e.measured) > max(cfg.MaxWait, 2*cfg.LoadLife) {
+		return true
+	}
+	if !e.reported || r.Incarnation != e.report.Incarnation {
+		return !e.reported || r.Incarnation > e.report.Incarnation
+	}
+	return r.Sequence > e.report.Sequence
+}
+
+// merge takes a report over if it is newer, and says whether it did.
+func (e *entry) merge(r *encoder.LoadEntry, measured, now time.Time, cfg *Config) bool {
+	if !e.newer(r, measured, cfg) {
+		// Each hop hides its transit time, so of several copies of one report the oldest is the closest.
+		if e.reported && r.Incarnation == e.report.Incarnation && r.Sequence == e.report.Sequence && measured.Before(e.measured) {
+			e.ready = e.ready.Add(measured.Sub(e.measured))
+			e.measured = measured
+		}
+		return false
+	}
+	ready := measured.Add(-time.Duration(r.UptimeMS) * time.Millisecond)
+	// Uptimes are compared as reported, since ready times move with the transit time of the reports.
+	restarted := e.reported && (r.Incarnation != e.report.Incarnation || r.UptimeMS < e.report.UptimeMS)
+	if restarted && !e.held(now) && !e.failing() {
+		// The report itself then counts as a sign of life after the restart.
+		e.fail(chooser.Down, e.measured, now, true, cfg)
+	}
+	e.reported = true
+	e.report = *r
+	e.measured = measured
+	e.ready = ready
+	return true
+}
+
+// loadAge returns the age of the load report and whether it has not expired.
+func (e *entry) loadAge(now time.Time, cfg *Config) (time.Duration, bool) {
+	if !e.reported {
+		return 0, false
+	}
+	age := max(0, now.Sub(e.measured))
+	return age, age <= cfg.LoadLife
+}
+
+func (e *entry) uptime(now time.Time) time.Duration {
+	switch {
+	case e.reported && e.report.UptimeMS == 0:
+		return 0
+	case e.reported:
+		return now.Sub(e.ready)
+	case e.firstListed.IsZero():
+		return assumedUptime
+	default:
+		return now.Sub(e.firstListed)
+	}
+}
+
+func (e *entry) upstream(now time.Time, cfg *Config) chooser.Upstream {
+	u := chooser.Upstream{
+		Name:   e.host.Name,
+		Domain: e.host.Domain,
+		State:  e.state(now, cfg),
+		Uptime: e.uptime(now),
+	}
+	if age, ok := e.loadAge(now, cfg); ok {
+		u.Known = true
+		u.Work = e.report.Work
+		u.Queued = e.report.Queued
+		u.WorkAge = age
+	}
+	return u
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,271 @@
+package tracker
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"clementineramp/chooser"
+	"clementineramp/encoder"
+)
+
+// Tracker joins the host list, own observations and peer reports; it is safe for concurrent use.
+type Tracker struct {
+	cfg Config
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// sorted holds the entries by name, so that views of equal knowledge are equal.
+	sorted []*entry
+	primed bool
+	// aside is the newest host list if it was not applied.
+	aside []Host
+	// Reports merged before delayedUntil count as older by delay.
+	delay        time.Duration
+	delayedUntil time.Time
+}
+
+// New returns a Tracker that knows no upstream.
+func New(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg.withDefaults(), entries: make(map[string]*entry)}
+}
+
+// Hosts takes the platform's newest host list. A list that lacks more than half of the live upstreams is kept aside.
+func (t *Tracker) Hosts(list []Host, now time.Time) ListChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.aside = nil
+	return t.offer(list, now)
+}
+
+// Reconsider offers a list that was kept aside again, and says whether it is applied now. It is called each second,
+// since upstreams that the list lacks may have proved to be down.
+func (t *Tracker) Reconsider(now time.Time) (ListChange, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	if t.aside == nil {
+		return ListChange{}, false
+	}
+	change := t.offer(t.aside, now)
+	return change, change.Applied
+}
+
+func (t *Tracker) offer(list []Host, now time.Time) ListChange {
+	listed := make(map[string]bool, len(list))
+	for _, h := range list {
+		listed[h.Name] = true
+	}
+	live, missing := 0, 0
+	for _, e := range t.sorted {
+		if !e.listed || e.failing() || e.leaving(now, &t.cfg) {
+			continue
+		}
+		live++
+		if !listed[e.host.Name] {
+			missing++
+		}
+	}
+	if 2*missing > live {
+		t.aside = slices.Clone(list)
+		if t.aside == nil {
+			t.aside = []Host{}
+		}
+		return ListChange{Warning: fmt.Sprintf("host list lacks %d of %d live upstreams", missing, live)}
+	}
+	t.aside = nil
+	return t.apply(list, listed, now)
+}
+
+func (t *Tracker) apply(list []Host, listed map[string]bool, now time.Time) ListChange {
+	change := ListChange{Applied: true}
+	for _, h := range list {
+		e, ok := t.entries[h.Name]
+		if !ok {
+			e = &entry{failure: chooser.Live}
+			if t.primed {
+				e.firstListed = now
+			}
+			t.entries[h.Name] = e
+			t.sorted = append(t.sorted, e)
+		}
+		if !e.listed {
+			change.Added = append(change.Added, h.Name)
+		}
+		if h.Leaving && (!e.listed || !e.host.Leaving) {
+			change.Leaving = append(change.Leaving, h.Name)
+		}
+		e.host = h
+		e.listed = true
+	}
+	for _, e := range t.sorted {
+		if e.listed && !listed[e.host.Name] {
+			e.listed = false
+			change.Removed = append(change.Removed, e.host.Name)
+		}
+	}
+	t.primed = true
+	slices.SortFunc(t.sorted, func(a, b *entry) int { return cmp.Compare(a.host.Name, b.host.Name) })
+	t.forget(now)
+	return change
+}
+
+// forget drops upstreams that are no members any more. They are kept for the flap window, so that one that returns
+// keeps its count of flaps.
+func (t *Tracker) forget(now time.Time) {
+	t.sorted = slices.DeleteFunc(t.sorted, func(e *entry) bool {
+		if e.visible(now, &t.cfg) || now.Sub(e.flapped) <= t.cfg.FlapWindow {
+			return false
+		}
+		delete(t.entries, e.host.Name)
+		return true
+	})
+}
+
+// Observe takes the outcome of an attempt. An answer counts from its first byte; the end of a long answer is none.
+func (t *Tracker) Observe(o Observation, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[o.Upstream]
+	if !ok {
+		return
+	}
+	switch o.Outcome {
+	case Answered:
+		e.answered = now
+		e.failure = chooser.Live
+	case ConnectionRefused:
+		e.fail(chooser.Down, now, now, true, &t.cfg)
+	case TimedOut:
+		e.fail(chooser.Suspect, now, now, true, &t.cfg)
+	case NotReady:
+		e.fail(chooser.Down, now, now, false, &t.cfg)
+	case Refusing:
+		e.answered = now
+		e.refusing = now
+	}
+}
+
+// Merge takes reports and returns how many were newer than what is known. Reports of upstreams that no host list
+// named are ignored, which bounds the table; so are loads that are not finite and non-negative numbers.
+func (t *Tracker) Merge(reports []encoder.LoadEntry, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for i := range reports {
+		r := &reports[i]
+		e, ok := t.entries[r.Upstream]
+		if !ok || !valid(r.Work) || !valid(r.Queued) || r.UptimeMS < 0 {
+			continue
+		}
+		age := time.Duration(max(0, min(r.AgeMS, math.MaxInt64/int64(time.Millisecond)))) * time.Millisecond
+		if now.Before(t.delayedUntil) {
+			age += t.delay
+		}
+		if e.merge(r, now.Add(-age), now, &t.cfg) {
+			n++
+		}
+	}
+	return n
+}
+
+func valid(work float64) bool {
+	return work >= 0 && !math.IsInf(work, 1)
+}
+
+// Resume tells the tracker that the process was paused for gap until now. Reports that are merged shortly after may
+// have waited in a socket all the while, so they count as older by gap.
+func (t *Tracker) Resume(gap time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.delay = gap
+	t.delayedUntil = now.Add(resumeGrace)
+}
+
+// View returns the upstreams of a pool, sorted by name, as they are at a time.
+func (t *Tracker) View(pool string, now time.Time) []chooser.Upstream {
+	return t.AppendView(nil, pool, now)
+}
+
+// AppendView appends the upstreams of a pool to dst, so that a caller may reuse a slice.
+func (t *Tracker) AppendView(dst []chooser.Upstream, pool string, now time.Time) []chooser.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if dst == nil {
+		dst = make([]chooser.Upstream, 0, len(t.sorted))
+	}
+	for _, e := range t.sorted {
+		if e.host.Pool == pool && e.visible(now, &t.cfg) {
+			dst = append(dst, e.upstream(now, &t.cfg))
+		}
+	}
+	return dst
+}
+
+// Lookup returns the host of an upstream that is a member.
+func (t *Tracker) Lookup(name string, now time.Time) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[name]
+	if !ok || !e.visible(now, &t.cfg) {
+		return Host{}, false
+	}
+	return e.host, true
+}
+
+// Mean returns the known load of a pool. Upstreams that are leaving or down count neither as known nor as members.
+func (t *Tracker) Mean(pool string, now time.Time) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var l Load
+	for _, e := range t.sorted {
+		if e.host.Pool != pool || !e.visible(now, &t.cfg) {
+			continue
+		}
+		if s := e.state(now, &t.cfg); s == chooser.Leaving || s == chooser.Down {
+			continue
+		}
+		l.Members++
+		if _, ok := e.loadAge(now, &t.cfg); ok {
+			l.Known++
+			l.Work += e.report.Work
+			l.Queued += e.report.Queued
+		}
+	}
+	return l
+}
+
+// Freshest returns up to n reports that have not expired, the youngest first, with their ages as they are now.
+// They tell what agents said, so what this process alone observed is no part of them.
+func (t *Tracker) Freshest(n int, now time.Time) []encoder.LoadEntry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n <= 0 {
+		return nil
+	}
+	best := make([]*entry, 0, min(n, len(t.sorted))+1)
+	for _, e := range t.sorted {
+		if _, ok := e.loadAge(now, &t.cfg); !ok || !e.visible(now, &t.cfg) {
+			continue
+		}
+		if len(best) == n && !e.measured.After(best[n-1].measured) {
+			continue
+		}
+		i := len(best)
+		for i > 0 && e.measured.After(best[i-1].measured) {
+			i--
+		}
+		best = slices.Insert(best, i, e)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]encoder.LoadEntry, len(best))
+	for i, e := range best {
+		out[i] = e.report
+		// Ages are rounded up, so that a report does not grow younger at each hop.
+		out[i].AgeMS = int64((max(0, now.Sub(e.measured)) + time.Millisecond - 1) / time.Millisecond)
+	}
+	return out
+}
--- /dev/null
+++ b/tracker/types.go
@@ -0,0 +1,119 @@
+package tracker
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	// DefaultLoadLife is longer than the few seconds in which gossip refreshes the whole load table.
+	DefaultLoadLife = 10 * time.Second
+	// DefaultAnswerLife is as long as that of a load report, since gossip brings both.
+	DefaultAnswerLife = 10 * time.Second
+	// DefaultFlapWindow is the time within which flaps double the wait.
+	DefaultFlapWindow = 5 * time.Minute
+	// DefaultMinWait and DefaultMaxWait bound the time until a failed upstream is eligible again.
+	DefaultMinWait = 2 * time.Second
+	DefaultMaxWait = 64 * time.Second
+)
+
+const (
+	// Upstreams of the first host list have most likely been up for long; a process that starts must not treat
+	// them all as cold while its peers know better.
+	assumedUptime = time.Hour
+	// Reports that are read within this time after a pause may have waited in a socket for the whole pause.
+	resumeGrace = time.Second
+)
+
+// Config configures a Tracker; a zero field takes its default.
+type Config struct {
+	// LoadLife is the age at which a load report expires.
+	LoadLife time.Duration
+	// AnswerLife is the time for which an answer or report shows that an upstream is live, and keeps one that the
+	// host list lacks.
+	AnswerLife time.Duration
+	// FlapWindow is the time within which flaps double the wait from MinWait up to MaxWait.
+	FlapWindow time.Duration
+	MinWait    time.Duration
+	MaxWait    time.Duration
+}
+
+func (cfg Config) withDefaults() Config {
+	cfg.LoadLife = cmp.Or(cfg.LoadLife, DefaultLoadLife)
+	cfg.AnswerLife = cmp.Or(cfg.AnswerLife, DefaultAnswerLife)
+	cfg.FlapWindow = cmp.Or(cfg.FlapWindow, DefaultFlapWindow)
+	cfg.MinWait = cmp.Or(cfg.MinWait, DefaultMinWait)
+	cfg.MaxWait = cmp.Or(cfg.MaxWait, DefaultMaxWait)
+	return cfg
+}
+
+// Host is one entry of the platform's host list.
+type Host struct {
+	Name    string
+	Address string
+	Pool    string
+	Domain  string
+	Leaving bool
+}
+
+// Outcome is what a process observed of an attempt at an upstream.
+type Outcome int
+
+const (
+	// Answered is a first byte of an answer or any refusal that does not speak against the upstream.
+	Answered Outcome = iota
+	// ConnectionRefused is a connection that could not be opened.
+	ConnectionRefused
+	// TimedOut is a first byte that did not come before the header timeout.
+	TimedOut
+	// NotReady is a refusal of an agent whose engine is not ready.
+	NotReady
+	// Refusing is a refusal that says that the upstream is leaving.
+	Refusing
+)
+
+var outcomeNames = [...]string{
+	Answered:          "answered",
+	ConnectionRefused: "connection_refused",
+	TimedOut:          "timed_out",
+	NotReady:          "not_ready",
+	Refusing:          "leaving",
+}
+
+// String returns the name of the outcome in logs.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome(%d)", int(o))
+	}
+	return outcomeNames[o]
+}
+
+// Observation is the outcome of one attempt at an upstream.
+type Observation struct {
+	Upstream string
+	Outcome  Outcome
+}
+
+// ListChange says what a host list changed.
+type ListChange struct {
+	// Applied is false if the list is kept aside.
+	Applied bool
+	Added   []string
+	Removed []string
+	// Leaving names the upstreams that the list newly marks as leaving.
+	Leaving []string
+	// Warning says why the list is kept aside.
+	Warning string
+}
+
+// Load is the known load of a pool.
+type Load struct {
+	// Work is the work running in the upstreams whose load is known, and Queued the work waiting there, in tokens.
+	Work   float64
+	Queued float64
+	// Known is the number of upstreams whose load is known, and Members the number that may take work.
+	Known   int
+	Members int
+}
