--- /dev/null
+++ b/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter holds the budgets of a process: retries beside first attempts, and control bytes.
+package limiter
