Draw longer sequences in the admitter property

With 100 sequences of 30 steps a trial change that dropped evicted requests without a report passed. With 1,000 sequences of 80 steps, a smaller queue and bursts of offers it fails at once, as do seven other trial changes (eviction without undo, pause without queueing, no bound at the start, two suspects, and more).

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -18,8 +18,11 @@
 
 func TestMain(m *testing.M) {
 	// A fixed seed makes each run draw the same cases; the flag on the command line overrides it.
-	if err := flag.Set("rapid.seed", "20260301"); err != nil {
-		panic(err)
+	// The counts are large enough that the sequences reach evictions, expiries and pauses.
+	for name, value := range map[string]string{"rapid.seed": "20260301", "rapid.checks": "1000", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -427,7 +430,7 @@
 			requests: map[uint64]admitter.Request{}, state: map[uint64]string{},
 		}
 		l.a = admitter.New(admitter.Config{
-			Slots: l.slots, Ranks: ranks(0.5, 0.2, 0.1), MaxQueueWork: 300, MaxQueueTime: 2 * time.Second,
+			Slots: l.slots, Ranks: ranks(0.5, 0.2, 0.1), MaxQueueWork: 200, MaxQueueTime: 2 * time.Second,
 			PauseWithinRank: rapid.Bool().Draw(rt, "within"), Jitter: func() float64 { return 0 },
 		})
 		act := func(f func(id uint64), states ...string) func(*rapid.T) {
@@ -440,7 +443,13 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"":      func(*rapid.T) { l.check() },
 			"offer": func(*rapid.T) { l.offer() },
-			"next":  func(*rapid.T) { l.start() },
+			"burst": func(*rapid.T) {
+				for range 4 {
+					l.offer()
+					l.expire()
+				}
+			},
+			"next": func(*rapid.T) { l.start() },
 			"wait": func(*rapid.T) {
 				l.now = l.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
 			},
