--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,334 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/admitter"
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/engine"
+	"clementineramp/judge"
+	"clementineramp/locator"
+	"clementineramp/quarantiner"
+	"clementineramp/recorder"
+	"clementineramp/service"
+	"clementineramp/ticketer"
+	"clementineramp/tracker"
+)
+
+// Kind says what stands beside an agent.
+type Kind string
+
+// The kinds of upstream.
+const (
+	KindEngine  Kind = "engine"
+	KindService Kind = "service"
+)
+
+// Config joins an agent to its upstream and to its view of the fleet.
+type Config struct {
+	// Name is the name of the upstream and of its agent.
+	Name string
+	// Pool is the name of the pool or service that the upstream belongs to.
+	Pool string
+	Kind Kind
+	// Upstream is the address of the engine or service.
+	Upstream  string
+	SharedKey string
+	Slots     int
+	// Bound is the multiple of the pool's mean load that the engine may carry.
+	Bound float64
+	// QueueWork bounds the waiting work of a rank, in tokens, and QueueTime the wait of a request.
+	QueueWork float64
+	QueueTime time.Duration
+	// AnswerKeep is how long an answer is kept after its end.
+	AnswerKeep time.Duration
+	// Grace is how long a generation goes on that no router follows.
+	Grace time.Duration
+	// StreamIdle ends a generation in which the engine sends nothing for that long.
+	StreamIdle time.Duration
+	// Horizon is the time within which callers repeat an order with their own key.
+	Horizon time.Duration
+	// TicketLifetime is the time for which a ticket may be used.
+	TicketLifetime time.Duration
+	// ChecksFencing says that the engine refuses orders with an old fencing number.
+	ChecksFencing bool
+
+	Snapshot func() *configurer.Snapshot
+	// Confirmed returns when the platform last confirmed the configuration in force.
+	Confirmed func() time.Time
+	// Mean returns the known load of a pool.
+	Mean func(pool string) tracker.Load
+	// View returns what is known of the upstreams of a pool.
+	View func(pool string) []chooser.Upstream
+	// Merge takes load entries from a router's envelope.
+	Merge func([]encoder.LoadEntry)
+	// Freshest returns load entries to pass on.
+	Freshest func() []encoder.LoadEntry
+	// DialUpstream opens connections to the upstream; nil means the network's own.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+	Log          hclog.Logger
+	Metrics      metrics.Registry
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Agent serves routers on behalf of one upstream.
+type Agent struct {
+	cfg         Config
+	incarnation uint64
+	started     time.Time
+	engine      *engine.Client
+	engineState *engineState
+	gate        *gate
+	recorder    *recorder.Recorder
+	quarantine  *quarantiner.Quarantine
+	ledger      *ticketer.Ledger
+	service     *service.Client
+	abandon     *abandonment
+	locator     *locator.Locator
+	chooser     *chooser.Chooser
+	serial      atomic.Uint64
+	sequence    atomic.Uint64
+
+	// lifetime ends when the agent stops for good.
+	lifetime context.Context
+	end      context.CancelFunc
+
+	mu       sync.Mutex
+	leaving  bool
+	requests sync.WaitGroup
+	running  atomic.Int64
+}
+
+// New returns an agent; Run keeps it, and its handler serves routers.
+func New(cfg Config) (*Agent, error) {
+	setDefaults(&cfg)
+	a := &Agent{
+		cfg: cfg, incarnation: rand.Uint64() | 1, started: cfg.Now(),
+		engineState: &engineState{}, abandon: newAbandonment(cfg.Grace),
+	}
+	a.lifetime, a.end = context.WithCancel(context.Background())
+	a.engine = engine.New(engine.Config{Address: cfg.Upstream, Dial: cfg.DialUpstream, IdleTimeout: cfg.StreamIdle})
+	a.gate = newGate(admitter.Config{
+		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime,
+	}, cfg.Log, cfg.Now, a.limit)
+	return a, a.buildMemory()
+}
+
+func setDefaults(cfg *Config) {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	setDefault(&cfg.Slots, 16)
+	setDefault(&cfg.Bound, chooser.DefaultBound)
+	setDefault(&cfg.QueueWork, 200_000)
+	setDefault(&cfg.QueueTime, 30*time.Second)
+	setDefault(&cfg.AnswerKeep, time.Minute)
+	setDefault(&cfg.Grace, 10*time.Second)
+	setDefault(&cfg.StreamIdle, 30*time.Second)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Run keeps the agent's knowledge of its upstream until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if a.cfg.Kind == KindEngine {
+		g.Go(func() error { return a.pollEngine(ctx) })
+	}
+	return g.Wait()
+}
+
+// Handler returns the handler for routers.
+func (a *Agent) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", a.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", a.serveResume)
+	mux.HandleFunc("POST /v1/tickets", a.serveTicket)
+	mux.HandleFunc("/v1/call/", a.serveCall)
+	return mux
+}
+
+// Incarnation returns the number that tells this start of the agent from all others.
+func (a *Agent) Incarnation() uint64 {
+	return a.incarnation
+}
+
+// SetSnapshot takes a configuration that came into force.
+func (a *Agent) SetSnapshot(s *configurer.Snapshot) {
+	a.gate.setRanks(s.Ranks)
+}
+
+// Leave makes the agent refuse new work; it still answers repeats and resumes.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.leaving {
+		a.cfg.Log.Info("leaving", "running", a.running.Load())
+	}
+	a.leaving = true
+}
+
+// Stay takes a Leave back, for a host that the platform's list names as live again.
+func (a *Agent) Stay() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = false
+}
+
+// Leaving reports whether the agent refuses new work.
+func (a *Agent) Leaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
+
+// Ready reports whether the upstream can take work, as far as the agent knows.
+func (a *Agent) Ready() bool {
+	if a.cfg.Kind != KindEngine {
+		return true
+	}
+	status, alive, _ := a.engineState.get()
+	return alive && status.Ready
+}
+
+// Running returns the number of requests in progress.
+func (a *Agent) Running() int {
+	return int(a.running.Load())
+}
+
+// Drain refuses new work and waits until no request is in progress or ctx ends.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.Leave()
+	done := make(chan struct{})
+	go func() {
+		a.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends all work at once.
+func (a *Agent) Close() {
+	a.end()
+}
+
+// begin counts a request in, unless the agent is leaving.
+func (a *Agent) begin() (end func(), err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return nil, judge.Refuse(judge.ReasonLeaving, "upstream %s is leaving", a.cfg.Name)
+	}
+	a.requests.Add(1)
+	a.running.Add(1)
+	return func() {
+		a.running.Add(-1)
+		a.requests.Done()
+	}, nil
+}
+
+// limit returns the work that the engine may carry once a request of a cost runs in it.
+// Queued work counts in the mean, so that a pool with a backlog fills its batches; an engine at or below the
+// mean may take one more request, because requests cannot be divided.
+func (a *Agent) limit(work, cost float64) float64 {
+	if a.cfg.Kind != KindEngine {
+		return noLimit
+	}
+	pool := a.cfg.Mean(a.cfg.Pool)
+	demand := pool.Work + pool.Queued
+	if chooser.Even(work, demand, pool.Known) {
+		return noLimit
+	}
+	return chooser.Limit(chooser.AdmissionBound(a.cfg.Bound), demand, pool.Known, cost)
+}
+
+// weight returns the organisation's part beside others of its rank.
+func (a *Agent) weight(organisation string) float64 {
+	s := a.cfg.Snapshot()
+	if s == nil {
+		return 1
+	}
+	o, _ := s.Organisation(organisation)
+	return o.Weight
+}
+
+// envelope authenticates a router's request and decodes its envelope.
+func (a *Agent) envelope(r *http.Request) (encoder.Envelope, error) {
+	text := r.Header.Get(encoder.EnvelopeHeader)
+	if !encoder.Verify(a.cfg.SharedKey, text, r.Header.Get(encoder.SignatureHeader)) {
+		return encoder.Envelope{}, judge.Refuse(judge.ReasonUnauthorised, "the envelope is not signed with the fleet's shared key")
+	}
+	env, err := encoder.DecodeHeader[encoder.Envelope](r.Header, encoder.EnvelopeHeader)
+	if err != nil {
+		return env, judge.Refuse(judge.ReasonInvalid, "%w", err)
+	}
+	a.cfg.Merge(env.Load)
+	return env, nil
+}
+
+// refuse answers a router with an error and this agent's report.
+func (a *Agent) refuse(w http.ResponseWriter, env encoder.Envelope, err error) {
+	a.refuseWith(w, env, encoder.NewRefusal(err), err)
+}
+
+// refuseWith answers a router with a refusal that carries more than the error.
+func (a *Agent) refuseWith(w http.ResponseWriter, env encoder.Envelope, r encoder.Refusal, err error) {
+	a.cfg.Log.Info("refused", "request", env.RequestID, "organisation", env.Organisation, "rank", env.Rank,
+		"reason", r.Error.Code, "verdict", r.Error.Verdict, "mark", r.Mark, "try", r.Try, "error", err)
+	metrics.GetOrRegisterCounter("refused_"+string(r.Error.Code), a.cfg.Metrics).Inc(1)
+	w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	r.Write(w)
+}
+
+// report returns the agent's own load entry and a few of others.
+func (a *Agent) report() encoder.Report {
+	return encoder.Report{Self: a.Entry(), Load: a.cfg.Freshest()}
+}
+
+// Entry returns the agent's own load entry.
+func (a *Agent) Entry() encoder.LoadEntry {
+	work, queued, _ := a.gate.load()
+	now := a.cfg.Now()
+	e := encoder.LoadEntry{
+		Upstream: a.cfg.Name, Incarnation: a.incarnation, Sequence: a.sequence.Add(1),
+		Work: work, Queued: queued, Leaving: a.Leaving(), UptimeMS: now.Sub(a.started).Milliseconds(),
+	}
+	if a.cfg.Kind == KindEngine {
+		status, _, since := a.engineState.get()
+		e.Version = status.Version
+		e.NotReady = !a.Ready()
+		e.UptimeMS = now.Sub(since).Milliseconds()
+	}
+	return e
+}
+
+// newStreamID returns the identity of a new stream.
+func (a *Agent) newStreamID() encoder.StreamID {
+	return encoder.StreamID{Agent: a.cfg.Name, Incarnation: a.incarnation, Serial: a.serial.Add(1)}
+}
--- /dev/null
+++ b/agent/enginestate.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"clementineramp/engine"
+	"clementineramp/judge"
+)
+
+// pollInterval is the time between two reads of the engine's status.
+const pollInterval = time.Second
+
+// pollFast is the time between reads while the engine does not answer, so that it is back in use soon.
+const pollFast = 200 * time.Millisecond
+
+// engineState is what the agent knows of its engine.
+type engineState struct {
+	mu     sync.Mutex
+	status engine.Status
+	alive  bool
+	// readySince is when the engine became ready with its present version.
+	readySince time.Time
+}
+
+// serving returns the version in service if the engine can take a request for a model and version.
+func (s *engineState) serving(model, version string) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.alive:
+		return "", judge.Refuse(judge.ReasonNotReady, "the engine does not answer")
+	case !s.status.Ready || s.status.Model != model:
+		return "", judge.Refuse(judge.ReasonNotReady, "the engine does not serve model %q", model)
+	case version != "" && s.status.Version != version:
+		return "", judge.Refuse(judge.ReasonWrongVersion, "the engine serves version %q, want %q", s.status.Version, version)
+	}
+	return s.status.Version, nil
+}
+
+// set takes a status and reports whether the engine came up or changed its version.
+func (s *engineState) set(status engine.Status, now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed = !s.alive || status.Version != s.status.Version || status.Ready != s.status.Ready || status.Model != s.status.Model
+	s.status = status
+	s.alive = true
+	if changed {
+		s.readySince = now
+	}
+	return changed
+}
+
+// fail notes that the engine does not answer and reports whether it did before.
+func (s *engineState) fail() (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed = s.alive
+	s.alive = false
+	return changed
+}
+
+func (s *engineState) get() (status engine.Status, alive bool, readySince time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status, s.alive, s.readySince
+}
+
+func (s *engineState) version() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status.Version
+}
+
+// pollEngine reads the engine's status until ctx ends.
+func (a *Agent) pollEngine(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := pollInterval
+		if !a.readEngine(ctx) {
+			wait = pollFast
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// readEngine reads the engine's status once and reports whether the engine answered.
+func (a *Agent) readEngine(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollInterval)
+	defer cancel()
+	status, err := a.engine.Status(ctx)
+	if err != nil {
+		if a.engineState.fail() {
+			a.cfg.Log.Warn("engine_down", "address", a.cfg.Upstream, "error", err)
+		}
+		return false
+	}
+	if a.engineState.set(status, a.cfg.Now()) {
+		a.cfg.Log.Info("engine", "model", status.Model, "version", status.Version, "ready", status.Ready, "slots", status.Slots)
+	}
+	return true
+}
--- /dev/null
+++ b/agent/gate.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"clementineramp/admitter"
+	"clementineramp/configurer"
+	"clementineramp/judge"
+)
+
+// gate carries out the decisions of an admitter for the handlers that wait on it.
+type gate struct {
+	log hclog.Logger
+	now func() time.Time
+	// limit returns the work that the engine may carry once a request of a cost runs in it.
+	limit func(work, cost float64) float64
+
+	mu       sync.Mutex
+	admitter *admitter.Admitter
+	waiters  map[uint64]*slot
+	serial   uint64
+	expiry   *time.Timer
+}
+
+func newGate(cfg admitter.Config, log hclog.Logger, now func() time.Time, limit func(work, cost float64) float64) *gate {
+	return &gate{
+		log: log, now: now, limit: limit,
+		admitter: admitter.New(cfg), waiters: map[uint64]*slot{},
+	}
+}
+
+// slot is a request's place in the queue and then in the batch.
+type slot struct {
+	gate *gate
+	id   uint64
+	cost float64
+	// outcome receives nil when the request starts, or the error with which it leaves the queue.
+	outcome chan error
+	// preempted receives a value when the request must make room for a more urgent one.
+	preempted chan struct{}
+}
+
+// acquire waits until the request may run; the caller then calls done on the slot.
+func (g *gate) acquire(ctx context.Context, r admitter.Request) (*slot, error) {
+	g.mu.Lock()
+	g.serial++
+	r.ID = g.serial
+	s := &slot{
+		gate: g, id: r.ID, cost: r.Cost,
+		outcome: make(chan error, 1), preempted: make(chan struct{}, 1),
+	}
+	g.admitter.SetLimit(g.limit(g.admitter.Work(), r.Cost))
+	err := g.admitter.Offer(g.now(), r)
+	g.explain()
+	if err != nil {
+		g.pump()
+		g.mu.Unlock()
+		return nil, err
+	}
+	g.waiters[r.ID] = s
+	g.pump()
+	g.mu.Unlock()
+	return s, s.wait(ctx)
+}
+
+// wait blocks until the request starts or leaves the queue.
+func (s *slot) wait(ctx context.Context) error {
+	select {
+	case err := <-s.outcome:
+		return err
+	case <-ctx.Done():
+	}
+	g := s.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, s.id)
+	g.admitter.Cancel(g.now(), s.id)
+	g.pump()
+	return judge.Refuse(judge.ReasonBroken, "caller left while the request was queued: %w", context.Cause(ctx))
+}
+
+// done frees the slot after the work that the engine did, in tokens.
+func (s *slot) done(work float64) {
+	g := s.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, s.id)
+	g.admitter.Done(g.now(), s.id, work)
+	g.explain()
+	g.pump()
+}
+
+// pause gives the slot up with the work that is left, in tokens, and waits for a slot to go on.
+func (s *slot) pause(ctx context.Context, left float64) error {
+	g := s.gate
+	g.mu.Lock()
+	g.admitter.Paused(g.now(), s.id, left)
+	g.explain()
+	g.pump()
+	g.mu.Unlock()
+	return s.wait(ctx)
+}
+
+// pump starts, refuses and preempts requests as the admitter decides; the caller holds the lock.
+func (g *gate) pump() {
+	now := g.now()
+	for {
+		g.admitter.SetLimit(g.limit(g.admitter.Work(), 0))
+		r, ok := g.admitter.Next(now)
+		if !ok {
+			break
+		}
+		g.explain()
+		if s := g.waiters[r.ID]; s != nil {
+			s.outcome <- nil
+		}
+	}
+	for _, refusal := range g.admitter.Expire(now) {
+		if s := g.waiters[refusal.Request.ID]; s != nil {
+			delete(g.waiters, refusal.Request.ID)
+			s.outcome <- refusal.Err
+		}
+	}
+	for {
+		r, ok := g.admitter.Preempt(now)
+		if !ok {
+			break
+		}
+		g.explain()
+		if s := g.waiters[r.ID]; s != nil {
+			s.preempted <- struct{}{}
+		}
+	}
+	g.schedule(now)
+}
+
+// schedule arranges a pump when the next queued request expires.
+func (g *gate) schedule(now time.Time) {
+	if g.expiry != nil {
+		g.expiry.Stop()
+		g.expiry = nil
+	}
+	at, ok := g.admitter.NextExpiry()
+	if !ok {
+		return
+	}
+	g.expiry = time.AfterFunc(max(at.Sub(now), time.Millisecond), func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.pump()
+	})
+}
+
+func (g *gate) setRanks(ranks []configurer.Rank) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admitter.SetRanks(ranks)
+	g.pump()
+}
+
+// load returns the running and queued work, in tokens, and the number of both kinds of requests.
+func (g *gate) load() (work, queued float64, requests int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Work(), g.admitter.Queued(), g.admitter.Running() + g.admitter.Waiting()
+}
+
+// explain logs the latest decision of the admitter; the caller holds the lock.
+func (g *gate) explain() {
+	g.log.Info("admit", g.admitter.Explain().Pairs()...)
+}
--- /dev/null
+++ b/agent/memory.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	crand "crypto/rand"
+	"math"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/chooser"
+	"clementineramp/judge"
+	"clementineramp/locator"
+	"clementineramp/quarantiner"
+	"clementineramp/recorder"
+	"clementineramp/service"
+	"clementineramp/ticketer"
+)
+
+// noLimit is the load limit of an upstream without one.
+var noLimit = math.Inf(1)
+
+// secretBytes is the length of the secret that authenticates the tickets of one incarnation.
+const secretBytes = 32
+
+// buildMemory makes the memories that this incarnation starts without.
+func (a *Agent) buildMemory() error {
+	setDefault(&a.cfg.TicketLifetime, ticketer.DefaultLifetime)
+	setDefault(&a.cfg.Horizon, ticketer.DefaultHorizon)
+	a.recorder = recorder.New()
+	a.quarantine = quarantiner.New()
+	a.service = service.New(service.Config{Address: a.cfg.Upstream, Dial: a.cfg.DialUpstream})
+	secret := make([]byte, secretBytes)
+	if _, err := crand.Read(secret); err != nil {
+		return trace.Wrap(err)
+	}
+	var err error
+	if a.locator, err = locator.New(locator.Config{}); err != nil {
+		return trace.Wrap(err)
+	}
+	if a.chooser, err = chooser.New(chooser.Config{Bound: a.cfg.Bound}); err != nil {
+		return trace.Wrap(err)
+	}
+	a.ledger, err = ticketer.New(ticketer.Config{
+		Service: a.cfg.Pool, Agent: a.cfg.Name, Incarnation: a.incarnation, Secret: secret,
+		Started: a.started, Lifetime: a.cfg.TicketLifetime, Horizon: a.cfg.Horizon,
+	})
+	return trace.Wrap(err)
+}
+
+// crashed learns from an engine that broke the connection of a generation.
+func (a *Agent) crashed(g *generation, err error) error {
+	a.readEngine(a.lifetime)
+	a.quarantine.Leave(g.fingerprint)
+	return err
+}
+
+// markOf returns the crash mark that goes with an error of a generation.
+func (a *Agent) markOf(err error) int {
+	if judge.ReasonOf(err) == judge.ReasonEngineCrashed {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/agent/order.go
@@ -0,0 +1,229 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"clementineramp/admitter"
+	"clementineramp/encoder"
+	"clementineramp/judge"
+	"clementineramp/service"
+	"clementineramp/ticketer"
+)
+
+// callCost is the work of a call of a plain service, whose real work is not known.
+const callCost = 1
+
+// callTimeout bounds a call of a plain service that goes on after its router has left.
+const callTimeout = time.Minute
+
+// callPath is the prefix of the paths of calls.
+const callPath = "/v1/call"
+
+// ticketAnswer is the body of an answer with a ticket.
+type ticketAnswer struct {
+	Ticket      string `json:"ticket"`
+	ExpiresInMS int64  `json:"expires_in_ms"`
+}
+
+// serveTicket issues a ticket for one order.
+func (a *Agent) serveTicket(w http.ResponseWriter, r *http.Request) {
+	env, err := a.envelope(r)
+	if err == nil {
+		err = a.takesOrders(env)
+	}
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	end, err := a.begin()
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	defer end()
+	t, err := a.ledger.Issue(a.cfg.Now())
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	a.cfg.Log.Info("ticket_issued", "request", env.RequestID, "organisation", env.Organisation, "serial", t.Serial)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(ticketAnswer{t.String(), a.cfg.TicketLifetime.Milliseconds()})
+}
+
+func (a *Agent) takesOrders(env encoder.Envelope) error {
+	if a.cfg.Kind != KindService || env.Service != a.cfg.Pool {
+		return judge.Refuse(judge.ReasonNotFound, "upstream %s is not a worker of service %q", a.cfg.Name, env.Service)
+	}
+	return nil
+}
+
+// call is one call of the plain service.
+type call struct {
+	env    encoder.Envelope
+	key    ticketer.Key
+	digest ticketer.Digest
+	method string
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// serveCall runs a call of the plain service, at most once for each key.
+func (a *Agent) serveCall(w http.ResponseWriter, r *http.Request) {
+	env, err := a.envelope(r)
+	if err == nil {
+		err = a.takesOrders(env)
+	}
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	c, err := readCall(r, env)
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	answer, err := a.decideCall(r.Context(), c)
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	h := w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	h.Del("Content-Length")
+	h.Set(encoder.AnswerHeader, "1")
+	h.Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func readCall(r *http.Request, env encoder.Envelope) (call, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return call{}, judge.Refuse(judge.ReasonInvalid, "read body: %w", err)
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), callPath)
+	header := http.Header{}
+	for _, name := range []string{"Accept", "Accept-Language", "Content-Type", "User-Agent", "Idempotency-Key"} {
+		if v := r.Header.Values(name); len(v) > 0 {
+			header[http.CanonicalHeaderKey(name)] = v
+		}
+	}
+	return call{
+		env: env, key: ticketer.Key{Organisation: env.Organisation, Text: env.Key},
+		digest: ticketer.DigestOf([]byte(r.Method), []byte(path), body),
+		method: r.Method, path: path, header: header, body: body,
+	}, nil
+}
+
+// decideCall runs a call, waits for its first try, or gives the kept answer.
+func (a *Agent) decideCall(ctx context.Context, c call) (ticketer.Answer, error) {
+	if c.method == http.MethodGet || c.method == http.MethodHead {
+		return a.runOnceOnly(ctx, c)
+	}
+	decision, err := a.ledger.Begin(a.cfg.Now(), c.key, c.digest, a.freshness(c.env.Service))
+	if err != nil {
+		return ticketer.Answer{}, err
+	}
+	a.cfg.Log.Info("order", "request", c.env.RequestID, "organisation", c.env.Organisation, "keyed", c.key.Text != "",
+		"action", decision.Action)
+	switch decision.Action {
+	case ticketer.Replay:
+		return decision.Answer, nil
+	case ticketer.Wait:
+		return await(ctx, decision.Pending)
+	case ticketer.Run:
+	}
+	return a.runOrder(ctx, c)
+}
+
+// freshness returns what the ledger must know of the configuration to accept a caller's own key.
+func (a *Agent) freshness(name string) ticketer.Freshness {
+	s := a.cfg.Snapshot()
+	if s == nil {
+		return ticketer.Freshness{}
+	}
+	svc, _ := s.Service(name)
+	return ticketer.Freshness{Workers: svc.Workers, Confirmed: a.cfg.Confirmed()}
+}
+
+func await(ctx context.Context, p *ticketer.Pending) (ticketer.Answer, error) {
+	select {
+	case <-p.Done():
+		return p.Result()
+	case <-ctx.Done():
+		return ticketer.Answer{}, judge.Doubt(judge.ReasonTimeout, "the first try with the key still runs: %w", context.Cause(ctx))
+	}
+}
+
+// outcome is the result of an order that runs apart from the request that began it.
+type outcome struct {
+	answer ticketer.Answer
+	err    error
+}
+
+// runOrder runs an order to its end, even if the router leaves meanwhile, so that a repeat finds the answer.
+func (a *Agent) runOrder(ctx context.Context, c call) (ticketer.Answer, error) {
+	end, err := a.begin()
+	if err != nil {
+		_ = a.ledger.Abort(a.cfg.Now(), c.key, err)
+		return ticketer.Answer{}, err
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		defer end()
+		// The caller may leave while the order waits in the queue, so that it must not run any more.
+		answer, err := a.runOnceOnly(ctx, c)
+		if err != nil {
+			_ = a.ledger.Abort(a.cfg.Now(), c.key, err)
+		} else {
+			_ = a.ledger.Finish(a.cfg.Now(), c.key, answer)
+		}
+		done <- outcome{answer, err}
+	}()
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-ctx.Done():
+		return ticketer.Answer{}, judge.Doubt(judge.ReasonTimeout, "the order still runs: %w", context.Cause(ctx))
+	}
+}
+
+// runOnceOnly waits for a slot and sends the call to the service once.
+func (a *Agent) runOnceOnly(ctx context.Context, c call) (ticketer.Answer, error) {
+	s, err := a.gate.acquire(ctx, admitter.Request{
+		Rank: c.env.Rank, Organisation: c.env.Organisation, Weight: a.weight(c.env.Organisation),
+		Cost: callCost, Deadline: c.env.Deadline(), Last: true, Pinned: true,
+	})
+	if err != nil {
+		return ticketer.Answer{}, err
+	}
+	defer s.done(callCost)
+	// Once sent, the call goes on without the router, so that its outcome is known for a repeat.
+	ctx, cancel := context.WithTimeout(a.lifetime, callTimeout)
+	defer cancel()
+	answer, err := a.service.Call(ctx, c.method, c.path, c.header, c.body)
+	if err != nil {
+		var judged *judge.Error
+		if errors.As(err, &judged) {
+			a.cfg.Log.Warn("call_failed", "request", c.env.RequestID, "verdict", judged.Verdict, "reason", judged.Reason, "error", err)
+		}
+		return ticketer.Answer{}, err
+	}
+	return convert(answer), nil
+}
+
+func convert(a service.Answer) ticketer.Answer {
+	return ticketer.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -161,15 +161,15 @@
 	}
 	var judged *judge.Error
 	if errors.As(err, &judged) {
-		encoder.WriteRefusal(c.Response(), err, 0)
+		encoder.NewRefusal(err).Write(c.Response())
 		return
 	}
 	var httpErr *echo.HTTPError
 	if errors.As(err, &httpErr) {
-		encoder.WriteRefusal(c.Response(), judge.Refuse(judge.ReasonNotFound, "%s %s: %v", c.Request().Method, c.Request().URL.Path, httpErr.Message), 0)
+		encoder.NewRefusal(judge.Refuse(judge.ReasonNotFound, "%s %s: %v", c.Request().Method, c.Request().URL.Path, httpErr.Message)).Write(c.Response())
 		return
 	}
-	encoder.WriteRefusal(c.Response(), err, 0)
+	encoder.NewRefusal(err).Write(c.Response())
 }
 
 func (e *Edge) serveReady(c echo.Context) error {
--- a/commander/root.go
+++ b/commander/root.go
@@ -28,6 +28,7 @@
 // commands lists the commands of the program.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		demoCommand(),
 		settingsCommand(),
 		statusCommand(),
 		drainCommand(),
--- /dev/null
+++ b/demonstrator/demo.go
@@ -0,0 +1,353 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/encoder"
+	"clementineramp/standin"
+)
+
+// Size of the demonstration.
+const (
+	demoEngines = 4
+	demoWorkers = 3
+	demoRouters = 2
+	demoChats   = 40
+	demoTurns   = 5
+	demoOrders  = 6
+	demoTokens  = 24
+	// chatStagger is the time between the starts of two chats, and thinkTime the pause between two turns of one.
+	chatStagger = 7 * time.Millisecond
+	thinkTime   = 60 * time.Millisecond
+	// killTurn is the turn in which an engine is killed while it streams.
+	killTurn = 3
+	// minReuse is the least part of the prompt tokens of returning turns that should come from a cache.
+	minReuse = 0.3
+)
+
+// Report is the account of a demonstration.
+type Report struct {
+	Chats   int `json:"chats"`
+	Turns   int `json:"turns"`
+	Whole   int `json:"whole_answers"`
+	Resumed int `json:"resumed_answers"`
+	// Reuse is the part of the prompt tokens of returning turns that came from an engine's cache.
+	Reuse    float64  `json:"cache_reuse"`
+	Killed   string   `json:"killed_upstream"`
+	Served   []Served `json:"served"`
+	Orders   int      `json:"orders"`
+	Repeats  int      `json:"order_repeats"`
+	Ran      int      `json:"orders_ran"`
+	Twice    int      `json:"orders_ran_twice"`
+	Failures []string `json:"failures"`
+}
+
+// Served says how many requests an upstream ran.
+type Served struct {
+	Upstream string `json:"upstream"`
+	Requests int    `json:"requests"`
+}
+
+// DemoConfig says how the demonstration prints and logs.
+type DemoConfig struct {
+	Out  io.Writer
+	Log  io.Writer
+	JSON bool
+	// Serve keeps the fleet running after the account until the context ends.
+	Serve bool
+}
+
+// ErrFailed is returned by Demo when one of its checks fails.
+var ErrFailed = trace.Errorf("a check of the demonstration failed")
+
+// Demo runs the demonstration and prints its account.
+func Demo(ctx context.Context, cfg DemoConfig) error {
+	f, err := StartFleet(ctx, FleetConfig{
+		Routers: demoRouters, Engines: demoEngines, Workers: demoWorkers, Log: cfg.Log,
+		Engine: standin.EngineConfig{
+			Slots: 16, CacheTokens: 40_000, PrefillPerToken: 20 * time.Microsecond, TokenInterval: 3 * time.Millisecond,
+		},
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer f.Close()
+	d := &demo{fleet: f}
+	d.run(ctx)
+	if err := d.print(cfg); err != nil {
+		return trace.Wrap(err)
+	}
+	if cfg.Serve {
+		f.printAddresses(cfg.Out)
+		<-ctx.Done()
+	}
+	if len(d.report.Failures) > 0 {
+		return ErrFailed
+	}
+	return nil
+}
+
+// demo is one run of the demonstration.
+type demo struct {
+	fleet *Fleet
+
+	mu            sync.Mutex
+	report        Report
+	prompt, reuse int
+}
+
+func (d *demo) fail(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.Failures = append(d.report.Failures, fmt.Sprintf(format, args...))
+}
+
+func (d *demo) run(ctx context.Context) {
+	d.report.Chats = demoChats
+	d.chats(ctx)
+	d.resume(ctx)
+	d.orders(ctx)
+	d.count()
+}
+
+// chats serves all turns of all chats side by side; each turn comes through another router than the one before.
+func (d *demo) chats(ctx context.Context) {
+	killed := make(chan struct{})
+	var kill sync.Once
+	var g errgroup.Group
+	for i := range demoChats {
+		g.Go(func() error {
+			time.Sleep(time.Duration(i) * chatStagger)
+			var history []encoder.Message
+			for turn := range demoTurns {
+				if turn == killTurn {
+					kill.Do(func() { go d.killBusiest(killed) })
+				}
+				history = d.turn(ctx, i, turn, history)
+				time.Sleep(thinkTime)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	<-killed
+}
+
+// killBusiest kills the engine with the most running work while it streams.
+func (d *demo) killBusiest(done chan struct{}) {
+	defer close(done)
+	var busiest *standin.Engine
+	most := 0.0
+	for range 200 {
+		for _, e := range d.fleet.Engines {
+			if work, _ := e.Work(); work > most {
+				busiest, most = e, work
+			}
+		}
+		if busiest != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if busiest == nil {
+		d.fail("no engine had work to be killed with")
+		return
+	}
+	time.Sleep(20 * time.Millisecond)
+	busiest.Kill()
+	d.mu.Lock()
+	d.report.Killed = busiest.Name()
+	d.mu.Unlock()
+}
+
+// turn serves one turn of a chat and returns the chat's history after it.
+func (d *demo) turn(ctx context.Context, chat, turn int, history []encoder.Message) []encoder.Message {
+	o := Organisations[chat%len(Organisations)]
+	history = append(slices.Clone(history), encoder.Message{
+		Role: "user", Content: fmt.Sprintf("Chat %d, question %d: how do I lay out the tax ledger of this month so that it adds up?", chat, turn),
+	})
+	seed := int64(chat*100 + turn)
+	req := encoder.ChatRequest{Model: Model, Messages: history, MaxTokens: demoTokens, Seed: &seed}
+	c := &standin.Caller{Key: o.Key}
+	reply, err := c.Chat(ctx, d.router(turn+chat), req, http.Header{"Clementine-Chat": {fmt.Sprintf("chat-%d", chat)}})
+	d.mu.Lock()
+	d.report.Turns++
+	if turn > 0 {
+		d.prompt += reply.Usage.PromptTokens
+		if reply.Usage.PromptDetails != nil {
+			d.reuse += reply.Usage.PromptDetails.CachedTokens
+		}
+	}
+	d.mu.Unlock()
+	switch {
+	case err != nil:
+		d.fail("chat %d turn %d: %v", chat, turn, err)
+	case reply.Text != standin.Answer(req, Version):
+		d.fail("chat %d turn %d: the answer is not the whole answer to this request", chat, turn)
+	default:
+		d.mu.Lock()
+		d.report.Whole++
+		d.mu.Unlock()
+	}
+	return append(history, encoder.Message{Role: "assistant", Content: reply.Text})
+}
+
+func (d *demo) router(i int) string {
+	return d.fleet.Routers[i%len(d.fleet.Routers)].Address()
+}
+
+// resume breaks off an answer at one router and reads the rest through another.
+func (d *demo) resume(ctx context.Context) {
+	seed := int64(7)
+	req := encoder.ChatRequest{
+		Model: Model, MaxTokens: demoTokens, Seed: &seed,
+		Messages: []encoder.Message{{Role: "user", Content: "Which template fits a small shop?"}},
+	}
+	c := &standin.Caller{Key: Organisations[0].Key}
+	first, last, err := c.ChatUntil(ctx, d.router(0), req, demoTokens/3)
+	if err != nil {
+		d.fail("broken answer: %v", err)
+		return
+	}
+	rest, err := c.Resume(ctx, d.router(1), last)
+	if err != nil {
+		d.fail("resume: %v", err)
+		return
+	}
+	if first+rest.Text != standin.Answer(req, Version) {
+		d.fail("the resumed answer is not the whole answer")
+		return
+	}
+	d.report.Resumed++
+}
+
+// orders places orders with tickets and repeats each through another router while the first try runs.
+func (d *demo) orders(ctx context.Context) {
+	for _, w := range d.fleet.Workers {
+		w.SetDelay(20 * time.Millisecond)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range demoOrders {
+		g.Go(func() error {
+			d.order(ctx, i)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (d *demo) order(ctx context.Context, i int) {
+	c := &standin.Caller{Key: Organisations[i%len(Organisations)].Key}
+	ticket, err := c.Ticket(ctx, d.router(i), Service)
+	if err != nil {
+		d.fail("ticket %d: %v", i, err)
+		return
+	}
+	body := []byte(fmt.Sprintf(`{"template": %d}`, i))
+	answers := make([]string, demoRouters)
+	var g errgroup.Group
+	for r := range answers {
+		g.Go(func() (err error) {
+			answers[r], err = c.Order(ctx, d.router(r), Service, "/purchases", ticket, body)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		d.fail("order %d: %v", i, err)
+		return
+	}
+	if answers[0] != answers[1] {
+		d.fail("order %d: the repeat got another answer than the first try", i)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.Orders++
+	d.report.Repeats++
+}
+
+// count reads from the stand-ins who served what.
+func (d *demo) count() {
+	for _, e := range d.fleet.Engines {
+		runs := e.Runs()
+		d.report.Served = append(d.report.Served, Served{e.Name(), len(runs)})
+		for _, r := range runs {
+			if r.Foreign {
+				d.fail("%s was asked to go on with another generation's answer", e.Name())
+			}
+		}
+	}
+	seen := map[string]int{}
+	for _, w := range d.fleet.Workers {
+		runs := w.Executions()
+		d.report.Served = append(d.report.Served, Served{w.Name(), len(runs)})
+		for _, x := range runs {
+			d.report.Ran++
+			seen[x.Key]++
+			if seen[x.Key] == 2 {
+				d.report.Twice++
+				d.fail("the order with key %s ran twice", x.Key)
+			}
+		}
+	}
+	if d.prompt > 0 {
+		d.report.Reuse = float64(d.reuse) / float64(d.prompt)
+	}
+	if d.report.Reuse < minReuse {
+		d.fail("cache reuse is %.2f, want at least %.2f", d.report.Reuse, minReuse)
+	}
+	if d.report.Ran != demoOrders {
+		d.fail("%d orders ran, want %d", d.report.Ran, demoOrders)
+	}
+}
+
+func (d *demo) print(cfg DemoConfig) error {
+	if cfg.JSON {
+		return json.NewEncoder(cfg.Out).Encode(d.report)
+	}
+	r := d.report
+	w := cfg.Out
+	fmt.Fprintf(w, "%d routers, %d engines, %d workers of a plain service, all on loopback\n", demoRouters, demoEngines, demoWorkers)
+	fmt.Fprintf(w, "%d chats returned for %d turns; %d whole answers; cache reuse of returning turns %.0f%%\n", r.Chats, demoTurns, r.Whole, 100*r.Reuse)
+	fmt.Fprintf(w, "killed while it streamed: %s; the answers went on elsewhere\n", r.Killed)
+	fmt.Fprintf(w, "%d answer broken off at one router and resumed through another\n", r.Resumed)
+	fmt.Fprintf(w, "%d orders, each repeated through another router: %d ran, %d ran twice\n", r.Orders, r.Ran, r.Twice)
+	for _, s := range r.Served {
+		fmt.Fprintf(w, "  %-10s served %d\n", s.Upstream, s.Requests)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(w, "FAILED: %s\n", f)
+	}
+	if len(r.Failures) == 0 {
+		fmt.Fprintln(w, "all checks passed")
+	}
+	return nil
+}
+
+// printAddresses tells where to send requests.
+func (f *Fleet) printAddresses(w io.Writer) {
+	for i, r := range f.Routers {
+		fmt.Fprintf(w, "callers' address %d: http://%s (operators: %s)\n", i+1, r.Address(), r.OperatorAddress())
+	}
+	fmt.Fprintf(w, "platform: http://%s\n", f.PlatformServer.Address())
+	for _, e := range f.Engines {
+		fmt.Fprintf(w, "engine %s: http://%s\n", e.Name(), e.Address())
+	}
+	for _, s := range f.Workers {
+		fmt.Fprintf(w, "worker %s: http://%s\n", s.Name(), s.Address())
+	}
+	fmt.Fprintf(w, "model %s, service %s, keys:", Model, Service)
+	for _, o := range Organisations {
+		fmt.Fprintf(w, " %s", o.Key)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/demonstrator/demo_test.go
@@ -0,0 +1,24 @@
+package demonstrator_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/demonstrator"
+)
+
+// Guards against a fleet that starts but does not serve: every answer must be whole and no order may run twice.
+func TestDemo(t *testing.T) {
+	var out bytes.Buffer
+	err := demonstrator.Demo(t.Context(), demonstrator.DemoConfig{Out: &out, JSON: true})
+	require.NoError(t, err, out.String())
+	var r demonstrator.Report
+	require.NoError(t, json.Unmarshal(out.Bytes(), &r))
+	require.Equal(t, r.Turns, r.Whole)
+	require.Zero(t, r.Twice)
+	require.Equal(t, r.Orders, r.Ran)
+	require.NotEmpty(t, r.Killed)
+}
--- /dev/null
+++ b/demonstrator/fleet.go
@@ -0,0 +1,267 @@
+package demonstrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/compiler"
+	"clementineramp/launcher"
+	"clementineramp/loader"
+	"clementineramp/logger"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+// Names of the demonstration fleet.
+const (
+	Pool      = "clementine-pool"
+	Service   = "storefront-api"
+	Model     = "clementine-8b"
+	Version   = "v1"
+	sharedKey = "demonstration-shared-key"
+)
+
+var domains = []string{"north", "middle", "south"}
+
+// Organisation is a customer of the demonstration fleet.
+type Organisation struct {
+	Name string
+	Key  string
+	Rank string
+}
+
+// Organisations lists the customers of the demonstration fleet.
+var Organisations = []Organisation{
+	{"bookkeepers", "demo-key-bookkeepers", "urgent"},
+	{"shops", "demo-key-shops", "normal"},
+	{"archive", "demo-key-archive", "batch"},
+}
+
+// FleetConfig says how large the fleet is.
+type FleetConfig struct {
+	Routers int
+	Engines int
+	Workers int
+	// Engine is the template of the stand-in engines.
+	Engine standin.EngineConfig
+	// Log receives the log lines of all processes.
+	Log io.Writer
+	// Settings returns further settings of a process in JSON, without braces; nil means none.
+	Settings func(role, name string) string
+}
+
+// Fleet is a platform, engines, a plain service, agents and routers on loopback.
+type Fleet struct {
+	Platform       *standin.Platform
+	PlatformServer *standin.Server
+	Engines        []*standin.Engine
+	Workers        []*standin.Service
+	Agents         []*launcher.Process
+	Routers        []*launcher.Process
+
+	cfg   FleetConfig
+	hosts []platform.Host
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+// StartFleet starts a fleet and waits until every process has its configuration.
+func StartFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, Platform: standin.NewPlatform()}
+	f.ctx, f.stop = context.WithCancel(ctx)
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	var err error
+	if f.PlatformServer, err = standin.Start("", f.Platform.Handler()); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := f.publish(1); err != nil {
+		return err
+	}
+	for i := range f.cfg.Engines {
+		if err := f.startEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.cfg.Workers {
+		if err := f.startWorker(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.cfg.Routers {
+		name := fmt.Sprintf("router-%d", i+1)
+		p, err := f.startProcess("router", name, i, "")
+		if err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, p)
+	}
+	f.Platform.SetHosts(f.hosts)
+	return f.waitReady()
+}
+
+// EngineName returns the name of an engine by its index.
+func EngineName(i int) string {
+	return fmt.Sprintf("engine-%d", i+1)
+}
+
+// WorkerName returns the name of a worker of the plain service by its index.
+func WorkerName(i int) string {
+	return fmt.Sprintf("worker-%d", i+1)
+}
+
+func (f *Fleet) startEngine(i int) error {
+	cfg := f.cfg.Engine
+	cfg.Name, cfg.Model, cfg.Version = EngineName(i), Model, Version
+	e, err := standin.StartEngine(cfg)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.Engines = append(f.Engines, e)
+	slots := max(cfg.Slots, 1)
+	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d}`, Pool, e.Address(), slots)
+	p, err := f.startProcess("agent", cfg.Name, i, upstream)
+	f.Agents = append(f.Agents, p)
+	return err
+}
+
+func (f *Fleet) startWorker(i int) error {
+	s, err := standin.StartService(WorkerName(i), "")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.Workers = append(f.Workers, s)
+	upstream := fmt.Sprintf(`"upstream": {"kind": "service", "name": %q, "address": %q, "slots": 16}`, Service, s.Address())
+	p, err := f.startProcess("agent", s.Name(), i, upstream)
+	f.Agents = append(f.Agents, p)
+	return err
+}
+
+// anyPort lets the system choose a port; settings files must name one.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func (f *Fleet) startProcess(role, name string, i int, upstream string) (*launcher.Process, error) {
+	fields := []string{
+		fmt.Sprintf(`"role": %q, "name": %q, "region": "demo", "failure_domain": %q`, role, name, domains[i%len(domains)]),
+		`"listen": "127.0.0.1:1", "control_listen": "127.0.0.1:2", "operator_listen": "127.0.0.1:3"`,
+		fmt.Sprintf(`"platform": [%q], "shared_key": %q`, f.PlatformServer.Address(), sharedKey),
+	}
+	if upstream != "" {
+		fields = append(fields, upstream)
+	}
+	if f.cfg.Settings != nil {
+		if more := f.cfg.Settings(role, name); more != "" {
+			fields = append(fields, more)
+		}
+	}
+	cfg, err := loader.Parse(name, []byte("{"+strings.Join(fields, ",\n")+"}"), nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	cfg.Listen, cfg.ControlListen, cfg.OperatorListen = anyPort, anyPort, anyPort
+	out := f.cfg.Log
+	if out == nil {
+		out = io.Discard
+	}
+	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	host := platform.Host{
+		Name: name, Address: p.Address(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
+	}
+	if cfg.Upstream != nil {
+		host.Upstream = cfg.Upstream.Name
+	}
+	f.hosts = append(f.hosts, host)
+	f.done.Add(1)
+	go func() {
+		defer f.done.Done()
+		_ = p.Run(f.ctx)
+	}()
+	return p, nil
+}
+
+// sheet returns the sheet of the fleet in a version.
+func (f *Fleet) sheet(version uint64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version,number\nversion,%d\n", version)
+	b.WriteString("rank,name,target,worth,share\nrank,urgent,440ms,100,0.5\nrank,normal,2s,10,0.2\nrank,batch,1m,1,0.1\n")
+	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, Version)
+	workers := make([]string, f.cfg.Workers)
+	for i := range workers {
+		workers[i] = WorkerName(i)
+	}
+	fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	b.WriteString("organisation,name,key_hash,rank,ranks,weight\n")
+	for _, o := range Organisations {
+		sum := sha256.Sum256([]byte(o.Key))
+		fmt.Fprintf(&b, "organisation,%s,%s,%s,,1\n", o.Name, hex.EncodeToString(sum[:]), o.Rank)
+	}
+	return b.String()
+}
+
+// publish puts a version of the configuration at the platform.
+func (f *Fleet) publish(version uint64) error {
+	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version))})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, p := range s.Parts {
+		f.Platform.SetValue("config/part/"+string(p.Digest), p.Data)
+	}
+	f.Platform.SetValue("config/manifest", s.Manifest)
+	return nil
+}
+
+// readyTimeout bounds the wait for the fleet's start.
+const readyTimeout = 10 * time.Second
+
+func (f *Fleet) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, p := range append(append([]*launcher.Process{}, f.Routers...), f.Agents...) {
+		for p.Watcher().Snapshot() == nil || len(p.Watcher().View(Pool)) < f.cfg.Engines || !p.UpstreamReady() {
+			if time.Now().After(deadline) {
+				return trace.LimitExceeded("the fleet did not become ready within %v", readyTimeout)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Close stops every process of the fleet and its stand-ins.
+func (f *Fleet) Close() {
+	for _, p := range append(append([]*launcher.Process{}, f.Routers...), f.Agents...) {
+		if p != nil {
+			p.Kill()
+		}
+	}
+	f.stop()
+	f.done.Wait()
+	for _, e := range f.Engines {
+		e.Kill()
+	}
+	for _, s := range f.Workers {
+		s.Kill()
+	}
+	if f.PlatformServer != nil {
+		f.PlatformServer.Kill()
+	}
+}
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -45,6 +45,8 @@
 	Attempt int `json:"attempt"`
 	// Last says that no further agent will be tried, so that the request may wait in the queue.
 	Last bool `json:"last,omitempty"`
+	// Home says that the agent is the first in the chat's order.
+	Home bool `json:"home,omitempty"`
 	// Mark counts the engine crashes in which the request was in flight.
 	Mark int `json:"mark,omitempty"`
 	// Offset is the number of events of the answer that the caller already has.
@@ -95,6 +97,8 @@
 	// UptimeMS is the time since the upstream became ready, in milliseconds.
 	UptimeMS int64 `json:"t"`
 	Leaving  bool  `json:"l,omitempty"`
+	// NotReady says that the upstream cannot take work now, though its agent answers.
+	NotReady bool `json:"n,omitempty"`
 	// Version is the model version that is ready in the engine.
 	Version string `json:"v,omitempty"`
 }
@@ -194,6 +198,8 @@
 	Error RefusalError `json:"error"`
 	// Mark counts the engine crashes in which the refused request was in flight.
 	Mark int `json:"mark,omitempty"`
+	// Try names the upstream that the router should try next.
+	Try string `json:"try,omitempty"`
 }
 
 // RefusalError is the customary error object of the chat-completions shape, with a verdict.
@@ -255,10 +261,8 @@
 	}
 }
 
-// WriteRefusal answers a request with err.
-func WriteRefusal(w http.ResponseWriter, err error, mark int) {
-	r := NewRefusal(err)
-	r.Mark = mark
+// Write answers a request with the refusal.
+func (r Refusal) Write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	if r.Error.RetryAfterMS > 0 {
 		seconds := (r.Error.RetryAfterMS + 999) / 1000
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,9 @@
 // maxBody bounds the body of an agent's answer to an order, in bytes.
 const maxBody = 16 << 20
 
+// maxTail bounds what is read after the closing event of an answer, in bytes.
+const maxTail = 64 << 10
+
 // Config says how a router reaches agents.
 type Config struct {
 	// SharedKey authenticates requests between the fleet's own processes.
@@ -74,6 +77,8 @@
 	Cause *judge.Error
 	// Mark counts the engine crashes in which the request was in flight, as the agent knows it.
 	Mark int
+	// Try names the upstream that the agent advises to try next.
+	Try string
 	// Answered says that the agent itself gave the refusal.
 	Answered bool
 }
@@ -129,9 +134,20 @@
 		return emitErr
 	})
 	timer.Stop()
+	if err == nil {
+		c.readTrailer(resp)
+	}
 	return streamError(ctx, err, emitErr)
 }
 
+// readTrailer takes the report that an agent sends after an answer, when the load is lower than at its beginning.
+func (c *Client) readTrailer(resp *http.Response) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxTail)); err != nil {
+		return
+	}
+	c.takeReport(resp.Trailer)
+}
+
 var (
 	errFirstByte = errors.New("no first byte within the deadline")
 	errIdle      = errors.New("no event within the idle timeout")
@@ -227,16 +243,17 @@
 	if err != nil {
 		return nil, sendFailure(ctx, err)
 	}
-	text := resp.Header.Get(encoder.ReportHeader)
-	c.cfg.Count(loadBytes(env) + len(text))
-	if text == "" {
-		return resp, nil
-	}
-	report, err := encoder.DecodeHeader[encoder.Report](resp.Header, encoder.ReportHeader)
-	if err == nil {
+	c.cfg.Count(loadBytes(env))
+	c.takeReport(resp.Header)
+	return resp, nil
+}
+
+// takeReport counts and passes on the report in a header or trailer.
+func (c *Client) takeReport(h http.Header) {
+	c.cfg.Count(len(h.Get(encoder.ReportHeader)))
+	if report, err := encoder.DecodeHeader[encoder.Report](h, encoder.ReportHeader); err == nil {
 		c.cfg.OnReport(report)
 	}
-	return resp, nil
 }
 
 // loadBytes returns the part of an envelope that is control traffic, in bytes.
@@ -273,5 +290,5 @@
 	}
 	judged := r.Judged()
 	judged.Err = fmt.Errorf("%w", judged.Err)
-	return &Failure{Cause: judged, Mark: r.Mark, Answered: true}
+	return &Failure{Cause: judged, Mark: r.Mark, Try: r.Try, Answered: true}
 }
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -55,6 +55,7 @@
 	ReasonNoUpstream    Reason = "no_upstream"
 	ReasonUnreachable   Reason = "unreachable"
 	ReasonBound         Reason = "load_bound"
+	ReasonElsewhere     Reason = "cached_elsewhere"
 	ReasonQueueFull     Reason = "queue_full"
 	ReasonDeadline      Reason = "deadline"
 	ReasonLeaving       Reason = "leaving"
--- /dev/null
+++ b/launcher/config.go
@@ -0,0 +1,92 @@
+package launcher
+
+import (
+	"time"
+
+	"clementineramp/agent"
+	"clementineramp/caller"
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/limiter"
+	"clementineramp/operator"
+	"clementineramp/router"
+)
+
+// noSkip makes routers ask the first agent of a chat's order even when its load looks high, because that agent knows
+// its load exactly and knows where the chat's cached prefix is.
+const noSkip = 1e6
+
+type configSnapshot = configurer.Snapshot
+
+func entries(e ...encoder.LoadEntry) []encoder.LoadEntry {
+	return e
+}
+
+func (p *Process) routerConfig() router.Config {
+	retries, err := limiter.NewRetryBudget(limiter.RetryConfig{Ratio: p.cfg.Routing.RetryRatio})
+	if err != nil {
+		p.log.Error("retry_budget", "error", err)
+	}
+	w := p.watcher
+	return router.Config{
+		Name: p.cfg.Name, SharedKey: p.cfg.SharedKey.Reveal(),
+		Limits: caller.Limits{
+			BodyBytes: int64(p.cfg.Limits.BodySize), HeaderBytes: int(p.cfg.Limits.HeaderSize),
+			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime,
+		},
+		Chooser: chooser.Config{
+			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
+			SkipFactor: noSkip,
+		},
+		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
+		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		Retries: retries, Log: p.log, Metrics: p.registry,
+	}
+}
+
+func (p *Process) agentConfig() agent.Config {
+	u, w := p.cfg.Upstream, p.watcher
+	return agent.Config{
+		Name: p.cfg.Name, Pool: u.Name, Kind: agent.Kind(u.Kind), Upstream: u.Address.String(),
+		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
+		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
+		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Log: p.log, Metrics: p.registry,
+	}
+}
+
+// Status returns what operators see of the process.
+func (p *Process) Status() operator.Status {
+	s := operator.Status{
+		Name: p.cfg.Name, Role: string(p.cfg.Role), Region: p.cfg.Region, FailureDomain: p.cfg.FailureDomain,
+		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
+	}
+	snapshot := p.watcher.Snapshot()
+	if snapshot == nil {
+		return s
+	}
+	s.Configuration = operator.Configuration{Version: snapshot.Version, Digest: snapshot.Digest, ConfirmedMS: -1}
+	if c := p.watcher.Confirmed(); !c.IsZero() {
+		s.Configuration.ConfirmedMS = time.Since(c).Milliseconds()
+	}
+	for _, pool := range snapshot.Pools {
+		s.Upstreams = append(s.Upstreams, p.upstreams(pool.Name)...)
+	}
+	for _, service := range snapshot.Services {
+		s.Upstreams = append(s.Upstreams, p.upstreams(service.Name)...)
+	}
+	return s
+}
+
+func (p *Process) upstreams(pool string) []operator.Upstream {
+	var list []operator.Upstream
+	for _, u := range p.watcher.View(pool) {
+		list = append(list, operator.Upstream{
+			Name: u.Name, Pool: pool, FailureDomain: u.Domain, State: u.State.String(),
+			Work: u.Work, Queued: u.Queued, AgeMS: u.WorkAge.Milliseconds(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/launcher/file.go
@@ -0,0 +1,25 @@
+package launcher
+
+import (
+	"context"
+	"io"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/loader"
+	"clementineramp/logger"
+)
+
+// RunFile runs the daemon of a settings file until ctx ends and its planned stop is done.
+func RunFile(ctx context.Context, file string, log io.Writer) error {
+	cfg, err := loader.Load(file)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	l := logger.New(logger.Config{Level: cfg.LogLevel, Output: log, Secrets: []string{cfg.SharedKey.Reveal()}})
+	p, err := New(cfg, l)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,270 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/agent"
+	"clementineramp/loader"
+	"clementineramp/operator"
+	"clementineramp/platform"
+	"clementineramp/router"
+	"clementineramp/watcher"
+)
+
+// shutdownTime bounds the closing of idle connections after the last request has ended.
+const shutdownTime = 5 * time.Second
+
+// role is what a process does besides keeping its view of the fleet.
+type role struct {
+	handler http.Handler
+	server  *http.Server
+	// run keeps the role's own knowledge until ctx ends; nil means that there is none.
+	run func(ctx context.Context) error
+	// leave makes the role refuse new requests.
+	leave func()
+	// drain waits until no request is in progress.
+	drain   func(ctx context.Context) error
+	running func() int
+	close   func()
+	// ready reports whether the upstream beside the process can take work; nil means that there is none.
+	ready func() bool
+}
+
+// Process is one daemon.
+type Process struct {
+	cfg      *loader.Settings
+	log      hclog.Logger
+	registry metrics.Registry
+	watcher  *watcher.Watcher
+	role     role
+	started  time.Time
+	incarn   uint64
+
+	listener         net.Listener
+	operatorListener net.Listener
+
+	mu      sync.Mutex
+	state   operator.State
+	drained chan struct{}
+	drain   sync.Once
+}
+
+// New binds the addresses of a daemon; Run serves them.
+func New(cfg *loader.Settings, log hclog.Logger) (*Process, error) {
+	p := &Process{
+		cfg: cfg, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		state: operator.StateStarting, drained: make(chan struct{}),
+	}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	if err := p.assemble(); err != nil {
+		p.closeListeners()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) listen() error {
+	var err error
+	if p.listener, err = net.Listen("tcp", p.cfg.Listen.String()); err != nil {
+		return trace.Wrap(err, "listen")
+	}
+	if p.operatorListener, err = net.Listen("tcp", p.cfg.OperatorListen.String()); err != nil {
+		p.closeListeners()
+		return trace.Wrap(err, "operator_listen")
+	}
+	return nil
+}
+
+// Address returns the address that the process serves, which tells the port where the settings leave it open.
+func (p *Process) Address() string {
+	return p.listener.Addr().String()
+}
+
+// OperatorAddress returns the address that the process serves operators on.
+func (p *Process) OperatorAddress() string {
+	return p.operatorListener.Addr().String()
+}
+
+func (p *Process) closeListeners() {
+	for _, l := range []net.Listener{p.listener, p.operatorListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// assemble joins the view of the fleet and the role.
+func (p *Process) assemble() error {
+	addresses := make([]string, len(p.cfg.Platform))
+	for i, a := range p.cfg.Platform {
+		addresses[i] = a.String()
+	}
+	wcfg := watcher.Config{
+		Self: platform.Host{
+			Name: p.cfg.Name, Address: p.cfg.Listen.String(), Control: p.cfg.ControlListen.String(),
+			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: platform.StateLive,
+		},
+		Platform: platform.New(platform.Config{Addresses: addresses}),
+		Log:      p.log, Metrics: p.registry,
+	}
+	switch p.cfg.Role {
+	case loader.RoleRouter:
+		return p.assembleRouter(wcfg)
+	case loader.RoleAgent:
+		return p.assembleAgent(wcfg)
+	}
+	return trace.BadParameter("unknown role %q", p.cfg.Role)
+}
+
+func (p *Process) assembleRouter(wcfg watcher.Config) error {
+	p.watcher = watcher.New(wcfg)
+	r, err := router.New(p.routerConfig())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	p.role = role{handler: r.Handler(), server: r.Server(), leave: r.Leave, drain: r.Drain, running: r.Running, close: func() {}}
+	return nil
+}
+
+func (p *Process) assembleAgent(wcfg watcher.Config) error {
+	wcfg.Self.Upstream = p.cfg.Upstream.Name
+	var a *agent.Agent
+	wcfg.OnSnapshot = func(s *configSnapshot) { a.SetSnapshot(s) }
+	wcfg.OnSelf = func(leaving bool) {
+		if leaving {
+			a.Leave()
+		} else if p.State() == operator.StateReady || p.State() == operator.StateStarting {
+			a.Stay()
+		}
+	}
+	wcfg.OnTick = func(time.Time) { p.watcher.Merge(entries(a.Entry())) }
+	p.watcher = watcher.New(wcfg)
+	var err error
+	if a, err = agent.New(p.agentConfig()); err != nil {
+		return trace.Wrap(err)
+	}
+	p.incarn = a.Incarnation()
+	p.role = role{
+		handler: a.Handler(), run: a.Run, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
+		server: &http.Server{Handler: a.Handler(), ReadHeaderTimeout: p.cfg.Limits.HeaderTime, IdleTimeout: p.cfg.Limits.IdleTime},
+	}
+	return nil
+}
+
+// Run serves until ctx ends or the process is drained; the end of ctx begins a planned stop.
+func (p *Process) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	ops := operator.NewServer(operator.Config{
+		SharedKey: p.cfg.SharedKey.Reveal(), State: p.State, Status: p.Status, Drain: p.Drain,
+		Registry: p.registry, Logger: p.log,
+	})
+	g := &errgroup.Group{}
+	g.Go(func() error { return p.watcher.Run(run) })
+	if p.role.run != nil {
+		g.Go(func() error { return p.role.run(run) })
+	}
+	g.Go(func() error { return serve(p.role.server, p.listener) })
+	g.Go(func() error { return serve(ops, p.operatorListener) })
+	p.log.Info("started", "role", string(p.cfg.Role), "name", p.cfg.Name, "listen", p.cfg.Listen.String(),
+		"operator_listen", p.cfg.OperatorListen.String())
+	select {
+	case <-ctx.Done():
+		p.Drain()
+		<-p.drained
+	case <-p.drained:
+	}
+	p.shutdown(p.role.server)
+	p.shutdown(ops)
+	p.role.close()
+	stop()
+	err := g.Wait()
+	p.log.Info("stopped", "name", p.cfg.Name)
+	return trace.Wrap(err)
+}
+
+// Kill ends the process's work at once, as its death would; it is for tests.
+func (p *Process) Kill() {
+	p.closeListeners()
+	_ = p.role.server.Close()
+	p.role.close()
+	p.drain.Do(func() { close(p.drained) })
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func (p *Process) shutdown(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close()
+	}
+}
+
+// Drain begins the planned stop and returns at once.
+func (p *Process) Drain() {
+	p.drain.Do(func() {
+		p.setState(operator.StateLeaving)
+		go p.carryOutDrain()
+	})
+}
+
+func (p *Process) carryOutDrain() {
+	defer close(p.drained)
+	p.log.Info("leaving", "grace_ms", p.cfg.Drain.Grace.Milliseconds(), "running", p.role.running())
+	// During the grace time the load balancer and the routers learn that the process leaves.
+	time.Sleep(p.cfg.Drain.Grace)
+	p.setState(operator.StateDraining)
+	p.role.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Drain.Limit)
+	defer cancel()
+	if err := p.role.drain(ctx); err != nil {
+		p.log.Error("drain_cut", "running", p.role.running(), "error", err)
+		return
+	}
+	p.log.Info("drained")
+}
+
+func (p *Process) setState(s operator.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+// State returns how far the process is in its life.
+func (p *Process) State() operator.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == operator.StateStarting && p.watcher.Snapshot() != nil {
+		p.state = operator.StateReady
+	}
+	return p.state
+}
+
+// UpstreamReady reports whether the upstream beside an agent can take work; it is true for a router.
+func (p *Process) UpstreamReady() bool {
+	return p.role.ready == nil || p.role.ready()
+}
+
+// Watcher returns the process's view of the fleet.
+func (p *Process) Watcher() *watcher.Watcher {
+	return p.watcher
+}
--- /dev/null
+++ b/locator/locator.go
@@ -0,0 +1,90 @@
+package locator
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// Defaults of Config.
+const (
+	// DefaultCapacity holds every chat of an agent at the target size, displaced or not.
+	DefaultCapacity = 1 << 15
+	// DefaultLifetime is the time for which a prefix is likely to stay in a cache after its last use.
+	DefaultLifetime = 30 * time.Minute
+)
+
+// Config configures a Locator; a zero field takes its default.
+type Config struct {
+	// Capacity bounds the number of remembered chats.
+	Capacity int
+	// Lifetime is the time after which an entry is not used any more.
+	Lifetime time.Duration
+}
+
+// Locator is the table of displaced chats of one agent; it is safe for concurrent use.
+type Locator struct {
+	lifetime time.Duration
+
+	mu    sync.Mutex
+	chats *lru.Cache[uint64, place]
+}
+
+// place is where a displaced chat was sent.
+type place struct {
+	upstream string
+	at       time.Time
+}
+
+// New returns an empty Locator, or an error if the configuration is out of range.
+func New(cfg Config) (*Locator, error) {
+	if cfg.Capacity == 0 {
+		cfg.Capacity = DefaultCapacity
+	}
+	if cfg.Lifetime == 0 {
+		cfg.Lifetime = DefaultLifetime
+	}
+	if cfg.Lifetime < 0 {
+		return nil, fmt.Errorf("locator: lifetime %v is negative", cfg.Lifetime)
+	}
+	chats, err := lru.New[uint64, place](cfg.Capacity)
+	if err != nil {
+		return nil, fmt.Errorf("locator: capacity %d: %w", cfg.Capacity, err)
+	}
+	return &Locator{lifetime: cfg.Lifetime, chats: chats}, nil
+}
+
+// Displace remembers that a chat's turn was sent to another upstream, which will hold its prefix.
+func (l *Locator) Displace(chat uint64, upstream string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chats.Add(chat, place{upstream, now})
+}
+
+// Return forgets a chat whose turn runs at this agent again.
+func (l *Locator) Return(chat uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chats.Remove(chat)
+}
+
+// Find returns the upstream that holds a chat's prefix, if it is another one.
+func (l *Locator) Find(chat uint64, now time.Time) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.chats.Get(chat)
+	if ok && now.Sub(p.at) > l.lifetime {
+		l.chats.Remove(chat)
+		return "", false
+	}
+	return p.upstream, ok
+}
+
+// Len returns the number of remembered chats.
+func (l *Locator) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chats.Len()
+}
--- /dev/null
+++ b/locator/locator_test.go
@@ -0,0 +1,44 @@
+package locator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/locator"
+)
+
+// Guards against a chat being sent after a cache that it no longer has.
+func TestLocator(t *testing.T) {
+	l, err := locator.New(locator.Config{Capacity: 2, Lifetime: time.Minute})
+	require.NoError(t, err)
+	now := time.Unix(1000, 0)
+
+	l.Displace(1, "engine-2", now)
+	got, ok := l.Find(1, now.Add(time.Minute))
+	require.True(t, ok)
+	require.Equal(t, "engine-2", got)
+
+	_, ok = l.Find(1, now.Add(time.Minute+1))
+	require.False(t, ok, "an entry must not outlive its lifetime")
+
+	l.Displace(1, "engine-2", now)
+	l.Return(1)
+	_, ok = l.Find(1, now)
+	require.False(t, ok, "a chat that returned must not be sent away")
+
+	l.Displace(1, "a", now)
+	l.Displace(2, "b", now)
+	l.Displace(3, "c", now)
+	require.Equal(t, 2, l.Len())
+	_, ok = l.Find(1, now)
+	require.False(t, ok, "the least recently used entry makes room")
+}
+
+func TestConfig(t *testing.T) {
+	_, err := locator.New(locator.Config{Capacity: -1})
+	require.ErrorContains(t, err, "capacity")
+	_, err = locator.New(locator.Config{Lifetime: -time.Second})
+	require.ErrorContains(t, err, "lifetime")
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -139,7 +139,7 @@
 	}
 	var unrouted *echo.HTTPError
 	if !errors.As(err, &unrouted) {
-		encoder.WriteRefusal(c.Response(), err, 0)
+		encoder.NewRefusal(err).Write(c.Response())
 		return
 	}
 	refusal := encoder.NewRefusal(judge.Refuse(judge.ReasonNotFound, "%v", unrouted.Message))
--- /dev/null
+++ b/router/chat.go
@@ -0,0 +1,310 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"clementineramp/caller"
+	"clementineramp/chooser"
+	"clementineramp/encoder"
+	"clementineramp/forwarder"
+	"clementineramp/judge"
+	"clementineramp/tracker"
+)
+
+// maxContinuations bounds how often one answer is taken up by another agent after a failure.
+const maxContinuations = 4
+
+// budgetWait is the mean time between two looks at an exhausted retry budget.
+const budgetWait = 200 * time.Millisecond
+
+// maxFailures bounds the agents that one request may find not ready, so that a pool that is down fails fast.
+const maxFailures = 8
+
+// chatRoute is one chat request on its way.
+type chatRoute struct {
+	router *Router
+	chat   caller.Chat
+	emit   caller.Emit
+	pool   string
+	rank   int
+	key    uint64
+	env    encoder.Envelope
+	body   encoder.ChatRequest
+	// text is the part of the answer that the caller has.
+	text strings.Builder
+	// order holds the candidates that are left of the last choice.
+	order []chooser.Candidate
+	// failed holds the upstreams that failed this request, and refused those that refused it for want of room.
+	failed, refused []string
+	// last is the last refusal or failure, given to the caller when no candidate is left.
+	last error
+	// continuations counts the failures after which another agent went on.
+	continuations int
+}
+
+// chat answers a chat request through the agents of its pool.
+func (r *Router) chat(ctx context.Context, c caller.Chat, emit caller.Emit) error {
+	end, err := r.begin()
+	if err != nil {
+		return err
+	}
+	defer end()
+	snapshot := r.cfg.Snapshot()
+	pool, ok := snapshot.PoolOfModel(c.Body.Model)
+	if !ok {
+		return judge.Refuse(judge.ReasonNotFound, "no pool carries model %q", c.Body.Model)
+	}
+	_, rank, _ := snapshot.Rank(c.Rank)
+	t := &chatRoute{
+		router: r, chat: c, emit: emit, pool: pool.Name, rank: rank, body: c.Body,
+		key: c.Body.ChatKey(c.Organisation.Name, c.Chat),
+	}
+	t.body.Stream = true
+	t.body.Priority = rank
+	if t.body.Seed == nil {
+		// A fixed seed lets another engine go on with the same generation.
+		seed := rand.Int64()
+		t.body.Seed = &seed
+	}
+	t.env = encoder.Envelope{
+		RequestID: newRequestID(), Organisation: c.Organisation.Name, Rank: c.Rank, ChatKey: t.key,
+		Mark: r.marks.raise(c.Body.Fingerprint(c.Organisation.Name), 0),
+	}
+	err = t.run(ctx)
+	r.logResult(t, err)
+	return err
+}
+
+// run tries agents in the chat's order until one finishes the answer.
+func (t *chatRoute) run(ctx context.Context) error {
+	for {
+		left := t.chat.Deadline - t.router.cfg.Now().Sub(t.chat.Started)
+		if left <= 0 && t.text.Len() == 0 {
+			return t.exhausted(judge.ReasonDeadline)
+		}
+		next, ok := t.next()
+		if !ok {
+			return t.exhausted(judge.ReasonNoUpstream)
+		}
+		err := t.attempt(ctx, next, max(left, t.router.cfg.FirstByte))
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return judge.Doubt(judge.ReasonBroken, "caller left: %w", context.Cause(ctx))
+		}
+		if again, err := t.judge(ctx, next, err); !again {
+			return err
+		}
+	}
+}
+
+// exhausted returns the error for a request that no agent took.
+func (t *chatRoute) exhausted(reason judge.Reason) error {
+	if t.last != nil {
+		return t.last
+	}
+	return judge.Refuse(reason, "no upstream of pool %s can take the request", t.pool)
+}
+
+// next returns the next candidate; it chooses again when the candidates of the last choice are used up.
+func (t *chatRoute) next() (chooser.Candidate, bool) {
+	if len(t.order) == 0 && !t.choose() && !t.chooseAgain() {
+		return chooser.Candidate{}, false
+	}
+	c := t.order[0]
+	t.order = t.order[1:]
+	t.env.Attempt = len(t.failed) + len(t.refused)
+	t.env.Home = t.env.Attempt == 0
+	t.env.Last = len(t.order) == 0
+	return c, true
+}
+
+// choose asks the chooser for candidates that were not tried, and logs the decision.
+func (t *chatRoute) choose() bool {
+	r := t.router
+	choice := r.chooser.Choose(t.key, t.body.Cost(), t.untried())
+	t.order = choice.Order
+	r.cfg.Log.Info("route", append([]any{
+		"request", t.env.RequestID, "organisation", t.chat.Organisation.Name, "rank", t.chat.Rank,
+		"pool", t.pool, "failed", len(t.failed), "refused", len(t.refused), "mark", t.env.Mark,
+	}, choice.KeyValues()...)...)
+	return len(t.order) > 0
+}
+
+// chooseAgain offers the request once more to agents that had no room, after others have failed.
+func (t *chatRoute) chooseAgain() bool {
+	if len(t.refused) == 0 || len(t.failed) == 0 {
+		return false
+	}
+	t.refused = nil
+	return t.choose()
+}
+
+func (t *chatRoute) untried() []chooser.Upstream {
+	return slices.DeleteFunc(t.router.cfg.View(t.pool), func(u chooser.Upstream) bool {
+		return t.wasTried(u.Name)
+	})
+}
+
+func (t *chatRoute) wasTried(upstream string) bool {
+	return slices.Contains(t.failed, upstream) || slices.Contains(t.refused, upstream)
+}
+
+// attempt sends the request to one agent and passes the events on.
+func (t *chatRoute) attempt(ctx context.Context, c chooser.Candidate, left time.Duration) error {
+	r := t.router
+	address, ok := r.cfg.Address(c.Name)
+	if !ok {
+		return &forwarder.Failure{Cause: judge.Refuse(judge.ReasonUnreachable, "no address of %s is known", c.Name)}
+	}
+	if t.env.Attempt == 0 {
+		r.cfg.Retries.First(r.cfg.Now())
+	}
+	t.env.DeadlineMS = min(left, r.cfg.FirstByte).Milliseconds()
+	t.env.Load = r.cfg.Freshest()
+	t.body.RequestID = t.env.RequestID
+	t.body.Prefix = t.text.String()
+	begin := func(h http.Header) {
+		t.env.Version = h.Get(encoder.VersionHeader)
+		r.cfg.Observe(tracker.Observation{Upstream: c.Name, Outcome: tracker.Answered})
+	}
+	return r.agents.Chat(ctx, address, t.env, t.body, begin, func(ev encoder.Event) error {
+		if err := t.emit(ev); err != nil {
+			return &callerGone{err}
+		}
+		if !ev.Done {
+			t.env.Offset++
+			t.text.WriteString(ev.Text)
+		}
+		return nil
+	})
+}
+
+// callerGone is the error of an event that could not be passed to the caller.
+type callerGone struct{ err error }
+
+func (e *callerGone) Error() string { return "caller is gone: " + e.err.Error() }
+
+func (e *callerGone) Unwrap() error { return e.err }
+
+// judge decides after a failed attempt whether the next agent is tried.
+func (t *chatRoute) judge(ctx context.Context, c chooser.Candidate, err error) (again bool, result error) {
+	r := t.router
+	var gone *callerGone
+	if errors.As(err, &gone) {
+		return false, judge.Doubt(judge.ReasonBroken, "%w", err)
+	}
+	var f *forwarder.Failure
+	if !errors.As(err, &f) {
+		return false, err
+	}
+	r.observe(c.Name, f)
+	t.env.Mark = r.marks.raise(t.chat.Body.Fingerprint(t.chat.Organisation.Name), max(f.Mark, t.env.Mark))
+	t.last = f.Cause
+	r.cfg.Log.Info("attempt_failed", "request", t.env.RequestID, "upstream", c.Name, "reason", f.Cause.Reason,
+		"verdict", f.Cause.Verdict, "mark", t.env.Mark, "offset", t.env.Offset, "error", f.Cause.Err)
+	if isFinal(f.Cause.Reason) {
+		return false, f.Cause
+	}
+	if outOfRoom(f.Cause.Reason) {
+		t.refused = append(t.refused, c.Name)
+		t.advise(f.Try)
+		return !t.env.Last, f.Cause
+	}
+	t.failed = append(t.failed, c.Name)
+	if f.Cause.Verdict == judge.NotRun {
+		return len(t.failed) <= maxFailures, f.Cause
+	}
+	// A chat is idempotent, so that a request that may have run is tried again within the budget.
+	t.continuations++
+	if t.continuations > maxContinuations {
+		return false, f.Cause
+	}
+	if t.env.Offset > 0 {
+		// An answer that has begun is always finished; it costs no more than the part that was lost.
+		r.count("continuations")
+		return true, nil
+	}
+	return t.waitForBudget(ctx, f.Cause)
+}
+
+// waitForBudget waits until the retry budget allows a repeat, at most until the deadline of the request.
+func (t *chatRoute) waitForBudget(ctx context.Context, cause *judge.Error) (again bool, result error) {
+	r := t.router
+	for !r.cfg.Retries.Retry(r.cfg.Now()) {
+		if r.cfg.Now().Sub(t.chat.Started) >= t.chat.Deadline {
+			r.count("retries_refused")
+			return false, &judge.Error{Verdict: cause.Verdict, Reason: judge.ReasonRetryBudget, Err: cause, RetryAfter: time.Second}
+		}
+		timer := time.NewTimer(budgetWait/2 + rand.N(budgetWait))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false, judge.Doubt(judge.ReasonBroken, "caller left: %w", context.Cause(ctx))
+		}
+	}
+	r.count("retries")
+	return true, nil
+}
+
+// isFinal reports whether no other agent would answer otherwise.
+func isFinal(r judge.Reason) bool {
+	return r == judge.ReasonConvicted || r == judge.ReasonInvalid || r == judge.ReasonDeadline || r == judge.ReasonCredit
+}
+
+// outOfRoom reports whether an agent gave a reason that another agent of the pool need not have.
+func outOfRoom(r judge.Reason) bool {
+	return r == judge.ReasonBound || r == judge.ReasonQueueFull || r == judge.ReasonElsewhere
+}
+
+// advise puts the upstream that an agent named before the other candidates.
+func (t *chatRoute) advise(upstream string) {
+	if upstream == "" || t.wasTried(upstream) {
+		return
+	}
+	t.order = slices.DeleteFunc(t.order, func(c chooser.Candidate) bool { return c.Name == upstream })
+	t.order = slices.Insert(t.order, 0, chooser.Candidate{Upstream: chooser.Upstream{Name: upstream}})
+}
+
+// observe tells the view of the fleet what a failure says of an upstream.
+func (r *Router) observe(upstream string, f *forwarder.Failure) {
+	o := tracker.Observation{Upstream: upstream, Outcome: tracker.Answered}
+	switch f.Cause.Reason {
+	case judge.ReasonLeaving:
+		o.Outcome = tracker.Refusing
+	case judge.ReasonNotReady, judge.ReasonEngineCrashed:
+		o.Outcome = tracker.NotReady
+	case judge.ReasonUnreachable, judge.ReasonBroken:
+		if !f.Answered {
+			o.Outcome = tracker.ConnectionRefused
+		}
+	case judge.ReasonTimeout:
+		if !f.Answered {
+			o.Outcome = tracker.TimedOut
+		}
+	default:
+	}
+	r.cfg.Observe(o)
+}
+
+func (r *Router) logResult(t *chatRoute, err error) {
+	elapsed := r.cfg.Now().Sub(t.chat.Started).Milliseconds()
+	if err == nil {
+		r.count("chats_answered")
+		r.cfg.Log.Info("answered", "request", t.env.RequestID, "organisation", t.chat.Organisation.Name,
+			"rank", t.chat.Rank, "events", t.env.Offset, "continuations", t.continuations, "elapsed_ms", elapsed)
+		return
+	}
+	r.count("chats_failed")
+	r.cfg.Log.Info("not_answered", "request", t.env.RequestID, "organisation", t.chat.Organisation.Name,
+		"rank", t.chat.Rank, "verdict", judge.VerdictOf(err), "reason", judge.ReasonOf(err), "events", t.env.Offset,
+		"elapsed_ms", elapsed, "error", err)
+}
--- /dev/null
+++ b/router/order.go
@@ -0,0 +1,180 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"clementineramp/caller"
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/forwarder"
+	"clementineramp/judge"
+	"clementineramp/ticketer"
+)
+
+// ticketDeadline bounds the wait for a ticket from one agent.
+const ticketDeadline = 2 * time.Second
+
+// keyedRepeats is how often a router sends an order with a key again to the agent that owns the key.
+// A repeat is safe there, because the agent answers it from its memory of the key.
+const keyedRepeats = 1
+
+// ticket gets a ticket from any agent of a service.
+func (r *Router) ticket(ctx context.Context, o configurer.Organisation, service string) (caller.Ticket, error) {
+	end, err := r.begin()
+	if err != nil {
+		return caller.Ticket{}, err
+	}
+	defer end()
+	if _, ok := r.cfg.Snapshot().Service(service); !ok {
+		return caller.Ticket{}, judge.Refuse(judge.ReasonNotFound, "no service %q", service)
+	}
+	env := encoder.Envelope{
+		RequestID: newRequestID(), Organisation: o.Name, Service: service,
+		DeadlineMS: ticketDeadline.Milliseconds(),
+	}
+	var t caller.Ticket
+	err = r.anyAgent(service, env, func(address string) error {
+		return r.agents.Ticket(ctx, address, env, &t)
+	})
+	return t, err
+}
+
+// anyAgent calls send with agents of a service until one succeeds or may have run the request.
+func (r *Router) anyAgent(service string, env encoder.Envelope, send func(address string) error) error {
+	var last error = judge.Refuse(judge.ReasonNoUpstream, "no upstream of service %s is known", service)
+	tried := map[string]bool{}
+	for range r.attempts {
+		c, ok := r.leastLoaded(service, tried)
+		if !ok {
+			break
+		}
+		tried[c.Name] = true
+		address, ok := r.cfg.Address(c.Name)
+		if !ok {
+			continue
+		}
+		r.cfg.Log.Info("route_order", "request", env.RequestID, "organisation", env.Organisation, "service", service,
+			"chose", c.Name, "candidates", len(r.cfg.View(service)), "tried", len(tried)-1, "reason", "least_loaded")
+		err := send(address)
+		if err == nil {
+			return nil
+		}
+		var f *forwarder.Failure
+		if !errors.As(err, &f) {
+			return err
+		}
+		r.observe(c.Name, f)
+		last = f.Cause
+		if f.Cause.Verdict != judge.NotRun || f.Cause.Reason == judge.ReasonInvalid {
+			return last
+		}
+	}
+	return last
+}
+
+// leastLoaded returns the candidate with the least known work that was not tried.
+func (r *Router) leastLoaded(service string, tried map[string]bool) (chooser.Upstream, bool) {
+	var best chooser.Upstream
+	found := false
+	for _, u := range r.cfg.View(service) {
+		if tried[u.Name] || u.State == chooser.Leaving || u.State == chooser.Down {
+			continue
+		}
+		if !found || u.Work < best.Work {
+			best, found = u, true
+		}
+	}
+	return best, found
+}
+
+// order carries a call of a plain service.
+func (r *Router) order(ctx context.Context, o caller.Order) (caller.Answer, error) {
+	end, err := r.begin()
+	if err != nil {
+		return caller.Answer{}, err
+	}
+	defer end()
+	service, ok := r.cfg.Snapshot().Service(o.Service)
+	if !ok {
+		return caller.Answer{}, judge.Refuse(judge.ReasonNotFound, "no service %q", o.Service)
+	}
+	env := encoder.Envelope{
+		RequestID: newRequestID(), Organisation: o.Organisation.Name, Rank: o.Rank, Service: o.Service, Key: o.Key,
+		DeadlineMS: o.Deadline.Milliseconds(), ConfigVersion: r.cfg.Snapshot().Version,
+	}
+	var answer caller.Answer
+	switch {
+	case idempotentMethod(o.Method) || o.Key == "":
+		answer, err = r.keyless(ctx, o, env)
+	default:
+		answer, err = r.keyed(ctx, o, env, service)
+	}
+	r.logOrder(o, env, answer, err)
+	return answer, err
+}
+
+func idempotentMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// keyless sends a call to one agent; it goes to another one only if it did not run.
+func (r *Router) keyless(ctx context.Context, o caller.Order, env encoder.Envelope) (caller.Answer, error) {
+	env.Key = ""
+	var answer caller.Answer
+	err := r.anyAgent(o.Service, env, func(address string) error {
+		a, err := r.agents.Call(ctx, address, o.Method, o.Path, env, o.Header, o.Body)
+		answer = caller.Answer(a)
+		return err
+	})
+	return answer, err
+}
+
+// keyed sends an order to the one agent that may run its key.
+func (r *Router) keyed(ctx context.Context, o caller.Order, env encoder.Envelope, service configurer.Service) (caller.Answer, error) {
+	owner, reason := ticketer.Owner(ticketer.Key{Organisation: o.Organisation.Name, Text: o.Key}, service.Workers), "owner_of_key"
+	if t, err := ticketer.ParseTicket(o.Key); err == nil {
+		owner, reason = t.Agent, "issuer_of_ticket"
+	}
+	r.cfg.Log.Info("route_order", "request", env.RequestID, "organisation", env.Organisation, "service", o.Service,
+		"chose", owner, "candidates", len(service.Workers), "reason", reason)
+	address, ok := r.cfg.Address(owner)
+	if !ok {
+		return caller.Answer{}, judge.Doubt(judge.ReasonUnreachable, "the agent %s that owns the key is not in the list of hosts", owner)
+	}
+	for repeat := 0; ; repeat++ {
+		a, err := r.agents.Call(ctx, address, o.Method, o.Path, env, o.Header, o.Body)
+		if err == nil {
+			return caller.Answer(a), nil
+		}
+		var f *forwarder.Failure
+		if !errors.As(err, &f) {
+			return caller.Answer{}, err
+		}
+		r.observe(owner, f)
+		if f.Answered {
+			return caller.Answer{}, f.Cause
+		}
+		if repeat == keyedRepeats || ctx.Err() != nil || f.Cause.Reason != judge.ReasonBroken {
+			// An earlier try with the key may have run, and only the owner of the key can exclude it.
+			return caller.Answer{}, judge.Doubt(f.Cause.Reason, "%w", f.Cause.Err)
+		}
+	}
+}
+
+func (r *Router) logOrder(o caller.Order, env encoder.Envelope, a caller.Answer, err error) {
+	elapsed := r.cfg.Now().Sub(o.Started).Milliseconds()
+	if err == nil {
+		r.count("orders_answered")
+		r.cfg.Log.Info("order_answered", "request", env.RequestID, "organisation", env.Organisation,
+			"service", o.Service, "method", o.Method, "keyed", env.Key != "", "status", a.Status, "elapsed_ms", elapsed)
+		return
+	}
+	r.count("orders_failed")
+	r.cfg.Log.Info("order_not_answered", "request", env.RequestID, "organisation", env.Organisation,
+		"service", o.Service, "method", o.Method, "keyed", env.Key != "", "verdict", judge.VerdictOf(err),
+		"reason", judge.ReasonOf(err), "elapsed_ms", elapsed, "error", err)
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,177 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"clementineramp/caller"
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/forwarder"
+	"clementineramp/judge"
+	"clementineramp/limiter"
+	"clementineramp/tracker"
+)
+
+// Config joins a router to its view of the fleet.
+type Config struct {
+	Name string
+	// SharedKey authenticates requests to agents.
+	SharedKey string
+	Limits    caller.Limits
+	Chooser   chooser.Config
+	// FirstByte is the longest wait for the first byte from one agent before the next is tried.
+	FirstByte time.Duration
+	// StreamIdle ends an attempt in which no event arrives for that long.
+	StreamIdle time.Duration
+	// Snapshot returns the configuration in force.
+	Snapshot func() *configurer.Snapshot
+	// View returns what is known of the upstreams of a pool or service.
+	View func(pool string) []chooser.Upstream
+	// Address returns the address of the agent beside an upstream.
+	Address func(upstream string) (string, bool)
+	// Observe takes what this router saw of an upstream.
+	Observe func(tracker.Observation)
+	// Merge takes load entries from an agent's report.
+	Merge func([]encoder.LoadEntry)
+	// Freshest returns load entries to pass on.
+	Freshest func() []encoder.LoadEntry
+	// CountControl counts the bytes of control traffic.
+	CountControl func(bytes int)
+	Retries      *limiter.RetryBudget
+	Forwarder    forwarder.Config
+	Log          hclog.Logger
+	Metrics      metrics.Registry
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Router serves callers.
+type Router struct {
+	cfg     Config
+	agents  *forwarder.Client
+	chooser *chooser.Chooser
+	edge    *caller.Edge
+	// attempts is the number of agents that a request may try before it is refused.
+	attempts int
+
+	mu       sync.Mutex
+	leaving  bool
+	requests sync.WaitGroup
+	running  atomic.Int64
+	marks    *markMemory
+}
+
+// New returns a router; nothing runs until its handler is served.
+func New(cfg Config) (*Router, error) {
+	if cfg.FirstByte == 0 {
+		cfg.FirstByte = 10 * time.Second
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	cfg.Forwarder.SharedKey = cfg.SharedKey
+	cfg.Forwarder.IdleTimeout = cfg.StreamIdle
+	cfg.Forwarder.Count = cfg.CountControl
+	ch, err := chooser.New(cfg.Chooser)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &Router{cfg: cfg, chooser: ch, marks: newMarkMemory(), attempts: cmp.Or(cfg.Chooser.Attempts, chooser.DefaultAttempts)}
+	cfg.Forwarder.OnReport = r.onReport
+	r.agents = forwarder.New(cfg.Forwarder)
+	r.edge = caller.New(caller.Config{
+		Limits: cfg.Limits, Snapshot: cfg.Snapshot, Ready: r.ready,
+		Chat: r.chat, Resume: r.resume, Ticket: r.ticket, Order: r.order,
+	})
+	return r, nil
+}
+
+// Handler returns the handler of the callers' address.
+func (r *Router) Handler() http.Handler {
+	return r.edge.Handler()
+}
+
+// Server returns the HTTP server of the callers' address.
+func (r *Router) Server() *http.Server {
+	return r.edge.Server()
+}
+
+// Running returns the number of requests in progress.
+func (r *Router) Running() int {
+	return int(r.running.Load())
+}
+
+// Leave makes the router refuse new requests.
+func (r *Router) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Drain waits until no request is in progress or ctx ends.
+func (r *Router) Drain(ctx context.Context) error {
+	r.Leave()
+	done := make(chan struct{})
+	go func() {
+		r.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Router) ready() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return judge.Refuse(judge.ReasonLeaving, "router %s is leaving", r.cfg.Name)
+	}
+	return nil
+}
+
+// begin counts a request in, unless the router is leaving.
+func (r *Router) begin() (end func(), err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return nil, judge.Refuse(judge.ReasonLeaving, "router %s is leaving", r.cfg.Name)
+	}
+	r.requests.Add(1)
+	r.running.Add(1)
+	return func() {
+		r.running.Add(-1)
+		r.requests.Done()
+	}, nil
+}
+
+func (r *Router) onReport(report encoder.Report) {
+	r.cfg.Merge(append([]encoder.LoadEntry{report.Self}, report.Load...))
+}
+
+// newRequestID returns an identifier that no other request in the fleet has.
+func newRequestID() string {
+	return strconv.FormatUint(rand.Uint64(), 16) + strconv.FormatUint(rand.Uint64(), 16)
+}
+
+func (r *Router) count(name string) {
+	metrics.GetOrRegisterCounter(name, r.cfg.Metrics).Inc(1)
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,271 @@
+package watcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/platform"
+	"clementineramp/tracker"
+)
+
+const (
+	// tick is the interval of housekeeping; a gap well above it is a pause of the process.
+	tick = 100 * time.Millisecond
+	// pauseGap is the gap between two ticks that counts as a pause.
+	pauseGap = time.Second
+	// retryMin and retryMax bound the wait after a failed read of the platform.
+	retryMin = 200 * time.Millisecond
+	retryMax = 5 * time.Second
+	// piggybackEntries is the number of load entries that travel with each request and answer.
+	piggybackEntries = 8
+)
+
+// Config says where a process finds its view of the fleet.
+type Config struct {
+	// Self is the process's own entry, as the platform should list it.
+	Self     platform.Host
+	Platform *platform.Client
+	Tracker  tracker.Config
+	Log      hclog.Logger
+	Metrics  metrics.Registry
+	// OnSnapshot is told of each configuration that comes into force.
+	OnSnapshot func(*configurer.Snapshot)
+	// OnSelf is told when the platform's list says that this host is leaving.
+	OnSelf func(leaving bool)
+	// OnPause is told the length of each pause of the process.
+	OnPause func(gap time.Duration)
+	// OnTick is called at each tick.
+	OnTick func(now time.Time)
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Watcher keeps the view; it is safe for concurrent use.
+type Watcher struct {
+	cfg    Config
+	holder *configurer.Holder
+
+	mu      sync.Mutex
+	tracker *tracker.Tracker
+	hosts   []platform.Host
+	byName  map[string]platform.Host
+	// confirmed is when the platform last answered with the configuration in force.
+	confirmed time.Time
+}
+
+// New returns a watcher that knows nothing until Run.
+func New(cfg Config) *Watcher {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	return &Watcher{
+		cfg: cfg, holder: configurer.NewHolder(),
+		tracker: tracker.New(cfg.Tracker), byName: map[string]platform.Host{},
+	}
+}
+
+// Run keeps the view until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return w.watchHosts(ctx) })
+	g.Go(func() error { return w.watchConfiguration(ctx) })
+	g.Go(func() error { return w.housekeep(ctx) })
+	return g.Wait()
+}
+
+// Snapshot returns the configuration in force, or nil.
+func (w *Watcher) Snapshot() *configurer.Snapshot {
+	return w.holder.Snapshot()
+}
+
+// Confirmed returns when the platform last answered with the configuration in force.
+func (w *Watcher) Confirmed() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmed
+}
+
+// View returns what is known of the upstreams of a pool or service.
+func (w *Watcher) View(pool string) []chooser.Upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.View(pool, w.cfg.Now())
+}
+
+// Mean returns the known load of a pool.
+func (w *Watcher) Mean(pool string) tracker.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Mean(pool, w.cfg.Now())
+}
+
+// Address returns the address of the agent beside an upstream, also of one that is leaving.
+func (w *Watcher) Address(upstream string) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h, ok := w.byName[upstream]
+	return h.Address, ok
+}
+
+// Hosts returns the platform's list as it was last read.
+func (w *Watcher) Hosts() []platform.Host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hosts
+}
+
+// Observe takes what this process saw of an upstream.
+func (w *Watcher) Observe(o tracker.Observation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tracker.Observe(o, w.cfg.Now())
+}
+
+// Merge takes load entries from another process.
+func (w *Watcher) Merge(entries []encoder.LoadEntry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tracker.Merge(entries, w.cfg.Now())
+}
+
+// Freshest returns the load entries to pass on.
+func (w *Watcher) Freshest() []encoder.LoadEntry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Freshest(piggybackEntries, w.cfg.Now())
+}
+
+func (w *Watcher) housekeep(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	last := w.cfg.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := w.cfg.Now()
+		if gap := now.Sub(last); gap > pauseGap {
+			w.paused(gap, now)
+		}
+		last = now
+		w.reconsider(now)
+		if w.cfg.OnTick != nil {
+			w.cfg.OnTick(now)
+		}
+	}
+}
+
+func (w *Watcher) paused(gap time.Duration, now time.Time) {
+	w.mu.Lock()
+	w.tracker.Resume(gap, now)
+	w.mu.Unlock()
+	metrics.GetOrRegisterCounter("pauses", w.cfg.Metrics).Inc(1)
+	w.cfg.Log.Warn("paused", "gap_ms", gap.Milliseconds())
+	if w.cfg.OnPause != nil {
+		w.cfg.OnPause(gap)
+	}
+}
+
+func (w *Watcher) reconsider(now time.Time) {
+	w.mu.Lock()
+	change, changed := w.tracker.Reconsider(now)
+	w.mu.Unlock()
+	if changed {
+		w.logHosts(change)
+	}
+}
+
+// watchHosts follows the platform's list.
+func (w *Watcher) watchHosts(ctx context.Context) error {
+	var list platform.HostList
+	return w.follow(ctx, "hosts", func() (err error) {
+		if list.Revision == 0 {
+			list, err = w.cfg.Platform.Hosts(ctx)
+		} else {
+			list, err = w.cfg.Platform.WatchHosts(ctx, list.Revision)
+		}
+		if err == nil {
+			w.takeHosts(list.Hosts)
+		}
+		return err
+	})
+}
+
+// follow calls read again and again, with waits that grow with jitter while it fails.
+func (w *Watcher) follow(ctx context.Context, what string, read func() error) error {
+	wait := retryMin
+	for ctx.Err() == nil {
+		err := read()
+		if err == nil {
+			wait = retryMin
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		w.cfg.Log.Warn("platform_read_failed", "what", what, "retry_ms", wait.Milliseconds(), "error", err)
+		t := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		wait = min(2*wait, retryMax)
+	}
+	return nil
+}
+
+func (w *Watcher) takeHosts(hosts []platform.Host) {
+	list := make([]tracker.Host, 0, len(hosts))
+	byName := make(map[string]platform.Host, len(hosts))
+	selfLeaving := false
+	for _, h := range hosts {
+		byName[h.Name] = h
+		if h.Name == w.cfg.Self.Name {
+			selfLeaving = h.State == platform.StateLeaving
+		}
+		if h.Role != platform.RoleAgent {
+			continue
+		}
+		list = append(list, tracker.Host{
+			Name: h.Name, Address: h.Address, Pool: h.Upstream, Domain: h.Domain,
+			Leaving: h.State == platform.StateLeaving,
+		})
+	}
+	w.mu.Lock()
+	change := w.tracker.Hosts(list, w.cfg.Now())
+	w.hosts = hosts
+	// An address outlives its entry, because orders and streams name an agent that the list may have dropped.
+	for name, h := range byName {
+		w.byName[name] = h
+	}
+	w.mu.Unlock()
+	w.logHosts(change)
+	if w.cfg.OnSelf != nil {
+		w.cfg.OnSelf(selfLeaving)
+	}
+}
+
+func (w *Watcher) logHosts(c tracker.ListChange) {
+	if c.Warning != "" {
+		w.cfg.Log.Warn("hosts_kept_aside", "warning", c.Warning)
+		return
+	}
+	if len(c.Added)+len(c.Removed)+len(c.Leaving) > 0 {
+		w.cfg.Log.Info("hosts", "added", c.Added, "removed", c.Removed, "leaving", c.Leaving)
+	}
+}
