Add spender, the choice of the credit account that pays

Each agent accrues 1/n of an account evenly and pays from the account that lapses soonest.

A new sheet counts what was spent after the provider read the amount; taking the sheet's amount alone was ruled out, because an agent would spend its balance twice. An account that this process did not have accrues from its adoption on.

Not covered: an agent that spends its balance between the provider's reading and the adoption of the sheet, and restarts in that time, can spend up to that balance again (5,000 of a slice of 10,000 in the test).

--- /dev/null
+++ b/spender/decision.go
@@ -0,0 +1,83 @@
+package spender
+
+import "fmt"
+
+// Reason says why an account pays or not.
+type Reason string
+
+// The reasons of a decision.
+const (
+	ReasonPays      Reason = "pays"
+	ReasonNoAccount Reason = "no_account"
+	ReasonInvalid   Reason = "invalid_cost"
+	// ReasonBalance means that too little has accrued.
+	ReasonBalance Reason = "balance"
+	// ReasonLearning means that the demand of greater worth is not yet known.
+	ReasonLearning Reason = "learning"
+	// ReasonProjection means that demand of greater worth will use the account.
+	ReasonProjection Reason = "projection"
+	// ReasonReserve means that the balance is kept for the next demand of greater worth.
+	ReasonReserve Reason = "reserve"
+)
+
+// option is an account that could pay for a request.
+type option struct {
+	Account string
+	// Balance is what may be spent now, and Surplus what would expire unused, in tokens.
+	Balance, Surplus float64
+	// keep is the part of the balance that is kept, and covered the demand of greater worth that the account meets.
+	keep, covered float64
+	Reason        Reason
+}
+
+// choose decides whether the account pays.
+func (o *option) choose(cost float64, learned bool) {
+	switch {
+	case o.Balance < cost:
+		o.Reason = ReasonBalance
+	case !learned:
+		o.Reason = ReasonLearning
+	case o.Surplus < cost:
+		o.Reason = ReasonProjection
+	case o.Balance-cost < o.keep:
+		o.Reason = ReasonReserve
+	default:
+		o.Reason = ReasonPays
+	}
+}
+
+// Decision explains the latest call of Spend.
+type Decision struct {
+	Rank string
+	// Cost is the work, in tokens.
+	Cost float64
+	// Reserved is the measured demand of greater worth, in tokens per second.
+	Reserved float64
+	// Account is the account that pays; it is empty if none does.
+	Account string
+	// Reason is why it pays, or why the last account looked at does not.
+	Reason Reason
+	// Balance and Surplus are those of that account, in tokens, before the request.
+	Balance, Surplus float64
+}
+
+func (d *Decision) take(o option) {
+	d.Reason, d.Balance, d.Surplus = o.Reason, o.Balance, o.Surplus
+}
+
+// Explain returns the decision of the latest call of Spend.
+func (s *Spender) Explain() Decision { return s.decision }
+
+// Pairs returns the fields of the decision as alternating keys and values for a structured logger.
+func (d Decision) Pairs() []any {
+	return []any{
+		"rank", d.Rank, "cost", d.Cost, "account", d.Account, "reason", string(d.Reason),
+		"balance", d.Balance, "surplus", d.Surplus, "reserved_rate", d.Reserved,
+	}
+}
+
+// String returns the decision as one line of key=value fields.
+func (d Decision) String() string {
+	return fmt.Sprintf("rank=%q cost=%.0f account=%q reason=%q balance=%.0f surplus=%.0f reserved_rate=%.2f",
+		d.Rank, d.Cost, d.Account, d.Reason, d.Balance, d.Surplus, d.Reserved)
+}
--- /dev/null
+++ b/spender/spender_test.go
@@ -0,0 +1,441 @@
+package spender_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"clementineramp/configurer"
+	"clementineramp/spender"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed makes each run draw the same cases; the flag on the command line overrides it.
+	for name, value := range map[string]string{"rapid.seed": "20260301", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+const day = 24 * time.Hour
+
+func ranks() []configurer.Rank {
+	return []configurer.Rank{{Name: "urgent", Worth: 10}, {Name: "normal", Worth: 3}, {Name: "batch", Worth: 1}}
+}
+
+func account(name string, amount float64, asOf, lapses time.Duration) configurer.Account {
+	return configurer.Account{Name: name, Amount: amount, AsOf: epoch.Add(asOf), Lapses: epoch.Add(lapses), CreditsPerToken: 1}
+}
+
+// payer is what the model asks; the baselines implement it too.
+type payer interface {
+	Spend(now time.Time, rank string, cost float64) (string, bool)
+}
+
+// slice is a baseline without projection: it pays for any rank. It starts with the slice of the
+// whole account if whole is set, and spends the accounts in the order given.
+type slice struct {
+	accounts []configurer.Account
+	start    time.Time
+	agents   int
+	whole    bool
+	spent    map[string]float64
+}
+
+func newSlice(now time.Time, agents int, whole bool, accounts ...configurer.Account) *slice {
+	return &slice{accounts, now, agents, whole, map[string]float64{}}
+}
+
+func (p *slice) Spend(now time.Time, _ string, cost float64) (string, bool) {
+	for _, a := range p.accounts {
+		part := now.Sub(p.start).Seconds() / a.Lapses.Sub(a.AsOf).Seconds()
+		if p.whole {
+			part = 1
+		}
+		if now.Before(a.Lapses) && p.spent[a.Name]+cost <= part*a.Amount/float64(p.agents) {
+			p.spent[a.Name] += cost
+			return a.Name, true
+		}
+	}
+	return "", false
+}
+
+// load is the demand in the model, in tokens per second over all agents.
+type load struct {
+	urgent, batch float64
+	// skew gives the first agent this many times the demand of the last.
+	skew float64
+	// restarts is the mean number of restarts of an agent per day.
+	restarts float64
+}
+
+type result struct {
+	spent                          map[string]float64
+	urgentPaid, urgentAsked, batch float64
+}
+
+const agents = 20
+
+// simulate runs agents for a day; make starts an agent, again after each restart.
+func simulate(l load, start func(now time.Time) payer) result {
+	const step, cost = 20 * time.Second, 100.0
+	rng := rand.New(rand.NewPCG(1, 2))
+	fleet := make([]payer, agents)
+	parts := make([]float64, agents)
+	sum := 0.0
+	for i := range fleet {
+		fleet[i] = start(epoch)
+		parts[i] = 1 + (max(l.skew, 1)-1)*float64(agents-1-i)/(agents-1)
+		sum += parts[i]
+	}
+	res := result{spent: map[string]float64{}}
+	for at := step; at < day; at += step {
+		now := epoch.Add(at)
+		for i := range fleet {
+			if rng.Float64() < l.restarts*step.Hours()/24 {
+				fleet[i] = start(now)
+			}
+			ask := func(rank string, rate float64) (asked, paid float64) {
+				n := rate * parts[i] / sum * step.Seconds() / cost
+				for n > rng.Float64() {
+					c := cost * (0.5 + rng.Float64())
+					if name, ok := fleet[i].Spend(now, rank, c); ok {
+						res.spent[name] += c
+						paid += c
+					}
+					asked += c
+					n--
+				}
+				return asked, paid
+			}
+			_, paid := ask("batch", l.batch)
+			res.batch += paid
+			asked, paid := ask("urgent", l.urgent)
+			res.urgentAsked += asked
+			res.urgentPaid += paid
+		}
+	}
+	return res
+}
+
+func starter(accounts ...configurer.Account) func(time.Time) payer {
+	return func(now time.Time) payer {
+		s := spender.New(now, spender.Config{Agents: agents, Ranks: ranks()})
+		s.Accounts(now, accounts)
+		return s
+	}
+}
+
+const amount = 8_640_000.0 // 100 tokens per second for a day
+
+// Guards against restarts that let agents spend more than the account holds.
+func TestRestartsNeverOverspend(t *testing.T) {
+	a := account("a", amount, 0, day)
+	for _, restarts := range []float64{0, 0.45, 10, 500} {
+		l := load{urgent: 300, batch: 300, restarts: restarts}
+		got := simulate(l, starter(a)).spent["a"]
+		whole := simulate(l, func(now time.Time) payer { return newSlice(now, agents, true, a) }).spent["a"]
+		t.Logf("%g restarts per agent and day: overspent %.0f, wasted %.4f; slice without accrual: overspent %.4f",
+			restarts, math.Max(0, got-amount), 1-got/amount, math.Max(0, whole/amount-1))
+		require.LessOrEqual(t, got, amount)
+		if restarts >= 0.45 {
+			require.Greater(t, whole, amount)
+		}
+	}
+}
+
+// Guards against projections that leave credits to expire, and states the largest waste measured.
+func TestWaste(t *testing.T) {
+	a := account("a", amount, 0, day)
+	tests := []struct {
+		name  string
+		l     load
+		limit float64
+	}{
+		{"demand far beyond supply", load{urgent: 60, batch: 300}, 0.01},
+		{"restarts of an ordinary day", load{urgent: 60, batch: 300, restarts: 0.45}, 0.01},
+		{"only urgent demand, beyond supply", load{urgent: 150}, 0.01},
+		{"ten restarts per agent", load{urgent: 60, batch: 300, restarts: 10}, 0.03},
+		{"tenfold skew of demand", load{urgent: 60, batch: 300, skew: 10}, 0.05},
+		{"tenfold skew, demand just above supply", load{urgent: 60, batch: 60, skew: 10}, 0.30},
+	}
+	largest := 0.0
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			res := simulate(tt.l, starter(a))
+			waste := 1 - res.spent["a"]/amount
+			largest = max(largest, waste)
+			t.Logf("wasted %.4f, urgent work paid %.4f", waste, res.urgentPaid/res.urgentAsked)
+			require.LessOrEqual(t, waste, tt.limit)
+			require.GreaterOrEqual(t, waste, 0.0)
+		})
+	}
+	t.Logf("largest waste %.4f", largest)
+}
+
+// Guards against work of little worth taking the credits that work of greater worth will use,
+// and against credits that expire because they are kept for it.
+func TestGreatestWorthFirst(t *testing.T) {
+	a := account("a", amount, 0, day)
+	l := load{urgent: 60, batch: 300}
+	got := simulate(l, starter(a))
+	flat := simulate(l, func(now time.Time) payer { return newSlice(now, agents, false, a) })
+	only := simulate(load{urgent: 60}, starter(a))
+	report := func(name string, r result) (urgent, waste float64) {
+		urgent, waste = r.urgentPaid/r.urgentAsked, 1-r.spent["a"]/amount
+		t.Logf("%s: urgent work paid %.4f, wasted %.4f", name, urgent, waste)
+		return urgent, waste
+	}
+	urgent, waste := report("spender", got)
+	require.Greater(t, urgent, 0.99)
+	require.Less(t, waste, 0.01)
+	urgent, _ = report("without projection", flat)
+	require.Less(t, urgent, 0.9)
+	_, waste = report("urgent work alone", only)
+	require.Greater(t, waste, 0.3)
+}
+
+// Guards against credits that expire while later ones are spent.
+func TestSoonestToLapseFirst(t *testing.T) {
+	soon, late := account("soon", amount/4, 0, day/2), account("late", amount, 0, day)
+	l := load{urgent: 60}
+	got := simulate(l, starter(late, soon))
+	reverse := simulate(l, func(now time.Time) payer { return newSlice(now, agents, false, late, soon) })
+	waste := func(r result) float64 { return 1 - r.spent["soon"]/soon.Amount }
+	t.Logf("wasted of the account that lapses first: %.4f, latest first %.4f", waste(got), waste(reverse))
+	require.Less(t, waste(got), 0.02)
+	require.Greater(t, waste(reverse), 0.5)
+}
+
+// Guards against rules of the projection that change unseen.
+func TestSpend(t *testing.T) {
+	start := func(accounts ...configurer.Account) *spender.Spender {
+		s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
+		s.Accounts(epoch, accounts)
+		return s
+	}
+	hour := account("a", 3600, 0, time.Hour) // 1 credit per second
+	tests := []struct {
+		name     string
+		accounts []configurer.Account
+		before   func(s *spender.Spender)
+		at       time.Duration
+		rank     string
+		cost     float64
+		account  string
+		reason   spender.Reason
+	}{
+		{"no account", nil, nil, time.Minute, "urgent", 1, "", spender.ReasonNoAccount},
+		{"accrued", []configurer.Account{hour}, nil, time.Minute, "urgent", 60, "a", spender.ReasonPays},
+		{"not yet accrued", []configurer.Account{hour}, nil, time.Minute, "urgent", 61, "", spender.ReasonBalance},
+		{"lapsed", []configurer.Account{hour}, nil, time.Hour, "urgent", 1, "", spender.ReasonNoAccount},
+		{"other time zone", []configurer.Account{{
+			Name: "z", Amount: 3600, AsOf: epoch, CreditsPerToken: 1,
+			Lapses: time.Date(2026, 3, 1, 2, 0, 0, 0, time.FixedZone("CET", 3600)),
+		}}, nil, 59 * time.Minute, "urgent", 60, "z", spender.ReasonPays},
+		{"price", []configurer.Account{{
+			Name: "p", Amount: 3600, AsOf: epoch, Lapses: epoch.Add(time.Hour), CreditsPerToken: 2,
+		}}, nil, time.Minute, "urgent", 31, "", spender.ReasonBalance},
+		{"demand unknown", []configurer.Account{hour}, nil, 5*time.Minute - 1, "batch", 1, "", spender.ReasonLearning},
+		{"no demand of greater worth", []configurer.Account{hour}, nil, 5 * time.Minute, "batch", 300, "a", spender.ReasonPays},
+		{"demand of greater worth takes all", []configurer.Account{hour}, func(s *spender.Spender) {
+			for i := range 360 {
+				s.Spend(epoch.Add(time.Duration(i)*time.Second), "normal", 2)
+			}
+		}, 6 * time.Minute, "batch", 1, "", spender.ReasonProjection},
+		{"later account has a surplus", []configurer.Account{hour, account("b", 720_000, 0, 100*time.Hour)}, func(s *spender.Spender) {
+			for i := range 600 {
+				s.Spend(epoch.Add(time.Duration(i)*time.Second), "normal", 1.2)
+			}
+		}, 10 * time.Minute, "batch", 50, "b", spender.ReasonPays},
+		{"NaN", []configurer.Account{hour}, nil, time.Minute, "urgent", math.NaN(), "", spender.ReasonInvalid},
+		{"negative", []configurer.Account{hour}, nil, time.Minute, "urgent", -1, "", spender.ReasonInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := start(tt.accounts...)
+			if tt.before != nil {
+				tt.before(s)
+			}
+			name, ok := s.Spend(epoch.Add(tt.at), tt.rank, tt.cost)
+			require.Equal(t, tt.account, name, s.Explain())
+			require.Equal(t, tt.account != "", ok)
+			require.Equal(t, tt.reason, s.Explain().Reason, s.Explain())
+		})
+	}
+}
+
+// Guards against a clock that is set back and accrues the same time twice.
+func TestClockSetBack(t *testing.T) {
+	s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
+	s.Accounts(epoch, []configurer.Account{account("a", 3600, 0, time.Hour)})
+	require.InDelta(t, 600, s.Balance(epoch.Add(10*time.Minute), "a"), 1e-6)
+	require.InDelta(t, 600, s.Balance(epoch, "a"), 1e-6)
+	require.InDelta(t, 600, s.Balance(epoch.Add(10*time.Minute), "a"), 1e-6)
+}
+
+// Guards against a sheet that lets an agent spend again what it spent after the provider read the amount.
+func TestNewSheet(t *testing.T) {
+	s := spender.New(epoch, spender.Config{Agents: 2, Ranks: ranks()})
+	s.Accounts(epoch, []configurer.Account{account("a", 7200, 0, time.Hour)})
+	at := epoch.Add(30 * time.Minute)
+	_, ok := s.Spend(at, "urgent", 1000)
+	require.True(t, ok)
+	adopted := epoch.Add(40 * time.Minute)
+	s.Refund(adopted, at, "a", 100)
+	require.InDelta(t, 2400-900, s.Balance(adopted, "a"), 1e-6)
+	// The provider read 7200 before the 900 were spent.
+	s.Accounts(adopted, []configurer.Account{account("a", 7200, 20*time.Minute, time.Hour)})
+	require.InDelta(t, 1800-900, s.Balance(adopted, "a"), 1e-6)
+	s.Refund(adopted, epoch.Add(10*time.Minute), "a", 100)
+	require.InDelta(t, 1800-900, s.Balance(adopted, "a"), 1e-6)
+	// The provider read 6300 after they were spent.
+	s.Accounts(adopted, []configurer.Account{account("a", 6300, 35*time.Minute, time.Hour)})
+	require.InDelta(t, 6300.0/25*5/2, s.Balance(adopted, "a"), 1e-6)
+	s.SetAgents(adopted, 4)
+	require.InDelta(t, 6300.0/25*5/2+6300.0/25*10/4, s.Balance(epoch.Add(50*time.Minute), "a"), 1e-6)
+	// An account that leaves the sheet and returns does not accrue for the past.
+	s.Accounts(adopted, nil)
+	s.Accounts(adopted, []configurer.Account{account("a", 6300, 35*time.Minute, time.Hour)})
+	require.InDelta(t, 0, s.Balance(adopted, "a"), 1e-6)
+}
+
+// Guards against spending that is forgotten because the provider's reading falls into the same minute.
+func TestNewSheetWithinTheMinute(t *testing.T) {
+	s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
+	s.Accounts(epoch, []configurer.Account{account("a", 3600, 0, time.Hour)})
+	_, ok := s.Spend(epoch.Add(30*time.Minute+50*time.Second), "urgent", 1800)
+	require.True(t, ok)
+	s.Accounts(epoch.Add(40*time.Minute), []configurer.Account{account("a", 3600, 30*time.Minute+30*time.Second, time.Hour)})
+	require.Zero(t, s.Balance(epoch.Add(40*time.Minute), "a"))
+}
+
+// Guards against any sequence of spending, restarts, refunds and sheets that overspends an account.
+func TestNeverOverspends(t *testing.T) {
+	largest, used := 0.0, 0.0
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(rt, "agents")
+		sheet := account("a", 100_000, 0, 10*time.Hour)
+		now := epoch
+		fleet := make([]*spender.Spender, n)
+		restart := func(i int) {
+			fleet[i] = spender.New(now, spender.Config{Agents: n, Ranks: ranks()})
+			fleet[i].Accounts(now, []configurer.Account{sheet})
+		}
+		for i := range fleet {
+			restart(i)
+		}
+		// The provider reads the amount at some time; the sheet reaches the agents minutes later.
+		var read configurer.Account
+		pending := 0
+		left := sheet.Amount
+		for range rapid.IntRange(50, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(rt, "wait")) * time.Second)
+			i := rapid.IntRange(0, n-1).Draw(rt, "agent")
+			switch rapid.IntRange(0, 9).Draw(rt, "action") {
+			case 0:
+				// A restart between reading and adoption is measured in TestRestartBeforeNewSheet.
+				if pending == 0 {
+					restart(i)
+				}
+			case 1:
+				if pending == 0 && now.Before(sheet.Lapses) {
+					read = sheet
+					read.Amount, read.AsOf = left, now
+					pending = 3
+				}
+			default:
+				rank := rapid.SampledFrom([]string{"urgent", "normal", "batch"}).Draw(rt, "rank")
+				// Spending nearly all that has accrued leaves no slack that could hide a fault.
+				part := rapid.SampledFrom([]float64{0.1, 1}).Draw(rt, "part")
+				cost := part * fleet[i].Balance(now, "a") * (1 - 1e-9)
+				if _, ok := fleet[i].Spend(now, rank, cost); ok {
+					left -= cost
+					if rapid.IntRange(0, 4).Draw(rt, "refund") == 0 {
+						fleet[i].Refund(now, now, "a", cost/2)
+						left += cost / 2
+					}
+				}
+			}
+			if pending > 0 {
+				if pending--; pending == 0 {
+					sheet = read
+					for _, s := range fleet {
+						s.Accounts(now, []configurer.Account{sheet})
+					}
+				}
+			}
+			if left < -1e-6 {
+				rt.Fatalf("overspent by %v", -left)
+			}
+			largest = math.Max(largest, -left)
+			used = math.Max(used, 100_000-left)
+		}
+	})
+	t.Logf("largest overspend %.0f, most used %.0f of 100000", math.Max(0, largest), used)
+}
+
+// States the one case that can overspend: an agent spends its balance after the provider read the
+// amount and restarts before it adopts the new sheet. The bound is the balance of that agent.
+func TestRestartBeforeNewSheet(t *testing.T) {
+	const n = 10
+	s := spender.New(epoch, spender.Config{Agents: n, Ranks: ranks()})
+	s.Accounts(epoch, []configurer.Account{account("a", 100_000, 0, 10*time.Hour)})
+	read := epoch.Add(5 * time.Hour)
+	balance := s.Balance(read, "a")
+	_, ok := s.Spend(read.Add(time.Minute), "urgent", balance)
+	require.True(t, ok)
+	again := spender.New(read.Add(2*time.Minute), spender.Config{Agents: n, Ranks: ranks()})
+	again.Accounts(read.Add(2*time.Minute), []configurer.Account{account("a", 100_000, 5*time.Hour, 10*time.Hour)})
+	later := again.Balance(epoch.Add(10*time.Hour-time.Nanosecond), "a")
+	t.Logf("slice %d, spent after the reading %.0f, available after the restart %.0f", 100_000/n, balance, later)
+	require.LessOrEqual(t, later, 100_000.0/n)
+	require.LessOrEqual(t, balance+later-100_000.0/n, balance)
+}
+
+func BenchmarkSpend(b *testing.B) {
+	accounts := make([]configurer.Account, 8)
+	for i := range accounts {
+		accounts[i] = account(fmt.Sprintf("account-%d", i), 1e9, 0, time.Duration(i+1)*day)
+	}
+	for _, rank := range []string{"urgent", "batch"} {
+		b.Run(rank, func(b *testing.B) {
+			s := spender.New(epoch, spender.Config{Agents: 600, Ranks: ranks()})
+			s.Accounts(epoch, accounts)
+			now := epoch.Add(time.Hour)
+			b.ReportAllocs()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				s.Spend(now, rank, 100)
+			}
+		})
+	}
+}
+
+// BenchmarkSpendPerOrganisation has one account for each of 14,000 organisations, the worst sheet imaginable.
+func BenchmarkSpendPerOrganisation(b *testing.B) {
+	accounts := make([]configurer.Account, 14_000)
+	for i := range accounts {
+		accounts[i] = account(fmt.Sprintf("account-%05d", i), 1, 0, day)
+	}
+	s := spender.New(epoch, spender.Config{Agents: 600, Ranks: ranks()})
+	s.Accounts(epoch, accounts)
+	now := epoch.Add(time.Hour)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(time.Millisecond)
+		s.Spend(now, "batch", 100)
+	}
+}
