--- a/commander/root.go
+++ b/commander/root.go
@@ -29,6 +29,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		settingsCommand(),
+		sheetCommand(),
 		statusCommand(),
 		drainCommand(),
 	}
@@ -43,6 +44,7 @@
 
 Examples:
   clementinectl settings check router.json
+  clementinectl sheet check monday.csv
   clementinectl status 10.1.0.1:8082`,
 		Commands:  commands(),
 		Writer:    stdout,
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -93,5 +93,6 @@
 func printJSON[T any](cmd *cli.Command, v T) error {
 	enc := json.NewEncoder(cmd.Root().Writer)
 	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
 	return enc.Encode(v)
 }
--- /dev/null
+++ b/commander/sheet.go
@@ -0,0 +1,282 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+)
+
+// maxInputBytes bounds a file that a command reads; a sheet of 14,000 organisations takes about 2 MB.
+const maxInputBytes = 64 << 20
+
+func sheetCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "sheet",
+		Usage:    "work with the sheet of the operators",
+		Commands: []*cli.Command{sheetCheckCommand(), sheetDiffCommand(), sheetCompileCommand()},
+	}
+}
+
+func sheetCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a sheet without publishing it",
+		ArgsUsage: "FILE...",
+		Description: `The files together are one sheet. A directory stands for the CSV files in it.
+Reports each fault with its file, line and field, and with the allowed values or the nearest known word.
+
+Examples:
+  clementinectl sheet check monday.csv
+  clementinectl sheet check ranks.csv organisations.csv
+  clementinectl sheet check --json monday.csv`,
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: checkSheet,
+	}
+}
+
+func sheetDiffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what changes from one sheet to another",
+		ArgsUsage: "OLD NEW",
+		Description: `OLD and NEW are each a CSV file or a directory of CSV files. Lines begin with + for a row that is
+added, - for one that is removed and ~ for one that is changed. Differences do not change the exit code.
+
+Examples:
+  clementinectl sheet diff sunday.csv monday.csv
+  clementinectl sheet diff --json sunday monday`,
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: diffSheets,
+	}
+}
+
+// sheetProblem is the JSON form of one fault of a sheet.
+type sheetProblem struct {
+	File string `json:"file,omitempty"`
+	// Line counts from 1; it is absent when the fault concerns the sheet as a whole.
+	Line    int    `json:"line,omitempty"`
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+}
+
+// sheetPart is the JSON form of one part.
+type sheetPart struct {
+	Name   string            `json:"name"`
+	Digest configurer.Digest `json:"digest"`
+	Bytes  int               `json:"bytes"`
+}
+
+// sheetSummary describes a sheet without faults.
+type sheetSummary struct {
+	Version       uint64            `json:"version"`
+	Digest        configurer.Digest `json:"digest"`
+	Ranks         int               `json:"ranks"`
+	Pools         int               `json:"pools"`
+	Services      int               `json:"services"`
+	Organisations int               `json:"organisations"`
+	Accounts      int               `json:"accounts"`
+	ManifestBytes int               `json:"manifest_bytes"`
+	Parts         []sheetPart       `json:"parts"`
+}
+
+// sheetReport is the JSON form of the outcome of a check.
+type sheetReport struct {
+	Files    []string       `json:"files"`
+	OK       bool           `json:"ok"`
+	Problems []sheetProblem `json:"problems"`
+	// Sheet is absent if a file has a fault.
+	Sheet *sheetSummary `json:"sheet,omitempty"`
+}
+
+func summarise(s *compiler.Sheet) sheetSummary {
+	sum := sheetSummary{
+		Version: s.Version, Digest: s.Digest,
+		Ranks: len(s.Rows.Ranks), Pools: len(s.Rows.Pools), Services: len(s.Rows.Services),
+		Organisations: len(s.Rows.Organisations), Accounts: len(s.Rows.Accounts),
+		ManifestBytes: len(s.Manifest),
+	}
+	for _, p := range s.Parts {
+		sum.Parts = append(sum.Parts, sheetPart{p.Name, p.Digest, len(p.Data)})
+	}
+	return sum
+}
+
+// partBytes returns the size of all parts.
+func (s sheetSummary) partBytes() int {
+	n := 0
+	for _, p := range s.Parts {
+		n += p.Bytes
+	}
+	return n
+}
+
+// String describes the sheet in one line.
+func (s sheetSummary) String() string {
+	return fmt.Sprintf("version %d, ranks %d, pools %d, services %d, organisations %d, accounts %d; manifest %d bytes, %d parts with %d bytes",
+		s.Version, s.Ranks, s.Pools, s.Services, s.Organisations, s.Accounts, s.ManifestBytes, len(s.Parts), s.partBytes())
+}
+
+func checkSheet(_ context.Context, cmd *cli.Command) error {
+	files, err := someArguments(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	sheet, err := compileFiles(files...)
+	var faults compiler.Errors
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	if !cmd.Bool("json") {
+		if err != nil {
+			return showFaults(cmd, faults)
+		}
+		fmt.Fprintf(cmd.Root().Writer, "ok, %v\n", summarise(sheet))
+		return nil
+	}
+	report := sheetReport{Files: files, OK: err == nil, Problems: []sheetProblem{}}
+	for _, f := range faults {
+		report.Problems = append(report.Problems, sheetProblem(f))
+	}
+	if report.OK {
+		sum := summarise(sheet)
+		report.Sheet = &sum
+	}
+	if err := printJSON(cmd, report); err != nil {
+		return err
+	}
+	if !report.OK {
+		return errShown
+	}
+	return nil
+}
+
+// sheetDiff is the JSON form of the difference of two sheets.
+type sheetDiff struct {
+	Old sheetSummary `json:"old"`
+	New sheetSummary `json:"new"`
+	// Lines describes the changed rows as the text form does.
+	Lines []string `json:"lines"`
+	// Moved lists the parts of the new sheet that the old one lacks.
+	Moved []sheetPart `json:"moved"`
+}
+
+func diffSheets(_ context.Context, cmd *cli.Command) error {
+	if n := cmd.Args().Len(); n != 2 {
+		return wrongUsage(cmd, "want two arguments OLD NEW, have %d", n)
+	}
+	older, err := compileShown(cmd, cmd.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	newer, err := compileShown(cmd, cmd.Args().Get(1))
+	if err != nil {
+		return err
+	}
+	text := compiler.Diff(older, newer)
+	if !cmd.Bool("json") {
+		fmt.Fprint(cmd.Root().Writer, text)
+		return nil
+	}
+	diff := sheetDiff{Old: summarise(older), New: summarise(newer), Lines: lines(text), Moved: []sheetPart{}}
+	for _, p := range diff.New.Parts {
+		if _, ok := older.Part(p.Digest); !ok {
+			diff.Moved = append(diff.Moved, p)
+		}
+	}
+	return printJSON(cmd, diff)
+}
+
+// someArguments returns the arguments of a command that takes one or more.
+func someArguments(cmd *cli.Command, name string) ([]string, error) {
+	if cmd.Args().Len() == 0 {
+		return nil, wrongUsage(cmd, "want one or more arguments %s, have 0", name)
+	}
+	return cmd.Args().Slice(), nil
+}
+
+// compileFiles compiles the sheet that files and directories make up; the error of a faulty sheet is a compiler.Errors.
+func compileFiles(paths ...string) (*compiler.Sheet, error) {
+	var sources []compiler.Source
+	for _, path := range paths {
+		files, err := sheetFiles(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, file := range files {
+			data, err := readInput(file)
+			if err != nil {
+				return nil, err
+			}
+			sources = append(sources, compiler.Source{Name: file, Data: data})
+		}
+	}
+	return compiler.Compile(sources...)
+}
+
+// compileShown compiles a sheet and shows its faults.
+func compileShown(cmd *cli.Command, paths ...string) (*compiler.Sheet, error) {
+	sheet, err := compileFiles(paths...)
+	var faults compiler.Errors
+	if errors.As(err, &faults) {
+		return nil, showFaults(cmd, faults)
+	}
+	return sheet, err
+}
+
+func showFaults(cmd *cli.Command, faults compiler.Errors) error {
+	for _, f := range faults {
+		fmt.Fprintln(cmd.Root().ErrWriter, printable(f.Error()))
+	}
+	return errShown
+}
+
+// sheetFiles returns the file, or the CSV files of the directory, in the order of their names.
+func sheetFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var files []string
+	for _, e := range entries {
+		if !e.IsDir() && filepath.Ext(e.Name()) == ".csv" {
+			files = append(files, filepath.Join(path, e.Name()))
+		}
+	}
+	if len(files) == 0 {
+		return nil, trace.NotFound("directory %s holds no file with the extension .csv", path)
+	}
+	return files, nil
+}
+
+// readInput reads a file of bounded size.
+func readInput(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, maxInputBytes+1))
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if len(data) > maxInputBytes {
+		return nil, trace.LimitExceeded("%s has more than %d bytes", path, maxInputBytes)
+	}
+	return data, nil
+}
