Add explainer and the command explain

Operators need to know why a chat goes where it goes without asking a process that may be gone. The explainer loads the configuration with configurer, joins hosts and load entries with tracker and orders upstreams with chooser, as a router does. A test compares it with a router's choice for 300 chats over live, expired, leaving and refused upstreams.

The tracker is asked at one fixed time, so that an explanation does not depend on the clock. An own view of the host list was ruled out, since it would drift from what routers see.

--- a/commander/root.go
+++ b/commander/root.go
@@ -30,6 +30,7 @@
 	return []*cli.Command{
 		settingsCommand(),
 		sheetCommand(),
+		explainCommand(),
 		statusCommand(),
 		drainCommand(),
 	}
--- /dev/null
+++ b/explainer/explainer.go
@@ -0,0 +1,178 @@
+package explainer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/gravitational/trace"
+
+	"clementineramp/chooser"
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/platform"
+	"clementineramp/tracker"
+)
+
+// Config holds what a router would know.
+type Config struct {
+	Sheet *compiler.Sheet
+	Hosts []platform.Host
+	// Load holds load entries as the processes exchange them.
+	Load []encoder.LoadEntry
+	// Observations are outcomes that the router saw itself; none are needed.
+	Observations []tracker.Observation
+	// Routing configures the choice; a zero field takes the default of package chooser.
+	Routing chooser.Config
+}
+
+// Explainer explains decisions; it never changes after New.
+type Explainer struct {
+	cfg      Config
+	snapshot *configurer.Snapshot
+	tracker  *tracker.Tracker
+	chooser  *chooser.Chooser
+	bound    float64
+	// now is the only time at which the tracker is asked, so that an explanation does not depend on the clock.
+	now   time.Time
+	hosts map[string]platform.Host
+	// reported names the hosts that a load entry describes.
+	reported map[string]bool
+}
+
+// New returns an Explainer, or an error if what it is given does not fit together.
+func New(cfg Config) (*Explainer, error) {
+	snapshot, err := configurer.Load(cfg.Sheet.Manifest, cfg.Sheet.Part)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c, err := chooser.New(cfg.Routing)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	e := &Explainer{
+		cfg: cfg, snapshot: snapshot, chooser: c,
+		bound:   cmp.Or(cfg.Routing.Bound, chooser.DefaultBound),
+		tracker: tracker.New(tracker.Config{LoadLife: cfg.Routing.LoadLife}),
+		now:     time.Unix(0, 0).UTC(),
+		hosts:   map[string]platform.Host{}, reported: map[string]bool{},
+	}
+	e.takeHosts()
+	if err := e.takeLoad(); err != nil {
+		return nil, err
+	}
+	for _, o := range cfg.Observations {
+		if _, ok := e.hosts[o.Upstream]; !ok {
+			return nil, unknown("observation: host", o.Upstream, e.agentNames())
+		}
+		e.tracker.Observe(o, e.now)
+	}
+	return e, nil
+}
+
+func (e *Explainer) takeHosts() {
+	var list []tracker.Host
+	for _, h := range e.cfg.Hosts {
+		if h.Role != platform.RoleAgent {
+			continue
+		}
+		e.hosts[h.Name] = h
+		list = append(list, tracker.Host{
+			Name: h.Name, Address: h.Address, Pool: h.Upstream, Domain: h.Domain, Leaving: h.State == platform.StateLeaving,
+		})
+	}
+	e.tracker.Hosts(list, e.now)
+}
+
+func (e *Explainer) takeLoad() error {
+	for _, entry := range e.cfg.Load {
+		if _, ok := e.hosts[entry.Upstream]; !ok {
+			return unknown("load entry: host", entry.Upstream, e.agentNames())
+		}
+		if entry.Work < 0 || entry.Queued < 0 || entry.AgeMS < 0 || entry.UptimeMS < 0 {
+			return trace.BadParameter("load entry of %q: w, b, a and t must be 0 or more", entry.Upstream)
+		}
+		e.reported[entry.Upstream] = true
+	}
+	e.tracker.Merge(e.cfg.Load, e.now)
+	return nil
+}
+
+func (e *Explainer) agentNames() []string {
+	var names []string
+	for _, h := range e.cfg.Hosts {
+		if h.Role == platform.RoleAgent {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+// Disagreements says where a configuration and a host list do not fit together, one sentence each.
+func Disagreements(snapshot *configurer.Snapshot, hosts []platform.Host) []string {
+	var out []string
+	count := map[string]int{}
+	serves := map[string]string{}
+	for _, h := range hosts {
+		if h.Role != platform.RoleAgent {
+			continue
+		}
+		count[h.Upstream]++
+		serves[h.Name] = h.Upstream
+		_, isPool := snapshot.Pool(h.Upstream)
+		service, isService := snapshot.Service(h.Upstream)
+		switch {
+		case !isPool && !isService:
+			out = append(out, fmt.Sprintf("host %s serves %q, which is neither a pool nor a service of the sheet", h.Name, h.Upstream))
+		case isService && !slices.Contains(service.Workers, h.Name):
+			out = append(out, fmt.Sprintf("host %s serves %q, but the sheet does not list it as a worker", h.Name, h.Upstream))
+		}
+	}
+	for _, p := range snapshot.Pools {
+		if count[p.Name] == 0 {
+			out = append(out, fmt.Sprintf("pool %q has no host", p.Name))
+		}
+	}
+	for _, s := range snapshot.Services {
+		for _, w := range s.Workers {
+			if serves[w] != s.Name {
+				out = append(out, fmt.Sprintf("worker %s of service %q is no host that serves it", w, s.Name))
+			}
+		}
+	}
+	return out
+}
+
+const (
+	// maxListed bounds the known names that an error lists.
+	maxListed = 12
+	// maxSuggestDistance is the number of letters by which a suggested name may differ; more gives unrelated names.
+	maxSuggestDistance = 2
+)
+
+// unknown says that a name is none of the known ones, and which is nearest.
+func unknown(what, name string, known []string) error {
+	text := fmt.Sprintf("%s %q is unknown", what, name)
+	best, bestDistance := "", maxSuggestDistance+1
+	for _, k := range known {
+		if d := levenshtein.ComputeDistance(strings.ToLower(name), strings.ToLower(k)); d < bestDistance && d < len(k) {
+			best, bestDistance = k, d
+		}
+	}
+	if best != "" {
+		text += fmt.Sprintf("; did you mean %q?", best)
+	}
+	switch {
+	case len(known) == 0:
+		text += " (there is none)"
+	case len(known) > maxListed:
+		text += fmt.Sprintf(" (known: %s and %d more)", strings.Join(known[:maxListed], ", "), len(known)-maxListed)
+	default:
+		text += fmt.Sprintf(" (known: %s)", strings.Join(known, ", "))
+	}
+	return trace.NotFound("%s", text)
+}
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,250 @@
+package explainer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/chooser"
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/explainer"
+	"clementineramp/platform"
+	"clementineramp/tracker"
+)
+
+const sheetText = `version,number
+version,412
+rank,name,target,worth,share
+rank,urgent,440ms,100,0.5
+rank,batch,1m,1,0.1
+pool,name,model,version,floor
+pool,vavrad,clementine-8b,2026-12-01,0.75
+service,name,workers,horizon
+service,bestall,bestall-1 bestall-2 bestall-3,10m
+organisation,name,key_hash,rank,ranks,weight
+organisation,Kvarnby,ffbcb78bd3725651d1942db437b733f498bb5648f20109792d15dfc223c01b60,batch,urgent,3
+organisation,Sjövik,044b03be761f83cd6ffb81065f8ce7c7f9c94bf7efe321e159be1cbb4c12a0f4,batch,,
+`
+
+func sheet(t testing.TB) *compiler.Sheet {
+	t.Helper()
+	s, err := compiler.Compile(compiler.Source{Name: "sheet.csv", Data: []byte(sheetText)})
+	require.NoError(t, err)
+	return s
+}
+
+func agent(upstream string, i int) platform.Host {
+	return platform.Host{
+		Name: fmt.Sprintf("%s-%d", upstream, i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+		Domain: fmt.Sprintf("d%d", i%3), Role: platform.RoleAgent, Upstream: upstream, State: platform.StateLive,
+	}
+}
+
+func hosts(engines int) []platform.Host {
+	list := []platform.Host{{Name: "router-1", Address: "127.0.0.1:1", Domain: "d0", Role: platform.RoleRouter, State: platform.StateLive}}
+	for i := range engines {
+		list = append(list, agent("vavrad", i+1))
+	}
+	for i := range 3 {
+		list = append(list, agent("bestall", i+1))
+	}
+	return list
+}
+
+func newExplainer(t testing.TB, cfg explainer.Config) *explainer.Explainer {
+	t.Helper()
+	cfg.Sheet = sheet(t)
+	e, err := explainer.New(cfg)
+	require.NoError(t, err)
+	return e
+}
+
+func chatQuery(chat string) explainer.ChatQuery {
+	return explainer.ChatQuery{
+		Organisation: "Kvarnby", Chat: chat, Request: encoder.ChatRequest{Model: "clementine-8b", MaxTokens: 100},
+	}
+}
+
+// Guards against an explanation that names other upstreams than a router with the same knowledge tries.
+func TestChatAgreesWithRouter(t *testing.T) {
+	load := []encoder.LoadEntry{
+		{Upstream: "vavrad-1", Work: 4000, AgeMS: 100, UptimeMS: 3_600_000},
+		{Upstream: "vavrad-2", Work: 200, AgeMS: 900, UptimeMS: 3_600_000},
+		{Upstream: "vavrad-3", Work: 700, AgeMS: 20_000, UptimeMS: 3_600_000},
+		{Upstream: "vavrad-4", Work: 300, AgeMS: 50, UptimeMS: 4000},
+		{Upstream: "vavrad-5", Leaving: true},
+	}
+	observed := []tracker.Observation{{Upstream: "vavrad-6", Outcome: tracker.ConnectionRefused}}
+	cfg := explainer.Config{Hosts: hosts(8), Load: load, Observations: observed, Routing: chooser.Config{Bound: 1.5, Attempts: 4}}
+	e := newExplainer(t, cfg)
+
+	now := time.Unix(1_000_000, 0)
+	table := tracker.New(tracker.Config{})
+	var list []tracker.Host
+	for _, h := range cfg.Hosts {
+		if h.Role == platform.RoleAgent {
+			list = append(list, tracker.Host{Name: h.Name, Pool: h.Upstream, Domain: h.Domain})
+		}
+	}
+	table.Hosts(list, now)
+	table.Merge(load, now)
+	table.Observe(observed[0], now)
+	router, err := chooser.New(cfg.Routing)
+	require.NoError(t, err)
+
+	reasons := map[string]int{}
+	for i := range 300 {
+		q := chatQuery(fmt.Sprint("chat-", i))
+		got, err := e.Chat(q)
+		require.NoError(t, err)
+		want := router.Choose(q.Request.ChatKey("Kvarnby", q.Chat), q.Request.Cost(), table.View("vavrad", now))
+		require.Len(t, got.Attempts, len(want.Order))
+		for j, cand := range want.Order {
+			require.Equal(t, cand.Name, got.Attempts[j].Upstream)
+		}
+		require.Equal(t, want.Reason, got.Reason)
+		require.Len(t, got.Ranking, 8)
+		reasons[got.Reason]++
+	}
+	require.NotZero(t, reasons[chooser.ReasonAffinity])
+	require.NotZero(t, reasons[chooser.ReasonAboveBound])
+	require.NotZero(t, reasons[chooser.ReasonDown])
+}
+
+// Guards against an agent's answer that differs from the load bound.
+func TestAdmission(t *testing.T) {
+	tests := []struct {
+		name string
+		work [3]float64
+		cost float64
+		// want is the answer of the engine that carries work[0].
+		want explainer.Admission
+	}{
+		{"idle", [3]float64{0, 1000, 1000}, 5000, explainer.AdmissionIdle},
+		{"within", [3]float64{1000, 1100, 1100}, 50, explainer.AdmissionWithin},
+		{"even", [3]float64{1000, 1000, 1000}, 1000, explainer.AdmissionEven},
+		{"refused", [3]float64{1100, 1000, 1000}, 200, explainer.AdmissionRefused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var load []encoder.LoadEntry
+			for i, w := range tt.work {
+				load = append(load, encoder.LoadEntry{Upstream: fmt.Sprintf("vavrad-%d", i+1), Work: w, UptimeMS: 3_600_000})
+			}
+			e := newExplainer(t, explainer.Config{Hosts: hosts(3), Load: load})
+			seen := false
+			for i := range 20 {
+				q := chatQuery(fmt.Sprint(i))
+				q.Cost = tt.cost
+				chat, err := e.Chat(q)
+				require.NoError(t, err)
+				for _, a := range chat.Attempts {
+					if a.Upstream != "vavrad-1" {
+						continue
+					}
+					want := tt.want
+					if want == explainer.AdmissionRefused && a.Number == len(chat.Attempts) {
+						want = explainer.AdmissionQueued
+					}
+					require.Equal(t, want, a.Admission)
+					seen = true
+				}
+				if want := chat.Attempts[0]; want.Admission != explainer.AdmissionRefused {
+					require.Equal(t, want.Upstream, chat.Lands)
+				} else {
+					require.NotEqual(t, want.Upstream, chat.Lands)
+				}
+			}
+			require.True(t, seen)
+		})
+	}
+}
+
+// Guards against a chat that is explained by another key than its turns have.
+func TestChatKey(t *testing.T) {
+	e := newExplainer(t, explainer.Config{Hosts: hosts(5)})
+	q := chatQuery("")
+	q.Request.Messages = []encoder.Message{{Role: "user", Content: "hello"}}
+	first, err := e.Chat(q)
+	require.NoError(t, err)
+	q.Request.Messages = append(q.Request.Messages, encoder.Message{Role: "assistant", Content: "hi"}, encoder.Message{Role: "user", Content: "more"})
+	second, err := e.Chat(q)
+	require.NoError(t, err)
+	require.Equal(t, explainer.KeyFromMessages, first.KeyFrom)
+	require.Equal(t, first.Key, second.Key)
+	require.Equal(t, first.Lands, second.Lands)
+	require.Greater(t, second.Cost, first.Cost)
+}
+
+func TestNoCandidate(t *testing.T) {
+	list := hosts(1)
+	list[1].State = platform.StateLeaving
+	chat, err := newExplainer(t, explainer.Config{Hosts: list}).Chat(chatQuery("1"))
+	require.NoError(t, err)
+	require.Equal(t, chooser.ReasonNoCandidate, chat.Reason)
+	require.Empty(t, chat.Attempts)
+	require.Empty(t, chat.Lands)
+	require.Equal(t, 1, chat.Pool.Leaving)
+}
+
+func TestOrganisation(t *testing.T) {
+	e := newExplainer(t, explainer.Config{Hosts: hosts(2)})
+	o, err := e.Organisation("Kvarnby")
+	require.NoError(t, err)
+	require.Equal(t, "organisations-000", o.Part.Name)
+	require.Len(t, o.Ranks, 2)
+	require.Equal(t, "urgent", o.Ranks[0].Name)
+	require.False(t, o.Ranks[0].Default)
+	require.InDelta(t, 1, o.Ranks[0].Part, 0)
+	require.True(t, o.Ranks[1].Default)
+	require.Equal(t, 2, o.Ranks[1].Organisations)
+	require.InDelta(t, 0.75, o.Ranks[1].Part, 0)
+	require.Equal(t, 2, o.Pools[0].Agents)
+	require.Empty(t, o.Notes)
+}
+
+// Guards against a wrong name that is explained as if it existed.
+func TestRefusals(t *testing.T) {
+	e := newExplainer(t, explainer.Config{Hosts: hosts(2)})
+	edit := func(f func(*explainer.ChatQuery)) error {
+		q := chatQuery("1")
+		f(&q)
+		_, err := e.Chat(q)
+		return err
+	}
+	require.ErrorContains(t, edit(func(q *explainer.ChatQuery) { q.Organisation = "Kvarnbi" }), `did you mean "Kvarnby"?`)
+	require.ErrorContains(t, edit(func(q *explainer.ChatQuery) { q.Request.Model = "clementine-8" }), `did you mean "clementine-8b"?`)
+	require.ErrorContains(t, edit(func(q *explainer.ChatQuery) { q.Rank = "urgnt" }), `did you mean "urgent"?`)
+	require.ErrorContains(t, edit(func(q *explainer.ChatQuery) { q.Chat = "" }), "no key")
+	err := edit(func(q *explainer.ChatQuery) { q.Organisation, q.Rank = "Sjövik", "urgent" })
+	require.True(t, trace.IsAccessDenied(err), "%v", err)
+	_, err = e.Order(explainer.OrderQuery{Organisation: "Kvarnby", Service: "bestal"})
+	require.ErrorContains(t, err, `did you mean "bestall"?`)
+
+	for _, load := range []encoder.LoadEntry{{Upstream: "vavrad-9"}, {Upstream: "vavrad-1", Work: -1}, {Upstream: "router-1"}} {
+		_, err := explainer.New(explainer.Config{Sheet: sheet(t), Hosts: hosts(2), Load: []encoder.LoadEntry{load}})
+		require.ErrorContains(t, err, "load entry", load)
+	}
+	_, err = explainer.New(explainer.Config{Sheet: sheet(t), Hosts: hosts(2), Observations: []tracker.Observation{{Upstream: "x"}}})
+	require.ErrorContains(t, err, "observation")
+}
+
+func TestDisagreements(t *testing.T) {
+	s := sheet(t)
+	snapshot, err := configurer.Load(s.Manifest, s.Part)
+	require.NoError(t, err)
+	require.Empty(t, explainer.Disagreements(snapshot, hosts(1)))
+	list := hosts(0)[:3]
+	list = append(list, agent("bestall", 4), agent("vavrat", 1))
+	require.Equal(t, []string{
+		`host bestall-4 serves "bestall", but the sheet does not list it as a worker`,
+		`host vavrat-1 serves "vavrat", which is neither a pool nor a service of the sheet`,
+		`pool "vavrad" has no host`,
+		`worker bestall-3 of service "bestall" is no host that serves it`,
+	}, explainer.Disagreements(snapshot, list))
+}
