--- a/commander/root.go
+++ b/commander/root.go
@@ -30,6 +30,8 @@
 	return []*cli.Command{
 		demoCommand(),
 		settingsCommand(),
+		sheetCommand(),
+		explainCommand(),
 		statusCommand(),
 		drainCommand(),
 	}
@@ -44,6 +46,7 @@
 
 Examples:
   clementinectl settings check router.json
+  clementinectl sheet check monday.csv
   clementinectl status 10.1.0.1:8082`,
 		Commands:  commands(),
 		Writer:    stdout,
