Add the frame of the measures and the network seams of a process

Measurements print figure, goal and baselines from one run and fail when a goal is missed. The network of a process is two functions, so that a test can run a fleet over an in-memory network with virtual time.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,7 +122,7 @@
 	a.lifetime, a.end = context.WithCancel(context.Background())
 	a.engine = engine.New(engine.Config{Address: cfg.Upstream, Dial: cfg.DialUpstream, IdleTimeout: cfg.StreamIdle})
 	a.gate = newGate(admitter.Config{
-		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime,
+		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
 	return a, a.buildMemory()
 }
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -25,7 +25,7 @@
 func (a *Agent) buildMemory() error {
 	setDefault(&a.cfg.TicketLifetime, ticketer.DefaultLifetime)
 	setDefault(&a.cfg.Horizon, ticketer.DefaultHorizon)
-	a.recorder = recorder.New()
+	a.recorder = recorder.New(recorder.Config{Keep: a.cfg.AnswerKeep, Now: a.cfg.Now})
 	a.quarantine = quarantiner.New()
 	a.service = service.New(service.Config{Address: a.cfg.Upstream, Dial: a.cfg.DialUpstream})
 	secret := make([]byte, secretBytes)
--- /dev/null
+++ b/commander/measure.go
@@ -0,0 +1,55 @@
+package commander
+
+import (
+	"context"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"clementineramp/measurer"
+)
+
+// measureCommand runs one measurement of the fleet and fails when a goal is missed.
+func measureCommand() *cli.Command {
+	names := make([]string, 0, len(measurer.Measures()))
+	for _, m := range measurer.Measures() {
+		names = append(names, "  "+m.Name+": "+m.Summary)
+	}
+	return &cli.Command{
+		Name:      "measure",
+		Usage:     "drive real routers and agents on loopback and measure one promise",
+		ArgsUsage: "NAME",
+		Description: `Prints figure, goal and baselines from the same run. Exits with 1 when a goal is missed.
+
+Names:
+` + strings.Join(names, "\n") + `
+
+Example:
+  clementinectl measure reuse --json`,
+		Flags: []cli.Flag{
+			jsonFlag(),
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the workload", Value: 1},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			name, err := oneArgument(cmd, "NAME")
+			if err != nil {
+				return err
+			}
+			m, ok := measurer.Find(name)
+			if !ok {
+				return wrongUsage(cmd, "unknown measure %q", name)
+			}
+			r, err := m.Run(ctx, cmd.Uint64("seed"))
+			if err != nil {
+				return err
+			}
+			if err := r.Print(cmd.Root().Writer, cmd.Bool("json")); err != nil {
+				return err
+			}
+			if !r.Met() {
+				return errShown
+			}
+			return nil
+		},
+	}
+}
--- a/commander/root.go
+++ b/commander/root.go
@@ -29,6 +29,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		demoCommand(),
+		measureCommand(),
 		settingsCommand(),
 		sheetCommand(),
 		explainCommand(),
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -179,7 +179,7 @@
 	if out == nil {
 		out = io.Discard
 	}
-	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name))
+	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), launcher.Network{})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -8,6 +8,7 @@
 	"clementineramp/chooser"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
+	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
 	"clementineramp/router"
@@ -41,7 +42,8 @@
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
 		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
-		Retries: retries, Log: p.log, Metrics: p.registry,
+		Forwarder: forwarder.Config{Dial: p.network.Dial},
+		Retries:   retries, Log: p.log, Metrics: p.registry,
 	}
 }
 
@@ -53,7 +55,7 @@
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
-		Log: p.log, Metrics: p.registry,
+		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -24,6 +24,24 @@
 // shutdownTime bounds the closing of idle connections after the last request has ended.
 const shutdownTime = 5 * time.Second
 
+// Network opens and accepts the connections of a process; zero fields mean the system's network.
+type Network struct {
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a connection to another process.
+const dialTimeout = time.Second
+
+func (n *Network) setDefaults() {
+	if n.Listen == nil {
+		n.Listen = net.Listen
+	}
+	if n.Dial == nil {
+		n.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+}
+
 // role is what a process does besides keeping its view of the fleet.
 type role struct {
 	handler http.Handler
@@ -43,6 +61,7 @@
 // Process is one daemon.
 type Process struct {
 	cfg      *loader.Settings
+	network  Network
 	log      hclog.Logger
 	registry metrics.Registry
 	watcher  *watcher.Watcher
@@ -60,9 +79,10 @@
 }
 
 // New binds the addresses of a daemon; Run serves them.
-func New(cfg *loader.Settings, log hclog.Logger) (*Process, error) {
+func New(cfg *loader.Settings, log hclog.Logger, network Network) (*Process, error) {
+	network.setDefaults()
 	p := &Process{
-		cfg: cfg, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
@@ -77,10 +97,10 @@
 
 func (p *Process) listen() error {
 	var err error
-	if p.listener, err = net.Listen("tcp", p.cfg.Listen.String()); err != nil {
+	if p.listener, err = p.network.Listen("tcp", p.cfg.Listen.String()); err != nil {
 		return trace.Wrap(err, "listen")
 	}
-	if p.operatorListener, err = net.Listen("tcp", p.cfg.OperatorListen.String()); err != nil {
+	if p.operatorListener, err = p.network.Listen("tcp", p.cfg.OperatorListen.String()); err != nil {
 		p.closeListeners()
 		return trace.Wrap(err, "operator_listen")
 	}
@@ -116,8 +136,10 @@
 			Name: p.cfg.Name, Address: p.cfg.Listen.String(), Control: p.cfg.ControlListen.String(),
 			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: platform.StateLive,
 		},
-		Platform: platform.New(platform.Config{Addresses: addresses}),
-		Log:      p.log, Metrics: p.registry,
+		Platform: platform.New(platform.Config{
+			Addresses: addresses, HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+		}),
+		Log: p.log, Metrics: p.registry,
 	}
 	switch p.cfg.Role {
 	case loader.RoleRouter:
