Add the control exchange between the system's own processes

Load, crash marks and the newest configuration spread between processes that no platform connects. Both sides prove the shared key by HMAC over both nonces and both protocol versions before the first call; a label per side keeps a proof from being sent back.

The gob codec of net/rpc was ruled out: it allocates up to 1 GB at a peer's word, and sends type descriptions on each new connection. The codec frames CBOR maps with a bounded length instead.

Holder.Note and Holder.Offer now say that a pending configuration is still wanted; otherwise a fetch that failed half-way would not be repeated.

--- a/configurer/holder.go
+++ b/configurer/holder.go
@@ -72,12 +72,15 @@
 	return Pair{}
 }
 
-// Note takes the sighting of a configuration at a peer and says whether its manifest is wanted.
+// Note takes the sighting of a configuration at a peer and says whether its manifest or parts are wanted.
 func (h *Holder) Note(p Pair) Result {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if p.Version == 0 || p.Digest == "" {
+		return Result{}
+	}
 	r := Result{Conflict: h.note(p)}
-	r.Wanted = p.Compare(h.Newest()) > 0 && h.refusedErr(p) == nil && !h.isPending(p)
+	r.Wanted = p.Compare(h.Newest()) > 0 && h.refusedErr(p) == nil
 	return r
 }
 
@@ -95,7 +98,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := Result{Conflict: h.note(pair)}
-	if pair.Compare(h.Newest()) <= 0 || h.isPending(pair) {
+	if pair.Compare(h.Newest()) <= 0 {
+		return r, nil
+	}
+	if h.isPending(pair) {
+		r.Wanted = true
 		return r, nil
 	}
 	if err := h.refusedErr(pair); err != nil {
--- /dev/null
+++ b/gossiper/codec.go
@@ -0,0 +1,181 @@
+package gossiper
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net/rpc"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"clementineramp/platform"
+)
+
+const (
+	lengthBytes = 4
+	// maxRequestBytes bounds a frame that a server reads.
+	maxRequestBytes = 128 << 10
+	// maxResponseBytes bounds a frame that a client reads; the largest content is a value of the platform.
+	maxResponseBytes = platform.MaxValueBytes + 1024
+	maxNestedLevels  = 8
+)
+
+var (
+	encMode = mustMode(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode())
+	decMode = mustMode(cbor.DecOptions{
+		MaxNestedLevels: maxNestedLevels, MaxArrayElements: maxEntries, MaxMapPairs: maxEntries,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		NaN: cbor.NaNDecodeForbidden, Inf: cbor.InfDecodeForbidden,
+	}.DecMode())
+)
+
+func mustMode[T any](mode T, err error) T {
+	if err != nil {
+		// The options are constants, so an error is a fault of the program.
+		panic(err)
+	}
+	return mode
+}
+
+// header precedes each body.
+type header struct {
+	Method string `json:"m,omitempty"`
+	Seq    uint64 `json:"q"`
+	Error  string `json:"e,omitempty"`
+}
+
+// frames reads and writes messages with a length prefix, since the gob codec of net/rpc allocates up to 1 GB at a peer's word.
+type frames struct {
+	conn  io.ReadWriteCloser
+	r     *bufio.Reader
+	limit int
+	// mu keeps header and body of a message together; net/rpc's server writes from several goroutines.
+	mu sync.Mutex
+}
+
+func newFrames(c io.ReadWriteCloser, limit int) *frames {
+	return &frames{conn: c, r: bufio.NewReader(c), limit: limit}
+}
+
+func (f *frames) next() ([]byte, error) {
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(f.r, prefix[:]); err != nil {
+		return nil, err
+	}
+	n := int(binary.BigEndian.Uint32(prefix[:]))
+	if n > f.limit {
+		return nil, fmt.Errorf("frame of %d bytes, want at most %d", n, f.limit)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(f.r, data); err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return data, nil
+}
+
+func (f *frames) readHeader(h *header) error {
+	data, err := f.next()
+	if err != nil {
+		return err
+	}
+	return decMode.Unmarshal(data, h)
+}
+
+// readBody decodes and checks a body; net/rpc passes nil to have it skipped.
+func (f *frames) readBody(body any) error {
+	data, err := f.next()
+	if err != nil || body == nil {
+		return err
+	}
+	return decodeMessage(data, body)
+}
+
+func decodeMessage(data []byte, body any) error {
+	if err := decMode.Unmarshal(data, body); err != nil {
+		return err
+	}
+	if m, ok := body.(message); ok {
+		return m.check()
+	}
+	return nil
+}
+
+// write sends header and body in one write, so that both leave in one packet where they fit.
+func (f *frames) write(h header, body any) error {
+	out := make([]byte, 0, 512)
+	for _, v := range []any{h, body} {
+		data, err := encMode.Marshal(v)
+		if err != nil {
+			return err
+		}
+		out = binary.BigEndian.AppendUint32(out, uint32(len(data)))
+		out = append(out, data...)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, err := f.conn.Write(out)
+	return err
+}
+
+type serverCodec struct{ *frames }
+
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	var h header
+	if err := c.readHeader(&h); err != nil {
+		return err
+	}
+	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	return nil
+}
+
+func (c serverCodec) ReadRequestBody(body any) error {
+	return c.readBody(body)
+}
+
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	if r.Error != "" {
+		body = struct{}{}
+	}
+	return c.write(header{Seq: r.Seq, Error: r.Error}, body)
+}
+
+func (c serverCodec) Close() error {
+	return c.conn.Close()
+}
+
+type clientCodec struct{ *frames }
+
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq}, body)
+}
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	var h header
+	if err := c.readHeader(&h); err != nil {
+		return err
+	}
+	r.Seq, r.Error = h.Seq, h.Error
+	return nil
+}
+
+func (c clientCodec) ReadResponseBody(body any) error {
+	return c.readBody(body)
+}
+
+func (c clientCodec) Close() error {
+	return c.conn.Close()
+}
+
+// EncodeState encodes the body of an exchange.
+func EncodeState(s State) ([]byte, error) {
+	return encMode.Marshal(s)
+}
+
+// DecodeState decodes and checks the body of an exchange.
+func DecodeState(data []byte) (State, error) {
+	var s State
+	err := decodeMessage(data, &s)
+	return s, err
+}
--- /dev/null
+++ b/gossiper/handshake.go
@@ -0,0 +1,122 @@
+package gossiper
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// minKeyBytes is the length below which a shared key could be guessed.
+	minKeyBytes = 16
+	nonceBytes  = 32
+	helloMagic  = "clementine/gossip"
+	helloBytes  = len(helloMagic) + 2 + nonceBytes
+)
+
+// Labels keep the proof of one side from being sent back as the proof of the other.
+const (
+	clientLabel = "client"
+	serverLabel = "server"
+)
+
+// ErrKey is returned when a peer does not hold the shared key.
+var ErrKey = errors.New("the peer does not hold the shared key")
+
+// hello is the first message of each side.
+type hello [helloBytes]byte
+
+func newHello() (hello, error) {
+	var h hello
+	copy(h[:], helloMagic)
+	binary.BigEndian.PutUint16(h[len(helloMagic):], Protocol)
+	_, err := rand.Read(h[len(helloMagic)+2:])
+	return h, err
+}
+
+func readHello(r io.Reader) (hello, error) {
+	var h hello
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return h, err
+	}
+	if string(h[:len(helloMagic)]) != helloMagic {
+		return h, errors.New("the peer does not speak the gossip protocol")
+	}
+	if binary.BigEndian.Uint16(h[len(helloMagic):]) == 0 {
+		return h, errors.New("the peer announces protocol version 0")
+	}
+	return h, nil
+}
+
+// proof shows that its sender holds the key and saw both hellos, and with them both protocol versions.
+func proof(key []byte, label string, client, server hello) []byte {
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte(label))
+	m.Write(client[:])
+	m.Write(server[:])
+	return m.Sum(nil)
+}
+
+func readProof(r io.Reader, want []byte) error {
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(r, got); err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	if !hmac.Equal(got, want) {
+		return ErrKey
+	}
+	return nil
+}
+
+// dialHandshake proves the key to a server after the server has proved it.
+func dialHandshake(c net.Conn, key []byte, timeout time.Duration) error {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	mine, err := newHello()
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(mine[:]); err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	theirs, err := readHello(c)
+	if err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	if err := readProof(c, proof(key, serverLabel, mine, theirs)); err != nil {
+		return err
+	}
+	if _, err := c.Write(proof(key, clientLabel, mine, theirs)); err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	return c.SetDeadline(time.Time{})
+}
+
+// acceptHandshake is the server's side of dialHandshake.
+func acceptHandshake(c net.Conn, key []byte, timeout time.Duration) error {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	theirs, err := readHello(c)
+	if err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	mine, err := newHello()
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(append(mine[:], proof(key, serverLabel, theirs, mine)...)); err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	if err := readProof(c, proof(key, clientLabel, theirs, mine)); err != nil {
+		return err
+	}
+	return c.SetDeadline(time.Time{})
+}
