Add the distribution of the configuration

Three processes of each failure domain watch the platform; all others learn the newest pair by gossip, pull what they lack from the peer, and read the platform at a slow interval as a fallback.

A process whose peers answer but lack a part does not wait for the platform, since its peers will have the part soon.

--- /dev/null
+++ b/gossiper/distributor.go
@@ -0,0 +1,360 @@
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"clementineramp/configurer"
+	"clementineramp/platform"
+)
+
+const (
+	defaultInterval = time.Second
+	// pauseThreshold is the delay of a timer that shows that the process was paused.
+	pauseThreshold = time.Second
+	// watcherPoll is how often a process looks whether it has become a watcher.
+	watcherPoll = time.Second
+	// quickWatch is the shortest time in which an unchanged answer to a watch is plausible.
+	quickWatch = 500 * time.Millisecond
+	// startPatience bounds the time for which a starting process insists on the newest configuration that it heard of.
+	startPatience = 10 * time.Second
+)
+
+// DistributorConfig holds the settings and seams of a Distributor.
+type DistributorConfig struct {
+	// Name and Domain are the process's own name and failure domain.
+	Name, Domain string
+	Holder       *configurer.Holder
+	Platform     *platform.Client
+	Gossip       *Gossiper
+	// Hosts returns the newest known list of hosts; an empty list makes the process a watcher.
+	Hosts func() []platform.Host
+	// Interval is the time between exchanges with a random peer; zero means 1 s.
+	Interval time.Duration
+	// Fallback returns the time between fallback reads from the number of hosts and a random number; nil means FallbackInterval.
+	Fallback func(hosts int, u float64) time.Duration
+	// Seed makes the random choices repeatable; zero means a random seed.
+	Seed uint64
+	// Adopted is told each configuration that comes into force; it must not block.
+	Adopted func(*configurer.Snapshot)
+	// Alarm is told when one version has two contents.
+	Alarm func(configurer.Conflict)
+	Log   hclog.Logger
+}
+
+// Distributor brings each published configuration into force at its process.
+type Distributor struct {
+	cfg   DistributorConfig
+	parts *rate.Limiter
+	ready chan struct{}
+	// wake signals hold at most one value, since a receiver acts on the newest state.
+	pushWake, fetchWake, readWake chan struct{}
+
+	// fetching is held during a fetch from a peer.
+	fetching sync.Mutex
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// wanted is the greatest configuration that a peer is known to have and the process lacks.
+	wanted   configurer.Pair
+	wantFrom string
+	// holdUntil is the time before which no part is read from the platform, after a read failed.
+	holdUntil   time.Time
+	failures    int
+	confirmed   time.Time
+	revision    uint64
+	readyClosed bool
+}
+
+// NewDistributor returns a Distributor; Run starts it.
+func NewDistributor(cfg DistributorConfig) *Distributor {
+	if cfg.Interval <= 0 {
+		cfg.Interval = defaultInterval
+	}
+	if cfg.Fallback == nil {
+		cfg.Fallback = FallbackInterval
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	if cfg.Adopted == nil {
+		cfg.Adopted = func(*configurer.Snapshot) {}
+	}
+	if cfg.Alarm == nil {
+		cfg.Alarm = func(configurer.Conflict) {}
+	}
+	if cfg.Log == nil {
+		cfg.Log = hclog.NewNullLogger()
+	}
+	parts := rate.NewLimiter(rate.Limit(partRate(nil, true)), 1)
+	// The limiter begins empty: when the whole fleet starts, the first part read of each process would come in the same second.
+	parts.Allow()
+	return &Distributor{
+		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		parts: parts, ready: make(chan struct{}),
+		pushWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), readWake: make(chan struct{}, 1),
+	}
+}
+
+// Ready is closed when the process has a configuration that is the newest of those that it heard of at its start.
+func (d *Distributor) Ready() <-chan struct{} {
+	return d.ready
+}
+
+// Confirmed returns when the platform last named the configuration in force as its newest; the zero time means never.
+func (d *Distributor) Confirmed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.confirmed
+}
+
+// Note takes a peer's newest configuration; it is the Note function of the process's Gossiper.
+func (d *Distributor) Note(peer string, p configurer.Pair) {
+	r := d.cfg.Holder.Note(p)
+	d.alarm(r)
+	if !r.Wanted {
+		return
+	}
+	d.mu.Lock()
+	if p.Compare(d.wanted) >= 0 {
+		d.wanted, d.wantFrom = p, peer
+	}
+	d.mu.Unlock()
+	signal(d.fetchWake)
+}
+
+// Run distributes until ctx ends.
+func (d *Distributor) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.fetchLoop(ctx) })
+	group.Go(func() error { return d.pushLoop(ctx) })
+	group.Go(func() error {
+		d.start(ctx)
+		group.Go(func() error { return d.watchLoop(ctx) })
+		group.Go(func() error { return d.readLoop(ctx) })
+		group.Go(func() error { return d.gossipLoop(ctx) })
+		return nil
+	})
+	return group.Wait()
+}
+
+// start asks the platform and a few peers at once, and waits until the newest of their configurations is in force.
+func (d *Distributor) start(ctx context.Context) {
+	began := time.Now()
+	for failures := 1; ctx.Err() == nil; failures++ {
+		heard := d.ask(ctx)
+		if d.settled(heard) {
+			break
+		}
+		if time.Since(began) > startPatience && d.cfg.Holder.Snapshot() != nil {
+			d.cfg.Log.Warn("start with a configuration that is not the newest", "newest", heard.String(), "in_force", d.cfg.Holder.Newest().String())
+			break
+		}
+		sleep(ctx, RetryDelay(len(d.cfg.Hosts()), failures, d.float()))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() == nil && !d.readyClosed {
+		d.readyClosed = true
+		close(d.ready)
+	}
+}
+
+// ask returns the greatest valid configuration that the platform or a peer names.
+func (d *Distributor) ask(ctx context.Context) configurer.Pair {
+	var mu sync.Mutex
+	var heard configurer.Pair
+	hear := func(p configurer.Pair) {
+		mu.Lock()
+		defer mu.Unlock()
+		// A configuration that was found invalid is not waited for.
+		if d.cfg.Holder.Note(p).Wanted && p.Compare(heard) > 0 {
+			heard = p
+		}
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		if p, ok := d.read(ctx); ok {
+			hear(p)
+		}
+		return nil
+	})
+	for _, peer := range d.randomPeers(startPeers) {
+		group.Go(func() error {
+			if s, err := d.cfg.Gossip.Announce(ctx, peer); err == nil {
+				hear(s.Newest)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	d.fetch(ctx)
+	return heard
+}
+
+func (d *Distributor) settled(heard configurer.Pair) bool {
+	if d.cfg.Holder.Snapshot() == nil {
+		return false
+	}
+	return !d.cfg.Holder.Note(heard).Wanted
+}
+
+// watchLoop watches the manifest while the process is one of the watchers of its failure domain.
+func (d *Distributor) watchLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !d.isWatcher() {
+			sleep(ctx, watcherPoll)
+			continue
+		}
+		began := time.Now()
+		before := d.lastRevision()
+		v, err := d.cfg.Platform.WatchValue(ctx, configurer.ManifestKey, before)
+		if err != nil {
+			d.platformFailed(ctx, err)
+			continue
+		}
+		d.takeManifest(ctx, v)
+		if v.Revision == before && time.Since(began) < quickWatch {
+			// A platform that does not hold watches must not be asked in a tight loop.
+			sleep(ctx, RetryDelay(len(d.cfg.Hosts()), 1, d.float()))
+		}
+	}
+	return nil
+}
+
+func (d *Distributor) isWatcher() bool {
+	hosts := d.cfg.Hosts()
+	return len(hosts) == 0 || slices.Contains(Watchers(hosts, d.cfg.Domain), d.cfg.Name)
+}
+
+// readLoop reads the manifest at the fallback interval, beginning at a random time in the first one.
+func (d *Distributor) readLoop(ctx context.Context) error {
+	wait := scale(d.interval(), d.float())
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-d.readWake:
+			timer.Stop()
+			// After a pause of many processes at once, their reads are spread.
+			sleep(ctx, scale(minRetry, d.float()))
+		case <-timer.C:
+		}
+		d.read(ctx)
+		wait = d.interval()
+	}
+}
+
+func (d *Distributor) interval() time.Duration {
+	return d.cfg.Fallback(len(d.cfg.Hosts()), d.float())
+}
+
+// read reads the manifest from the platform and returns its pair.
+func (d *Distributor) read(ctx context.Context) (configurer.Pair, bool) {
+	v, err := d.cfg.Platform.Value(ctx, configurer.ManifestKey)
+	if err != nil {
+		d.cfg.Log.Debug("platform read failed", "key", configurer.ManifestKey, "error", err.Error())
+		return configurer.Pair{}, false
+	}
+	return d.takeManifest(ctx, v)
+}
+
+// gossipLoop exchanges state with one random peer at each interval.
+func (d *Distributor) gossipLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		// The jitter keeps processes that started together from exchanging in step.
+		wait := scale(d.cfg.Interval, 0.75+0.5*d.float())
+		began := time.Now()
+		sleep(ctx, wait)
+		if time.Since(began) > wait+pauseThreshold {
+			d.cfg.Log.Warn("process was paused", "seconds", (time.Since(began) - wait).Seconds())
+			signal(d.readWake)
+		}
+		for _, peer := range d.randomPeers(1) {
+			if _, err := d.cfg.Gossip.Exchange(ctx, peer); err != nil {
+				d.cfg.Log.Debug("exchange failed", "peer", peer, "error", err.Error())
+			}
+		}
+	}
+	return nil
+}
+
+// pushLoop tells random peers of each adopted configuration; the state that is sent is the newest at that moment.
+func (d *Distributor) pushLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.pushWake:
+		}
+		var group errgroup.Group
+		for _, peer := range d.randomPeers(pushPeers) {
+			group.Go(func() error {
+				if _, err := d.cfg.Gossip.Announce(ctx, peer); err != nil {
+					d.cfg.Log.Debug("push failed", "peer", peer, "error", err.Error())
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+}
+
+// randomPeers returns the gossip addresses of up to n other hosts.
+func (d *Distributor) randomPeers(n int) []string {
+	var all []string
+	for _, h := range d.cfg.Hosts() {
+		if h.Name != d.cfg.Name && h.Control != "" {
+			all = append(all, h.Control)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+func (d *Distributor) float() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.Float64()
+}
+
+func (d *Distributor) lastRevision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+func (d *Distributor) alarm(r configurer.Result) {
+	if r.Conflict == nil {
+		return
+	}
+	d.cfg.Log.Error("configuration conflict", "version", r.Conflict.Version, "digests", r.Conflict.Digests)
+	d.cfg.Alarm(*r.Conflict)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/gossiper/distributor_test.go
@@ -0,0 +1,351 @@
+package gossiper_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/configurer"
+	"clementineramp/gossiper"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+const patience = 30 * time.Second
+
+// process is one member of a test fleet with its own connections.
+type process struct {
+	host   platform.Host
+	holder *configurer.Holder
+	d      *gossiper.Distributor
+	stop   func()
+
+	mu       sync.Mutex
+	adopted  time.Time
+	alarms   int
+	reverted bool
+	last     configurer.Pair
+}
+
+func (p *process) take(s *configurer.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.adopted = time.Now()
+	p.reverted = p.reverted || s.Pair().Compare(p.last) <= 0
+	p.last = s.Pair()
+}
+
+func (p *process) alarmCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.alarms
+}
+
+type testFleet struct {
+	t         testing.TB
+	platforms []*standin.Platform
+	addresses []string
+	processes []*process
+	hosts     []platform.Host
+	// fallback is never by default, since fallback reads would blur the count of reads per change.
+	fallback func(int, float64) time.Duration
+	config   gossiper.Config
+}
+
+// never is long enough that no first read, which comes at a random part of the interval, falls into a test.
+func never(int, float64) time.Duration { return 100_000 * time.Hour }
+
+func newFleet(t testing.TB, platforms int) *testFleet {
+	f := &testFleet{t: t, fallback: never}
+	for range platforms {
+		p := standin.NewPlatform()
+		srv := httptest.NewServer(p.Handler())
+		t.Cleanup(srv.Close)
+		t.Cleanup(func() { p.SetDown(true) })
+		f.platforms = append(f.platforms, p)
+		f.addresses = append(f.addresses, strings.TrimPrefix(srv.URL, "http://"))
+	}
+	return f
+}
+
+// start starts n processes spread over the failure domains; process i uses platform i modulo their number.
+func (f *testFleet) start(n, domains int) {
+	listeners := make([]net.Listener, n)
+	first := len(f.hosts)
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(f.t, err)
+		listeners[i] = l
+		f.hosts = append(f.hosts, platform.Host{
+			Name: fmt.Sprintf("host-%03d", first+i), Address: "127.0.0.1:1", Control: l.Addr().String(),
+			Domain: fmt.Sprintf("d%d", i%domains), Role: platform.RoleRouter, State: platform.StateLive,
+		})
+	}
+	for _, p := range f.platforms {
+		p.SetHosts(f.hosts)
+	}
+	for i := range n {
+		f.run(listeners[i], f.hosts[first+i], f.addresses[i%len(f.addresses)])
+	}
+}
+
+func (f *testFleet) run(l net.Listener, host platform.Host, platformAddress string) *process {
+	p := &process{host: host, holder: configurer.NewHolder()}
+	cfg := f.config
+	cfg.Name, cfg.Control = host.Name, host.Control
+	cfg.Newest, cfg.Manifest, cfg.Part = p.holder.Newest, p.holder.Manifest, p.holder.Part
+	cfg.Note = func(peer string, pair configurer.Pair) { p.d.Note(peer, pair) }
+	cfg.Key = key
+	g, err := gossiper.New(cfg)
+	require.NoError(f.t, err)
+	hosts := append([]platform.Host(nil), f.hosts...)
+	p.d = gossiper.NewDistributor(gossiper.DistributorConfig{
+		Name: host.Name, Domain: host.Domain, Holder: p.holder, Gossip: g,
+		Platform: platform.New(platform.Config{Addresses: []string{platformAddress}, Timeout: time.Second}),
+		Hosts:    func() []platform.Host { return hosts },
+		Fallback: f.fallback, Adopted: p.take, Seed: uint64(len(f.processes) + 1),
+		Alarm: func(configurer.Conflict) { p.mu.Lock(); p.alarms++; p.mu.Unlock() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = g.Serve(l) })
+	wg.Go(func() { _ = p.d.Run(ctx) })
+	var once sync.Once
+	p.stop = func() {
+		once.Do(func() {
+			cancel()
+			_ = l.Close()
+			g.Close()
+			wg.Wait()
+		})
+	}
+	f.t.Cleanup(p.stop)
+	f.processes = append(f.processes, p)
+	return p
+}
+
+type published struct {
+	manifest []byte
+	parts    [][]byte
+}
+
+func (p published) pair() configurer.Pair {
+	m, _ := configurer.DecodeManifest(p.manifest)
+	return configurer.Pair{Version: m.Version, Digest: configurer.DigestOf(p.manifest)}
+}
+
+func configuration(version uint64, share float64) published {
+	p := published{parts: [][]byte{
+		configurer.EncodePart(configurer.Part{Ranks: []configurer.Rank{{Name: "urgent", TargetMS: 440, Worth: 1, Share: share}}}),
+		configurer.EncodePart(configurer.Part{Pools: []configurer.Pool{{Name: "vavrad", Model: "m", Version: fmt.Sprint(version)}}}),
+		configurer.EncodePart(configurer.Part{Services: []configurer.Service{{Name: "bestall", Workers: []string{"w"}, HorizonMS: 1}}}),
+	}}
+	m := configurer.Manifest{Version: version}
+	for i, data := range p.parts {
+		m.Parts = append(m.Parts, configurer.PartRef{Name: fmt.Sprint("part-", i), Digest: configurer.DigestOf(data)})
+	}
+	p.manifest, _ = json.Marshal(m)
+	return p
+}
+
+func publish(s *standin.Platform, p published) {
+	for _, data := range p.parts {
+		s.SetValue(configurer.PartKey(configurer.DigestOf(data)), data)
+	}
+	s.SetValue(configurer.ManifestKey, p.manifest)
+}
+
+func (f *testFleet) waitFor(pair configurer.Pair) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		for _, p := range f.processes {
+			if p.holder.Newest() != pair {
+				return false
+			}
+		}
+		return true
+	}, patience, 2*time.Millisecond)
+	for _, p := range f.processes {
+		p.mu.Lock()
+		require.False(f.t, p.reverted, "%s reverted", p.host.Name)
+		p.mu.Unlock()
+	}
+}
+
+// lastAdoption returns the time from began until the last process adopted.
+func (f *testFleet) lastAdoption(began time.Time) time.Duration {
+	var last time.Duration
+	for _, p := range f.processes {
+		p.mu.Lock()
+		last = max(last, p.adopted.Sub(began))
+		p.mu.Unlock()
+	}
+	return last
+}
+
+// Guards against a change that does not reach every process, and against reads of the platform that grow with the fleet.
+func TestDistribution(t *testing.T) {
+	for _, n := range []int{12, 30, 60} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			const domains, changes = 3, 5
+			f := newFleet(t, 1)
+			publish(f.platforms[0], configuration(1, 0.5))
+			f.start(n, domains)
+			f.waitFor(configuration(1, 0.5).pair())
+			watchers := 3 * domains
+			settle := func() {
+				require.Eventually(t, func() bool { return f.platforms[0].Waiting() == watchers }, patience, time.Millisecond)
+			}
+			// A process may adopt from a peer before its own first read of the platform.
+			for _, p := range f.processes {
+				<-p.d.Ready()
+			}
+			settle()
+			started := f.platforms[0].Reads()
+			var worst, sum time.Duration
+			for v := uint64(2); v < 2+changes; v++ {
+				c := configuration(v, 0.5)
+				began := time.Now()
+				publish(f.platforms[0], c)
+				f.waitFor(c.pair())
+				took := f.lastAdoption(began)
+				worst, sum = max(worst, took), sum+took
+				settle()
+			}
+			reads := f.platforms[0].Reads() - started
+			t.Logf("%d processes: %d reads at the start; per change in force everywhere after %v on average and %v at worst, %.1f reads",
+				n, started, (sum / changes).Round(time.Millisecond), worst.Round(time.Millisecond), float64(reads)/changes)
+			// Each watcher reads the changed part at most once and watches again.
+			require.LessOrEqual(t, reads, changes*2*watchers)
+		})
+	}
+}
+
+// Guards against a start that needs the platform, and against a start from a stale platform that reverts the process.
+func TestStartFromPeers(t *testing.T) {
+	f := newFleet(t, 1)
+	old, newer := configuration(1, 0.5), configuration(2, 0.5)
+	publish(f.platforms[0], old)
+	f.start(6, 3)
+	f.waitFor(old.pair())
+	publish(f.platforms[0], newer)
+	f.waitFor(newer.pair())
+
+	f.platforms[0].SetDown(true)
+	f.start(2, 2)
+	f.waitFor(newer.pair())
+	for _, p := range f.processes[6:] {
+		<-p.d.Ready()
+		require.True(t, p.d.Confirmed().IsZero(), "the platform is down and can confirm nothing")
+	}
+	f.platforms[0].SetDown(false)
+
+	// The platform now answers from an older copy.
+	publish(f.platforms[0], old)
+	f.platforms[0].SetStale(true)
+	f.start(2, 2)
+	f.waitFor(newer.pair())
+	<-f.processes[len(f.processes)-1].d.Ready()
+	require.Equal(t, newer.pair(), f.processes[len(f.processes)-1].holder.Newest())
+}
+
+// Guards against two halves of a partitioned platform that leave the fleet divided.
+func TestConflict(t *testing.T) {
+	f := newFleet(t, 2)
+	first := configuration(1, 0.5)
+	for _, p := range f.platforms {
+		publish(p, first)
+	}
+	f.start(10, 1)
+	f.waitFor(first.pair())
+	a, b := configuration(2, 0.5), configuration(2, 0.6)
+	winner := a.pair()
+	if b.pair().Compare(winner) > 0 {
+		winner = b.pair()
+	}
+	publish(f.platforms[0], a)
+	publish(f.platforms[1], b)
+	f.waitFor(winner)
+	alarms := 0
+	for _, p := range f.processes {
+		alarms += p.alarmCount()
+		require.LessOrEqual(t, p.alarmCount(), 1)
+	}
+	require.Positive(t, alarms)
+}
+
+// Guards against an invalid configuration that comes into force anywhere or holds back the next one.
+func TestInvalidConfiguration(t *testing.T) {
+	f := newFleet(t, 1)
+	good := configuration(1, 0.5)
+	publish(f.platforms[0], good)
+	f.start(6, 1)
+	f.waitFor(good.pair())
+	publish(f.platforms[0], configuration(2, 1.5))
+	incomplete := configuration(3, 0.5)
+	f.platforms[0].SetValue(configurer.ManifestKey, incomplete.manifest)
+	next := configuration(4, 0.5)
+	publish(f.platforms[0], next)
+	f.waitFor(next.pair())
+}
+
+// Guards against a part that the platform serves late, or refuses for load, being given up.
+func TestLatePart(t *testing.T) {
+	f := newFleet(t, 1)
+	good := configuration(1, 0.5)
+	publish(f.platforms[0], good)
+	f.start(4, 1)
+	f.waitFor(good.pair())
+	late := configuration(2, 0.7)
+	f.platforms[0].SetValue(configurer.ManifestKey, late.manifest)
+	require.Eventually(t, func() bool { return len(f.processes[0].holder.Missing())+len(f.processes[1].holder.Missing()) > 0 }, patience, time.Millisecond)
+	for _, data := range late.parts {
+		f.platforms[0].SetValue(configurer.PartKey(configurer.DigestOf(data)), data)
+	}
+	f.waitFor(late.pair())
+}
+
+// Guards against processes that learn nothing when the watchers of their failure domain are gone but still listed.
+func TestWatchersGone(t *testing.T) {
+	f := newFleet(t, 1)
+	first := configuration(1, 0.5)
+	publish(f.platforms[0], first)
+	f.start(12, 2)
+	f.waitFor(first.pair())
+	gone := gossiper.Watchers(f.hosts, "d0")
+	var left []*process
+	for _, p := range f.processes {
+		if strings.Contains(strings.Join(gone, " "), p.host.Name) {
+			p.stop()
+			continue
+		}
+		left = append(left, p)
+	}
+	f.processes = left
+	next := configuration(2, 0.5)
+	publish(f.platforms[0], next)
+	f.waitFor(next.pair())
+}
+
+// Guards against processes that a change never reaches because gossip reaches nobody.
+func TestFallbackRead(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fallback = func(int, float64) time.Duration { return 300 * time.Millisecond }
+	f.config.Dial = func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+	first := configuration(1, 0.5)
+	publish(f.platforms[0], first)
+	f.start(6, 1)
+	f.waitFor(first.pair())
+	next := configuration(2, 0.5)
+	publish(f.platforms[0], next)
+	f.waitFor(next.pair())
+	require.Eventually(t, func() bool { return !f.processes[0].d.Confirmed().IsZero() }, patience, time.Millisecond)
+}
--- /dev/null
+++ b/gossiper/fetch.go
@@ -0,0 +1,232 @@
+package gossiper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"clementineramp/configurer"
+	"clementineramp/platform"
+)
+
+// parallelParts is the number of parts that are fetched at once, so that a first start does not pay one round trip per part.
+const parallelParts = 8
+
+// takeManifest offers the platform's manifest and fetches what it lists.
+func (d *Distributor) takeManifest(ctx context.Context, v platform.Value) (configurer.Pair, bool) {
+	m, err := configurer.DecodeManifest(v.Data)
+	if err != nil {
+		d.setRevision(v.Revision)
+		d.cfg.Log.Error("platform holds an invalid manifest", "revision", v.Revision, "error", err.Error())
+		return configurer.Pair{}, false
+	}
+	pair := configurer.Pair{Version: m.Version, Digest: configurer.DigestOf(v.Data)}
+	d.setRevision(v.Revision)
+	r, err := d.cfg.Holder.Offer(v.Data)
+	d.taken(r, err)
+	if r.Wanted {
+		d.fetchParts(ctx, "")
+	}
+	newest := d.cfg.Holder.Newest()
+	switch pair.Compare(newest) {
+	case 0:
+		d.confirm()
+	case -1:
+		d.cfg.Log.Warn("platform holds an older configuration", "platform", pair.String(), "in_force", newest.String())
+	}
+	return pair, true
+}
+
+func (d *Distributor) setRevision(revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision = revision
+	d.failures = 0
+}
+
+func (d *Distributor) confirm() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirmed = time.Now()
+}
+
+// platformFailed waits for a time that is spread over the fleet.
+func (d *Distributor) platformFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	d.failures++
+	failures := d.failures
+	d.mu.Unlock()
+	wait := RetryDelay(len(d.cfg.Hosts()), failures, d.float())
+	d.cfg.Log.Warn("platform watch failed", "retry_ms", wait.Milliseconds(), "error", err.Error())
+	sleep(ctx, wait)
+}
+
+// taken reports what the holder did with an offer or a part.
+func (d *Distributor) taken(r configurer.Result, err error) {
+	d.alarm(r)
+	if err != nil {
+		d.cfg.Log.Error("configuration refused", "error", err.Error())
+	}
+	if r.Adopted == nil {
+		return
+	}
+	d.cfg.Log.Info("configuration adopted", "version", r.Adopted.Version, "digest", string(r.Adopted.Digest))
+	d.cfg.Adopted(r.Adopted)
+	signal(d.pushWake)
+}
+
+// fetchLoop fetches the greatest configuration that a peer is known to have.
+func (d *Distributor) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.fetchWake:
+			d.fetch(ctx)
+		}
+	}
+}
+
+// fetch fetches the greatest wanted configuration; a call at the same time waits, so that it returns after the first has ended.
+func (d *Distributor) fetch(ctx context.Context) {
+	d.fetching.Lock()
+	defer d.fetching.Unlock()
+	pair, peer := d.takeWanted()
+	if pair.Version == 0 || !d.cfg.Holder.Note(pair).Wanted {
+		return
+	}
+	data, err := d.cfg.Gossip.Manifest(ctx, peer, pair.Digest)
+	if err != nil {
+		// The peer may have adopted a newer one in the meantime; the next exchange tells.
+		d.cfg.Log.Debug("manifest not fetched", "peer", peer, "configuration", pair.String(), "error", err.Error())
+		return
+	}
+	r, err := d.cfg.Holder.Offer(data)
+	d.taken(r, err)
+	if r.Wanted {
+		d.fetchParts(ctx, peer)
+	}
+}
+
+func (d *Distributor) takeWanted() (configurer.Pair, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pair, peer := d.wanted, d.wantFrom
+	d.wanted, d.wantFrom = configurer.Pair{}, ""
+	return pair, peer
+}
+
+// fetchParts fetches the missing parts from the peer that named the configuration.
+// A process without such a peer reads them from the platform if it is a watcher, else it asks random peers first,
+// so that a start of the whole fleet does not read each part once per process.
+func (d *Distributor) fetchParts(ctx context.Context, peer string) {
+	var peers []string
+	switch {
+	case peer != "":
+		peers = append([]string{peer}, d.randomPeers(1)...)
+	case !d.isWatcher():
+		peers = d.randomPeers(pushPeers)
+	}
+	sources := &partSources{peers: peers}
+	var group errgroup.Group
+	group.SetLimit(parallelParts)
+	for _, digest := range d.cfg.Holder.Missing() {
+		group.Go(func() error {
+			d.fetchPart(ctx, sources, digest)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if len(d.cfg.Holder.Missing()) > 0 && d.isWatcher() {
+		// The watch tells of changes only, so a read that failed is repeated by time.
+		time.AfterFunc(RetryDelay(len(d.cfg.Hosts()), 1, d.float()), func() { signal(d.readWake) })
+	}
+}
+
+// partSources lists the peers to ask for parts; a peer that does not answer is not asked again,
+// since each of 100 parts would wait for the timeout of a frozen peer.
+type partSources struct {
+	mu    sync.Mutex
+	peers []string
+}
+
+func (s *partSources) list() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.peers)
+}
+
+func (s *partSources) drop(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = slices.DeleteFunc(s.peers, func(p string) bool { return p == peer })
+}
+
+func (d *Distributor) fetchPart(ctx context.Context, sources *partSources, digest configurer.Digest) {
+	for _, peer := range sources.list() {
+		data, err := d.cfg.Gossip.Part(ctx, peer, digest)
+		if err == nil {
+			d.addPart(digest, data)
+			return
+		}
+		if trace.IsConnectionProblem(err) {
+			sources.drop(peer)
+		}
+	}
+	// Peers that answer but lack the part will have it soon, when the watchers have read it.
+	wait := d.isWatcher() || len(sources.list()) == 0
+	if data, ok := d.readPart(ctx, digest, wait); ok {
+		d.addPart(digest, data)
+	}
+}
+
+func (d *Distributor) addPart(digest configurer.Digest, data []byte) {
+	d.taken(d.cfg.Holder.AddPart(digest, data))
+}
+
+// readPart reads a part from the platform, at a rate that keeps the fleet within what the platform serves.
+// Without wait it gives up when the rate has no room at the moment.
+func (d *Distributor) readPart(ctx context.Context, digest configurer.Digest, wait bool) ([]byte, bool) {
+	d.parts.SetLimit(rate.Limit(partRate(d.cfg.Hosts(), d.isWatcher())))
+	if wait && !d.held() {
+		_ = d.parts.Wait(ctx)
+	} else if !d.parts.Allow() {
+		return nil, false
+	}
+	if ctx.Err() != nil || d.held() {
+		return nil, false
+	}
+	v, err := d.cfg.Platform.Value(ctx, configurer.PartKey(digest))
+	if err == nil {
+		return v.Data, true
+	}
+	d.hold()
+	if !trace.IsNotFound(err) {
+		d.cfg.Log.Debug("part not read", "digest", string(digest), "error", err.Error())
+		return nil, false
+	}
+	d.cfg.Log.Warn("platform lacks a part that a manifest lists", "digest", string(digest))
+	return nil, false
+}
+
+func (d *Distributor) held() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.holdUntil)
+}
+
+// hold stops part reads for a time, so that a part that the platform lacks is not asked for at each exchange.
+func (d *Distributor) hold() {
+	wait := RetryDelay(len(d.cfg.Hosts()), 1, d.float())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holdUntil = time.Now().Add(wait)
+}
