commander: add standin for trials beside the examples

The stand-ins ran only inside tests, so the example deployments had nothing to talk to. standin platform, engine and service run one stand-in each; standin all starts those of a deployment directory in one process, with model and version from the sheet and the addresses, slots and fencing from the settings of the daemons.

They listen on loopback only and end with code 0 on SIGINT or SIGTERM. A faulty or contradicting file of the directory is shown and starts nothing. Free ports chosen by the command were ruled out for standin all, since the settings name fixed ones; the tests copy the examples to an address of 127.0.0.0/8 of their own instead.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -24,7 +27,10 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"clementinectl": func() {
-			os.Exit(commander.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			code := commander.Run(ctx, os.Args, os.Stdout, os.Stderr)
+			stop()
+			os.Exit(code)
 		},
 	})
 }
@@ -43,10 +49,12 @@
 			}
 			env.Setenv("ADDR", address)
 			env.Setenv("KEY", sharedKey)
+			env.Setenv("LOOPBACK", ownLoopback(2))
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"exitcode": runForCode,
+			"serves":   waitUntilServed,
 		},
 	})
 }
@@ -83,6 +91,23 @@
 	}
 }
 
+// waitUntilServed waits until something listens on an address: serves ADDRESS.
+func waitUntilServed(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: serves ADDRESS")
+	}
+	const tries, pause = 1000, 10 * time.Millisecond
+	for range tries {
+		conn, err := net.Dial("tcp", args[0])
+		if err == nil {
+			ts.Check(conn.Close())
+			return
+		}
+		time.Sleep(pause)
+	}
+	ts.Fatalf("nothing listens on %s", args[0])
+}
+
 const sharedKey = "a key for the tests only"
 
 // startProcess serves the operators' endpoints of a process that stays in the state leaving after a drain.
--- a/commander/root.go
+++ b/commander/root.go
@@ -33,6 +33,7 @@
 		explainCommand(),
 		statusCommand(),
 		drainCommand(),
+		standinCommand(),
 	}
 }
 
--- /dev/null
+++ b/commander/standin.go
@@ -0,0 +1,215 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+const (
+	// platformReadsPerSecond is the rate that the platform serves over all readers.
+	platformReadsPerSecond = 2000
+	// The times of a stand-in engine let a prompt of 1,000 tokens meet a target of 440ms without a cache.
+	enginePrefillPerToken = 100 * time.Microsecond
+	engineTokenInterval   = 20 * time.Millisecond
+	engineLoadTime        = 2 * time.Second
+	defaultSlots          = 16
+)
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run stand-ins of the platform and of upstreams for a trial on loopback",
+		Commands: []*cli.Command{
+			standinPlatformCommand(), standinEngineCommand(), standinServiceCommand(), standinAllCommand(),
+		},
+	}
+}
+
+// listenFlag is the flag of each stand-in that listens on one address.
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "listen", Usage: "loopback `ADDRESS` to listen on; port 0 takes a free port", Required: true,
+		Validator: func(s string) error {
+			address, err := netip.ParseAddrPort(s)
+			if err != nil || !address.Addr().IsLoopback() {
+				return fmt.Errorf("%q is not a loopback IP number and a port, such as 127.0.0.1:9000", s)
+			}
+			return nil
+		},
+	}
+}
+
+func requiredFlag(name, usage string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Required: true}
+}
+
+func standinPlatformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve a sheet and a host list as the platform does",
+		Description: `Compiles the sheet, serves its manifest and parts by key and the host list, and runs until SIGINT or SIGTERM.
+
+Examples:
+  clementinectl standin platform --listen 127.0.0.1:7000 --sheet monday.csv --hosts hosts.json`,
+		Flags: []cli.Flag{
+			listenFlag(),
+			requiredFlag("sheet", "CSV `FILE` of the sheet, or a directory of CSV files"),
+			requiredFlag("hosts", "JSON `FILE` with the host list"),
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			sheet, err := compileShown(cmd, cmd.String("sheet"))
+			if err != nil {
+				return err
+			}
+			hosts, err := readHosts(cmd.String("hosts"))
+			if err != nil {
+				return err
+			}
+			return runStandins(ctx, cmd, func(s *standins) error { return s.platform(cmd.String("listen"), sheet, hosts) })
+		},
+	}
+}
+
+func standinEngineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "serve as a model engine with a batch and a prefix cache",
+		Description: `Gives answers that depend on the request, its seed and the model version only. Runs until SIGINT or SIGTERM.
+
+Examples:
+  clementinectl standin engine --listen 127.0.0.1:9000 --model clementine-8b --version 2026-12-01 --name vavrad-1`,
+		Flags: []cli.Flag{
+			listenFlag(),
+			requiredFlag("model", "`NAME` of the model"),
+			requiredFlag("version", "`VERSION` of the model"),
+			requiredFlag("name", "`NAME` of the engine"),
+			&cli.IntFlag{Name: "slots", Usage: "requests that run at the same time", Value: defaultSlots, Validator: func(n int) error {
+				if n < 1 {
+					return fmt.Errorf("%d is not above 0", n)
+				}
+				return nil
+			}},
+			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse a command with an old fencing number"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runStandins(ctx, cmd, func(s *standins) error {
+				return s.engine(standin.EngineConfig{
+					Name: cmd.String("name"), Address: cmd.String("listen"), Model: cmd.String("model"), Version: cmd.String("version"),
+					Slots: cmd.Int("slots"), ChecksFence: cmd.Bool("checks-fencing"),
+				})
+			})
+		},
+	}
+}
+
+func standinServiceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "serve as a worker of a plain service",
+		Description: `Runs whatever it receives and has no memory of keys. Runs until SIGINT or SIGTERM.
+
+Examples:
+  clementinectl standin service --listen 127.0.0.1:9100 --name bestall-1`,
+		Flags: []cli.Flag{listenFlag(), requiredFlag("name", "`NAME` of the worker")},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runStandins(ctx, cmd, func(s *standins) error { return s.service(cmd.String("name"), cmd.String("listen")) })
+		},
+	}
+}
+
+func standinAllCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "all",
+		Usage:     "run all stand-ins of a deployment in one process",
+		ArgsUsage: "DIR",
+		Description: `DIR holds sheet.csv, hosts.json and settings/*.json, as the directories below examples do. The platform listens
+on the address that the settings name, and a stand-in on the upstream address of each agent. Runs until SIGINT or SIGTERM.
+
+Examples:
+  clementinectl standin all examples/vassmattan`,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			dir, err := oneArgument(cmd, "DIR")
+			if err != nil {
+				return err
+			}
+			d, err := readDeployment(cmd, dir)
+			if err != nil {
+				return err
+			}
+			return runStandins(ctx, cmd, d.start)
+		},
+	}
+}
+
+// standins are the stand-ins of one process.
+type standins struct {
+	cmd  *cli.Command
+	kill []func()
+}
+
+// runStandins starts stand-ins and runs them until ctx ends.
+func runStandins(ctx context.Context, cmd *cli.Command, start func(*standins) error) error {
+	s := &standins{cmd: cmd}
+	defer func() {
+		for _, kill := range s.kill {
+			kill()
+		}
+	}()
+	if err := start(s); err != nil {
+		return err
+	}
+	fmt.Fprintln(cmd.Root().Writer, "ready")
+	<-ctx.Done()
+	return nil
+}
+
+// started takes a stand-in over and says where it listens.
+func (s *standins) started(kind, name, address string, kill func()) {
+	s.kill = append(s.kill, kill)
+	fmt.Fprintf(s.cmd.Root().Writer, "%s %s listens on %s\n", kind, printable(name), address)
+}
+
+func (s *standins) platform(listen string, sheet *compiler.Sheet, hosts []platform.Host) error {
+	p := standin.NewPlatform()
+	p.SetReadRate(platformReadsPerSecond)
+	for _, part := range sheet.Parts {
+		p.SetValue(configurer.PartKey(part.Digest), part.Data)
+	}
+	p.SetValue(configurer.ManifestKey, sheet.Manifest)
+	p.SetHosts(hosts)
+	server, err := standin.Start(listen, p.Handler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.started("platform", fmt.Sprintf("with version %d", sheet.Version), server.Address(), server.Kill)
+	return nil
+}
+
+func (s *standins) engine(cfg standin.EngineConfig) error {
+	cfg.PrefillPerToken, cfg.TokenInterval, cfg.LoadTime = enginePrefillPerToken, engineTokenInterval, engineLoadTime
+	e, err := standin.StartEngine(cfg)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.started("engine", cfg.Name, e.Address(), e.Kill)
+	return nil
+}
+
+func (s *standins) service(name, listen string) error {
+	w, err := standin.StartService(name, listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.started("service", name, w.Address(), w.Kill)
+	return nil
+}
