--- a/commander/root.go
+++ b/commander/root.go
@@ -28,6 +28,8 @@
 // commands lists the commands of the program.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		demoCommand(),
+		measureCommand(),
 		settingsCommand(),
 		sheetCommand(),
 		explainCommand(),
