explainer: explain orders, and follow the agents' answer to chats

Routers no longer skip agents for their load: the chat's own agent refuses and names another engine, and queued work counts in the mean. The explainer therefore uses the skip factor of the launcher, applies the agents' rule to each candidate and follows the advice of the first one. The factor is a copy, because the launcher does not export its own. Where a displaced chat was cached and which slots are free is known to the agents only, so it stays out of the explanation.

--- a/commander/explanation.go
+++ b/commander/explanation.go
@@ -114,14 +114,15 @@
 
 func describeBound(b explainer.Bound) string {
 	if b.Known == 0 {
-		return fmt.Sprintf("%s times the mean; no load is known of %d upstreams, so nothing is above it", decimal(b.Multiple), b.Members)
+		return fmt.Sprintf("%s times the mean; no load is known of %d upstreams, so agents admit without a limit", decimal(b.Multiple), b.Members)
 	}
-	return fmt.Sprintf("%s times the mean of %.0f tokens, known of %d of %d upstreams; routers skip above %.0f, agents admit up to %.0f",
-		decimal(b.Multiple), b.Mean, b.Known, b.Members, b.RouterLimit, b.AgentLimit)
+	return fmt.Sprintf("%s times the mean of %.0f tokens, known of %d of %d upstreams; agents admit up to %.0f",
+		decimal(b.Multiple), b.Mean, b.Known, b.Members, b.Limit)
 }
 
 func printOrder(out io.Writer, o *explainer.Order) error {
 	t := newTable(out)
+	t.row("lands on", orNone(o.Lands))
 	t.row("owner", orNone(o.Owner))
 	t.row("reason", o.Why)
 	t.configuration(o.Configuration)
--- a/explainer/chat.go
+++ b/explainer/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -45,6 +46,9 @@
 	AdmissionQueued Admission = "queued"
 )
 
+// NoteDisplaced is the note of a candidate that the chat's own agent named because it had no room.
+const NoteDisplaced = "named_by_first"
+
 // Attempt is one candidate that the router tries.
 type Attempt struct {
 	Number    int       `json:"number"`
@@ -58,14 +62,12 @@
 // Bound is the load bound of a pool for one request, in tokens.
 type Bound struct {
 	Multiple float64 `json:"multiple"`
-	// Mean is the mean work of the Known upstreams whose load is known, out of Members.
+	// Mean is the mean of the running and queued work of the Known upstreams whose load is known, out of Members.
 	Mean    float64 `json:"mean"`
 	Known   int     `json:"known"`
 	Members int     `json:"members"`
-	// RouterLimit is the work above which a router skips a candidate, and AgentLimit the work up to which an agent
-	// admits; zero means that there is no limit.
-	RouterLimit float64 `json:"router_limit"`
-	AgentLimit  float64 `json:"agent_limit"`
+	// Limit is the work up to which an agent admits; zero means that there is no limit.
+	Limit float64 `json:"limit"`
 }
 
 // Chat explains where a chat request goes.
@@ -126,52 +128,80 @@
 func (e *Explainer) choose(out *Chat) {
 	view := e.tracker.View(out.Pool.Name, e.now)
 	explained := e.chooser.Explain(out.Key, out.Cost, view)
-	choice := explained.Choice
 	mean := e.tracker.Mean(out.Pool.Name, e.now)
-	out.Bound = Bound{
-		Multiple: e.bound, Mean: choice.Mean, Known: choice.Known, Members: mean.Members, RouterLimit: choice.Limit,
-	}
+	// Agents count queued work in the mean, so that a pool with a backlog fills its batches.
+	demand := mean.Work + mean.Queued
+	out.Bound = Bound{Multiple: e.bound, Known: mean.Known, Members: mean.Members}
 	if mean.Known > 0 {
-		out.Bound.AgentLimit = chooser.Limit(chooser.AdmissionBound(e.bound), mean.Work, mean.Known, out.Cost)
+		out.Bound.Mean = demand / float64(mean.Known)
+		out.Bound.Limit = chooser.Limit(chooser.AdmissionBound(e.bound), demand, mean.Known, out.Cost)
+	}
+	out.Reason, out.Ranking = explained.Choice.Reason, explained.Ranking
+	out.Why = why(explained.Choice)
+	e.attempt(out, explained.Choice.Order, demand)
+	if len(out.Attempts) > 0 && out.Attempts[0].Admission == AdmissionRefused {
+		out.Why += fmt.Sprintf("; its agent is above the load bound and refuses, so %s takes the chat", out.Lands)
+	}
+	unreported := 0
+	for _, u := range view {
+		if !e.reported[u.Name] {
+			unreported++
+		}
 	}
-	out.Reason, out.Ranking = choice.Reason, explained.Ranking
-	out.Why = why(choice)
+	if unreported > 0 {
+		out.Notes = append(out.Notes, fmt.Sprintf("no load entry is given for %d of %d upstreams; they count as ready for long and not as loaded",
+			unreported, len(view)))
+	}
+}
+
+// attempt follows the attempts of a router until its candidates are used up.
+func (e *Explainer) attempt(out *Chat, order []chooser.Candidate, demand float64) {
 	out.Attempts = []Attempt{}
-	for i, cand := range choice.Order {
+	for len(order) > 0 {
+		cand := order[0]
+		order = order[1:]
+		first, last := len(out.Attempts) == 0, len(order) == 0
 		a := Attempt{
-			Number: i + 1, Upstream: cand.Name, Address: e.hosts[cand.Name].Address, Domain: cand.Domain, Note: cand.Note,
-			Admission: admission(cand, out.Cost, out.Bound, mean.Work),
+			Number: len(out.Attempts) + 1, Upstream: cand.Name, Address: e.hosts[cand.Name].Address, Domain: cand.Domain,
+			Note: cand.Note, Admission: admission(cand, out.Cost, out.Bound, demand),
 		}
-		if a.Admission == AdmissionRefused && i == len(choice.Order)-1 {
+		if a.Admission == AdmissionRefused && last {
 			a.Admission = AdmissionQueued
 		}
+		if a.Admission == AdmissionRefused && first {
+			order = e.displace(out, cand.Name, order)
+		}
 		if out.Lands == "" && a.Admission != AdmissionRefused {
 			out.Lands = cand.Name
 		}
 		out.Attempts = append(out.Attempts, a)
 	}
-	unreported := 0
-	for _, u := range view {
-		if !e.reported[u.Name] {
-			unreported++
+}
+
+// displace puts the upstream that the chat's own agent names when it has no room before the other candidates.
+func (e *Explainer) displace(out *Chat, own string, order []chooser.Candidate) []chooser.Candidate {
+	view := e.tracker.View(out.Pool.Name, e.now)
+	for _, cand := range e.displacer.Choose(out.Key, out.Cost, view).Order {
+		if cand.Name == own {
+			continue
 		}
+		cand.Note = NoteDisplaced
+		order = slices.DeleteFunc(order, func(c chooser.Candidate) bool { return c.Name == cand.Name })
+		return slices.Insert(order, 0, cand)
 	}
-	if unreported > 0 {
-		out.Notes = append(out.Notes, fmt.Sprintf("no load entry is given for %d of %d upstreams; they count as ready for long and not as loaded",
-			unreported, len(view)))
-	}
+	return order
 }
 
 // admission applies the rule of the agent to what is known of its load.
-func admission(cand chooser.Candidate, cost float64, bound Bound, total float64) Admission {
+func admission(cand chooser.Candidate, cost float64, bound Bound, demand float64) Admission {
 	switch {
 	case !cand.Known:
 		return AdmissionUnknown
 	case cand.Work <= 0:
 		return AdmissionIdle
-	case chooser.Admits(cand.Work, cost, bound.AgentLimit):
+	case chooser.Admits(cand.Work, cost, bound.Limit):
 		return AdmissionWithin
-	case chooser.Even(cand.Work, total, bound.Known):
+	case chooser.Even(cand.Work, demand, bound.Known):
 		return AdmissionEven
 	default:
 		return AdmissionRefused
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -18,6 +18,10 @@
 	"clementineramp/tracker"
 )
 
+// routerSkipFactor is the one with which package launcher configures routers: they skip no agent for its load, because
+// the agent knows its load exactly.
+const routerSkipFactor = 1e6
+
 // Config holds what a router would know.
 type Config struct {
 	Sheet *compiler.Sheet
@@ -26,7 +30,7 @@
 	Load []encoder.LoadEntry
 	// Observations are outcomes that the router saw itself; none are needed.
 	Observations []tracker.Observation
-	// Routing configures the choice; a zero field takes the default of package chooser.
+	// Routing configures the choice; a zero field takes the default of a router. Agents have the same bound.
 	Routing chooser.Config
 }
 
@@ -35,8 +39,10 @@
 	cfg      Config
 	snapshot *configurer.Snapshot
 	tracker  *tracker.Tracker
-	chooser  *chooser.Chooser
-	bound    float64
+	// chooser orders the candidates as a router does, and displacer as an agent does for a chat that it has no room for.
+	chooser   *chooser.Chooser
+	displacer *chooser.Chooser
+	bound     float64
 	// now is the only time at which the tracker is asked, so that an explanation does not depend on the clock.
 	now   time.Time
 	hosts map[string]platform.Host
@@ -50,13 +56,18 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	cfg.Routing.SkipFactor = cmp.Or(cfg.Routing.SkipFactor, routerSkipFactor)
 	c, err := chooser.New(cfg.Routing)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	bound := cmp.Or(cfg.Routing.Bound, chooser.DefaultBound)
+	displacer, err := chooser.New(chooser.Config{Bound: bound})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	e := &Explainer{
-		cfg: cfg, snapshot: snapshot, chooser: c,
-		bound:   cmp.Or(cfg.Routing.Bound, chooser.DefaultBound),
+		cfg: cfg, snapshot: snapshot, chooser: c, displacer: displacer, bound: bound,
 		tracker: tracker.New(tracker.Config{LoadLife: cfg.Routing.LoadLife}),
 		now:     time.Unix(0, 0).UTC(),
 		hosts:   map[string]platform.Host{}, reported: map[string]bool{},
--- a/explainer/order.go
+++ b/explainer/order.go
@@ -48,7 +48,9 @@
 	Key           string          `json:"key,omitempty"`
 	KeyKind       KeyKind         `json:"key_kind"`
 	// Owner is the only agent that may run the order; it is empty if the order has no key.
-	Owner   string   `json:"owner"`
+	Owner string `json:"owner"`
+	// Lands names the agent that gets the order; it is empty if there is none, or if the host list lacks the owner.
+	Lands   string   `json:"lands"`
 	Why     string   `json:"why"`
 	Workers []Worker `json:"workers"`
 	Notes   []string `json:"notes"`
@@ -73,9 +75,7 @@
 		Key: q.Key, Notes: e.notes(),
 	}
 	out.Service.HorizonMS = service.HorizonMS
-	if err := out.decide(q, service); err != nil {
-		return nil, err
-	}
+	e.decide(out, service)
 	for _, name := range service.Workers {
 		out.Workers = append(out.Workers, e.worker(name, name == out.Owner))
 	}
@@ -100,6 +100,6 @@
 	case !ok:
 		return []string{fmt.Sprintf("%s is not in the host list; the answer is \"may have run\", because no other agent knows the history of the key", owner)}
 	default:
-		return []string{fmt.Sprintf("%s is leaving; it answers what it remembers and refuses new orders", owner)}
+		return []string{fmt.Sprintf("%s is leaving and takes no new orders after its grace time", owner)}
 	}
 }
--- a/explainer/owner.go
+++ b/explainer/owner.go
@@ -1,21 +1,60 @@
 package explainer
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/gravitational/trace"
-
+	"clementineramp/chooser"
 	"clementineramp/configurer"
+	"clementineramp/ticketer"
 )
 
 // decide finds the agent that may run the order.
-func (o *Order) decide(q OrderQuery, service configurer.Service) error {
-	horizon := time.Duration(service.HorizonMS) * time.Millisecond
-	if q.Key == "" {
-		o.KeyKind = KeyNone
-		o.Why = "the order has no key, so it is sent to one agent once, and a repeat is a second order"
-		return nil
+func (e *Explainer) decide(out *Order, service configurer.Service) {
+	if out.Key == "" {
+		out.KeyKind = KeyNone
+		out.Lands = e.leastLoaded(service.Name)
+		out.Why = "the order has no key, so it goes to the agent with the least known work, and a repeat is a second order"
+		return
+	}
+	ticket, err := ticketer.ParseTicket(out.Key)
+	if err == nil {
+		out.KeyKind, out.Owner = KeyTicket, ticket.Agent
+		out.Why = fmt.Sprintf("%s issued the ticket in its incarnation %x with serial %d, so no other agent and no other incarnation runs it",
+			ticket.Agent, ticket.Incarnation, ticket.Serial)
+		if ticket.Service != service.Name {
+			out.Notes = append(out.Notes, fmt.Sprintf("the ticket was issued for service %q; the answer is \"may have run\"", ticket.Service))
+		}
+	} else {
+		out.KeyKind = KeyCaller
+		out.Owner = ticketer.Owner(ticketer.Key{Organisation: out.Caller.Organisation, Text: out.Key}, service.Workers)
+		out.Why = fmt.Sprintf("%s owns the key by rendezvous hashing over the %d workers that the sheet lists, whichever of them are live",
+			out.Owner, len(service.Workers))
+		out.Notes = append(out.Notes, fmt.Sprintf("%s runs an unknown key only after it has owned it for %v; before that the answer is \"may have run\"",
+			out.Owner, time.Duration(service.HorizonMS)*time.Millisecond))
+		if ticketer.IsTicket(out.Key) {
+			out.Notes = append(out.Notes, fmt.Sprintf("the key begins like a ticket but is none, so the answer is \"may have run\": %v", err))
+		}
+	}
+	if _, ok := e.hosts[out.Owner]; ok {
+		out.Lands = out.Owner
+	}
+}
+
+// leastLoaded returns the usable agent of a service with the least known work, the first by name among equals.
+func (e *Explainer) leastLoaded(service string) string {
+	best := -1
+	view := e.tracker.View(service, e.now)
+	for i, u := range view {
+		if u.State == chooser.Leaving || u.State == chooser.Down {
+			continue
+		}
+		if best < 0 || u.Work < view[best].Work {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
 	}
-	// The owner must come from the code of the agents, package ticketer, which is not part of this tree yet.
-	return trace.NotImplemented("the owner of a key of service %q (horizon %v) cannot be computed by this version", service.Name, horizon)
+	return view[best].Name
 }
