--- a/commander/root.go
+++ b/commander/root.go
@@ -35,6 +35,7 @@
 		explainCommand(),
 		statusCommand(),
 		drainCommand(),
+		standinCommand(),
 	}
 }
 
