Distribute the configuration by gossip in every process

Each process watched the platform by itself, which at 1,020 processes is over 1,000 waiting watches and as many reads at each change. Now the distributor of package gossiper decides who watches; the reads of the host list after a change are spread over 20 ms a host. A process is ready when it has the newest configuration that it heard of at its start.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -17,6 +17,7 @@
 	"clementineramp/launcher"
 	"clementineramp/loader"
 	"clementineramp/logger"
+	"clementineramp/operator"
 	"clementineramp/platform"
 	"clementineramp/standin"
 )
@@ -184,7 +185,7 @@
 		return nil, trace.Wrap(err)
 	}
 	host := platform.Host{
-		Name: name, Address: p.Address(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
+		Name: name, Address: p.Address(), Control: p.ControlAddress(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
 	}
 	if cfg.Upstream != nil {
 		host.Upstream = cfg.Upstream.Name
@@ -236,7 +237,7 @@
 func (f *Fleet) waitReady() error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, p := range append(append([]*launcher.Process{}, f.Routers...), f.Agents...) {
-		for p.Watcher().Snapshot() == nil || len(p.Watcher().View(Pool)) < f.cfg.Engines || !p.UpstreamReady() {
+		for p.State() != operator.StateReady || len(p.Watcher().View(Pool)) < f.cfg.Engines || !p.UpstreamReady() {
 			if time.Now().After(deadline) {
 				return trace.LimitExceeded("the fleet did not become ready within %v", readyTimeout)
 			}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -42,8 +42,9 @@
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
 		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
-		Forwarder: forwarder.Config{Dial: p.network.Dial},
-		Retries:   retries, Log: p.log, Metrics: p.registry,
+		CountControl: w.CountControl,
+		Forwarder:    forwarder.Config{Dial: p.network.Dial},
+		Retries:      retries, Log: p.log, Metrics: p.registry,
 	}
 }
 
@@ -65,6 +66,11 @@
 		Name: p.cfg.Name, Role: string(p.cfg.Role), Region: p.cfg.Region, FailureDomain: p.cfg.FailureDomain,
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
+	s.Alarms = p.watcher.Alarms()
+	totals := p.budget.Totals()
+	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
+		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
+	}
 	snapshot := p.watcher.Snapshot()
 	if snapshot == nil {
 		return s
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementineramp/agent"
+	"clementineramp/limiter"
 	"clementineramp/loader"
 	"clementineramp/operator"
 	"clementineramp/platform"
@@ -70,7 +72,9 @@
 	incarn   uint64
 
 	listener         net.Listener
+	controlListener  net.Listener
 	operatorListener net.Listener
+	budget           *limiter.ControlBudget
 
 	mu      sync.Mutex
 	state   operator.State
@@ -100,6 +104,10 @@
 	if p.listener, err = p.network.Listen("tcp", p.cfg.Listen.String()); err != nil {
 		return trace.Wrap(err, "listen")
 	}
+	if p.controlListener, err = p.network.Listen("tcp", p.cfg.ControlListen.String()); err != nil {
+		p.closeListeners()
+		return trace.Wrap(err, "control_listen")
+	}
 	if p.operatorListener, err = p.network.Listen("tcp", p.cfg.OperatorListen.String()); err != nil {
 		p.closeListeners()
 		return trace.Wrap(err, "operator_listen")
@@ -112,13 +120,18 @@
 	return p.listener.Addr().String()
 }
 
+// ControlAddress returns the address that the process serves peers on.
+func (p *Process) ControlAddress() string {
+	return p.controlListener.Addr().String()
+}
+
 // OperatorAddress returns the address that the process serves operators on.
 func (p *Process) OperatorAddress() string {
 	return p.operatorListener.Addr().String()
 }
 
 func (p *Process) closeListeners() {
-	for _, l := range []net.Listener{p.listener, p.operatorListener} {
+	for _, l := range []net.Listener{p.listener, p.controlListener, p.operatorListener} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -127,18 +140,21 @@
 
 // assemble joins the view of the fleet and the role.
 func (p *Process) assemble() error {
-	addresses := make([]string, len(p.cfg.Platform))
-	for i, a := range p.cfg.Platform {
-		addresses[i] = a.String()
+	var err error
+	p.budget, err = limiter.NewControlBudget(limiter.ControlConfig{BytesPerSecond: int(p.cfg.Budget.ControlPerSecond)})
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	wcfg := watcher.Config{
 		Self: platform.Host{
-			Name: p.cfg.Name, Address: p.cfg.Listen.String(), Control: p.cfg.ControlListen.String(),
+			Name: p.cfg.Name, Address: p.Address(), Control: p.ControlAddress(),
 			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: platform.StateLive,
 		},
 		Platform: platform.New(platform.Config{
-			Addresses: addresses, HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+			Addresses: texts(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+			Count: func(n int) { p.watcher.CountControl(n) },
 		}),
+		Peers: texts(p.cfg.Peers), SharedKey: p.cfg.SharedKey.Reveal(), Budget: p.budget, Dial: p.network.Dial,
 		Log: p.log, Metrics: p.registry,
 	}
 	switch p.cfg.Role {
@@ -150,8 +166,20 @@
 	return trace.BadParameter("unknown role %q", p.cfg.Role)
 }
 
+// texts returns addresses as text.
+func texts(addresses []netip.AddrPort) []string {
+	list := make([]string, len(addresses))
+	for i, a := range addresses {
+		list[i] = a.String()
+	}
+	return list
+}
+
 func (p *Process) assembleRouter(wcfg watcher.Config) error {
-	p.watcher = watcher.New(wcfg)
+	var err error
+	if p.watcher, err = watcher.New(wcfg); err != nil {
+		return trace.Wrap(err)
+	}
 	r, err := router.New(p.routerConfig())
 	if err != nil {
 		return trace.Wrap(err)
@@ -172,8 +200,10 @@
 		}
 	}
 	wcfg.OnTick = func(time.Time) { p.watcher.Merge(entries(a.Entry())) }
-	p.watcher = watcher.New(wcfg)
 	var err error
+	if p.watcher, err = watcher.New(wcfg); err != nil {
+		return trace.Wrap(err)
+	}
 	if a, err = agent.New(p.agentConfig()); err != nil {
 		return trace.Wrap(err)
 	}
@@ -194,7 +224,7 @@
 		Registry: p.registry, Logger: p.log,
 	})
 	g := &errgroup.Group{}
-	g.Go(func() error { return p.watcher.Run(run) })
+	g.Go(func() error { return p.watcher.Run(run, p.controlListener) })
 	if p.role.run != nil {
 		g.Go(func() error { return p.role.run(run) })
 	}
@@ -275,8 +305,12 @@
 func (p *Process) State() operator.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == operator.StateStarting && p.watcher.Snapshot() != nil {
-		p.state = operator.StateReady
+	if p.state == operator.StateStarting {
+		select {
+		case <-p.watcher.Ready():
+			p.state = operator.StateReady
+		default:
+		}
 	}
 	return p.state
 }
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -2,72 +2,94 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/gravitational/trace"
 
 	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/gossiper"
+	"clementineramp/platform"
 )
 
-// Keys of the platform's values.
-const (
-	manifestKey = "config/manifest"
-	partPrefix  = "config/part/"
-)
+// loadEntries is the number of load entries in an exchange with a peer.
+const loadEntries = 32
 
-// watchConfiguration follows the manifest at the platform.
-func (w *Watcher) watchConfiguration(ctx context.Context) error {
-	revision := uint64(0)
-	return w.follow(ctx, "manifest", func() error {
-		read := w.cfg.Platform.Value
-		if revision > 0 {
-			v, err := w.cfg.Platform.WatchValue(ctx, manifestKey, revision)
-			if err != nil {
-				return err
-			}
-			revision = v.Revision
-			return w.takeManifest(ctx, v.Data)
-		}
-		v, err := read(ctx, manifestKey)
-		if err != nil {
-			return err
-		}
-		revision = v.Revision
-		return w.takeManifest(ctx, v.Data)
-	})
-}
+// maxAlarms bounds the alarms that are shown to operators.
+const maxAlarms = 16
 
-// takeManifest offers a manifest from the platform and reads the parts that it lacks.
-func (w *Watcher) takeManifest(ctx context.Context, data []byte) error {
-	result, err := w.holder.Offer(data)
-	w.applied(result, err)
-	if err != nil {
-		return nil
+// connect joins the view to the gossip with peers.
+func (w *Watcher) connect() error {
+	cfg := gossiper.Config{
+		Name: w.cfg.Self.Name, Control: w.cfg.Self.Control, Key: []byte(w.cfg.SharedKey),
+		Load: w.entries, MergeLoad: w.Merge, Marks: w.cfg.Marks, MergeMarks: w.cfg.MergeMarks,
+		Newest:   w.holder.Newest,
+		Note:     func(peer string, p configurer.Pair) { w.distributor.Note(peer, p) },
+		Manifest: w.holder.Manifest, Part: w.holder.Part,
+		Count: w.CountControl, Allow: w.allow, Log: w.cfg.Log,
 	}
-	for _, digest := range w.holder.Missing() {
-		v, err := w.cfg.Platform.Value(ctx, partPrefix+string(digest))
-		if err != nil {
-			return trace.Wrap(err, "part %s", digest)
-		}
-		result, err := w.holder.AddPart(digest, v.Data)
-		w.applied(result, err)
+	if w.cfg.Dial != nil {
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return w.cfg.Dial(ctx, "tcp", address) }
+	}
+	var err error
+	if w.gossip, err = gossiper.New(cfg); err != nil {
+		return trace.Wrap(err)
 	}
+	w.distributor = gossiper.NewDistributor(gossiper.DistributorConfig{
+		Name: w.cfg.Self.Name, Domain: w.cfg.Self.Domain, Holder: w.holder, Platform: w.cfg.Platform,
+		Gossip: w.gossip, Hosts: w.peers, Adopted: w.adopted, Alarm: w.conflict, Log: w.cfg.Log,
+	})
 	return nil
 }
 
-// applied logs the result of an offer and tells of a new snapshot.
-func (w *Watcher) applied(r configurer.Result, err error) {
-	if err != nil {
-		w.cfg.Log.Error("configuration_refused", "error", err)
+// CountControl counts bytes of control traffic against the budget.
+func (w *Watcher) CountControl(bytes int) {
+	if w.cfg.Budget != nil {
+		w.cfg.Budget.Received(bytes, w.cfg.Now())
 	}
-	if r.Conflict != nil {
-		w.cfg.Log.Error("configuration_conflict", "conflict", r.Conflict.String())
+}
+
+func (w *Watcher) allow(bytes int) bool {
+	return w.cfg.Budget == nil || w.cfg.Budget.Allow(bytes, w.cfg.Now())
+}
+
+// peers returns the hosts to gossip with: those of the list, or the peers of the settings while no list is known.
+func (w *Watcher) peers() []platform.Host {
+	if hosts := w.Hosts(); len(hosts) > 0 || len(w.cfg.Peers) == 0 {
+		return hosts
 	}
-	if r.Adopted == nil {
-		return
+	// The process itself is among them, so that it watches the platform until it knows the list.
+	hosts := []platform.Host{w.cfg.Self}
+	for _, p := range w.cfg.Peers {
+		if p != w.cfg.Self.Control {
+			hosts = append(hosts, platform.Host{Name: p, Control: p})
+		}
 	}
-	w.cfg.Log.Info("configuration_in_force", "version", r.Adopted.Version, "digest", string(r.Adopted.Digest),
-		"organisations", r.Adopted.OrganisationCount())
+	return hosts
+}
+
+// entries returns the load entries for an exchange with a peer.
+func (w *Watcher) entries() []encoder.LoadEntry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Freshest(loadEntries, w.cfg.Now())
+}
+
+// adopted tells of a configuration that came into force.
+func (w *Watcher) adopted(s *configurer.Snapshot) {
+	w.cfg.Log.Info("configuration_in_force", "version", s.Version, "digest", string(s.Digest),
+		"organisations", s.OrganisationCount())
 	if w.cfg.OnSnapshot != nil {
-		w.cfg.OnSnapshot(r.Adopted)
+		w.cfg.OnSnapshot(s)
+	}
+}
+
+// conflict raises the alarm for a version that was published with two contents.
+func (w *Watcher) conflict(c configurer.Conflict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.alarms = append(w.alarms, c.String())
+	if len(w.alarms) > maxAlarms {
+		w.alarms = w.alarms[1:]
 	}
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
@@ -13,6 +16,8 @@
 	"clementineramp/chooser"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
+	"clementineramp/gossiper"
+	"clementineramp/limiter"
 	"clementineramp/platform"
 	"clementineramp/tracker"
 )
@@ -25,6 +30,10 @@
 	// retryMin and retryMax bound the wait after a failed read of the platform.
 	retryMin = 200 * time.Millisecond
 	retryMax = 5 * time.Second
+	// hostsMin is the least spread of the reads after a change of the host list, and hostsPerHost its growth:
+	// at 1,020 processes the reads of one change come to 51 a second.
+	hostsMin     = 500 * time.Millisecond
+	hostsPerHost = 20 * time.Millisecond
 	// piggybackEntries is the number of load entries that travel with each request and answer.
 	piggybackEntries = 8
 )
@@ -35,8 +44,19 @@
 	Self     platform.Host
 	Platform *platform.Client
 	Tracker  tracker.Config
-	Log      hclog.Logger
-	Metrics  metrics.Registry
+	// Peers lists gossip addresses to ask while no host list is known.
+	Peers []string
+	// SharedKey authenticates gossip between the fleet's processes.
+	SharedKey string
+	// Budget bounds the control traffic.
+	Budget *limiter.ControlBudget
+	// Marks returns crash marks to pass on; MergeMarks takes those of a peer. Nil means that the process keeps none.
+	Marks      func() []gossiper.Mark
+	MergeMarks func([]gossiper.Mark)
+	// Dial opens connections to peers; nil means TCP.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Log     hclog.Logger
+	Metrics metrics.Registry
 	// OnSnapshot is told of each configuration that comes into force.
 	OnSnapshot func(*configurer.Snapshot)
 	// OnSelf is told when the platform's list says that this host is leaving.
@@ -53,34 +73,44 @@
 type Watcher struct {
 	cfg    Config
 	holder *configurer.Holder
+	gossip *gossiper.Gossiper
+	// distributor brings published configurations into force.
+	distributor *gossiper.Distributor
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
 	hosts   []platform.Host
 	byName  map[string]platform.Host
-	// confirmed is when the platform last answered with the configuration in force.
-	confirmed time.Time
+	alarms  []string
 }
 
 // New returns a watcher that knows nothing until Run.
-func New(cfg Config) *Watcher {
+func New(cfg Config) (*Watcher, error) {
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
-	return &Watcher{
+	w := &Watcher{
 		cfg: cfg, holder: configurer.NewHolder(),
 		tracker: tracker.New(cfg.Tracker), byName: map[string]platform.Host{},
 	}
+	return w, trace.Wrap(w.connect())
 }
 
-// Run keeps the view until ctx ends.
-func (w *Watcher) Run(ctx context.Context) error {
+// Run keeps the view and answers peers on a listener until ctx ends.
+func (w *Watcher) Run(ctx context.Context, control net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return w.gossip.Serve(control) })
+	g.Go(func() error {
+		<-ctx.Done()
+		_ = control.Close()
+		w.gossip.Close()
+		return nil
+	})
 	g.Go(func() error { return w.watchHosts(ctx) })
-	g.Go(func() error { return w.watchConfiguration(ctx) })
+	g.Go(func() error { return w.distributor.Run(ctx) })
 	g.Go(func() error { return w.housekeep(ctx) })
 	return g.Wait()
 }
@@ -90,11 +120,21 @@
 	return w.holder.Snapshot()
 }
 
+// Ready is closed when the process has the newest configuration that it heard of at its start.
+func (w *Watcher) Ready() <-chan struct{} {
+	return w.distributor.Ready()
+}
+
 // Confirmed returns when the platform last answered with the configuration in force.
 func (w *Watcher) Confirmed() time.Time {
+	return w.distributor.Confirmed()
+}
+
+// Alarms returns the conditions that need an operator.
+func (w *Watcher) Alarms() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.confirmed
+	return slices.Clone(w.alarms)
 }
 
 // View returns what is known of the upstreams of a pool or service.
@@ -200,11 +240,27 @@
 		}
 		if err == nil {
 			w.takeHosts(list.Hosts)
+			// All processes hear of a change at once; the wait spreads their next reads.
+			w.sleep(ctx, scaled(len(list.Hosts)))
 		}
 		return err
 	})
 }
 
+// scaled returns a random wait that keeps the fleet's reads of the list at a constant rate at any size.
+func scaled(hosts int) time.Duration {
+	return rand.N(max(hostsMin, time.Duration(hosts)*hostsPerHost))
+}
+
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // follow calls read again and again, with waits that grow with jitter while it fails.
 func (w *Watcher) follow(ctx context.Context, what string, read func() error) error {
 	wait := retryMin
@@ -218,12 +274,7 @@
 			break
 		}
 		w.cfg.Log.Warn("platform_read_failed", "what", what, "retry_ms", wait.Milliseconds(), "error", err)
-		t := time.NewTimer(wait/2 + rand.N(wait))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		w.sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryMax)
 	}
 	return nil
