Wire the limits on bodies and streams, and announce a planned stop early

A leaving process now says so during its grace time: an agent in its load report, a router in its readiness check, while both still take the work that is on its way. The agent counts its ownership of keys at each tick; before, a caller's own key could never be accepted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -107,6 +107,7 @@
 	end      context.CancelFunc
 
 	mu       sync.Mutex
+	retiring bool
 	leaving  bool
 	requests sync.WaitGroup
 	running  atomic.Int64
@@ -179,6 +180,20 @@
 	a.gate.setRanks(s.Ranks)
 }
 
+// Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
+func (a *Agent) Retire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retiring = true
+}
+
+// Tick counts the time for which the agent has owned the keys of its service; it is called several times a second.
+func (a *Agent) Tick(now time.Time) {
+	if a.cfg.Kind == KindService {
+		a.ledger.Observe(now, a.freshness(a.cfg.Pool))
+	}
+}
+
 // Leave makes the agent refuse new work; it still answers repeats and resumes.
 func (a *Agent) Leave() {
 	a.mu.Lock()
@@ -193,14 +208,14 @@
 func (a *Agent) Stay() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leaving = false
+	a.leaving, a.retiring = false, false
 }
 
-// Leaving reports whether the agent refuses new work.
+// Leaving reports whether routers should send no new work.
 func (a *Agent) Leaving() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.leaving
+	return a.leaving || a.retiring
 }
 
 // Ready reports whether the upstream can take work, as far as the agent knows.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -90,8 +90,13 @@
 	HeaderTime time.Duration
 	// IdleTime closes a connection without requests.
 	IdleTime time.Duration
+	// BodyTime bounds the time to read a body.
+	BodyTime time.Duration
 	// Deadline is the longest time until the first byte of an answer.
 	Deadline time.Duration
+	// StreamTime bounds a request from its arrival to the end of its answer, and StreamBytes the size of the answer.
+	StreamTime  time.Duration
+	StreamBytes int64
 }
 
 // Config says how the edge authenticates and where it passes requests.
@@ -99,8 +104,10 @@
 	Limits Limits
 	// Snapshot returns the configuration in force, or nil while there is none.
 	Snapshot func() *configurer.Snapshot
-	// Ready returns an error while new requests are refused.
-	Ready  func() error
+	// Ready returns an error when the load balancer should send no more requests.
+	Ready func() error
+	// Takes returns an error while new requests are refused.
+	Takes  func() error
 	Chat   func(ctx context.Context, c Chat, emit Emit) error
 	Resume func(ctx context.Context, r Resume, emit Emit) error
 	Ticket func(ctx context.Context, o configurer.Organisation, service string) (Ticket, error)
@@ -120,7 +127,10 @@
 	setDefault(&l.HeaderBytes, 32<<10)
 	setDefault(&l.HeaderTime, 5*time.Second)
 	setDefault(&l.IdleTime, 90*time.Second)
+	setDefault(&l.BodyTime, 30*time.Second)
 	setDefault(&l.Deadline, 30*time.Second)
+	setDefault(&l.StreamTime, 10*time.Minute)
+	setDefault(&l.StreamBytes, 16<<20)
 	e := &Edge{cfg: cfg, echo: echo.New()}
 	e.echo.HideBanner = true
 	e.echo.HTTPErrorHandler = e.routeError
@@ -173,15 +183,16 @@
 }
 
 func (e *Edge) serveReady(c echo.Context) error {
-	if err := e.ready(); err != nil {
+	if err := e.check(e.cfg.Ready); err != nil {
 		return err
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
-func (e *Edge) ready() error {
-	if e.cfg.Ready != nil {
-		if err := e.cfg.Ready(); err != nil {
+// check returns an error while there is no configuration or state returns one.
+func (e *Edge) check(state func() error) error {
+	if state != nil {
+		if err := state(); err != nil {
 			return err
 		}
 	}
@@ -199,7 +210,7 @@
 }
 
 func (e *Edge) authenticate(r *http.Request) (identity, error) {
-	if err := e.ready(); err != nil {
+	if err := e.check(e.cfg.Takes); err != nil {
 		return identity{}, err
 	}
 	snapshot := e.cfg.Snapshot()
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -15,6 +16,11 @@
 )
 
 func (e *Edge) readBody(c echo.Context) ([]byte, error) {
+	// A caller that sends its body slowly must not hold a connection for long; the error only says that the
+	// connection has no deadlines, as in tests.
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(e.cfg.Limits.BodyTime))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	b, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, e.cfg.Limits.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -48,8 +54,17 @@
 	if !chat.Body.Stream {
 		return e.collect(c, chat)
 	}
-	s := &sseWriter{w: c.Response()}
-	return s.finish(e.cfg.Chat(c.Request().Context(), chat, s.emit))
+	ctx, cancel := e.streamContext(c)
+	defer cancel()
+	s := &sseWriter{w: c.Response(), left: e.cfg.Limits.StreamBytes}
+	return s.finish(e.cfg.Chat(ctx, chat, s.emit))
+}
+
+// errStreamTime is the cause of an answer that was ended by the limit on its time.
+var errStreamTime = errors.New("the answer took longer than the limit on streams")
+
+func (e *Edge) streamContext(c echo.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(c.Request().Context(), e.cfg.Limits.StreamTime, errStreamTime)
 }
 
 func (e *Edge) serveResume(c echo.Context) error {
@@ -69,14 +84,18 @@
 		}
 		r.Offset = offset
 	}
-	s := &sseWriter{w: c.Response()}
-	return s.finish(e.cfg.Resume(c.Request().Context(), r, s.emit))
+	ctx, cancel := e.streamContext(c)
+	defer cancel()
+	s := &sseWriter{w: c.Response(), left: e.cfg.Limits.StreamBytes}
+	return s.finish(e.cfg.Resume(ctx, r, s.emit))
 }
 
 // sseWriter writes the events of an answer and decides how a failure reaches the caller.
 type sseWriter struct {
 	w       *echo.Response
 	started bool
+	// left is the number of bytes that the answer may still have.
+	left int64
 }
 
 func (s *sseWriter) emit(ev encoder.Event) error {
@@ -86,6 +105,9 @@
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.w.WriteHeader(http.StatusOK)
 	}
+	if s.left -= int64(len(ev.Data)); s.left < 0 {
+		return judge.Doubt(judge.ReasonInternal, "the answer is larger than the limit on streams")
+	}
 	if err := encoder.WriteEvent(s.w, ev); err != nil {
 		return err
 	}
@@ -122,7 +144,9 @@
 		}
 		return c.Request().Context().Err()
 	}
-	if err := e.cfg.Chat(c.Request().Context(), chat, emit); err != nil {
+	ctx, cancel := e.streamContext(c)
+	defer cancel()
+	if err := e.cfg.Chat(ctx, chat, emit); err != nil {
 		return err
 	}
 	return c.JSON(http.StatusOK, encoder.Chunk{
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -6,8 +6,6 @@
 	"clementineramp/agent"
 	"clementineramp/caller"
 	"clementineramp/chooser"
-	"clementineramp/configurer"
-	"clementineramp/encoder"
 	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
@@ -18,12 +16,6 @@
 // its load exactly and knows where the chat's cached prefix is.
 const noSkip = 1e6
 
-type configSnapshot = configurer.Snapshot
-
-func entries(e ...encoder.LoadEntry) []encoder.LoadEntry {
-	return e
-}
-
 func (p *Process) routerConfig() router.Config {
 	retries, err := limiter.NewRetryBudget(limiter.RetryConfig{Ratio: p.cfg.Routing.RetryRatio})
 	if err != nil {
@@ -34,7 +26,8 @@
 		Name: p.cfg.Name, SharedKey: p.cfg.SharedKey.Reveal(),
 		Limits: caller.Limits{
 			BodyBytes: int64(p.cfg.Limits.BodySize), HeaderBytes: int(p.cfg.Limits.HeaderSize),
-			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime,
+			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime, BodyTime: p.cfg.Limits.BodyTime,
+			StreamTime: p.cfg.Limits.StreamTime, StreamBytes: int64(p.cfg.Limits.StreamSize),
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -15,6 +15,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementineramp/agent"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
 	"clementineramp/limiter"
 	"clementineramp/loader"
 	"clementineramp/operator"
@@ -50,6 +52,8 @@
 	server  *http.Server
 	// run keeps the role's own knowledge until ctx ends; nil means that there is none.
 	run func(ctx context.Context) error
+	// retire tells others that the process is about to leave.
+	retire func()
 	// leave makes the role refuse new requests.
 	leave func()
 	// drain waits until no request is in progress.
@@ -184,14 +188,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	p.role = role{handler: r.Handler(), server: r.Server(), leave: r.Leave, drain: r.Drain, running: r.Running, close: func() {}}
+	p.role = role{handler: r.Handler(), server: r.Server(), retire: r.Retire, leave: r.Leave, drain: r.Drain, running: r.Running, close: func() {}}
 	return nil
 }
 
 func (p *Process) assembleAgent(wcfg watcher.Config) error {
 	wcfg.Self.Upstream = p.cfg.Upstream.Name
 	var a *agent.Agent
-	wcfg.OnSnapshot = func(s *configSnapshot) { a.SetSnapshot(s) }
+	wcfg.OnSnapshot = func(s *configurer.Snapshot) { a.SetSnapshot(s) }
 	wcfg.OnSelf = func(leaving bool) {
 		if leaving {
 			a.Leave()
@@ -199,7 +203,10 @@
 			a.Stay()
 		}
 	}
-	wcfg.OnTick = func(time.Time) { p.watcher.Merge(entries(a.Entry())) }
+	wcfg.OnTick = func(now time.Time) {
+		a.Tick(now)
+		p.watcher.Merge([]encoder.LoadEntry{a.Entry()})
+	}
 	var err error
 	if p.watcher, err = watcher.New(wcfg); err != nil {
 		return trace.Wrap(err)
@@ -209,7 +216,7 @@
 	}
 	p.incarn = a.Incarnation()
 	p.role = role{
-		handler: a.Handler(), run: a.Run, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
+		handler: a.Handler(), run: a.Run, retire: a.Retire, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
 		server: &http.Server{Handler: a.Handler(), ReadHeaderTimeout: p.cfg.Limits.HeaderTime, IdleTimeout: p.cfg.Limits.IdleTime},
 	}
 	return nil
@@ -275,6 +282,7 @@
 func (p *Process) Drain() {
 	p.drain.Do(func() {
 		p.setState(operator.StateLeaving)
+		p.role.retire()
 		go p.carryOutDrain()
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,7 @@
 	attempts int
 
 	mu       sync.Mutex
+	retiring bool
 	leaving  bool
 	requests sync.WaitGroup
 	running  atomic.Int64
@@ -95,7 +96,7 @@
 	cfg.Forwarder.OnReport = r.onReport
 	r.agents = forwarder.New(cfg.Forwarder)
 	r.edge = caller.New(caller.Config{
-		Limits: cfg.Limits, Snapshot: cfg.Snapshot, Ready: r.ready,
+		Limits: cfg.Limits, Snapshot: cfg.Snapshot, Ready: r.ready, Takes: r.takes,
 		Chat: r.chat, Resume: r.resume, Ticket: r.ticket, Order: r.order,
 	})
 	return r, nil
@@ -116,6 +117,13 @@
 	return int(r.running.Load())
 }
 
+// Retire makes the readiness check fail, so that the load balancer stops sending, while requests are still taken.
+func (r *Router) Retire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retiring = true
+}
+
 // Leave makes the router refuse new requests.
 func (r *Router) Leave() {
 	r.mu.Lock()
@@ -139,7 +147,8 @@
 	}
 }
 
-func (r *Router) ready() error {
+// takes returns an error once new requests are refused.
+func (r *Router) takes() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leaving {
@@ -148,6 +157,16 @@
 	return nil
 }
 
+// ready returns an error once the load balancer should send no more.
+func (r *Router) ready() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving || r.retiring {
+		return judge.Refuse(judge.ReasonLeaving, "router %s is leaving", r.cfg.Name)
+	}
+	return nil
+}
+
 // begin counts a request in, unless the router is leaving.
 func (r *Router) begin() (end func(), err error) {
 	r.mu.Lock()
