recorder: drop a wake-up that no reader waits for

Only ended streams are evicted, and the end has already woken their readers, who then find the stream lost by themselves.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -219,7 +219,6 @@
 	s.state = lost
 	s.events = nil
 	s.err = judge.Doubt(judge.ReasonStreamLost, "stream %s was evicted: bound of %s", s.name, cause)
-	s.wakeReaders()
 }
 
 func streamOf(el *list.Element) *Stream {
