quarantiner: refuse and isolate requests that crash engines

A request that crashes its engine is sent again by its caller, so the number of engines that it crashes must be bounded without shared state. Each agent keeps marks and convictions with a lifetime and a bound on their number; routers carry marks along the chat's order, and gossip carries them with the remaining lifetime.

Begin returns a Run that Leave and Finish take, so that the late end of a run that a crash broke does not end a newer run of the same request. Begin also takes what Admit reported, since a mark may expire in the queue; a guilty request that then ran unmarked could reach a third engine. Marks that a router carried are not sent by gossip, and each exchange takes 1 s from the remaining lifetime; otherwise an entry that travels in a circle never expires. A tombstone for cleared marks was ruled out: the agent that gave the mark hands it on until it expires anyway.

At the bound, a mark that is heard gives way to a mark of this agent and to a conviction.

--- /dev/null
+++ b/quarantiner/example_test.go
@@ -0,0 +1,35 @@
+package quarantiner_test
+
+import (
+	"fmt"
+
+	"clementineramp/quarantiner"
+)
+
+func ExampleQuarantine() {
+	const culprit, innocent = 0xbad, 0x900d
+	first := quarantiner.New(quarantiner.Config{})
+	second := quarantiner.New(quarantiner.Config{})
+
+	// The engine of the first agent crashes while both requests run.
+	_, _ = first.Begin(at(0), culprit, false)
+	_, _ = first.Begin(at(0), innocent, false)
+	first.Crash(at(1))
+	fmt.Println(first.Explain())
+
+	// The repeat is refused, and the router carries the mark to the second agent.
+	_, err := first.Admit(at(2), culprit, 0)
+	fmt.Println(err)
+	marked, _ := second.Admit(at(2), culprit, first.Mark(at(2), culprit))
+	_, _ = second.Begin(at(2), culprit, marked)
+	fmt.Println(second.Crash(at(3)))
+	fmt.Println(second.Explain())
+	_, err = second.Admit(at(4), culprit, 1)
+	fmt.Println(err)
+	// Output:
+	// action=crash marked_running=0 marks_given=2 spared=0 running=0 known=2 dropped=0
+	// crash_suspect (not_run): request 0000000000000bad was running when the engine of this agent crashed
+	// [{0000000000000bad 2 true}]
+	// action=crash marked_running=1 marks_given=0 spared=0 convicted=0000000000000bad mark=2 running=0 known=1 dropped=0
+	// crashes_upstream (not_run): request 0000000000000bad crashed its engines and is not run again
+}
