Isolate crash suspects, and tell a waiting request from a frozen agent

Cause 1: a router cut every attempt after 10 s without a first byte, so a slow rank that waited in a queue was taken for a frozen agent. An agent now sends an informational response every 500 ms until the answer begins; the router's limit is the silence between them (3 s). The deadline of a rank is at least twice its target. Cause 2: an engine that is frozen kept its generations for the whole idle time; after three status reads without an answer they are continued elsewhere. Cause 3: the crash marks had no carrier.

--- a/agent/abandon.go
+++ b/agent/abandon.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// endAll ends every running generation with a cause.
+func (b *abandonment) endAll(cause error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, f := range b.streams {
+		if f.cancel != nil {
+			f.cancel(cause)
+		}
+	}
+}
+
 // arm starts the grace time of a stream without followers.
 func (b *abandonment) arm(f *followed) {
 	if f.followers > 0 || f.cancel == nil {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,7 +20,6 @@
 	"clementineramp/engine"
 	"clementineramp/judge"
 	"clementineramp/locator"
-	"clementineramp/quarantiner"
 	"clementineramp/recorder"
 	"clementineramp/service"
 	"clementineramp/ticketer"
@@ -76,6 +75,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// OnCrash is called when a request may have crashed the engine, so that peers hear of the marks soon; it must not block.
+	OnCrash func()
 	// DialUpstream opens connections to the upstream; nil means the network's own.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	Log          hclog.Logger
@@ -93,7 +94,7 @@
 	engineState *engineState
 	gate        *gate
 	recorder    *recorder.Recorder
-	quarantine  *quarantiner.Quarantine
+	suspects    *suspects
 	ledger      *ticketer.Ledger
 	service     *service.Client
 	abandon     *abandonment
@@ -132,6 +133,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.OnCrash == nil {
+		cfg.OnCrash = func() {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -23,9 +23,12 @@
 	env         encoder.Envelope
 	body        encoder.ChatRequest
 	fingerprint quarantiner.Fingerprint
-	slot        *slot
-	stream      *recorder.Stream
-	id          encoder.StreamID
+	// marked says that the request was in flight at a crash, and trial is its present run at the engine.
+	marked bool
+	trial  trial
+	slot   *slot
+	stream *recorder.Stream
+	id     encoder.StreamID
 	// offset is the number of events of the answer so far, with those that the router had before.
 	offset int
 	// tokens counts the events that this agent's engine emitted.
@@ -44,12 +47,14 @@
 		a.refuse(w, env, judge.Refuse(judge.ReasonInvalid, "%w", err))
 		return
 	}
+	beat := startHeartbeat(w)
 	g, refusal, err := a.startGeneration(r.Context(), env, body)
 	if err != nil {
+		beat.stop()
 		a.refuseWith(w, env, refusal, err)
 		return
 	}
-	a.follow(w, r, g.id, g.stream, env.Offset)
+	a.follow(beat, r, g.id, g.stream, env.Offset, g.refusalOf)
 }
 
 // startGeneration admits a request and starts it at the engine.
@@ -75,37 +80,35 @@
 // admit waits until the request may run, or returns the refusal with what the router should know for its next try.
 func (g *generation) admit(ctx context.Context) (encoder.Refusal, error) {
 	a, env := g.agent, g.env
-	version, err := a.engineState.serving(g.body.Model, env.Version)
+	marked, err := a.suspects.admit(g.fingerprint, env.Mark)
 	if err != nil {
-		r := encoder.NewRefusal(err)
-		r.Mark = a.quarantine.Mark(a.cfg.Now(), g.fingerprint)
-		return r, err
+		return g.refusalOf(err), err
 	}
-	g.body.Version = version
-	mark, err := a.quarantine.Admit(a.cfg.Now(), g.fingerprint, env.Mark)
-	if err != nil {
-		r := encoder.NewRefusal(err)
-		r.Mark = mark
-		return r, err
+	if g.body.Version, err = a.engineState.serving(g.body.Model, env.Version); err != nil {
+		return g.refusalOf(err), err
 	}
 	cost := g.body.Cost()
 	if upstream, ok := a.redirect(env, cost); ok {
-		a.quarantine.Leave(g.fingerprint)
 		err := judge.Refuse(judge.ReasonElsewhere, "the prefix of the chat is cached at %s", upstream)
-		r := encoder.NewRefusal(err)
+		r := g.refusalOf(err)
 		r.Try = upstream
 		return r, err
 	}
 	g.slot, err = a.gate.acquire(ctx, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
-		Cost: cost, Deadline: env.Deadline(), Last: env.Last, Suspect: mark > 0,
+		// A refusal for load would change the order of the agents that a marked request meets.
+		Cost: cost, Deadline: env.Deadline(), Last: env.Last || marked, Suspect: marked,
 	})
 	if err != nil {
-		a.quarantine.Leave(g.fingerprint)
-		r := encoder.NewRefusal(err)
-		r.Mark, r.Try = mark, a.displace(env, cost, err)
+		r := g.refusalOf(err)
+		r.Try = a.displace(env, cost, err)
 		return r, err
 	}
+	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
+		g.slot.done(0)
+		return g.refusalOf(err), err
+	}
+	g.marked = marked
 	if env.Home {
 		a.locator.Return(env.ChatKey)
 	}
@@ -130,21 +133,28 @@
 		if !paused {
 			break
 		}
-		if err = g.slot.pause(ctx, g.workLeft()); err != nil {
+		if err = g.resume(ctx); err != nil {
 			break
 		}
 	}
-	if err != nil {
-		err = g.fail(err)
-	} else {
-		a.quarantine.Finish(a.cfg.Now(), g.fingerprint)
-	}
+	err = g.conclude(err)
 	g.slot.done(g.workDone())
 	g.stream.Close(err)
 	a.cfg.Log.Info("generated", "request", g.env.RequestID, "organisation", g.env.Organisation, "rank", g.env.Rank,
 		"stream", g.id.String(), "events", g.tokens, "offset", g.offset, "error", err)
 }
 
+// resume waits for a slot to go on after a pause.
+func (g *generation) resume(ctx context.Context) error {
+	g.agent.suspects.end(g.trial, false)
+	if err := g.slot.pause(ctx, g.workLeft()); err != nil {
+		return err
+	}
+	var err error
+	g.trial, err = g.agent.suspects.begin(g.fingerprint, g.marked)
+	return err
+}
+
 // errPreempted is the cause of a stream that made room for a more urgent one.
 var errPreempted = errors.New("paused for a more urgent request")
 
@@ -167,6 +177,9 @@
 		_ = a.engine.Cancel(a.lifetime, g.body.RequestID)
 		return true, nil
 	}
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errFrozen) {
+		return false, cause
+	}
 	return false, err
 }
 
@@ -193,24 +206,26 @@
 	return max(float64(g.body.AnswerTokens()-g.offset), 1)
 }
 
-// fail learns from a failed generation and returns the error for those who follow it.
-func (g *generation) fail(err error) error {
-	a := g.agent
-	if judge.ReasonOf(err) == judge.ReasonEngineCrashed && a.lifetime.Err() == nil {
-		return a.crashed(g, err)
+// conclude ends the run at the engine and returns the error for those who follow the answer.
+func (g *generation) conclude(err error) error {
+	if judge.ReasonOf(err) == judge.ReasonEngineCrashed {
+		return g.broke(err)
 	}
-	a.quarantine.Leave(g.fingerprint)
+	g.agent.suspects.end(g.trial, err == nil)
 	return err
 }
 
 // follow writes the events of a stream after an offset until it ends or the router leaves.
-func (a *Agent) follow(w http.ResponseWriter, r *http.Request, id encoder.StreamID, s *recorder.Stream, offset int) {
+func (a *Agent) follow(beat *heartbeat, r *http.Request, id encoder.StreamID, s *recorder.Stream, offset int, refusal func(error) encoder.Refusal) {
 	a.abandon.join(s)
 	defer a.abandon.leave(s)
+	defer beat.stop()
+	w := beat.w
 	started := false
 	err := s.ReadFrom(r.Context(), offset, func(ev encoder.Event) error {
 		if !started {
 			started = true
+			beat.stop()
 			a.writeStreamHeader(w, id)
 		}
 		if err := encoder.WriteEvent(w, ev); err != nil {
@@ -218,16 +233,15 @@
 		}
 		return http.NewResponseController(w).Flush()
 	})
+	beat.stop()
 	switch {
 	case err == nil:
 		w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
 	case r.Context().Err() != nil:
 	case !started:
-		refusal := encoder.NewRefusal(err)
-		refusal.Mark = a.markOf(err)
-		a.refuseWith(w, encoder.Envelope{}, refusal, err)
+		a.refuseWith(w, encoder.Envelope{}, refusal(err), err)
 	default:
-		_ = encoder.WriteErrorEvent(w, err)
+		_ = encoder.WriteErrorEvent(w, refusal(err))
 	}
 }
 
@@ -263,5 +277,5 @@
 		a.refuse(w, env, judge.Refuse(judge.ReasonNotFound, "no stream %s of organisation %s", id, env.Organisation))
 		return
 	}
-	a.follow(w, r, id, s, env.Offset)
+	a.follow(startHeartbeat(w), r, id, s, env.Offset, encoder.NewRefusal)
 }
--- a/agent/enginestate.go
+++ b/agent/enginestate.go
@@ -15,11 +15,19 @@
 // pollFast is the time between reads while the engine does not answer, so that it is back in use soon.
 const pollFast = 200 * time.Millisecond
 
+// maxSilent is the number of status reads in a row without an answer after which the engine counts as frozen.
+const maxSilent = 3
+
+// errFrozen is the cause of a generation whose engine keeps its connection and sends nothing.
+var errFrozen = judge.Doubt(judge.ReasonTimeout, "the engine does not answer")
+
 // engineState is what the agent knows of its engine.
 type engineState struct {
 	mu     sync.Mutex
 	status engine.Status
 	alive  bool
+	// silent counts the status reads in a row without an answer.
+	silent int
 	// readySince is when the engine became ready with its present version.
 	readySince time.Time
 }
@@ -46,19 +54,21 @@
 	changed = !s.alive || status.Version != s.status.Version || status.Ready != s.status.Ready || status.Model != s.status.Model
 	s.status = status
 	s.alive = true
+	s.silent = 0
 	if changed {
 		s.readySince = now
 	}
 	return changed
 }
 
-// fail notes that the engine does not answer and reports whether it did before.
-func (s *engineState) fail() (changed bool) {
+// fail notes that the engine does not answer and reports whether it did before, and whether it counts as frozen now.
+func (s *engineState) fail() (changed, frozen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed = s.alive
 	s.alive = false
-	return changed
+	s.silent++
+	return changed, s.silent == maxSilent
 }
 
 func (s *engineState) get() (status engine.Status, alive bool, readySince time.Time) {
@@ -96,9 +106,7 @@
 	defer cancel()
 	status, err := a.engine.Status(ctx)
 	if err != nil {
-		if a.engineState.fail() {
-			a.cfg.Log.Warn("engine_down", "address", a.cfg.Upstream, "error", err)
-		}
+		a.engineFailed(err)
 		return false
 	}
 	if a.engineState.set(status, a.cfg.Now()) {
@@ -106,3 +114,15 @@
 	}
 	return true
 }
+
+// engineFailed notes that the engine did not answer; a frozen engine loses its generations, which routers continue elsewhere.
+func (a *Agent) engineFailed(err error) {
+	changed, frozen := a.engineState.fail()
+	if changed {
+		a.cfg.Log.Warn("engine_down", "address", a.cfg.Upstream, "error", err)
+	}
+	if frozen {
+		a.cfg.Log.Warn("engine_frozen", "address", a.cfg.Upstream, "running", a.Running())
+		a.abandon.endAll(errFrozen)
+	}
+}
--- /dev/null
+++ b/agent/heartbeat.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// heartbeatInterval is the time between two signs of life to a router that waits for the first byte of an answer.
+// A router takes an agent that stays silent for several of them for frozen.
+const heartbeatInterval = 500 * time.Millisecond
+
+// heartbeat sends informational responses until the response itself begins, so that a router can tell a request
+// that waits in the queue from an agent that is frozen.
+type heartbeat struct {
+	w    http.ResponseWriter
+	once sync.Once
+	quit chan struct{}
+	done chan struct{}
+}
+
+func startHeartbeat(w http.ResponseWriter) *heartbeat {
+	b := &heartbeat{w: w, quit: make(chan struct{}), done: make(chan struct{})}
+	go b.run()
+	return b
+}
+
+func (b *heartbeat) run() {
+	defer close(b.done)
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.quit:
+			return
+		case <-t.C:
+			b.w.WriteHeader(http.StatusProcessing)
+		}
+	}
+}
+
+// stop ends the heartbeat and waits until nothing uses the response any more.
+func (b *heartbeat) stop() {
+	b.once.Do(func() { close(b.quit) })
+	<-b.done
+}
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -7,9 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"clementineramp/chooser"
-	"clementineramp/judge"
 	"clementineramp/locator"
-	"clementineramp/quarantiner"
 	"clementineramp/recorder"
 	"clementineramp/service"
 	"clementineramp/ticketer"
@@ -26,7 +24,7 @@
 	setDefault(&a.cfg.TicketLifetime, ticketer.DefaultLifetime)
 	setDefault(&a.cfg.Horizon, ticketer.DefaultHorizon)
 	a.recorder = recorder.New(recorder.Config{Keep: a.cfg.AnswerKeep, Now: a.cfg.Now})
-	a.quarantine = quarantiner.New()
+	a.suspects = newSuspects(a.cfg.Log, a.cfg.Now)
 	a.service = service.New(service.Config{Address: a.cfg.Upstream, Dial: a.cfg.DialUpstream})
 	secret := make([]byte, secretBytes)
 	if _, err := crand.Read(secret); err != nil {
@@ -45,18 +43,3 @@
 	})
 	return trace.Wrap(err)
 }
-
-// crashed learns from an engine that broke the connection of a generation.
-func (a *Agent) crashed(g *generation, err error) error {
-	a.readEngine(a.lifetime)
-	a.quarantine.Leave(g.fingerprint)
-	return err
-}
-
-// markOf returns the crash mark that goes with an error of a generation.
-func (a *Agent) markOf(err error) int {
-	if judge.ReasonOf(err) == judge.ReasonEngineCrashed {
-		return 1
-	}
-	return 0
-}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -27,6 +27,9 @@
 	KeyHeader = "Idempotency-Key"
 )
 
+// deadlineTargets is the number of targets of its rank after which a request without a deadline of its own is refused.
+const deadlineTargets = 2
+
 // maxNameBytes bounds a name that a caller gives in a header.
 const maxNameBytes = 256
 
@@ -222,13 +225,18 @@
 	if !ok {
 		return identity{}, judge.Refuse(judge.ReasonUnauthorised, "the key belongs to no organisation")
 	}
-	id := identity{organisation: organisation, rank: organisation.Rank, deadline: e.cfg.Limits.Deadline}
+	id := identity{organisation: organisation, rank: organisation.Rank}
 	if rank := r.Header.Get(RankHeader); rank != "" {
 		if _, _, known := snapshot.Rank(rank); !known || !organisation.Allows(rank) {
 			return identity{}, judge.Refuse(judge.ReasonInvalid, "header %s: the organisation may not use rank %q", RankHeader, rank)
 		}
 		id.rank = rank
 	}
+	id.deadline = e.cfg.Limits.Deadline
+	if rank, _, ok := snapshot.Rank(id.rank); ok {
+		// A rank with a slow target may wait longer than the general limit.
+		id.deadline = max(id.deadline, deadlineTargets*rank.Target())
+	}
 	if text := r.Header.Get(DeadlineHeader); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 {
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -119,7 +119,7 @@
 	if err == nil || !s.started {
 		return err
 	}
-	if writeErr := encoder.WriteErrorEvent(s.w, err); writeErr != nil {
+	if writeErr := encoder.WriteErrorEvent(s.w, encoder.NewRefusal(err)); writeErr != nil {
 		return nil
 	}
 	_ = http.NewResponseController(s.w).Flush()
--- a/encoder/stream.go
+++ b/encoder/stream.go
@@ -125,7 +125,22 @@
 	if err := json.Unmarshal([]byte(data), &r); err != nil {
 		return judge.Doubt(judge.ReasonBroken, "unreadable error event: %v", err)
 	}
-	return r.Judged()
+	return &EventError{Refusal: r}
+}
+
+// EventError is the refusal in the error event of a stream.
+type EventError struct {
+	Refusal Refusal
+}
+
+// Error describes the refusal in one line.
+func (e *EventError) Error() string {
+	return e.Refusal.Judged().Error()
+}
+
+// Unwrap returns the refusal as an error of package judge.
+func (e *EventError) Unwrap() error {
+	return e.Refusal.Judged()
 }
 
 // WriteEvent writes one event of a stream.
@@ -149,10 +164,10 @@
 }
 
 // WriteErrorEvent writes the event that ends an answer that could not be finished.
-func WriteErrorEvent(w io.Writer, err error) error {
-	b, marshalErr := json.Marshal(NewRefusal(err))
-	if marshalErr != nil {
-		return marshalErr
+func WriteErrorEvent(w io.Writer, r Refusal) error {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return err
 	}
 	m := sse.Message{Type: sse.Type(errorEvent)}
 	m.AppendData(string(b))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"syscall"
 	"time"
@@ -23,6 +25,9 @@
 // maxTail bounds what is read after the closing event of an answer, in bytes.
 const maxTail = 64 << 10
 
+// defaultSilence is several heartbeats of an agent long.
+const defaultSilence = 3 * time.Second
+
 // Config says how a router reaches agents.
 type Config struct {
 	// SharedKey authenticates requests between the fleet's own processes.
@@ -31,6 +36,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
+	// Silence is the longest wait for a sign of life before the first byte of an answer.
+	Silence time.Duration
 	// IdleTimeout ends a stream in which nothing arrives for that long.
 	IdleTimeout time.Duration
 	// OnReport receives the report of each answer and refusal.
@@ -52,6 +59,9 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = time.Second
 	}
+	if cfg.Silence == 0 {
+		cfg.Silence = defaultSilence
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
 	}
@@ -111,9 +121,15 @@
 func (c *Client) stream(ctx context.Context, method, url string, env encoder.Envelope, body []byte, begin func(http.Header), f func(encoder.Event) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	// The first byte is due within the deadline; a frozen agent accepts the connection and sends nothing.
-	timer := time.AfterFunc(env.Deadline(), func() { cancel(errFirstByte) })
+	// A frozen agent accepts the connection and sends nothing, while one that queues the request sends heartbeats.
+	timer := time.AfterFunc(c.cfg.Silence, func() { cancel(errFirstByte) })
 	defer timer.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			timer.Reset(c.cfg.Silence)
+			return nil
+		},
+	})
 	resp, err := c.send(ctx, c.pooled, method, url, env, http.Header{"Content-Type": {"application/json"}}, body)
 	if err != nil {
 		return err
@@ -122,6 +138,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
+	timer.Reset(c.cfg.Silence)
 	begin(resp.Header)
 	idle := c.cfg.IdleTimeout
 	var emitErr error
@@ -149,7 +166,7 @@
 }
 
 var (
-	errFirstByte = errors.New("no first byte within the deadline")
+	errFirstByte = errors.New("no sign of life within the silence limit")
 	errIdle      = errors.New("no event within the idle timeout")
 )
 
@@ -163,9 +180,9 @@
 	if cause := context.Cause(ctx); errors.Is(cause, errIdle) || errors.Is(cause, errFirstByte) {
 		return &Failure{Cause: judge.Doubt(judge.ReasonTimeout, "agent: %w", cause)}
 	}
-	var judged *judge.Error
-	if errors.As(err, &judged) {
-		return &Failure{Cause: judged, Answered: true}
+	var event *encoder.EventError
+	if errors.As(err, &event) {
+		return &Failure{Cause: event.Refusal.Judged(), Mark: event.Refusal.Mark, Answered: true}
 	}
 	return &Failure{Cause: judge.Doubt(judge.ReasonBroken, "agent: %w", err)}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -17,6 +17,7 @@
 	"clementineramp/agent"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
+	"clementineramp/gossiper"
 	"clementineramp/limiter"
 	"clementineramp/loader"
 	"clementineramp/operator"
@@ -203,6 +204,8 @@
 			a.Stay()
 		}
 	}
+	wcfg.Marks = func() []gossiper.Mark { return a.Marks() }
+	wcfg.MergeMarks = func(m []gossiper.Mark) { a.MergeMarks(m) }
 	wcfg.OnTick = func(now time.Time) {
 		a.Tick(now)
 		p.watcher.Merge([]encoder.LoadEntry{a.Entry()})
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -91,8 +91,8 @@
 	Attempts int `json:"attempts" default:"3" min:"1" max:"10"`
 	// Ramp is the time over which the weight of an upstream that has become ready rises to 1. Default: 30s.
 	Ramp time.Duration `json:"ramp" default:"30s" min:"0s" max:"10m"`
-	// FirstByteTimeout is the wait for an agent's answer after which the agent is suspect. Default: 10s.
-	FirstByteTimeout time.Duration `json:"first_byte_timeout" default:"10s" min:"100ms" max:"5m"`
+	// FirstByteTimeout is the wait for a sign of life of an agent after which the agent is suspect. Default: 3s.
+	FirstByteTimeout time.Duration `json:"first_byte_timeout" default:"3s" min:"100ms" max:"5m"`
 	// RetryRatio is the largest ratio of retries to first attempts. Default: 0.1.
 	RetryRatio float64 `json:"retry_ratio" default:"0.1" min:"0" max:"1"`
 }
--- a/router/chat.go
+++ b/router/chat.go
@@ -23,6 +23,9 @@
 // budgetWait is the mean time between two looks at an exhausted retry budget.
 const budgetWait = 200 * time.Millisecond
 
+// minDeadline is given to an agent that continues a begun answer, whose first byte came in time.
+const minDeadline = 5 * time.Second
+
 // maxFailures bounds the agents that one request may find not ready, so that a pool that is down fails fast.
 const maxFailures = 8
 
@@ -92,7 +95,7 @@
 		if !ok {
 			return t.exhausted(judge.ReasonNoUpstream)
 		}
-		err := t.attempt(ctx, next, max(left, t.router.cfg.FirstByte))
+		err := t.attempt(ctx, next, max(left, minDeadline))
 		if err == nil {
 			return nil
 		}
@@ -167,7 +170,7 @@
 	if t.env.Attempt == 0 {
 		r.cfg.Retries.First(r.cfg.Now())
 	}
-	t.env.DeadlineMS = min(left, r.cfg.FirstByte).Milliseconds()
+	t.env.DeadlineMS = left.Milliseconds()
 	t.env.Load = r.cfg.Freshest()
 	t.body.RequestID = t.env.RequestID
 	t.body.Prefix = t.text.String()
--- a/router/router.go
+++ b/router/router.go
@@ -31,7 +31,7 @@
 	SharedKey string
 	Limits    caller.Limits
 	Chooser   chooser.Config
-	// FirstByte is the longest wait for the first byte from one agent before the next is tried.
+	// FirstByte is the longest wait for a sign of life from one agent before the next is tried.
 	FirstByte time.Duration
 	// StreamIdle ends an attempt in which no event arrives for that long.
 	StreamIdle time.Duration
@@ -77,7 +77,7 @@
 // New returns a router; nothing runs until its handler is served.
 func New(cfg Config) (*Router, error) {
 	if cfg.FirstByte == 0 {
-		cfg.FirstByte = 10 * time.Second
+		cfg.FirstByte = 3 * time.Second
 	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
@@ -86,6 +86,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	cfg.Forwarder.SharedKey = cfg.SharedKey
+	cfg.Forwarder.Silence = cfg.FirstByte
 	cfg.Forwarder.IdleTimeout = cfg.StreamIdle
 	cfg.Forwarder.Count = cfg.CountControl
 	ch, err := chooser.New(cfg.Chooser)
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"clementineramp/configurer"
 	"clementineramp/encoder"
@@ -75,6 +77,35 @@
 	return w.tracker.Freshest(loadEntries, w.cfg.Now())
 }
 
+// pushTimeout bounds the telling of all peers of a pool, and pushAtOnce the connections at one time.
+const (
+	pushTimeout = 2 * time.Second
+	pushAtOnce  = 8
+)
+
+// PushMarks tells all agents of a pool of this process's crash marks, in the background. A repeat of a request that
+// crashed its engine may come within a second, sooner than the marks would spread by random exchanges.
+func (w *Watcher) PushMarks(pool string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+		defer cancel()
+		var g errgroup.Group
+		g.SetLimit(pushAtOnce)
+		for _, h := range w.Hosts() {
+			if h.Upstream != pool || h.Name == w.cfg.Self.Name || h.Control == "" {
+				continue
+			}
+			g.Go(func() error {
+				if _, err := w.gossip.Exchange(ctx, h.Control); err != nil {
+					w.cfg.Log.Debug("push_failed", "peer", h.Name, "error", err)
+				}
+				return nil
+			})
+		}
+		_ = g.Wait()
+	}()
+}
+
 // adopted tells of a configuration that came into force.
 func (w *Watcher) adopted(s *configurer.Snapshot) {
 	w.cfg.Log.Info("configuration_in_force", "version", s.Version, "digest", string(s.Digest),
