--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -24,7 +24,7 @@
 		Description: `SIGTERM and SIGINT begin a planned stop, which cuts no request.
 
 Example:
-  clementined --settings examples/vassmattan/router-1.json`,
+  clementined --settings examples/vassmattan/settings/router-1.json`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
 		},
