--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,220 @@
+package planner_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"clementineramp/planner"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		// A fixed seed makes each run of the properties alike.
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	oldVersion = planner.Placement{Model: "clementine-8b", Version: "1"}
+	newVersion = planner.Placement{Model: "clementine-8b", Version: "2"}
+)
+
+func readyPeers(n int, version string) []planner.Peer {
+	var out []planner.Peer
+	for i := range n {
+		out = append(out, planner.Peer{Name: fmt.Sprint("peer-", i), Version: version})
+	}
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	const now = time.Minute
+	desired := planner.Desired{Placement: newVersion, Floor: 0.5}
+	self := planner.Observed{Name: "self", Read: true, ReadAt: now, Loaded: oldVersion, Expected: oldVersion, Fence: 41}
+	done := readyPeers(3, "2")
+	with := func(f func(*planner.Observed)) planner.Observed {
+		o := self
+		f(&o)
+		return o
+	}
+	tests := []struct {
+		name     string
+		desired  planner.Desired
+		observed planner.Observed
+		peers    []planner.Peer
+		want     bool
+		reason   string
+	}{
+		{"turn", desired, self, done, true, "turn"},
+		{"nothing desired", planner.Desired{}, self, done, false, "places nothing"},
+		{"not read", desired, with(func(o *planner.Observed) { o.Read = false }), done, false, "not been read"},
+		{"read before a pause", desired, with(func(o *planner.Observed) { o.ReadAt = now - 10*time.Second }), done, false, "10s ago"},
+		{"placed", desired, with(func(o *planner.Observed) { o.Loaded = newVersion }), done, false, "placed"},
+		{"loading", desired, with(func(o *planner.Observed) { o.Loading = true }), done, false, "loading"},
+		{"settling", desired, with(func(o *planner.Observed) { o.Last.Fence = 42; o.SentAt = now - time.Second }), done, false, "settling"},
+		{"order was ignored", desired, with(func(o *planner.Observed) { o.Last.Fence = 42; o.SentAt = now - 2*time.Second }), done, true, "turn"},
+		{"another command won", desired, with(func(o *planner.Observed) {
+			o.Loaded = planner.Placement{Model: "other", Version: "9"}
+		}), readyPeers(3, "1"), true, "correction: the engine has other@9 instead of clementine-8b@1"},
+		{"correction back to the desired version", planner.Desired{Placement: oldVersion, Floor: 0.5}, with(func(o *planner.Observed) { o.Loaded = newVersion }), readyPeers(3, "1"), true, "correction"},
+		{"floor", desired, self, []planner.Peer{{Name: "a", Version: "2"}, {Name: "b", Down: true, Version: "1"}, {Name: "c", Down: true}}, false, "floor: 1 of 4 workers would stay ready, want 2"},
+		{"empty engine needs no floor", desired, with(func(o *planner.Observed) { o.Loaded = planner.Placement{} }), []planner.Peer{{Name: "b", Down: true}, {Name: "c", Down: true}}, true, "empty engine"},
+		{"floor leaves none", planner.Desired{Placement: newVersion, Floor: 0.9}, self, done, false, "leaves none"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			orders, reason := planner.Plan(now, tt.desired, tt.observed, tt.peers)
+			require.Contains(t, reason, tt.reason)
+			if !tt.want {
+				require.Empty(t, orders)
+				return
+			}
+			require.Len(t, orders, 1)
+			require.Equal(t, tt.desired.Placement, orders[0].Placement)
+			require.Greater(t, orders[0].Fence, tt.observed.Fence)
+			require.Greater(t, orders[0].Fence, tt.observed.Last.Fence)
+		})
+	}
+}
+
+// Guards against an order that was decided before a pause and reaches the engine after newer ones.
+func TestOrderAfterPause(t *testing.T) {
+	o := planner.Order{Decided: time.Minute}
+	require.True(t, o.Current(time.Minute))
+	require.True(t, o.Current(time.Minute+planner.OrderLifetime))
+	require.False(t, o.Current(time.Minute+planner.OrderLifetime+1))
+	require.False(t, o.Current(time.Minute-1), "the clock of another incarnation")
+}
+
+func TestNextRead(t *testing.T) {
+	require.Zero(t, planner.NextRead(planner.Observed{}))
+	o := planner.Observed{Read: true, ReadAt: 10 * time.Second}
+	require.Equal(t, 11*time.Second, planner.NextRead(o))
+	o.Last.Fence, o.SentAt = 1, 10*time.Second
+	require.Equal(t, 12*time.Second, planner.NextRead(o), "a read before the settle time shows the state before the order")
+	o.ReadAt = 12 * time.Second
+	require.Equal(t, 13*time.Second, planner.NextRead(o))
+}
+
+// Guards against two agents that take the same turn because their lists are sorted differently.
+func TestOneTurnPerLane(t *testing.T) {
+	const n = 20
+	desired := planner.Desired{Placement: newVersion, Floor: 0.75}
+	turns := 0
+	for self := range n {
+		var peers []planner.Peer
+		for i := range n {
+			if j := (i*7 + self) % n; j != self {
+				peers = append(peers, planner.Peer{Name: fmt.Sprint("w", j), Version: "1"})
+			}
+		}
+		orders, _ := planner.Plan(0, desired, planner.Observed{Name: fmt.Sprint("w", self), Read: true, Loaded: oldVersion, Expected: oldVersion}, peers)
+		turns += len(orders)
+	}
+	require.Equal(t, planner.DefaultLanes, turns)
+}
+
+// worker is one engine of the rolling-change property.
+type worker struct {
+	loaded    planner.Placement
+	expected  planner.Placement
+	fence     uint64
+	loadsLeft int
+	last      planner.Order
+	sentAt    time.Duration
+	down      bool
+}
+
+// Guards against a rolling change that goes below the floor, uses more lanes than allowed, or never ends,
+// while agents see each other late and some workers are down.
+func TestRollingChange(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(rt, "workers")
+		lag := rapid.IntRange(0, 4).Draw(rt, "lag")
+		maxLanes := rapid.IntRange(1, 6).Draw(rt, "lanes")
+		floor := rapid.SampledFrom([]float64{0, 0.25, 0.5, 0.7, 0.75}).Draw(rt, "floor")
+		desired := planner.Desired{Placement: newVersion, Floor: floor, Lanes: maxLanes}
+		workers := make([]worker, n)
+		down := 0
+		for i := range workers {
+			workers[i] = worker{loaded: oldVersion, expected: oldVersion}
+			if rapid.IntRange(0, 9).Draw(rt, "down") == 0 {
+				workers[i].down = true
+				down++
+			}
+		}
+		// When fewer than this would stay ready, nothing may change.
+		least := int(math.Ceil(floor*float64(n) - 1e-9))
+		canChange := n-down-1 >= least
+		history := [][]worker{append([]worker(nil), workers...)}
+		for step := range 150 {
+			now := time.Duration(step) * time.Second
+			seen := history[max(0, len(history)-1-lag)]
+			for i := range workers {
+				tick(&workers[i], now, desired, fmt.Sprint("w", i), peersOf(seen, i))
+			}
+			history = append(history, append([]worker(nil), workers...))
+			loading, ready := 0, 0
+			for _, w := range workers {
+				if w.loadsLeft > 0 {
+					loading++
+				} else if !w.down {
+					ready++
+				}
+			}
+			if loading > maxLanes {
+				rt.Fatalf("step %d: %d workers load, want at most %d", step, loading, maxLanes)
+			}
+			if loading > 0 && ready < least {
+				rt.Fatalf("step %d: %d of %d ready, want %d", step, ready, n, least)
+			}
+		}
+		for i, w := range workers {
+			if canChange && !w.down && w.loaded != newVersion {
+				rt.Fatalf("worker %d still has %v", i, w.loaded)
+			}
+		}
+	})
+}
+
+func peersOf(workers []worker, self int) []planner.Peer {
+	var peers []planner.Peer
+	for j, w := range workers {
+		if j != self {
+			peers = append(peers, planner.Peer{Name: fmt.Sprint("w", j), Version: w.loaded.Version, Down: w.down})
+		}
+	}
+	return peers
+}
+
+func tick(w *worker, now time.Duration, desired planner.Desired, name string, peers []planner.Peer) {
+	const loadTime = 3
+	if w.down {
+		return
+	}
+	if w.loadsLeft > 0 {
+		w.loadsLeft--
+		if w.loadsLeft == 0 {
+			w.loaded, w.expected = w.last.Placement, w.last.Placement
+		}
+		return
+	}
+	o := planner.Observed{
+		Name: name, Read: true, ReadAt: now, Loaded: w.loaded, Expected: w.expected,
+		Fence: w.fence, Last: w.last, SentAt: w.sentAt,
+	}
+	orders, _ := planner.Plan(now, desired, o, peers)
+	for _, order := range orders {
+		w.last, w.sentAt, w.fence = order, now, order.Fence
+		w.loaded, w.loadsLeft = planner.Placement{}, loadTime
+	}
+}
