Test the start of a whole fleet with 14,000 organisations

A start in which each process reads each part from the platform would exceed its rate at the target size, so the test bounds the reads.

--- a/gossiper/distributor_test.go
+++ b/gossiper/distributor_test.go
@@ -349,3 +349,37 @@
 	f.waitFor(next.pair())
 	require.Eventually(t, func() bool { return !f.processes[0].d.Confirmed().IsZero() }, patience, time.Millisecond)
 }
+
+// Guards against a start of the whole fleet in which each process reads each part from the platform.
+func TestStartOfFleet(t *testing.T) {
+	const organisations, shards, processes, domains = 14_000, 128, 24, 3
+	f := newFleet(t, 1)
+	f.platforms[0].SetReadRate(2000)
+	c := configuration(1, 0.5)
+	var m configurer.Manifest
+	require.NoError(t, json.Unmarshal(c.manifest, &m))
+	for s := range shards {
+		var part configurer.Part
+		for i := s; i < organisations; i += shards {
+			name := fmt.Sprintf("organisation-%05d", i)
+			part.Organisations = append(part.Organisations, configurer.Organisation{Name: name, KeyHash: fmt.Sprintf("%064x", i), Rank: "urgent"})
+		}
+		data := configurer.EncodePart(part)
+		c.parts = append(c.parts, data)
+		m.Parts = append(m.Parts, configurer.PartRef{Name: fmt.Sprintf("organisations-%03d", s), Digest: configurer.DigestOf(data)})
+	}
+	c.manifest, _ = json.Marshal(m)
+	publish(f.platforms[0], c)
+	began := time.Now()
+	f.start(processes, domains)
+	for _, p := range f.processes {
+		<-p.d.Ready()
+	}
+	took := time.Since(began)
+	f.waitFor(c.pair())
+	reads, watchers := f.platforms[0].Reads(), 3*domains
+	t.Logf("%d processes with %d parts each ready after %v: %d reads, at most %d in a second", processes, len(c.parts), took.Round(time.Millisecond), reads, f.platforms[0].PeakReads())
+	require.Equal(t, organisations, f.processes[0].holder.Snapshot().OrganisationCount())
+	// Without peers each process would read each part: 24 * 131 reads.
+	require.Less(t, reads, 2*watchers*len(c.parts))
+}
