Place model versions from the agent

Requests name the expected version; an engine that shows one that was not ordered gets no work until it is corrected.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -160,6 +161,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
+		g.Go(func() error { return a.place(ctx) })
 	}
 	return g.Wait()
 }
@@ -228,7 +230,7 @@
 		return true
 	}
 	status, alive, _ := a.engineState.get()
-	return alive && status.Ready
+	return alive && status.Ready && !a.engineState.isChanging()
 }
 
 // Running returns the number of requests in progress.
@@ -341,12 +343,20 @@
 	if a.cfg.Kind == KindEngine {
 		status, _, since := a.engineState.get()
 		e.Version = status.Version
-		e.NotReady = !a.Ready()
-		e.UptimeMS = now.Sub(since).Milliseconds()
+		// Routers take an uptime of 0 for an upstream that cannot take work now.
+		e.UptimeMS = 0
+		if a.Ready() {
+			e.UptimeMS = max(now.Sub(since).Milliseconds(), 1)
+		}
 	}
 	return e
 }
 
+// controller names this incarnation to the engine.
+func (a *Agent) controller() string {
+	return fmt.Sprintf("%s.%x", a.cfg.Name, a.incarnation)
+}
+
 // newStreamID returns the identity of a new stream.
 func (a *Agent) newStreamID() encoder.StreamID {
 	return encoder.StreamID{Agent: a.cfg.Name, Incarnation: a.incarnation, Serial: a.serial.Add(1)}
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -177,7 +177,7 @@
 		_ = a.engine.Cancel(a.lifetime, g.body.RequestID)
 		return true, nil
 	}
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errFrozen) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errFrozen) || errors.Is(cause, errVersionChange)) {
 		return false, cause
 	}
 	return false, err
--- a/agent/enginestate.go
+++ b/agent/enginestate.go
@@ -7,6 +7,7 @@
 
 	"clementineramp/engine"
 	"clementineramp/judge"
+	"clementineramp/planner"
 )
 
 // pollInterval is the time between two reads of the engine's status.
@@ -18,8 +19,12 @@
 // maxSilent is the number of status reads in a row without an answer after which the engine counts as frozen.
 const maxSilent = 3
 
-// errFrozen is the cause of a generation whose engine keeps its connection and sends nothing.
-var errFrozen = judge.Doubt(judge.ReasonTimeout, "the engine does not answer")
+var (
+	// errFrozen is the cause of a generation whose engine keeps its connection and sends nothing.
+	errFrozen = judge.Doubt(judge.ReasonTimeout, "the engine does not answer")
+	// errVersionChange is the cause of a generation that did not end before a change of the model version.
+	errVersionChange = judge.Doubt(judge.ReasonTimeout, "the engine changes its model version")
+)
 
 // engineState is what the agent knows of its engine.
 type engineState struct {
@@ -28,6 +33,12 @@
 	alive  bool
 	// silent counts the status reads in a row without an answer.
 	silent int
+	// readAt is when the last answer to a status read came.
+	readAt time.Time
+	// changing says that the engine is being emptied for a change of version.
+	changing bool
+	// expected is the placement that the agent last saw in force; the zero value means that none is known.
+	expected planner.Placement
 	// readySince is when the engine became ready with its present version.
 	readySince time.Time
 }
@@ -41,6 +52,10 @@
 		return "", judge.Refuse(judge.ReasonNotReady, "the engine does not answer")
 	case !s.status.Ready || s.status.Model != model:
 		return "", judge.Refuse(judge.ReasonNotReady, "the engine does not serve model %q", model)
+	case s.changing:
+		return "", judge.Refuse(judge.ReasonNotReady, "the engine is about to change its model version")
+	case s.expected.Version != "" && s.expected.Version != s.status.Version:
+		return "", judge.Refuse(judge.ReasonWrongVersion, "the engine serves version %q, which was not ordered", s.status.Version)
 	case version != "" && s.status.Version != version:
 		return "", judge.Refuse(judge.ReasonWrongVersion, "the engine serves version %q, want %q", s.status.Version, version)
 	}
@@ -55,6 +70,7 @@
 	s.status = status
 	s.alive = true
 	s.silent = 0
+	s.readAt = now
 	if changed {
 		s.readySince = now
 	}
@@ -71,6 +87,25 @@
 	return changed, s.silent == maxSilent
 }
 
+// read returns the last status and when it was read.
+func (s *engineState) read() (status engine.Status, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status, s.readAt
+}
+
+func (s *engineState) expect(p planner.Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected = p
+}
+
+func (s *engineState) setChanging(changing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changing = changing
+}
+
 func (s *engineState) get() (status engine.Status, alive bool, readySince time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,6 +118,12 @@
 	return s.status.Version
 }
 
+func (s *engineState) isChanging() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changing
+}
+
 // pollEngine reads the engine's status until ctx ends.
 func (a *Agent) pollEngine(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/chooser/upstream.go
+++ b/chooser/upstream.go
@@ -60,6 +60,8 @@
 	Queued float64 `json:"queued,omitempty"`
 	// WorkAge is the time since the agent measured the load.
 	WorkAge time.Duration `json:"work_age_ns,omitempty"`
+	// Version is the model version that is ready, as the agent last reported it.
+	Version string `json:"version,omitempty"`
 	// Uptime is the time since the upstream became ready, as its agent reports it.
 	Uptime time.Duration `json:"uptime_ns,omitempty"`
 }
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -92,7 +92,7 @@
 	if f.PlatformServer, err = standin.Start("", f.Platform.Handler()); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := f.publish(1); err != nil {
+	if err := f.Publish(1, Version); err != nil {
 		return err
 	}
 	for i := range f.cfg.Engines {
@@ -199,12 +199,12 @@
 	return p, nil
 }
 
-// sheet returns the sheet of the fleet in a version.
-func (f *Fleet) sheet(version uint64) string {
+// sheet returns a version of the fleet's sheet that places a model version.
+func (f *Fleet) sheet(version uint64, modelVersion string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version,number\nversion,%d\n", version)
 	b.WriteString("rank,name,target,worth,share\nrank,urgent,440ms,100,0.5\nrank,normal,2s,10,0.2\nrank,batch,1m,1,0.1\n")
-	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, Version)
+	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, modelVersion)
 	workers := make([]string, f.cfg.Workers)
 	for i := range workers {
 		workers[i] = WorkerName(i)
@@ -218,9 +218,9 @@
 	return b.String()
 }
 
-// publish puts a version of the configuration at the platform.
-func (f *Fleet) publish(version uint64) error {
-	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version))})
+// Publish puts a version of the configuration at the platform, with the model version that the pool should carry.
+func (f *Fleet) Publish(version uint64, modelVersion string) error {
+	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version, modelVersion))})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -94,11 +94,9 @@
 	Queued float64 `json:"b,omitempty"`
 	// AgeMS is the time since the agent measured it, in milliseconds.
 	AgeMS int64 `json:"a"`
-	// UptimeMS is the time since the upstream became ready, in milliseconds.
+	// UptimeMS is the time since the upstream became ready, in milliseconds; 0 means that it is not ready.
 	UptimeMS int64 `json:"t"`
 	Leaving  bool  `json:"l,omitempty"`
-	// NotReady says that the upstream cannot take work now, though its agent answers.
-	NotReady bool `json:"n,omitempty"`
 	// Version is the model version that is ready in the engine.
 	Version string `json:"v,omitempty"`
 }
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -177,6 +177,9 @@
 		State:  e.state(now, cfg),
 		Uptime: e.uptime(now),
 	}
+	if e.reported {
+		u.Version = e.report.Version
+	}
 	if age, ok := e.loadAge(now, cfg); ok {
 		u.Known = true
 		u.Work = e.report.Work
