Let a drained service agent answer repeats for a while

After a service agent has gone nobody can tell whether an order ran, so a caller whose answer was lost in a planned stop got "may have run". The agent now stays 5 s after its last ticket or order. Idempotent calls go to another agent also after a broken connection.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,6 +113,8 @@
 	leaving  bool
 	requests sync.WaitGroup
 	running  atomic.Int64
+	// lastOrder is when the last ticket or order came.
+	lastOrder atomic.Pointer[time.Time]
 }
 
 // New returns an agent; Run keeps it, and its handler serves routers.
@@ -248,6 +250,26 @@
 	}()
 	select {
 	case <-done:
+		return a.linger(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// orderLinger is how long a drained agent still answers repeats after its last order. Callers that lost an answer
+// repeat within seconds, and after the agent has gone nobody can tell them whether the order ran.
+const orderLinger = 5 * time.Second
+
+// linger waits until callers have had time to repeat their last orders.
+func (a *Agent) linger(ctx context.Context) error {
+	last := a.lastOrder.Load()
+	if last == nil {
+		return nil
+	}
+	t := time.NewTimer(last.Add(orderLinger).Sub(a.cfg.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/agent/order.go
+++ b/agent/order.go
@@ -47,6 +47,7 @@
 		return
 	}
 	defer end()
+	a.noteOrder()
 	t, err := a.ledger.Issue(a.cfg.Now())
 	if err != nil {
 		a.refuse(w, env, err)
@@ -59,6 +60,12 @@
 	_ = json.NewEncoder(w).Encode(ticketAnswer{t.String(), a.cfg.TicketLifetime.Milliseconds()})
 }
 
+// noteOrder remembers that a caller may soon repeat an order.
+func (a *Agent) noteOrder() {
+	now := a.cfg.Now()
+	a.lastOrder.Store(&now)
+}
+
 func (a *Agent) takesOrders(env encoder.Envelope) error {
 	if a.cfg.Kind != KindService || env.Service != a.cfg.Pool {
 		return judge.Refuse(judge.ReasonNotFound, "upstream %s is not a worker of service %q", a.cfg.Name, env.Service)
@@ -132,6 +139,7 @@
 	if c.method == http.MethodGet || c.method == http.MethodHead {
 		return a.runOnceOnly(ctx, c)
 	}
+	a.noteOrder()
 	decision, err := a.ledger.Begin(a.cfg.Now(), c.key, c.digest, a.freshness(c.env.Service))
 	if err != nil {
 		return ticketer.Answer{}, err
--- a/router/order.go
+++ b/router/order.go
@@ -37,14 +37,14 @@
 		DeadlineMS: ticketDeadline.Milliseconds(),
 	}
 	var t caller.Ticket
-	err = r.anyAgent(service, env, func(address string) error {
+	err = r.anyAgent(service, env, true, func(address string) error {
 		return r.agents.Ticket(ctx, address, env, &t)
 	})
 	return t, err
 }
 
-// anyAgent calls send with agents of a service until one succeeds or may have run the request.
-func (r *Router) anyAgent(service string, env encoder.Envelope, send func(address string) error) error {
+// anyAgent calls send with agents of a service until one succeeds or, unless it is repeatable, may have run the request.
+func (r *Router) anyAgent(service string, env encoder.Envelope, repeatable bool, send func(address string) error) error {
 	var last error = judge.Refuse(judge.ReasonNoUpstream, "no upstream of service %s is known", service)
 	tried := map[string]bool{}
 	for range r.attempts {
@@ -69,7 +69,7 @@
 		}
 		r.observe(c.Name, f)
 		last = f.Cause
-		if f.Cause.Verdict != judge.NotRun || f.Cause.Reason == judge.ReasonInvalid {
+		if f.Cause.Reason == judge.ReasonInvalid || (f.Cause.Verdict != judge.NotRun && !repeatable) {
 			return last
 		}
 	}
@@ -125,7 +125,7 @@
 func (r *Router) keyless(ctx context.Context, o caller.Order, env encoder.Envelope) (caller.Answer, error) {
 	env.Key = ""
 	var answer caller.Answer
-	err := r.anyAgent(o.Service, env, func(address string) error {
+	err := r.anyAgent(o.Service, env, idempotentMethod(o.Method), func(address string) error {
 		a, err := r.agents.Call(ctx, address, o.Method, o.Path, env, o.Header, o.Body)
 		answer = caller.Answer(a)
 		return err
