Send each call of a plain service once

The thin client followed redirects, as did the router's, which would have sent an order to a second place; and it passed only a few header fields on.

--- a/agent/order.go
+++ b/agent/order.go
@@ -121,16 +121,10 @@
 		return call{}, judge.Refuse(judge.ReasonInvalid, "read body: %w", err)
 	}
 	path := strings.TrimPrefix(r.URL.RequestURI(), callPath)
-	header := http.Header{}
-	for _, name := range []string{"Accept", "Accept-Language", "Content-Type", "User-Agent", "Idempotency-Key"} {
-		if v := r.Header.Values(name); len(v) > 0 {
-			header[http.CanonicalHeaderKey(name)] = v
-		}
-	}
 	return call{
 		env: env, key: ticketer.Key{Organisation: env.Organisation, Text: env.Key},
 		digest: ticketer.DigestOf([]byte(r.Method), []byte(path), body),
-		method: r.Method, path: path, header: header, body: body,
+		method: r.Method, path: path, header: encoder.EndToEnd(r.Header), body: body,
 	}, nil
 }
 
@@ -221,7 +215,7 @@
 	// Once sent, the call goes on without the router, so that its outcome is known for a repeat.
 	ctx, cancel := context.WithTimeout(a.lifetime, callTimeout)
 	defer cancel()
-	answer, err := a.service.Call(ctx, c.method, c.path, c.header, c.body)
+	answer, err := a.service.Call(ctx, service.Request{Method: c.method, Path: c.path, Header: c.header, Body: c.body})
 	if err != nil {
 		var judged *judge.Error
 		if errors.As(err, &judged) {
--- a/caller/order.go
+++ b/caller/order.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"clementineramp/encoder"
 )
 
 func (e *Edge) serveTicket(c echo.Context) error {
@@ -50,6 +52,7 @@
 	for name, values := range answer.Header {
 		h[name] = values
 	}
+	// The body may have been read in another length than the service announced.
 	h.Del("Content-Length")
 	c.Response().WriteHeader(answer.Status)
 	_, _ = c.Response().Write(answer.Body)
@@ -58,11 +61,9 @@
 
 // passedHeader returns the header that a plain service may see: the organisation's key is not part of it.
 func passedHeader(h http.Header) http.Header {
-	out := http.Header{}
-	for _, name := range []string{"Accept", "Accept-Language", "Content-Type", "User-Agent", KeyHeader} {
-		if v := h.Values(name); len(v) > 0 {
-			out[http.CanonicalHeaderKey(name)] = v
-		}
+	out := encoder.EndToEnd(h)
+	for _, name := range []string{"Authorization", "Content-Length", "Cookie"} {
+		out.Del(name)
 	}
 	return out
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -73,10 +73,10 @@
 	}
 	return &Client{
 		cfg: cfg,
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		}},
-		single: &http.Client{Transport: &http.Transport{
+		single: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, DisableKeepAlives: true, DisableCompression: true,
 		}},
 	}
@@ -214,11 +214,7 @@
 	if err != nil {
 		return Order{}, &Failure{Cause: judge.Doubt(judge.ReasonBroken, "agent: %w", err)}
 	}
-	h := resp.Header.Clone()
-	for _, name := range []string{encoder.AnswerHeader, encoder.ReportHeader, "Connection", "Date", "Content-Length"} {
-		h.Del(name)
-	}
-	return Order{Status: resp.StatusCode, Header: h, Body: b}, nil
+	return Order{Status: resp.StatusCode, Header: encoder.EndToEnd(resp.Header), Body: b}, nil
 }
 
 // Ticket asks an agent for a ticket and decodes it into out.
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,127 @@
+package forwarder_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/encoder"
+	"clementineramp/forwarder"
+	"clementineramp/judge"
+)
+
+const sharedKey = "a-key-for-the-tests"
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func envelope() encoder.Envelope {
+	return encoder.Envelope{RequestID: "r1", Organisation: "o", DeadlineMS: 5000}
+}
+
+func chat(t *testing.T, address string, cfg forwarder.Config, f func(encoder.Event) error) error {
+	cfg.SharedKey = sharedKey
+	c := forwarder.New(cfg)
+	body := encoder.ChatRequest{Model: "m", Messages: []encoder.Message{{Role: "user", Content: "x"}}}
+	return c.Chat(t.Context(), address, envelope(), body, func(http.Header) {}, f)
+}
+
+func ignore(encoder.Event) error { return nil }
+
+// Guards against a failure on the way to an agent getting a verdict that is not true.
+func TestChatVerdicts(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing := l.Addr().String()
+	require.NoError(t, l.Close())
+	hold := make(chan struct{})
+	defer close(hold)
+
+	tests := []struct {
+		name     string
+		address  string
+		verdict  judge.Verdict
+		reason   judge.Reason
+		answered bool
+	}{
+		{"connection refused", refusing, judge.NotRun, judge.ReasonUnreachable, false},
+		{"broken without an answer", serve(t, func(http.ResponseWriter, *http.Request) {
+			panic(http.ErrAbortHandler)
+		}), judge.MayHaveRun, judge.ReasonBroken, false},
+		{"frozen", serve(t, func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-hold:
+			case <-r.Context().Done():
+			}
+		}), judge.MayHaveRun, judge.ReasonTimeout, false},
+		{"refused", serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			encoder.NewRefusal(judge.Refuse(judge.ReasonBound, "full")).Write(w)
+		}), judge.NotRun, judge.ReasonBound, true},
+		{"error without a verdict", serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "oops", http.StatusInternalServerError)
+		}), judge.MayHaveRun, judge.ReasonInternal, false},
+		{"ended without the closing event", serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_ = encoder.WriteEvent(w, encoder.Event{Data: `{"id":"x","choices":[]}`})
+		}), judge.MayHaveRun, judge.ReasonBroken, false},
+		{"error event", serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_ = encoder.WriteErrorEvent(w, encoder.NewRefusal(judge.Doubt(judge.ReasonEngineCrashed, "gone")))
+		}), judge.MayHaveRun, judge.ReasonEngineCrashed, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := chat(t, tt.address, forwarder.Config{Silence: 100 * time.Millisecond}, ignore)
+			var f *forwarder.Failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, tt.verdict, f.Cause.Verdict)
+			require.Equal(t, tt.reason, f.Cause.Reason)
+			require.Equal(t, tt.answered, f.Answered)
+		})
+	}
+}
+
+// Guards against a request that waits in an agent's queue being taken for one at a frozen agent.
+func TestHeartbeatExtendsSilence(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 20 {
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(http.StatusProcessing)
+		}
+		_ = encoder.WriteEvent(w, encoder.DoneEvent(""))
+	})
+	require.NoError(t, chat(t, address, forwarder.Config{Silence: 200 * time.Millisecond}, ignore))
+}
+
+// Guards against an error of the caller's connection being blamed on the agent.
+func TestEmitErrorIsReturned(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _ = encoder.WriteEvent(w, encoder.DoneEvent("")) })
+	gone := errors.New("caller is gone")
+	err := chat(t, address, forwarder.Config{}, func(encoder.Event) error { return gone })
+	require.ErrorIs(t, err, gone)
+}
+
+// Guards against a redirect of a service sending an order to a second place.
+func TestCallPassesRedirectOn(t *testing.T) {
+	calls := 0
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		require.True(t, encoder.Verify(sharedKey, r.Header.Get(encoder.EnvelopeHeader), r.Header.Get(encoder.SignatureHeader)))
+		w.Header().Set(encoder.AnswerHeader, "1")
+		w.Header().Set("Location", "/v1/call/other")
+		w.WriteHeader(http.StatusSeeOther)
+	})
+	c := forwarder.New(forwarder.Config{SharedKey: sharedKey})
+	a, err := c.Call(t.Context(), address, http.MethodPost, "/orders", envelope(), http.Header{}, []byte("x"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusSeeOther, a.Status)
+	require.Equal(t, "/v1/call/other", a.Header.Get("Location"))
+	require.Empty(t, a.Header.Get(encoder.AnswerHeader))
+	require.Equal(t, 1, calls)
+}
