--- a/ticketer/ledger.go
+++ b/ticketer/ledger.go
@@ -201,7 +201,7 @@
 // Ledger remembers the orders of one service at one incarnation of its agent; it is safe for concurrent use.
 type Ledger struct {
 	cfg Config
-	// hold is the active time for which an owner must have held a key before it runs an unknown one.
+	// hold is the active time for which an owner must have held a key, and more, before it runs an unknown one.
 	// A former owner runs orders until its confirmation is stale, and each of them may be repeated for the horizon.
 	hold time.Duration
 
@@ -353,9 +353,10 @@
 	if !l.tenure.confirmedAt(now) {
 		return judge.Doubt(judge.ReasonKeyUnknown, "the configuration was not confirmed within %v; %s", l.tenure.staleness, advice)
 	}
+	// At exactly the holding time, the last repeat of the last order of a former owner may still arrive.
 	// No retry time is given: an invitation to repeat after the horizon would defeat it.
-	if held < l.hold {
-		return judge.Doubt(judge.ReasonKeyUnknown, "the key's owner changed or started less than %v ago; %s", l.hold, advice)
+	if held <= l.hold {
+		return judge.Doubt(judge.ReasonKeyUnknown, "the key's owner changed or started within %v; %s", l.hold, advice)
 	}
 	if l.full() {
 		// "Not run" would have to be remembered, and there is no room for it.
