Run callers' own keys in a new fleet without waiting for the horizon

Ruled out: witnesses at other workers, which is a replicated store; a shorter horizon, which lets a late repeat run twice. Now the age and the first configuration of the fleet pass from process to process.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -68,6 +68,10 @@
 	Snapshot func() *configurer.Snapshot
 	// Confirmed returns when the platform last confirmed the configuration in force.
 	Confirmed func() time.Time
+	// Opened returns since when the fleet has been old enough for orders with callers' own keys, and its first configuration.
+	Opened func() (time.Time, configurer.Pair)
+	// LearnFleet takes what a router knows of the past of the fleet.
+	LearnFleet func(encoder.Fleet)
 	// Mean returns the known load of a pool.
 	Mean func(pool string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
@@ -332,6 +336,7 @@
 		return env, judge.Refuse(judge.ReasonInvalid, "%w", err)
 	}
 	a.cfg.Merge(env.Load)
+	a.cfg.LearnFleet(env.Fleet)
 	return env, nil
 }
 
--- a/agent/order.go
+++ b/agent/order.go
@@ -157,7 +157,11 @@
 		return ticketer.Freshness{}
 	}
 	svc, _ := s.Service(name)
-	return ticketer.Freshness{Workers: svc.Workers, Confirmed: a.cfg.Confirmed()}
+	opened, first := a.cfg.Opened()
+	return ticketer.Freshness{
+		Workers: svc.Workers, Confirmed: a.cfg.Confirmed(),
+		Configuration: s.Pair(), Opened: opened, First: first,
+	}
 }
 
 func await(ctx context.Context, p *ticketer.Pending) (ticketer.Answer, error) {
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -30,6 +30,9 @@
 	AnswerHeader = "Clementine-Answer"
 )
 
+// maxNameBytes bounds the name of a process.
+const maxNameBytes = 256
+
 // maxHeaderBytes bounds a decoded header, so that a faulty peer cannot make a process allocate without limit.
 const maxHeaderBytes = 16 << 10
 
@@ -59,6 +62,8 @@
 	Key string `json:"key,omitempty"`
 	// ConfigVersion is the version of the configuration by which the router chose the agent.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// Fleet is what the router knows of the past of the fleet; it is sent with orders only.
+	Fleet Fleet `json:"fleet,omitzero"`
 	// Load holds the freshest entries of the sender's load table.
 	Load []LoadEntry `json:"load,omitempty"`
 }
@@ -80,6 +85,9 @@
 	case e.Mark < 0:
 		return fmt.Errorf("field mark is %d, want 0 or more", e.Mark)
 	}
+	if err := e.Fleet.Check(); err != nil {
+		return err
+	}
 	return checkLoad(e.Load)
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -46,6 +46,9 @@
 	// Marks returns the crash marks to send; MergeMarks takes those of a peer.
 	Marks      func() []Mark
 	MergeMarks func([]Mark)
+	// Fleet returns what the process knows of the past of the fleet; LearnFleet takes what a peer knows.
+	Fleet      func() encoder.Fleet
+	LearnFleet func(encoder.Fleet)
 	// Newest returns the configuration in force; Note takes that of a peer with the peer's gossip address.
 	Newest func() configurer.Pair
 	Note   func(peer string, p configurer.Pair)
@@ -107,6 +110,12 @@
 	if cfg.MergeMarks == nil {
 		cfg.MergeMarks = func([]Mark) {}
 	}
+	if cfg.Fleet == nil {
+		cfg.Fleet = func() encoder.Fleet { return encoder.Fleet{} }
+	}
+	if cfg.LearnFleet == nil {
+		cfg.LearnFleet = func(encoder.Fleet) {}
+	}
 	if cfg.Newest == nil {
 		cfg.Newest = func() configurer.Pair { return configurer.Pair{} }
 	}
@@ -200,7 +209,7 @@
 
 // state returns what the process knows now; without room in the budget it holds the configuration only.
 func (g *Gossiper) state(full bool) State {
-	s := State{Protocol: Protocol, Name: g.cfg.Name, Control: g.cfg.Control, Newest: g.cfg.Newest()}
+	s := State{Protocol: Protocol, Name: g.cfg.Name, Control: g.cfg.Control, Newest: g.cfg.Newest(), Fleet: g.cfg.Fleet()}
 	if full {
 		s.Load = g.cfg.Load()
 		s.Marks = g.cfg.Marks()
@@ -209,6 +218,7 @@
 }
 
 func (g *Gossiper) merge(s State, address string) {
+	g.cfg.LearnFleet(s.Fleet)
 	if len(s.Load) > 0 {
 		g.cfg.MergeLoad(s.Load)
 	}
--- a/gossiper/wire.go
+++ b/gossiper/wire.go
@@ -44,6 +44,8 @@
 	Control string              `json:"a,omitempty"`
 	Load    []encoder.LoadEntry `json:"l,omitempty"`
 	Marks   []Mark              `json:"m,omitempty"`
+	// Fleet is what the sender knows of the past of the fleet.
+	Fleet encoder.Fleet `json:"f"`
 	// Newest is the configuration in force at the sender; the zero pair means none.
 	Newest configurer.Pair `json:"c"`
 }
@@ -70,6 +72,9 @@
 	if _, err := netip.ParseAddrPort(s.Control); s.Control != "" && err != nil {
 		return fmt.Errorf("field a (control) is not an IP number and port")
 	}
+	if err := s.Fleet.Check(); err != nil {
+		return err
+	}
 	if len(s.Load) > maxEntries || len(s.Marks) > maxEntries {
 		return fmt.Errorf("%d load entries and %d marks, want at most %d", len(s.Load), len(s.Marks), maxEntries)
 	}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -34,7 +34,7 @@
 			SkipFactor: noSkip,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
-		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
 		CountControl: w.CountControl,
 		Forwarder:    forwarder.Config{Dial: p.network.Dial},
 		Retries:      retries, Log: p.log, Metrics: p.registry,
@@ -48,7 +48,7 @@
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
-		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
 		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
--- a/router/order.go
+++ b/router/order.go
@@ -105,6 +105,7 @@
 	env := encoder.Envelope{
 		RequestID: newRequestID(), Organisation: o.Organisation.Name, Rank: o.Rank, Service: o.Service, Key: o.Key,
 		DeadlineMS: o.Deadline.Milliseconds(), ConfigVersion: r.cfg.Snapshot().Version,
+		Fleet: r.cfg.Fleet(),
 	}
 	var answer caller.Answer
 	switch {
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// Fleet returns what is known of the past of the fleet.
+	Fleet func() encoder.Fleet
 	// CountControl counts the bytes of control traffic.
 	CountControl func(bytes int)
 	Retries      *limiter.RetryBudget
--- /dev/null
+++ b/ticketer/history_test.go
@@ -0,0 +1,74 @@
+package ticketer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/configurer"
+	"clementineramp/judge"
+	"clementineramp/ticketer"
+)
+
+// Guards against a young agent running a caller's own key that an earlier incarnation or another owner may have run,
+// and against a new fleet refusing such keys for a whole repeat horizon.
+func TestYoungAgentRunsOwnKeyOnlyWithWholeHistory(t *testing.T) {
+	first := configurer.Pair{Version: 1, Digest: "00000000000000000000000000000001"}
+	second := configurer.Pair{Version: 2, Digest: "00000000000000000000000000000002"}
+	opened := epoch.Add(15 * time.Second)
+	fresh := func(workers string, p configurer.Pair, opened time.Time) func(now time.Time) ticketer.Freshness {
+		return func(now time.Time) ticketer.Freshness {
+			return ticketer.Freshness{Workers: []string{workers}, Confirmed: now, Configuration: p, Opened: opened, First: first}
+		}
+	}
+	mine := fresh("a", first, opened)
+	tests := []struct {
+		name string
+		// before is observed at each second before the order comes, after at the order.
+		before, after func(now time.Time) ticketer.Freshness
+		start, order  time.Duration
+		runs          bool
+	}{
+		{"owner since before the opening", mine, mine, 0, 20 * time.Second, true},
+		{"owner in two configurations", mine, fresh("a", second, opened), 0, 20 * time.Second, true},
+		{"before the opening", mine, mine, 0, 10 * time.Second, false},
+		{"started after the opening", mine, mine, 16 * time.Second, 20 * time.Second, false},
+		{"an older fleet is not excluded", mine, fresh("a", first, time.Time{}), 0, 20 * time.Second, false},
+		{"the fleet had an earlier configuration", fresh("a", second, opened), fresh("a", second, opened), 0, 20 * time.Second, false},
+		{"the key moved here", fresh("b", first, opened), fresh("a", second, opened), 0, 20 * time.Second, false},
+		{"the key moved away", mine, fresh("b", second, opened), 0, 20 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := ticketer.New(ticketer.Config{
+				Service: "s", Agent: "a", Incarnation: 1, Secret: make([]byte, 32), Started: epoch.Add(tt.start),
+			})
+			require.NoError(t, err)
+			for now := epoch.Add(tt.start); now.Before(epoch.Add(tt.order)); now = now.Add(time.Second) {
+				l.Observe(now, tt.before(now))
+			}
+			now := epoch.Add(tt.order)
+			_, err = l.Begin(now, ticketer.Key{Organisation: "o", Text: "k"}, ticketer.DigestOf([]byte("x")), tt.after(now))
+			if tt.runs {
+				require.NoError(t, err)
+				return
+			}
+			require.Equal(t, judge.MayHaveRun, judge.VerdictOf(err), "%v", err)
+		})
+	}
+}
+
+// Guards against an observation without a configuration ending the ownership of an agent that is starting.
+func TestObservationWithoutConfigurationIsIgnored(t *testing.T) {
+	first := configurer.Pair{Version: 1, Digest: "00000000000000000000000000000001"}
+	l, err := ticketer.New(ticketer.Config{Service: "s", Agent: "a", Incarnation: 1, Secret: make([]byte, 32), Started: epoch})
+	require.NoError(t, err)
+	l.Observe(epoch, ticketer.Freshness{})
+	now := epoch.Add(time.Second)
+	fresh := ticketer.Freshness{Workers: []string{"a"}, Confirmed: now, Configuration: first, First: first, Opened: epoch.Add(2 * time.Second)}
+	l.Observe(now, fresh)
+	fresh.Confirmed = now.Add(2 * time.Second)
+	_, err = l.Begin(now.Add(2*time.Second), ticketer.Key{Organisation: "o", Text: "k"}, ticketer.DigestOf(nil), fresh)
+	require.NoError(t, err)
+}
--- a/ticketer/ledger.go
+++ b/ticketer/ledger.go
@@ -285,7 +285,7 @@
 	if ticket {
 		err = l.useTicket(now, key.Text)
 	} else {
-		err = l.checkOwn(now, key)
+		err = l.checkOwn(now, key, fresh)
 	}
 	if err != nil {
 		return Decision{}, err
@@ -341,7 +341,7 @@
 }
 
 // checkOwn decides whether an unknown caller's own key may run.
-func (l *Ledger) checkOwn(now time.Time, key Key) error {
+func (l *Ledger) checkOwn(now time.Time, key Key, fresh Freshness) error {
 	const advice = "use a ticket to be sure that an order runs"
 	if len(key.Text) > maxKeyBytes {
 		return judge.Doubt(judge.ReasonInvalid, "the key has %d bytes, want at most %d", len(key.Text), maxKeyBytes)
@@ -355,7 +355,7 @@
 	}
 	// At exactly the holding time, the last repeat of the last order of a former owner may still arrive.
 	// No retry time is given: an invitation to repeat after the horizon would defeat it.
-	if held <= l.hold {
+	if held <= l.hold && !l.tenure.coversHistory(now, key, fresh) {
 		return judge.Doubt(judge.ReasonKeyUnknown, "the key's owner changed or started within %v; %s", l.hold, advice)
 	}
 	if l.full() {
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -25,6 +25,7 @@
 	cfg := gossiper.Config{
 		Name: w.cfg.Self.Name, Control: w.cfg.Self.Control, Key: []byte(w.cfg.SharedKey),
 		Load: w.entries, MergeLoad: w.Merge, Marks: w.cfg.Marks, MergeMarks: w.cfg.MergeMarks,
+		Fleet: w.Fleet, LearnFleet: w.LearnFleet,
 		Newest:   w.holder.Newest,
 		Note:     func(peer string, p configurer.Pair) { w.distributor.Note(peer, p) },
 		Manifest: w.holder.Manifest, Part: w.holder.Part,
@@ -108,6 +109,7 @@
 
 // adopted tells of a configuration that came into force.
 func (w *Watcher) adopted(s *configurer.Snapshot) {
+	w.history.adopt(s.Pair())
 	w.cfg.Log.Info("configuration_in_force", "version", s.Version, "digest", string(s.Digest),
 		"organisations", s.OrganisationCount())
 	if w.cfg.OnSnapshot != nil {
--- /dev/null
+++ b/watcher/history_test.go
@@ -0,0 +1,55 @@
+package watcher_test
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/encoder"
+	"clementineramp/platform"
+	"clementineramp/watcher"
+)
+
+func newWatcher(t *testing.T, name string) *watcher.Watcher {
+	w, err := watcher.New(watcher.Config{
+		Self: platform.Host{Name: name, Domain: "d", Role: platform.RoleAgent}, SharedKey: "a-key-for-the-tests",
+		Platform: platform.New(platform.Config{Addresses: []string{(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}).String()}}),
+		Log:      hclog.NewNullLogger(),
+	})
+	require.NoError(t, err)
+	return w
+}
+
+// Guards against a restarted process taking itself for a member of a new fleet: the age of the fleet must pass from
+// process to process and outlive each of them.
+func TestFleetAgeOutlivesProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := newWatcher(t, "old")
+		time.Sleep(time.Hour)
+		middle := newWatcher(t, "middle")
+		middle.LearnFleet(old.Fleet())
+		time.Sleep(time.Minute)
+		young := newWatcher(t, "young")
+		opened, _ := young.Opened()
+		require.True(t, opened.IsZero(), "without a peer an older fleet cannot be excluded")
+		young.LearnFleet(middle.Fleet())
+		opened, _ = young.Opened()
+		require.True(t, opened.Before(time.Now().Add(-time.Hour)))
+		require.GreaterOrEqual(t, young.Fleet().Age(), time.Hour+time.Minute)
+	})
+}
+
+// Guards against a process learning from its own words, and against the smallest configuration being lost.
+func TestFleetFirstConfiguration(t *testing.T) {
+	w := newWatcher(t, "a")
+	w.LearnFleet(encoder.Fleet{Teller: "a", AgeMS: 1 << 40})
+	require.Less(t, w.Fleet().Age(), time.Hour)
+	for _, v := range []uint64{3, 2, 5} {
+		w.LearnFleet(encoder.Fleet{Teller: "b", FirstVersion: v, FirstDigest: "x"})
+	}
+	require.EqualValues(t, 2, w.Fleet().FirstVersion)
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -73,7 +73,9 @@
 type Watcher struct {
 	cfg    Config
 	holder *configurer.Holder
-	gossip *gossiper.Gossiper
+	// history is what is known of the past of the fleet.
+	history *history
+	gossip  *gossiper.Gossiper
 	// distributor brings published configurations into force.
 	distributor *gossiper.Distributor
 
@@ -93,7 +95,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	w := &Watcher{
-		cfg: cfg, holder: configurer.NewHolder(),
+		cfg: cfg, holder: configurer.NewHolder(), history: newHistory(cfg.Now()),
 		tracker: tracker.New(cfg.Tracker), byName: map[string]platform.Host{},
 	}
 	return w, trace.Wrap(w.connect())
