measurer: measure ranks, flood and fairness through real processes

Each measure starts a fleet of routers and agents on loopback before stand-in engines with batch slots, first with the standard policy of admission and then, side by side, with the baselines. The baselines are policies of the admitter that launcher.Options and demonstrator.FleetConfig pass on; the models of the admitter tests use them instead of their own wrappers.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -65,8 +65,43 @@
 	Paused
 )
 
+// Policy is a rule of admission; all but Standard are baselines for measures.
+type Policy int
+
+const (
+	// Standard is the policy of this package.
+	Standard Policy = iota
+	// FirstCome serves requests in the order of their arrival, whatever their rank and organisation.
+	FirstCome
+	// WithoutFairness serves the requests of a rank as if they came from one organisation.
+	WithoutFairness
+	// WithoutPreemption never pauses a running request.
+	WithoutPreemption
+	// WithoutShares serves the most urgent rank first and guarantees nothing to the others.
+	WithoutShares
+)
+
+var policyNames = [...]string{"clementineramp", "first come first served", "without fairness", "without preemption", "without shares"}
+
+// String returns the name of the policy in the output of measures.
+func (p Policy) String() string { return policyNames[p] }
+
+// apply returns a request as the policy sees it.
+func (p Policy) apply(r Request) Request {
+	switch p {
+	case FirstCome:
+		r.Rank, r.Organisation, r.Weight = "", "", 0
+	case WithoutFairness:
+		r.Organisation, r.Weight = "", 0
+	case Standard, WithoutPreemption, WithoutShares:
+	}
+	return r
+}
+
 // Config holds the parameters of an Admitter.
 type Config struct {
+	// Policy is the rule of admission; zero means Standard.
+	Policy Policy
 	// Slots is the number of requests that the engine batches.
 	Slots int
 	// Ranks are listed from the most to the least urgent.
@@ -148,6 +183,9 @@
 			q = newRankQueue(r.Name, a.cfg.PauseWithinRank)
 		}
 		q.share = math.Max(r.Share, 0)
+		if a.cfg.Policy == WithoutShares {
+			q.share = 0
+		}
 		a.byName[r.Name] = q
 		next = append(next, q)
 	}
--- a/admitter/goals_test.go
+++ b/admitter/goals_test.go
@@ -1,7 +1,6 @@
 package admitter_test
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -11,8 +10,6 @@
 	"clementineramp/configurer"
 )
 
-var errFull = errors.New("full")
-
 func ranks(urgent, normal, batch float64) []configurer.Rank {
 	return []configurer.Rank{
 		{Name: "urgent", Share: urgent, Worth: 10, TargetMS: 440},
@@ -22,12 +19,16 @@
 }
 
 func newAdmitter(rs []configurer.Rank) *admitter.Admitter {
-	return sized(slots, false, rs)
+	return baseline(admitter.Standard, rs)
+}
+
+func baseline(p admitter.Policy, rs []configurer.Rank) *admitter.Admitter {
+	return sized(p, slots, false, rs)
 }
 
-func sized(slots int, within bool, rs []configurer.Rank) *admitter.Admitter {
+func sized(p admitter.Policy, slots int, within bool, rs []configurer.Rank) *admitter.Admitter {
 	return admitter.New(admitter.Config{
-		Slots: slots, Ranks: rs, MaxQueueWork: queueWork, MaxQueueTime: time.Minute, PauseWithinRank: within,
+		Policy: p, Slots: slots, Ranks: rs, MaxQueueWork: queueWork, MaxQueueTime: time.Minute, PauseWithinRank: within,
 		Jitter: func() float64 { return 0.5 },
 	})
 }
@@ -60,8 +61,8 @@
 			return float64(during) / float64(before)
 		}
 		require.LessOrEqual(t, run("admitter", func() policy { return newAdmitter(rs) }), target)
-		require.Greater(t, run("without preemption", func() policy { return noPreempt{newAdmitter(rs)} }), target)
-		require.Greater(t, run("first come first served", func() policy { return &fifo{slots: slots} }), target)
+		require.Greater(t, run("without preemption", func() policy { return baseline(admitter.WithoutPreemption, rs) }), target)
+		require.Greater(t, run("first come first served", func() policy { return baseline(admitter.FirstCome, rs) }), target)
 	}
 }
 
@@ -108,13 +109,13 @@
 		p                   func(slots int) policy
 		latency, firstToken int
 	}{
-		{"admitter", 16, func(n int) policy { return sized(n, false, rs) }, within, beyond},
-		{"admitter", 4, func(n int) policy { return sized(n, false, rs) }, logged, logged},
-		{"pauses within rank", 16, func(n int) policy { return sized(n, true, rs) }, within, within},
-		{"pauses within rank", 8, func(n int) policy { return sized(n, true, rs) }, within, logged},
-		{"pauses within rank", 4, func(n int) policy { return sized(n, true, rs) }, logged, logged},
-		{"without fairness", 16, func(n int) policy { return oneOrganisation{sized(n, true, rs)} }, beyond, beyond},
-		{"first come first served", 16, func(n int) policy { return &fifo{slots: n} }, beyond, beyond},
+		{"admitter", 16, func(n int) policy { return sized(admitter.Standard, n, false, rs) }, within, beyond},
+		{"admitter", 4, func(n int) policy { return sized(admitter.Standard, n, false, rs) }, logged, logged},
+		{"pauses within rank", 16, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, within},
+		{"pauses within rank", 8, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, logged},
+		{"pauses within rank", 4, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, logged, logged},
+		{"without fairness", 16, func(n int) policy { return sized(admitter.WithoutFairness, n, true, rs) }, beyond, beyond},
+		{"first come first served", 16, func(n int) policy { return sized(admitter.FirstCome, n, false, rs) }, beyond, beyond},
 	} {
 		latency, firstToken, used := fairness(tt.slots, func() policy { return tt.p(tt.slots) })
 		t.Logf("%s, %d slots: latency beside over alone p50 %.3f, p95 %.3f; first token p50 %.3f, p95 %.3f; engine used %.3f",
@@ -153,12 +154,13 @@
 	for rank, share := range shares {
 		require.InEpsilon(t, share, got[rank], tolerance, rank)
 	}
-	got = run("without preemption", noPreempt{newAdmitter(ranks(0.5, 0.3, 0.1))})
+	got = run("without preemption", baseline(admitter.WithoutPreemption, ranks(0.5, 0.3, 0.1)))
 	for rank, share := range shares {
 		require.GreaterOrEqual(t, got[rank], share*(1-tolerance), rank)
 	}
 	for name, p := range map[string]policy{
-		"without shares": newAdmitter(ranks(0, 0, 0)), "first come first served": &fifo{slots: slots},
+		"without shares":          baseline(admitter.WithoutShares, ranks(0.5, 0.3, 0.1)),
+		"first come first served": baseline(admitter.FirstCome, ranks(0.5, 0.3, 0.1)),
 	} {
 		got = run(name, p)
 		require.Less(t, got["normal"], shares["normal"]*(1-tolerance), name)
--- a/admitter/next.go
+++ b/admitter/next.go
@@ -113,6 +113,9 @@
 func (a *Admitter) Preempt(now time.Time) (Request, bool) {
 	a.advance(now)
 	a.sweep(now)
+	if a.cfg.Policy == WithoutPreemption {
+		return Request{}, false
+	}
 	waits := a.mostUrgent()
 	if waits == nil {
 		return Request{}, false
--- a/admitter/offer.go
+++ b/admitter/offer.go
@@ -20,6 +20,7 @@
 func (a *Admitter) Offer(now time.Time, r Request) error {
 	a.advance(now)
 	a.sweep(now)
+	r = a.cfg.Policy.apply(r)
 	q := a.rankOf(r.Rank)
 	if err := a.check(q, r); err != nil {
 		return a.refuseOffer(q, r, err)
--- a/admitter/sim_test.go
+++ b/admitter/sim_test.go
@@ -169,52 +169,6 @@
 	}
 }
 
-// fifo is first come first served without ranks, organisations or a load bound.
-type fifo struct {
-	queue   []admitter.Request
-	running int
-	slots   int
-	work    float64
-}
-
-func (f *fifo) Offer(_ time.Time, r admitter.Request) error {
-	if f.work+r.Cost > queueWork {
-		return errFull
-	}
-	f.work += r.Cost
-	f.queue = append(f.queue, r)
-	return nil
-}
-
-func (f *fifo) Next(time.Time) (admitter.Request, bool) {
-	if f.running == f.slots || len(f.queue) == 0 {
-		return admitter.Request{}, false
-	}
-	r := f.queue[0]
-	f.queue = f.queue[1:]
-	f.work -= r.Cost
-	f.running++
-	return r, true
-}
-
-func (f *fifo) Done(time.Time, uint64, float64) bool            { f.running--; return true }
-func (f *fifo) Preempt(time.Time) (r admitter.Request, ok bool) { return r, false }
-func (f *fifo) Paused(time.Time, uint64, float64) bool          { return false }
-func (f *fifo) Expire(time.Time) []admitter.Refusal             { return nil }
-
-// noPreempt switches preemption off.
-type noPreempt struct{ *admitter.Admitter }
-
-func (noPreempt) Preempt(time.Time) (r admitter.Request, ok bool) { return r, false }
-
-// oneOrganisation switches fairness between organisations off.
-type oneOrganisation struct{ *admitter.Admitter }
-
-func (p oneOrganisation) Offer(now time.Time, r admitter.Request) error {
-	r.Organisation = "all"
-	return p.Admitter.Offer(now, r)
-}
-
 // quantile returns the q-quantile of f over the jobs that are selected and for which done holds.
 func quantile(jobs []*job, q float64, keep func(*job) bool, f func(*job) time.Duration) time.Duration {
 	var values []time.Duration
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,8 @@
 	Horizon time.Duration
 	// TicketLifetime is the time for which a ticket may be used.
 	TicketLifetime time.Duration
+	// Admission is the rule of admission; zero means the standard one, and the others are baselines for measures.
+	Admission admitter.Policy
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
 
@@ -122,7 +124,7 @@
 	a.lifetime, a.end = context.WithCancel(context.Background())
 	a.engine = engine.New(engine.Config{Address: cfg.Upstream, Dial: cfg.DialUpstream, IdleTimeout: cfg.StreamIdle})
 	a.gate = newGate(admitter.Config{
-		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
+		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
 	return a, a.buildMemory()
 }
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/admitter"
 	"clementineramp/compiler"
 	"clementineramp/launcher"
 	"clementineramp/loader"
@@ -53,6 +54,12 @@
 	Workers int
 	// Engine is the template of the stand-in engines.
 	Engine standin.EngineConfig
+	// Organisations lists the customers; nil means those of the demonstration.
+	Organisations []Organisation
+	// QueueWork bounds the waiting work of a rank at an agent, in tokens; zero means the default.
+	QueueWork int
+	// Admission is the rule by which agents admit requests.
+	Admission admitter.Policy
 	// Log receives the log lines of all processes.
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
@@ -134,8 +141,11 @@
 		return trace.Wrap(err)
 	}
 	f.Engines = append(f.Engines, e)
-	slots := max(cfg.Slots, 1)
-	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d}`, Pool, e.Address(), slots)
+	slots, queueWork := max(cfg.Slots, 1), ""
+	if f.cfg.QueueWork > 0 {
+		queueWork = fmt.Sprintf(`, "queue_work": %d`, f.cfg.QueueWork)
+	}
+	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d%s}`, Pool, e.Address(), slots, queueWork)
 	p, err := f.startProcess("agent", cfg.Name, i, upstream)
 	f.Agents = append(f.Agents, p)
 	return err
@@ -179,7 +189,8 @@
 	if out == nil {
 		out = io.Discard
 	}
-	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), launcher.Network{})
+	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name)
+	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -208,9 +219,15 @@
 	for i := range workers {
 		workers[i] = WorkerName(i)
 	}
-	fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	if len(workers) > 0 {
+		fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	}
 	b.WriteString("organisation,name,key_hash,rank,ranks,weight\n")
-	for _, o := range Organisations {
+	organisations := f.cfg.Organisations
+	if organisations == nil {
+		organisations = Organisations
+	}
+	for _, o := range organisations {
 		sum := sha256.Sum256([]byte(o.Key))
 		fmt.Fprintf(&b, "organisation,%s,%s,%s,,1\n", o.Name, hex.EncodeToString(sum[:]), o.Rank)
 	}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -53,7 +53,7 @@
 		Name: p.cfg.Name, Pool: u.Name, Kind: agent.Kind(u.Kind), Upstream: u.Address.String(),
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
-		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
+		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"clementineramp/admitter"
 	"clementineramp/agent"
 	"clementineramp/loader"
 	"clementineramp/operator"
@@ -60,14 +61,15 @@
 
 // Process is one daemon.
 type Process struct {
-	cfg      *loader.Settings
-	network  Network
-	log      hclog.Logger
-	registry metrics.Registry
-	watcher  *watcher.Watcher
-	role     role
-	started  time.Time
-	incarn   uint64
+	cfg       *loader.Settings
+	network   Network
+	admission admitter.Policy
+	log       hclog.Logger
+	registry  metrics.Registry
+	watcher   *watcher.Watcher
+	role      role
+	started   time.Time
+	incarn    uint64
 
 	listener         net.Listener
 	operatorListener net.Listener
@@ -78,11 +80,25 @@
 	drain   sync.Once
 }
 
+// Options are the parts of a process that tests and measures replace; zero fields mean the standard ones.
+type Options struct {
+	Network Network
+	// Admission is the rule by which an agent admits requests.
+	Admission admitter.Policy
+}
+
 // New binds the addresses of a daemon; Run serves them.
 func New(cfg *loader.Settings, log hclog.Logger, network Network) (*Process, error) {
+	return NewWith(cfg, log, Options{Network: network})
+}
+
+// NewWith binds the addresses of a daemon with replaced parts; Run serves them.
+func NewWith(cfg *loader.Settings, log hclog.Logger, options Options) (*Process, error) {
+	network := options.Network
 	network.setDefaults()
 	p := &Process{
-		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		admission: options.Admission,
+		cfg:       cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -21,7 +21,11 @@
 
 // Measures lists all measurements.
 func Measures() []Measure {
-	return []Measure{}
+	return []Measure{
+		{Name: "ranks", Summary: "guaranteed shares while the urgent rank floods, and use of idle capacity", Run: ranks},
+		{Name: "flood", Summary: "urgent first token while the least urgent work floods, recovery, and retries in an outage", Run: flood},
+		{Name: "fairness", Summary: "small organisations beside one that asks for 50 times its share", Run: fairness},
+	}
 }
 
 // Find returns the measure with a name.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -51,6 +51,8 @@
 	CachedTokens int
 	// Work is the estimated work of the request, in tokens.
 	Work float64
+	// Priority is the position of the request's rank; 0 is the most urgent.
+	Priority int
 	// Emitted counts the tokens that this run added to the answer.
 	Emitted   int
 	Completed bool
@@ -161,6 +163,13 @@
 	return e.work, e.maxWork
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // Loaded returns the model version in service.
 func (e *Engine) Loaded() (model, version string) {
 	e.mu.Lock()
@@ -355,7 +364,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	run := &Run{
-		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version,
+		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version, Priority: req.Priority,
 		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
 		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
 	}
