admitter: use of idle capacity does not count against a rank's share

Cause: batch ran alone for 3 s and used the whole engine; the window counted that as service beyond its share, so in the urgent flood that followed batch got nothing for the 10 s of the window. Ruled out: deadline predictions (batch requests were queued) and the load bound (the limit was infinite while the queues were long). Change: a rank is entitled to what it used while no other rank was waiting.

--- a/admitter/goals_test.go
+++ b/admitter/goals_test.go
@@ -167,6 +167,27 @@
 	}
 }
 
+// Guards against a rank that used idle capacity losing its share to a flood that begins later.
+func TestShareAfterIdleCapacity(t *testing.T) {
+	const tolerance, share = 0.05, 0.1
+	jobs := poisson(3, nil, admitter.Request{Rank: "batch", Organisation: "c", Cost: 100}, 2*slots)
+	for _, j := range poisson(1, nil, admitter.Request{Rank: "urgent", Organisation: "a", Cost: 60}, 4*slots) {
+		j.at += warmUp
+		jobs = append(jobs, j)
+	}
+	runEngine(newAdmitter(ranks(0.5, 0.3, share)), jobs, nil)
+	served := map[string]float64{}
+	for _, j := range jobs {
+		// The requests that run when the flood begins end within the first two seconds.
+		if j.done && j.end > warmUp+2*time.Second && j.end < warmUp+8*time.Second {
+			served[j.req.Rank] += j.req.Cost
+		}
+	}
+	got := served["batch"] / (served["urgent"] + served["batch"])
+	t.Logf("batch %.4f (share %.1f) in the first seconds of the flood", got, share)
+	require.GreaterOrEqual(t, got, share*(1-tolerance))
+}
+
 // reserved keeps slots free for ranks that are not there, as an admitter with fixed parts would.
 type reserved struct {
 	*admitter.Admitter
--- a/admitter/window.go
+++ b/admitter/window.go
@@ -129,17 +129,27 @@
 
 // account moves the work in each rank's delta into its window. A rank with waiting
 // requests is entitled to its share of all work done; a rank without any is entitled
-// to no more than it used, so that idle time does not turn into a claim for later.
+// to no more than it used, so that idle time does not turn into a claim for later. A rank
+// is entitled to all that it used while no other rank was waiting, since that was idle
+// capacity: counted against the rank, it would cost it its share in a later flood.
 func (a *Admitter) account() {
-	total := 0.0
+	total, waiting := 0.0, 0
 	for _, q := range a.ranks {
 		total += q.delta
+		if q.waiting() > 0 {
+			waiting++
+		}
 	}
 	bucket := int(a.bucket % windowBuckets)
 	for _, q := range a.ranks {
-		entitled := q.share * total
+		entitled, others := q.share*total, waiting
 		if q.waiting() == 0 {
 			entitled = nearerZero(entitled, q.delta)
+		} else {
+			others--
+		}
+		if others == 0 && q.delta > entitled {
+			entitled = q.delta
 		}
 		q.window.add(bucket, q.delta, entitled)
 		q.delta = 0
