agent: count the work of a paused request once

Cause: after a pause the agent reported the prompt and all tokens of the request as the work since it last started, so ranks whose requests are paused looked better served than they were.

--- a/agent/chat.go
+++ b/agent/chat.go
@@ -28,8 +28,10 @@
 	id          encoder.StreamID
 	// offset is the number of events of the answer so far, with those that the router had before.
 	offset int
-	// tokens counts the events that this agent's engine emitted.
-	tokens int
+	// tokens counts the events that this agent's engine emitted, and before those of them before the last pause.
+	tokens, before int
+	// paused says that the request has been paused; its prompt was counted then.
+	paused bool
 }
 
 // serveChat runs a chat request and follows its stream.
@@ -130,6 +132,7 @@
 		if !paused {
 			break
 		}
+		g.before, g.paused = g.tokens, true
 		if err = g.slot.pause(ctx, g.workLeft()); err != nil {
 			break
 		}
@@ -185,6 +188,9 @@
 
 // workDone returns the work that the engine did since the request last started, in tokens.
 func (g *generation) workDone() float64 {
+	if g.paused {
+		return float64(g.tokens - g.before)
+	}
 	return float64(g.body.PromptTokens() + g.tokens)
 }
 
