admitter: order the organisations of a rank by recent use of slots

Cause: 12 of 142 requests of small organisations waited 13 to 274 ms in the log of measure fairness, because their organisation held two or three slots at that moment and the large one three. Slots held now say nothing of the large organisation's use of half of the engine over the last seconds. Ruled out: refusals (66 of 143 requests went to their first agent and were among the slow ones) and the pause itself (1 ms from preempt to paused). Change: organisations below their part of the slots go first, the fewest slots first; then the one with the least use of slots over 10 s, fading. A pause within the rank follows the same order and leaves the paused organisation its part of the slots. The test now requires all three sizes to be within 1.2. Tried and dropped: a pause only from a lead of one slot on (four slots: first token p95 801 ms beside, 222 ms without a lead).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -112,8 +112,8 @@
 	MaxQueueTime time.Duration
 	// Window is the time over which guaranteed shares hold; zero means 10 s.
 	Window time.Duration
-	// PauseWithinRank also pauses for a request of the same rank whose organisation holds fewer
-	// slots, and serves the organisations with the fewest slots first. Without it a small
+	// PauseWithinRank also pauses for a request of the same rank whose organisation has its part of the slots
+	// or used fewer in the recent past, and serves such organisations first. Without it a small
 	// organisation waits for a free slot: a run time divided by the number of slots.
 	PauseWithinRank bool
 	// Jitter returns a number in [0, 1) that spreads retry times; nil means a random one.
@@ -157,14 +157,14 @@
 	cfg.Slots = max(cfg.Slots, 1)
 	a := &Admitter{
 		cfg: cfg, limit: math.Inf(1),
-		fallback: newRankQueue("", cfg.PauseWithinRank),
-		byName:   map[string]*rankQueue{},
-		entries:  map[uint64]*entry{},
+		byName:  map[string]*rankQueue{},
+		entries: map[uint64]*entry{},
 		due: indexHeap[*entry]{
 			less:  func(a, b *entry) bool { return a.due.Before(b.due) },
 			index: func(e *entry) *int { return &e.dueIndex },
 		},
 	}
+	a.fallback = newRankQueue("", cfg.PauseWithinRank, a.free)
 	a.SetRanks(cfg.Ranks)
 	return a
 }
@@ -180,7 +180,7 @@
 		}
 		q := old[r.Name]
 		if q == nil {
-			q = newRankQueue(r.Name, a.cfg.PauseWithinRank)
+			q = newRankQueue(r.Name, a.cfg.PauseWithinRank, a.free)
 		}
 		q.share = math.Max(r.Share, 0)
 		if a.cfg.Policy == WithoutShares {
@@ -229,6 +229,8 @@
 	return n
 }
 
+func (a *Admitter) free() int { return a.cfg.Slots - len(a.running) }
+
 // Running returns the number of requests that hold a slot.
 func (a *Admitter) Running() int { return len(a.running) }
 
@@ -344,7 +346,7 @@
 	if e.req.Suspect {
 		a.suspects--
 	}
-	e.rank.release(e.req.Organisation)
+	e.rank.release(e)
 	a.work -= e.req.Cost
 	if last == 0 {
 		// Sums of floats drift; an idle engine is the point where the exact value is known.
--- a/admitter/goals_test.go
+++ b/admitter/goals_test.go
@@ -101,7 +101,7 @@
 	const (
 		within = iota
 		beyond
-		logged // four slots are too few: the figure is printed and not yet within the target
+		logged // printed only: without pauses within the rank, four slots are too few
 	)
 	for _, tt := range []struct {
 		name                string
@@ -112,8 +112,8 @@
 		{"admitter", 16, func(n int) policy { return sized(admitter.Standard, n, false, rs) }, within, beyond},
 		{"admitter", 4, func(n int) policy { return sized(admitter.Standard, n, false, rs) }, logged, logged},
 		{"pauses within rank", 16, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, within},
-		{"pauses within rank", 8, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, logged},
-		{"pauses within rank", 4, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, logged, logged},
+		{"pauses within rank", 8, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, within},
+		{"pauses within rank", 4, func(n int) policy { return sized(admitter.Standard, n, true, rs) }, within, within},
 		{"without fairness", 16, func(n int) policy { return sized(admitter.WithoutFairness, n, true, rs) }, beyond, beyond},
 		{"first come first served", 16, func(n int) policy { return sized(admitter.FirstCome, n, false, rs) }, beyond, beyond},
 	} {
--- a/admitter/next.go
+++ b/admitter/next.go
@@ -89,7 +89,7 @@
 
 // start gives a slot to a waiting request.
 func (a *Admitter) start(now time.Time, e *entry) {
-	e.rank.hold(e.req.Organisation)
+	e.rank.hold(e)
 	if e.state == Paused {
 		e.rank.removePaused(e)
 		e.rank.virtual = math.Max(e.rank.virtual, e.tag)
@@ -167,8 +167,8 @@
 }
 
 // withinRank returns a waiting request and a running one of the same rank whose organisation
-// keeps at least as many slots for its weight as the waiting one's gets. It names one request
-// at a time: the next one is chosen when it is known who took the slot.
+// has used more. It names one request at a time: the next one is chosen when it is known who
+// took the slot.
 func (a *Admitter) withinRank() (waits, victim *entry) {
 	if !a.cfg.PauseWithinRank || a.pausing > 0 || len(a.running) < a.cfg.Slots {
 		return nil, nil
@@ -189,16 +189,27 @@
 	return nil, nil
 }
 
+// largestHolder returns the request to pause for a waiting one: of the organisation with the most recent use, the
+// request that started last. The organisation keeps its part of the slots. Unless the waiting one's organisation is
+// below its own part, the other one must have used more. A larger difference was tried: with one slot and four slots
+// in the engine, TestSmallOrganisations saw a p95 first token of 801 ms instead of 222 ms.
 func (a *Admitter) largestHolder(q *rankQueue, waits *entry) *entry {
 	var victim *entry
-	most := float64(q.held[waits.req.Organisation]+1) / waits.req.weight()
+	most, least := 0.0, -1.0
+	if !q.belowFair(waits.hold) {
+		least = q.holdings.recent(waits.hold) / waits.hold.weight
+	}
 	for _, e := range a.running {
-		if e.rank != q || e.req.Pinned || e.req.Organisation == waits.req.Organisation {
+		h := e.hold
+		if e.rank != q || e.req.Pinned || h == waits.hold || float64(h.slots-1) < math.Floor(q.fairSlots(h)) {
+			continue
+		}
+		recent := q.holdings.recent(h) / h.weight
+		if recent <= least {
 			continue
 		}
-		keeps := float64(q.held[e.req.Organisation]-1) / e.req.weight()
-		if keeps > most || keeps == most && (victim == nil || e.serial > victim.serial) {
-			victim, most = e, keeps
+		if victim == nil || recent > most || recent == most && e.serial > victim.serial {
+			victim, most = e, recent
 		}
 	}
 	return victim
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -28,6 +28,8 @@
 	counted float64
 	// charged is the work that fair queueing counted at the start, and before the work of earlier runs.
 	charged, before float64
+	// hold is what the organisation holds of the rank.
+	hold *holding
 	// within says that Preempt named the request for another one of its rank; tag is then
 	// where it goes in the order of the rank once it is paused.
 	within bool
@@ -49,14 +51,14 @@
 	head, tail *entry
 	work       float64
 	weight     float64
-	// held is the number of slots that the organisation holds if that decides the order, else 0.
-	held int
+	// hold is what the organisation holds of the rank.
+	hold *holding
 	// tag is the start tag of the head; finish is the finish tag of the last request that started.
-	tag, finish                       float64
-	orderIndex, largestIndex, idleIdx int
+	tag, finish                                    float64
+	orderIndex, recentIndex, largestIndex, idleIdx int
 }
 
-func (f *flow) load() float64 { return float64(f.held) / f.weight }
+func (f *flow) load() float64 { return float64(f.hold.slots) / f.weight }
 
 // rankQueue holds the waiting requests of one rank and what the rank was served.
 type rankQueue struct {
@@ -66,6 +68,8 @@
 	flows    map[flowKey]*flow
 	// order holds flows with waiting requests by start tag: unmarked, then suspect.
 	order [2]indexHeap[*flow]
+	// recent holds unmarked flows with waiting requests by the recent use of their organisation.
+	recent indexHeap[*flow]
 	// largest holds flows with waiting requests by work over weight.
 	largest indexHeap[*flow]
 	// idle holds flows without waiting requests until the virtual time passes their finish tag.
@@ -81,19 +85,23 @@
 	weight float64
 	// running counts requests that hold a slot, and pausing those of them that are about to give it up.
 	running, pausing int
-	// fewestFirst puts the organisations that hold the fewest slots for their weight before the order of tags.
-	fewestFirst bool
-	// held counts the slots that each organisation holds.
-	held   map[string]int
+	// bySlots orders organisations by the slots that they hold and held before the order of tags.
+	bySlots  bool
+	holdings holdings
+	// free returns the number of slots of the engine that no request holds.
+	free   func() int
 	window window
 	// delta is work done that the window does not hold yet.
 	delta float64
 }
 
-func newRankQueue(name string, fewestFirst bool) *rankQueue {
-	q := &rankQueue{name: name, fewestFirst: fewestFirst, flows: map[flowKey]*flow{}, held: map[string]int{}}
+func newRankQueue(name string, bySlots bool, free func() int) *rankQueue {
+	q := &rankQueue{
+		name: name, bySlots: bySlots, free: free, flows: map[flowKey]*flow{},
+		holdings: holdings{byName: map[string]*holding{}},
+	}
 	byTag := func(a, b *flow) bool {
-		if a.load() != b.load() {
+		if q.bySlots && a.load() != b.load() {
 			return a.load() < b.load()
 		}
 		return a.tag < b.tag
@@ -101,6 +109,15 @@
 	for i := range q.order {
 		q.order[i] = indexHeap[*flow]{less: byTag, index: func(f *flow) *int { return &f.orderIndex }}
 	}
+	q.recent = indexHeap[*flow]{
+		less: func(a, b *flow) bool {
+			if ua, ub := a.hold.used/a.weight, b.hold.used/b.weight; ua != ub {
+				return ua < ub
+			}
+			return byTag(a, b)
+		},
+		index: func(f *flow) *int { return &f.recentIndex },
+	}
 	q.largest = indexHeap[*flow]{
 		less:  func(a, b *flow) bool { return a.work/a.weight > b.work/b.weight },
 		index: func(f *flow) *int { return &f.largestIndex },
@@ -133,55 +150,69 @@
 
 // candidate returns the request that the rank serves next.
 func (q *rankQueue) candidate(suspectRuns bool) *entry {
-	var paused *entry
+	var best *entry
 	for _, e := range q.paused {
-		if (!e.req.Suspect || !suspectRuns) && (paused == nil || q.before(e, paused)) {
-			paused = e
+		if (!e.req.Suspect || !suspectRuns) && (best == nil || q.before(e, best)) {
+			best = e
 		}
 	}
 	f, ok := q.order[0].first()
-	if m, marked := q.order[1].first(); marked && !suspectRuns && (!ok || m.tag < f.tag) {
-		f, ok = m, true
+	if ok && q.bySlots && !q.belowFair(f.hold) {
+		f, _ = q.recent.first()
 	}
-	if !ok || paused != nil && !q.before(f.head, paused) {
-		return paused
+	if ok && (best == nil || q.before(f.head, best)) {
+		best = f.head
 	}
-	return f.head
+	if m, marked := q.order[1].first(); marked && !suspectRuns && (best == nil || q.before(m.head, best)) {
+		best = m.head
+	}
+	return best
+}
+
+// fairSlots returns the part of the rank's slots that an organisation has by its weight.
+func (q *rankQueue) fairSlots(h *holding) float64 {
+	return float64(q.running+q.free()) * h.weight / math.Max(q.holdings.weight, h.weight)
 }
 
-// before reports whether one waiting request goes before another.
+// belowFair reports whether an organisation may hold one more slot and not exceed its part.
+func (q *rankQueue) belowFair(h *holding) bool { return float64(h.slots+1) <= q.fairSlots(h) }
+
+// before reports whether one waiting request goes before another: first those of organisations below their part of
+// the slots, the fewest slots first; then the others, the least recent use first.
 func (q *rankQueue) before(a, b *entry) bool {
-	la, ta := q.key(a)
-	lb, tb := q.key(b)
-	if la != lb {
-		return la < lb
+	ka, kb := q.key(a), q.key(b)
+	for i := range ka {
+		if ka[i] != kb[i] {
+			return ka[i] < kb[i]
+		}
 	}
-	return ta < tb
+	return false
 }
 
-func (q *rankQueue) key(e *entry) (load, tag float64) {
-	switch {
-	case e.flow != nil:
-		return e.flow.load(), e.flow.tag
-	case math.IsInf(e.tag, -1):
-		return e.tag, e.tag
+// key returns the group, the place within it, and the tag of a waiting request.
+func (q *rankQueue) key(e *entry) [3]float64 {
+	tag := e.tag
+	if e.flow != nil {
+		tag = e.flow.tag
 	}
-	if !q.fewestFirst {
-		return 0, e.tag
+	h := e.hold
+	switch {
+	case math.IsInf(tag, -1) || !q.bySlots:
+		return [3]float64{0, 0, tag}
+	case q.belowFair(h):
+		return [3]float64{1, float64(h.slots) / h.weight, tag}
 	}
-	return float64(q.held[e.req.Organisation]) / e.req.weight(), e.tag
+	return [3]float64{2, h.used / h.weight, tag}
 }
 
 func (q *rankQueue) flowOf(r Request) *flow {
 	key := flowKey{r.Organisation, r.Suspect}
 	f := q.flows[key]
 	if f == nil {
-		f = &flow{key: key, weight: 1, orderIndex: -1, largestIndex: -1, idleIdx: -1}
-		if q.fewestFirst {
-			f.held = q.held[key.organisation]
-		}
+		f = &flow{key: key, weight: 1, orderIndex: -1, recentIndex: -1, largestIndex: -1, idleIdx: -1}
 		q.flows[key] = f
 	}
+	f.hold = q.holdings.of(r.Organisation)
 	return f
 }
 
@@ -203,21 +234,44 @@
 // push appends a request to the queue of its organisation.
 func (q *rankQueue) push(e *entry) {
 	f := q.flowOf(e.req)
+	e.hold = f.hold
 	weight := e.req.weight()
-	if f.head == nil {
+	first := f.head == nil
+	q.holdings.change(f.hold, func(h *holding) {
+		h.weight = weight
+		if first {
+			h.waiting++
+		}
+	})
+	if first {
 		q.idle.remove(f)
 		f.weight = weight
 		q.link(f, e)
 		f.tag = math.Max(q.virtual, f.finish)
 		q.weight += weight
-		q.heapOf(f).add(f)
-		q.largest.add(f)
+		q.enter(f)
 		return
 	}
 	q.weight += weight - f.weight
 	f.weight = weight
 	q.link(f, e)
 	q.largest.fix(f)
+	q.fix(f)
+}
+
+// enter puts a flow that has a waiting request into the orders.
+func (q *rankQueue) enter(f *flow) {
+	q.heapOf(f).add(f)
+	q.largest.add(f)
+	if q.bySlots && !f.key.suspect {
+		q.recent.add(f)
+	}
+}
+
+// fix restores the place of a flow whose tag, slots or recent use have changed.
+func (q *rankQueue) fix(f *flow) {
+	q.heapOf(f).fix(f)
+	q.recent.fix(f)
 }
 
 func (q *rankQueue) link(f *flow, e *entry) {
@@ -267,7 +321,9 @@
 	}
 	f.work = 0
 	q.heapOf(f).remove(f)
+	q.recent.remove(f)
 	q.largest.remove(f)
+	q.holdings.change(f.hold, func(h *holding) { h.waiting-- })
 	q.weight -= f.weight
 	if len(q.largest.items) == 0 {
 		q.weight = 0
@@ -285,7 +341,7 @@
 	f.finish = start + e.req.Cost/f.weight
 	if f.head != nil {
 		f.tag = f.finish
-		q.heapOf(f).fix(f)
+		q.fix(f)
 	} else {
 		q.idle.fix(f)
 	}
@@ -319,33 +375,50 @@
 		return
 	}
 	f.tag += correction
-	q.heapOf(f).fix(f)
+	q.fix(f)
 }
 
-// hold counts a slot that an organisation takes.
-func (q *rankQueue) hold(organisation string) {
+// hold counts a slot that a request takes.
+func (q *rankQueue) hold(e *entry) {
 	q.running++
-	q.held[organisation]++
-	q.reorder(organisation)
+	q.holdings.change(e.hold, func(h *holding) { h.slots++ })
+	q.reorder(e.req.Organisation)
+}
+
+// release counts a slot that a request gives up.
+func (q *rankQueue) release(e *entry) {
+	q.running--
+	q.holdings.change(e.hold, func(h *holding) { h.slots-- })
+	q.reorder(e.req.Organisation)
 }
 
 func (q *rankQueue) reorder(organisation string) {
+	if !q.bySlots {
+		return
+	}
 	for _, suspect := range [...]bool{false, true} {
-		if f := q.flows[flowKey{organisation, suspect}]; f != nil && q.fewestFirst {
-			f.held = q.held[organisation]
-			q.heapOf(f).fix(f)
+		if f := q.flows[flowKey{organisation, suspect}]; f != nil {
+			q.fix(f)
 		}
 	}
 }
 
-// release counts a slot that an organisation gives up.
-func (q *rankQueue) release(organisation string) {
-	q.running--
-	q.held[organisation]--
-	q.reorder(organisation)
-	if q.held[organisation] == 0 {
-		delete(q.held, organisation)
+// use counts the time for which running requests held their slots.
+func (q *rankQueue) use(running []*entry, now time.Time) {
+	if !q.bySlots {
+		return
+	}
+	use := q.holdings.advance(now)
+	if use == 0 {
+		return
+	}
+	for _, e := range running {
+		if e.rank == q {
+			e.hold.used += use
+			q.reorder(e.req.Organisation)
+		}
 	}
+	q.holdings.rebase()
 }
 
 // resumeTag returns the start tag of a request that is paused for another organisation of its rank.
@@ -365,6 +438,7 @@
 		e.tag = q.resumeTag(e)
 	}
 	q.paused = slices.Insert(q.paused, 0, e)
+	q.holdings.change(e.hold, func(h *holding) { h.waiting++ })
 	q.pausedWork += e.req.Cost
 }
 
@@ -374,6 +448,7 @@
 		return
 	}
 	q.paused = slices.Delete(q.paused, i, i+1)
+	q.holdings.change(e.hold, func(h *holding) { h.waiting-- })
 	q.pausedWork -= e.req.Cost
 	if len(q.paused) == 0 {
 		q.pausedWork = 0
--- a/admitter/window.go
+++ b/admitter/window.go
@@ -96,6 +96,9 @@
 	}
 	a.last = now
 	a.slide(now)
+	for _, q := range a.ranks {
+		q.use(a.running, now)
+	}
 	rate := a.rates.done()
 	if rate == 0 {
 		return
