admitter: send a request on from an engine where it may pause nothing

During an overload the queues make the load bound infinite, so nothing sends such a request to an engine where the large organisation could be paused for it. Ruled out: preemption (1 ms from preempt to paused) and the order of service (the waiting requests were first in their queue). Change: an attempt that is not the last is refused as beyond the bound if it would go ahead of waiting requests and may pause none of the running ones.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -117,6 +117,47 @@
 	}
 }
 
+// Guards against a request that waits at an engine where it may pause nothing, while requests that it could pause
+// run at other engines.
+func TestOfferWithoutRequestToPause(t *testing.T) {
+	tests := []struct {
+		name    string
+		waiting admitter.Request
+		offered admitter.Request
+		last    bool
+		reason  judge.Reason
+	}{
+		{"less urgent work waits", request(3, "batch", "c", 100), request(4, "urgent", "b", 100), false, judge.ReasonBound},
+		{"last attempt waits", request(3, "batch", "c", 100), request(4, "urgent", "b", 100), true, ""},
+		{"organisation with more use waits", request(3, "urgent", "a", 100), request(4, "urgent", "b", 100), false, judge.ReasonBound},
+		{"organisation with the most use itself", request(3, "urgent", "a", 100), request(4, "urgent", "a", 100), false, ""},
+		{"nothing waits", admitter.Request{}, request(4, "urgent", "b", 100), false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := admitter.New(admitter.Config{Slots: 2, Ranks: ranks(0, 0, 0), PauseWithinRank: true})
+			for id := uint64(1); id <= 2; id++ {
+				r := request(id, "urgent", "a", 100)
+				r.Pinned = true
+				require.NoError(t, a.Offer(at(0), r))
+				start(t, a, at(0), id)
+			}
+			if tt.waiting.ID != 0 {
+				require.NoError(t, a.Offer(at(1000), tt.waiting))
+			}
+			tt.offered.Last = tt.last
+			require.Equal(t, tt.reason, reasonOf(a.Offer(at(1000), tt.offered)))
+		})
+	}
+}
+
+func reasonOf(err error) judge.Reason {
+	if err == nil {
+		return ""
+	}
+	return judge.ReasonOf(err)
+}
+
 // Guards against a request that queued for a slot and then waits for the bound.
 func TestBoundAtNext(t *testing.T) {
 	a := admitter.New(admitter.Config{Slots: 2, Ranks: ranks(0, 0, 0)})
--- a/admitter/offer.go
+++ b/admitter/offer.go
@@ -25,6 +25,9 @@
 	if err := a.check(q, r); err != nil {
 		return a.refuseOffer(q, r, err)
 	}
+	if !r.Last && a.hemmedIn(q, r) {
+		return a.refuseOffer(q, r, a.refusal(judge.ReasonBound, 0))
+	}
 	if !a.idle(r) {
 		wait := a.predict(q, r)
 		if r.Deadline > 0 && wait.Seconds() > predictionMargin*r.Deadline.Seconds() {
@@ -62,6 +65,25 @@
 	return nil
 }
 
+// hemmedIn reports whether a request would wait here for requests that it may not pause, ahead of other waiting ones.
+// Where requests like those waiting run, it could pause one of them and start at once.
+func (a *Admitter) hemmedIn(q *rankQueue, r Request) bool {
+	if !a.cfg.PauseWithinRank || r.Suspect || len(a.running)-a.pausing < a.cfg.Slots || a.victimFor(q.position) != nil {
+		return false
+	}
+	for _, u := range a.ranks[q.position+1:] {
+		if u.waiting() > 0 {
+			return true
+		}
+	}
+	f, ok := q.largest.first()
+	if !ok {
+		return false
+	}
+	h := q.holdings.of(r.Organisation)
+	return f.hold.used/f.hold.weight > h.used/h.weight && a.largestHolder(q, &entry{req: r, hold: h}) == nil
+}
+
 // idle reports whether a request would start at once, or at least as soon as the load bound allows.
 func (a *Admitter) idle(r Request) bool {
 	return len(a.running) < a.cfg.Slots && a.Waiting() == 0 && (a.suspects == 0 || !r.Suspect)
--- a/measurer/load_test.go
+++ b/measurer/load_internal_test.go
@@ -14,8 +14,11 @@
 // Guards against refused requests counting as fast ones, and against a quantile of no samples meeting a goal.
 func TestQuantile(t *testing.T) {
 	samples := []sample{
-		{first: 3 * time.Millisecond}, {first: time.Millisecond}, {first: 2 * time.Millisecond},
-		{class: 1, first: time.Second}, {err: errors.New("refused")},
+		{first: 3 * time.Millisecond},
+		{first: time.Millisecond},
+		{first: 2 * time.Millisecond},
+		{class: 1, first: time.Second},
+		{err: errors.New("refused")},
 	}
 	first := func(s sample) bool { return s.class == 0 }
 	require.InDelta(t, 2, quantile(samples, 0.5, first, firstToken), 1e-9)
