agent: pay for requests from the account that the pool names

An admitted request of a pool with an account pays its estimated work before it queues and gets back what was not done, or all of it if it is refused. Without credit the refusal is no_credit, not run, with the time until enough accrues. The number of agents is the largest count of listed upstreams of the pools that name the account within the last one to two hours, so that a partition or a starting agent with a short list does not enlarge a slice. Alarms go to the log and to GET /status when the projected demand leaves more than a tenth of the slice unused or finds no credit for more than a tenth of itself.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -94,6 +94,7 @@
 	engine      *engine.Client
 	engineState *engineState
 	gate        *gate
+	credit      *credit
 	recorder    *recorder.Recorder
 	quarantine  *quarantiner.Quarantine
 	ledger      *ticketer.Ledger
@@ -126,6 +127,7 @@
 	a.gate = newGate(admitter.Config{
 		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
+	a.credit = &credit{log: cfg.Log, view: cfg.View}
 	return a, a.buildMemory()
 }
 
@@ -157,6 +159,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
+		g.Go(func() error { return a.watchCredit(ctx) })
 	}
 	return g.Wait()
 }
@@ -179,6 +182,7 @@
 // SetSnapshot takes a configuration that came into force.
 func (a *Agent) SetSnapshot(s *configurer.Snapshot) {
 	a.gate.setRanks(s.Ranks)
+	a.credit.setSnapshot(a.cfg.Now(), a.cfg.Pool, s)
 }
 
 // Leave makes the agent refuse new work; it still answers repeats and resumes.
@@ -214,6 +218,25 @@
 	return alive && status.Ready
 }
 
+// Alarms returns the conditions that need an operator.
+func (a *Agent) Alarms() []string {
+	return a.credit.check(a.cfg.Now())
+}
+
+// watchCredit logs the alarms of the pool's account until ctx ends.
+func (a *Agent) watchCredit(ctx context.Context) error {
+	t := time.NewTicker(creditCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.Alarms()
+		}
+	}
+}
+
 // Running returns the number of requests in progress.
 func (a *Agent) Running() int {
 	return int(a.running.Load())
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -24,6 +24,7 @@
 	body        encoder.ChatRequest
 	fingerprint quarantiner.Fingerprint
 	slot        *slot
+	payment     payment
 	stream      *recorder.Stream
 	id          encoder.StreamID
 	// offset is the number of events of the answer so far, with those that the router had before.
@@ -98,11 +99,18 @@
 		r.Try = upstream
 		return r, err
 	}
+	if g.payment, err = a.credit.pay(a.cfg.Now(), env.Rank, cost); err != nil {
+		a.quarantine.Leave(g.fingerprint)
+		r := encoder.NewRefusal(err)
+		r.Mark = mark
+		return r, err
+	}
 	g.slot, err = a.gate.acquire(ctx, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
 		Cost: cost, Deadline: env.Deadline(), Last: env.Last, Suspect: mark > 0,
 	})
 	if err != nil {
+		g.payment.settle(a.cfg.Now(), 0)
 		a.quarantine.Leave(g.fingerprint)
 		r := encoder.NewRefusal(err)
 		r.Mark, r.Try = mark, a.displace(env, cost, err)
@@ -143,6 +151,7 @@
 		a.quarantine.Finish(a.cfg.Now(), g.fingerprint)
 	}
 	g.slot.done(g.workDone())
+	g.payment.settle(a.cfg.Now(), float64(g.body.PromptTokens()+g.tokens))
 	g.stream.Close(err)
 	a.cfg.Log.Info("generated", "request", g.env.RequestID, "organisation", g.env.Organisation, "rank", g.env.Rank,
 		"stream", g.id.String(), "events", g.tokens, "offset", g.offset, "error", err)
--- /dev/null
+++ b/agent/credit.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/judge"
+	"clementineramp/spender"
+)
+
+const (
+	// agentsMemory is the time for which a larger number of agents still counts. Lists that lack agents for a while,
+	// as in a partition, must not enlarge the slices of the others.
+	agentsMemory = time.Hour
+	// creditCheck is the time between two looks at the accounts when no request asks for credit.
+	creditCheck = 10 * time.Second
+)
+
+// credit pays for requests from the agent's slice of the account that its pool names.
+type credit struct {
+	log  hclog.Logger
+	view func(pool string) []chooser.Upstream
+
+	mu sync.Mutex
+	// account is the account of the agent's pool; without one requests need no credit.
+	account *configurer.Account
+	ranks   []configurer.Rank
+	// pools name the same account, so that their agents share it.
+	pools  []string
+	agents largest
+	// spender is nil until the host list names an agent, since the size of the slice is not known before.
+	spender *spender.Spender
+	alarms  []string
+}
+
+// payment is what a request has paid; the zero value is that of a request that needs no credit.
+type payment struct {
+	credit  *credit
+	account string
+	at      time.Time
+	cost    float64
+}
+
+// setSnapshot takes the account of the agent's pool from a new configuration.
+func (c *credit) setSnapshot(now time.Time, pool string, s *configurer.Snapshot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own, _ := s.Pool(pool)
+	c.account, c.pools, c.ranks = nil, nil, s.Ranks
+	for _, a := range s.Accounts {
+		if own.Account != "" && a.Name == own.Account {
+			c.account = &a
+		}
+	}
+	for _, p := range s.Pools {
+		if own.Account != "" && p.Account == own.Account {
+			c.pools = append(c.pools, p.Name)
+		}
+	}
+	c.count(now)
+	if c.spender == nil {
+		return
+	}
+	c.spender.SetRanks(s.Ranks)
+	c.spender.Accounts(now, c.accounts())
+}
+
+func (c *credit) accounts() []configurer.Account {
+	if c.account == nil {
+		return nil
+	}
+	return []configurer.Account{*c.account}
+}
+
+// count counts the agents that share the account.
+func (c *credit) count(now time.Time) {
+	n := 0
+	for _, pool := range c.pools {
+		n += len(c.view(pool))
+	}
+	n = c.agents.add(now, n)
+	switch {
+	case n == 0:
+	case c.spender == nil:
+		c.spender = spender.New(now, spender.Config{Agents: n, Ranks: c.ranks})
+		c.spender.Accounts(now, c.accounts())
+	default:
+		c.spender.SetAgents(now, n)
+	}
+}
+
+// pay takes the credits for the estimated work of a request, in tokens, or refuses it.
+func (c *credit) pay(now time.Time, rank string, cost float64) (payment, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.account == nil {
+		return payment{}, nil
+	}
+	c.count(now)
+	if c.spender == nil {
+		return payment{}, judge.Refuse(judge.ReasonCredit, "the number of agents that share account %s is not known yet", c.account.Name)
+	}
+	name, ok := c.spender.Spend(now, rank, cost)
+	d := c.spender.Explain()
+	c.log.Info("credit", d.Pairs()...)
+	if !ok {
+		err := judge.Refuse(judge.ReasonCredit, "account %s: %s, %.0f tokens available", c.account.Name, d.Reason, d.Balance)
+		err.RetryAfter = c.spender.Wait(now, c.account.Name, cost)
+		return payment{}, err
+	}
+	return payment{credit: c, account: name, at: now, cost: cost}, nil
+}
+
+// settle gives back what the request paid for work that was not done, in tokens.
+func (p payment) settle(now time.Time, done float64) {
+	if p.credit == nil {
+		return
+	}
+	p.credit.mu.Lock()
+	defer p.credit.mu.Unlock()
+	p.credit.spender.Refund(now, p.at, p.account, p.cost-done)
+}
+
+// check returns the conditions of the account that need an operator, and logs those that begin or end.
+func (c *credit) check(now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(now)
+	var alarms []string
+	if c.spender != nil {
+		for _, o := range c.spender.Outlooks(now) {
+			if text := o.Alarm(); text != "" {
+				alarms = append(alarms, text)
+			}
+		}
+	}
+	for _, text := range alarms {
+		if !slices.Contains(c.alarms, text) {
+			c.log.Warn("credit_alarm", "alarm", text)
+		}
+	}
+	if len(alarms) == 0 && len(c.alarms) > 0 {
+		c.log.Info("credit_alarm_over")
+	}
+	c.alarms = alarms
+	return alarms
+}
+
+// largest keeps the largest number of the last one to two agentsMemory.
+type largest struct {
+	since           time.Time
+	before, current int
+}
+
+func (l *largest) add(now time.Time, n int) int {
+	if now.Sub(l.since) >= agentsMemory {
+		l.since, l.before, l.current = now, l.current, 0
+	}
+	l.current = max(l.current, n)
+	return max(l.before, l.current)
+}
--- /dev/null
+++ b/agent/credit_test.go
@@ -0,0 +1,274 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/agent"
+	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/judge"
+	"clementineramp/standin"
+	"clementineramp/tracker"
+)
+
+const (
+	pool  = "pool"
+	model = "model"
+	key   = "shared key of the tests"
+	// promptTokens and answerTokens are the estimate for each request of the tests.
+	promptTokens = 20
+	answerTokens = 20
+	cost         = promptTokens + answerTokens
+)
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a number of agents with stand-in engines and a clock that the test sets.
+type fleet struct {
+	t        *testing.T
+	now      atomic.Pointer[time.Time]
+	listed   int
+	snapshot *configurer.Snapshot
+	engines  []*standin.Engine
+	agents   []*agent.Agent
+	stops    []context.CancelFunc
+	requests int
+	// text replaces the text of the requests.
+	text string
+}
+
+func account(amount float64, lapses time.Duration) configurer.Account {
+	return configurer.Account{Name: "a", Amount: amount, AsOf: epoch, Lapses: epoch.Add(lapses), CreditsPerToken: 2}
+}
+
+func snapshot(name string, accounts ...configurer.Account) *configurer.Snapshot {
+	return configurer.NewSnapshot(1, "", []configurer.Part{{
+		Ranks:    []configurer.Rank{{Name: "urgent", Worth: 10}, {Name: "batch", Worth: 1}},
+		Pools:    []configurer.Pool{{Name: pool, Model: model, Version: "v1", Account: name}},
+		Accounts: accounts,
+	}})
+}
+
+func newFleet(t *testing.T, n int, s *configurer.Snapshot) *fleet {
+	f := &fleet{t: t, listed: n, snapshot: s, engines: make([]*standin.Engine, n), agents: make([]*agent.Agent, n), stops: make([]context.CancelFunc, n)}
+	f.at(0)
+	for i := range n {
+		var err error
+		f.engines[i], err = standin.StartEngine(standin.EngineConfig{Name: fmt.Sprint("engine-", i), Model: model, Version: "v1", CacheTokens: 1})
+		require.NoError(t, err)
+		t.Cleanup(f.engines[i].Kill)
+		f.start(i)
+		t.Cleanup(func() { f.stops[i]() })
+	}
+	return f
+}
+
+func (f *fleet) at(d time.Duration) {
+	now := epoch.Add(d)
+	f.now.Store(&now)
+}
+
+// start starts an agent without the memory of the one before it.
+func (f *fleet) start(i int) {
+	if f.stops[i] != nil {
+		f.stops[i]()
+	}
+	a, err := agent.New(agent.Config{
+		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key,
+		Snapshot: func() *configurer.Snapshot { return f.snapshot },
+		Mean:     func(string) tracker.Load { return tracker.Load{} },
+		View:     func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listed) },
+		Merge:    func([]encoder.LoadEntry) {}, Freshest: func() []encoder.LoadEntry { return nil },
+		Log: hclog.NewNullLogger(), Now: func() time.Time { return *f.now.Load() },
+	})
+	require.NoError(f.t, err)
+	a.SetSnapshot(f.snapshot)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = a.Run(ctx)
+	}()
+	f.agents[i] = a
+	f.stops[i] = func() {
+		_ = a.Drain(context.Background())
+		a.Close()
+		cancel()
+		<-done
+	}
+	require.Eventually(f.t, a.Ready, 10*time.Second, time.Millisecond)
+}
+
+// ask sends a request and returns the refusal, or nil when the whole answer came.
+func (f *fleet) ask(i int, rank string) *judge.Error {
+	f.requests++
+	text := f.text + strings.Repeat("x", (promptTokens-1)*4-len(f.text))
+	body, err := json.Marshal(encoder.ChatRequest{
+		Model: model, MaxTokens: answerTokens, Stream: true, RequestID: fmt.Sprint("r", f.requests),
+		Messages: []encoder.Message{{Role: "user", Content: text}},
+	})
+	require.NoError(f.t, err)
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(string(body)))
+	envelope := encoder.EncodeHeader(encoder.Envelope{
+		RequestID: fmt.Sprint("r", f.requests), Organisation: "o", Rank: rank, Last: true, DeadlineMS: 1e6,
+	})
+	r.Header.Set(encoder.EnvelopeHeader, envelope)
+	r.Header.Set(encoder.SignatureHeader, encoder.Sign(key, envelope))
+	w := httptest.NewRecorder()
+	f.agents[i].Handler().ServeHTTP(w, r)
+	if w.Code == http.StatusOK {
+		require.Contains(f.t, w.Body.String(), "[DONE]")
+		return nil
+	}
+	var refusal encoder.Refusal
+	require.NoError(f.t, json.Unmarshal(w.Body.Bytes(), &refusal))
+	return refusal.Judged()
+}
+
+// spent returns the credits for the work that the engines did.
+func (f *fleet) spent() float64 {
+	tokens := 0
+	for _, e := range f.engines {
+		for _, r := range e.Runs() {
+			tokens += r.PromptTokens + r.Emitted
+		}
+	}
+	return float64(tokens) * f.snapshot.Accounts[0].CreditsPerToken
+}
+
+// Guards against a refusal for want of credit that is not true, and against requests that pay where no account is named.
+func TestNoCredit(t *testing.T) {
+	hour := account(3600*2, time.Hour) // one token per second for one agent
+	f := newFleet(t, 1, snapshot("a", hour))
+	f.at((cost - 1) * time.Second)
+	err := f.ask(0, "urgent")
+	require.Equal(t, judge.ReasonCredit, judge.ReasonOf(err))
+	require.Equal(t, judge.NotRun, judge.VerdictOf(err))
+	require.InDelta(t, time.Second, err.RetryAfter, float64(10*time.Millisecond))
+	require.Zero(t, f.spent())
+	f.at(cost * time.Second)
+	require.Nil(t, f.ask(0, "urgent"))
+	require.InDelta(t, 2*cost, f.spent(), 1e-9)
+
+	f.snapshot = snapshot("", hour)
+	f.agents[0].SetSnapshot(f.snapshot)
+	require.Nil(t, f.ask(0, "batch"))
+}
+
+// Guards against a request that keeps what it paid for work that was not done.
+func TestRefund(t *testing.T) {
+	f := newFleet(t, 1, snapshot("a", account(3600*2, time.Hour)))
+	f.at(cost * time.Second)
+	f.text = standin.CrashText
+	require.Equal(t, judge.ReasonEngineCrashed, judge.ReasonOf(f.ask(0, "urgent")))
+	f.text = ""
+	require.NoError(t, f.engines[0].Restart())
+	require.Eventually(t, f.agents[0].Ready, 10*time.Second, time.Millisecond)
+	// The prompt may have been read, so only the answer is paid back.
+	f.at((cost + promptTokens - 1) * time.Second)
+	require.Equal(t, judge.ReasonCredit, judge.ReasonOf(f.ask(0, "urgent")))
+	f.at((cost + promptTokens) * time.Second)
+	require.Nil(t, f.ask(0, "urgent"))
+}
+
+// Guards against slices that grow when a host list loses agents or is not there yet.
+func TestSliceFollowsLargestList(t *testing.T) {
+	f := newFleet(t, 1, snapshot("a", account(36_000*2, 10*time.Hour)))
+	f.listed = 0
+	f.start(0)
+	f.at(10 * cost * time.Second)
+	require.Equal(t, judge.ReasonCredit, judge.ReasonOf(f.ask(0, "urgent")))
+	f.listed = 4
+	require.Equal(t, judge.ReasonCredit, judge.ReasonOf(f.ask(0, "urgent")))
+	f.listed = 1
+	f.at((10 + 2) * cost * time.Second)
+	require.Equal(t, judge.ReasonCredit, judge.ReasonOf(f.ask(0, "urgent")))
+	f.at((10 + 4) * cost * time.Second)
+	require.Nil(t, f.ask(0, "urgent"))
+}
+
+// Guards against an account that lapses unused or runs out without an alarm, and against alarms without a cause.
+func TestCreditAlarms(t *testing.T) {
+	tests := []struct {
+		name  string
+		every time.Duration
+		want  string
+	}{
+		{"as planned", cost * time.Second, ""},
+		{"little demand", 4 * cost * time.Second, "account a will lapse unused at 2026-03-01T01:00:00Z: demand for 20% of what is left"},
+		{"great demand", cost / 2 * time.Second, "account a runs out before 2026-03-01T01:00:00Z: demand for 200% of what is left"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 1, snapshot("a", account(3600*2, time.Hour)))
+			for d := tt.every; d <= 20*time.Minute; d += tt.every {
+				f.at(d)
+				f.ask(0, "urgent")
+			}
+			got := f.agents[0].Alarms()
+			if tt.want == "" {
+				require.Empty(t, got)
+				return
+			}
+			require.Equal(t, []string{tt.want}, got)
+		})
+	}
+}
+
+// Guards against agents that spend more than the account, whatever restarts they go through, and states what is wasted.
+func TestSpendingThroughAgents(t *testing.T) {
+	const agents, length, step = 3, time.Hour, 20 * time.Second
+	tests := []struct {
+		name string
+		// demand is the work asked for relative to the account, and restarts the mean number per agent.
+		demand, restarts float64
+		waste            float64
+	}{
+		{"no restarts", 3, 0, 0.03},
+		{"one restart per agent", 3, 1, 0.12},
+		{"ten restarts per agent", 3, 10, 0.40},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(1, 2))
+			steps := float64(length / step)
+			total := account(agents*steps*cost*2/tt.demand, length)
+			f := newFleet(t, agents, snapshot("a", total))
+			paid, asked := 0.0, 0.0
+			for d := step; d < length; d += step {
+				f.at(d)
+				for i := range agents {
+					if rng.Float64() < tt.restarts/steps {
+						f.start(i)
+					}
+					rank := "batch"
+					if rng.Float64() < 0.2 {
+						rank = "urgent"
+						asked++
+					}
+					if f.ask(i, rank) == nil && rank == "urgent" {
+						paid++
+					}
+				}
+			}
+			over, waste := max(0, f.spent()-total.Amount), 1-f.spent()/total.Amount
+			t.Logf("overspent %.0f of %.0f, wasted %.4f, urgent requests paid %.3f", over, total.Amount, waste, paid/asked)
+			require.Zero(t, over)
+			require.LessOrEqual(t, waste, tt.waste)
+		})
+	}
+}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -65,6 +65,9 @@
 		Name: p.cfg.Name, Role: string(p.cfg.Role), Region: p.cfg.Region, FailureDomain: p.cfg.FailureDomain,
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
+	if p.role.alarms != nil {
+		s.Alarms = p.role.alarms()
+	}
 	snapshot := p.watcher.Snapshot()
 	if snapshot == nil {
 		return s
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -57,6 +57,8 @@
 	close   func()
 	// ready reports whether the upstream beside the process can take work; nil means that there is none.
 	ready func() bool
+	// alarms returns the conditions that need an operator; nil means that there are none.
+	alarms func() []string
 }
 
 // Process is one daemon.
@@ -196,6 +198,7 @@
 	p.incarn = a.Incarnation()
 	p.role = role{
 		handler: a.Handler(), run: a.Run, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
+		alarms: a.Alarms,
 		server: &http.Server{Handler: a.Handler(), ReadHeaderTimeout: p.cfg.Limits.HeaderTime, IdleTimeout: p.cfg.Limits.IdleTime},
 	}
 	return nil
--- a/spender/spender.go
+++ b/spender/spender.go
@@ -202,7 +202,7 @@
 // assess projects an account to the time it lapses.
 func (s *Spender) assess(a *account, rate, peak, covered, left float64) option {
 	balance := a.balance() / a.price
-	supply := balance + a.accrual(s.last, a.Lapses)/float64(s.cfg.Agents)/a.price
+	supply := s.supply(a)
 	unmet := math.Max(0, rate*left-covered)
 	return option{
 		Account: a.Name,
