--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -42,6 +42,7 @@
 
 // Guards against a full queue that turns small organisations away because of a large one.
 func TestFullQueueRefusesLargestOrganisation(t *testing.T) {
+	t.Parallel()
 	type offer struct {
 		organisation string
 		cost         float64
@@ -86,6 +87,7 @@
 
 // Guards against requests that wait for the load bound although another agent could take them.
 func TestBoundAtOffer(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		limit  float64
@@ -120,6 +122,7 @@
 // Guards against a request that waits at an engine where it may pause nothing, while requests that it could pause
 // run at other engines.
 func TestOfferWithoutRequestToPause(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		waiting admitter.Request
@@ -160,6 +163,7 @@
 
 // Guards against a request that queued for a slot and then waits for the bound.
 func TestBoundAtNext(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 2, Ranks: ranks(0, 0, 0)})
 	for id := uint64(1); id <= 3; id++ {
 		r := request(id, "urgent", "a", 100)
@@ -180,6 +184,7 @@
 
 // Guards against a large request that starves behind small urgent ones, and against urgent ones that wait for it at once.
 func TestBlockedRequestGetsItsTurn(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 8, Ranks: ranks(0, 0, 0.5)})
 	a.SetLimit(100)
 	id := uint64(0)
@@ -208,6 +213,7 @@
 
 // Guards against a pause that loses a request, refuses it after it ran, or puts it behind later ones.
 func TestPauseAndResume(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), MaxQueueTime: time.Second})
 	require.NoError(t, a.Offer(at(0), request(1, "batch", "a", 100)))
 	start(t, a, at(0), 1)
@@ -240,6 +246,7 @@
 
 // Guards against a stream that ends while it is being paused, and against calls to plain services being paused.
 func TestPauseExceptions(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
 	pinned := request(1, "batch", "a", 100)
 	pinned.Pinned = true
@@ -261,6 +268,7 @@
 
 // Guards against two requests that may crash the engine running together.
 func TestOneSuspectAtATime(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 4, Ranks: ranks(0, 0, 0)})
 	for id := uint64(1); id <= 4; id++ {
 		r := request(id, "urgent", "a", 10)
@@ -279,6 +287,7 @@
 
 // Guards against work that is lost or starved when a configuration changes the ranks.
 func TestSetRanks(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
 	require.NoError(t, a.Offer(at(0), request(1, "batch", "a", 10)))
 	require.NoError(t, a.Offer(at(0), request(2, "normal", "a", 10)))
@@ -298,6 +307,7 @@
 
 // Guards against refusals that all return at the same moment or not in time.
 func TestRetryAfterHasJitter(t *testing.T) {
+	t.Parallel()
 	jitter := 0.0
 	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0), Jitter: func() float64 { return jitter }})
 	require.NoError(t, a.Offer(at(0), request(1, "urgent", "a", 100)))
@@ -327,6 +337,7 @@
 
 // Guards against a caller's text forging log fields, and against NaN costs that poison the sums.
 func TestInvalid(t *testing.T) {
+	t.Parallel()
 	a := admitter.New(admitter.Config{Slots: 1, Ranks: ranks(0, 0, 0)})
 	for _, cost := range []float64{math.NaN(), math.Inf(1), 0, -1} {
 		require.Equal(t, judge.ReasonInvalid, judge.ReasonOf(a.Offer(at(0), request(1, "urgent", "a", cost))))
@@ -465,6 +476,7 @@
 
 // Guards against a request that a refusal, preemption or change of configuration loses or counts twice.
 func TestNoRequestIsLost(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		l := &ledger{
 			T: rt, now: epoch, limit: math.Inf(1), slots: rapid.IntRange(1, 4).Draw(rt, "slots"),
--- a/admitter/goals_test.go
+++ b/admitter/goals_test.go
@@ -1,6 +1,7 @@
 package admitter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 
 // Guards against urgent requests waiting behind a flood of the least urgent work.
 func TestUrgentUnderBatchFlood(t *testing.T) {
+	t.Parallel()
 	const target = 1.1
 	rs := ranks(0.5, 0.2, 0.1)
 	for _, load := range []struct{ urgent, normal, batch float64 }{{0.4, 0.2, 0.2}, {0.2, 0.1, 0.2}, {0.5, 0.2, 0.25}} {
@@ -60,9 +62,12 @@
 				load, name, before, during, float64(during)/float64(before))
 			return float64(during) / float64(before)
 		}
-		require.LessOrEqual(t, run("admitter", func() policy { return newAdmitter(rs) }), target)
-		require.Greater(t, run("without preemption", func() policy { return baseline(admitter.WithoutPreemption, rs) }), target)
-		require.Greater(t, run("first come first served", func() policy { return baseline(admitter.FirstCome, rs) }), target)
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			t.Parallel()
+			require.LessOrEqual(t, run("admitter", func() policy { return newAdmitter(rs) }), target)
+			require.Greater(t, run("without preemption", func() policy { return baseline(admitter.WithoutPreemption, rs) }), target)
+			require.Greater(t, run("first come first served", func() policy { return baseline(admitter.FirstCome, rs) }), target)
+		})
 	}
 }
 
@@ -96,6 +101,7 @@
 
 // Guards against one organisation slowing down the small ones of its rank.
 func TestSmallOrganisations(t *testing.T) {
+	t.Parallel()
 	const target = 1.2
 	rs := ranks(0.5, 0.2, 0.1)
 	const (
@@ -117,25 +123,29 @@
 		{"without fairness", 16, func(n int) policy { return sized(admitter.WithoutFairness, n, true, rs) }, beyond, beyond},
 		{"first come first served", 16, func(n int) policy { return sized(admitter.FirstCome, n, false, rs) }, beyond, beyond},
 	} {
-		latency, firstToken, used := fairness(tt.slots, func() policy { return tt.p(tt.slots) })
-		t.Logf("%s, %d slots: latency beside over alone p50 %.3f, p95 %.3f; first token p50 %.3f, p95 %.3f; engine used %.3f",
-			tt.name, tt.slots, latency[0], latency[1], firstToken[0], firstToken[1], used)
-		for _, c := range []struct {
-			want int
-			got  [2]float64
-		}{{tt.latency, latency}, {tt.firstToken, firstToken}} {
-			switch c.want {
-			case within:
-				require.LessOrEqual(t, max(c.got[0], c.got[1]), target, tt.name)
-			case beyond:
-				require.Greater(t, max(c.got[0], c.got[1]), target, tt.name)
+		t.Run(fmt.Sprint(tt.name, tt.slots), func(t *testing.T) {
+			t.Parallel()
+			latency, firstToken, used := fairness(tt.slots, func() policy { return tt.p(tt.slots) })
+			t.Logf("%s, %d slots: latency beside over alone p50 %.3f, p95 %.3f; first token p50 %.3f, p95 %.3f; engine used %.3f",
+				tt.name, tt.slots, latency[0], latency[1], firstToken[0], firstToken[1], used)
+			for _, c := range []struct {
+				want int
+				got  [2]float64
+			}{{tt.latency, latency}, {tt.firstToken, firstToken}} {
+				switch c.want {
+				case within:
+					require.LessOrEqual(t, max(c.got[0], c.got[1]), target, tt.name)
+				case beyond:
+					require.Greater(t, max(c.got[0], c.got[1]), target, tt.name)
+				}
 			}
-		}
+		})
 	}
 }
 
 // Guards against a flood of the urgent rank taking the guaranteed shares of the others.
 func TestSharesUnderUrgentFlood(t *testing.T) {
+	t.Parallel()
 	const tolerance = 0.05
 	shares := map[string]float64{"normal": 0.3, "batch": 0.1}
 	run := func(name string, p policy) map[string]float64 {
@@ -169,6 +179,7 @@
 
 // Guards against a rank that used idle capacity losing its share to a flood that begins later.
 func TestShareAfterIdleCapacity(t *testing.T) {
+	t.Parallel()
 	const tolerance, share = 0.05, 0.1
 	jobs := poisson(3, nil, admitter.Request{Rank: "batch", Organisation: "c", Cost: 100}, 2*slots)
 	for _, j := range poisson(1, nil, admitter.Request{Rank: "urgent", Organisation: "a", Cost: 60}, 4*slots) {
@@ -203,6 +214,7 @@
 
 // Guards against slots kept free for ranks without work.
 func TestIdleCapacityIsUsed(t *testing.T) {
+	t.Parallel()
 	run := func(name string, p policy) float64 {
 		jobs := rankJobs(0.001, 0.001, 3)
 		e := runEngine(p, jobs, nil)
@@ -219,6 +231,7 @@
 
 // Guards against an engine that carries more work than the load bound allows.
 func TestLoadBound(t *testing.T) {
+	t.Parallel()
 	const limit = 1500.0
 	run := func(name string, p policy) (most float64) {
 		runEngine(p, rankJobs(1, 0.5, 0.5), func(e *engine, j *job) {
@@ -245,6 +258,7 @@
 
 // Guards against callers that wait for their whole deadline before they are refused.
 func TestRefusalByPrediction(t *testing.T) {
+	t.Parallel()
 	const deadline = 5 * time.Second
 	run := func(name string, p policy) (late float64) {
 		jobs := rankJobs(0.5, 2, 0.001)
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -88,6 +88,8 @@
 	// bySlots orders organisations by the slots that they hold and held before the order of tags.
 	bySlots  bool
 	holdings holdings
+	// use is what each running request adds to the use of its organisation.
+	use float64
 	// free returns the number of slots of the engine that no request holds.
 	free   func() int
 	window window
@@ -403,24 +405,6 @@
 	}
 }
 
-// use counts the time for which running requests held their slots.
-func (q *rankQueue) use(running []*entry, now time.Time) {
-	if !q.bySlots {
-		return
-	}
-	use := q.holdings.advance(now)
-	if use == 0 {
-		return
-	}
-	for _, e := range running {
-		if e.rank == q {
-			e.hold.used += use
-			q.reorder(e.req.Organisation)
-		}
-	}
-	q.holdings.rebase()
-}
-
 // resumeTag returns the start tag of a request that is paused for another organisation of its rank.
 func (q *rankQueue) resumeTag(e *entry) float64 {
 	if f := q.flows[flowKey{e.req.Organisation, e.req.Suspect}]; f != nil {
--- a/admitter/window.go
+++ b/admitter/window.go
@@ -96,9 +96,7 @@
 	}
 	a.last = now
 	a.slide(now)
-	for _, q := range a.ranks {
-		q.use(a.running, now)
-	}
+	a.countUse(now)
 	rate := a.rates.done()
 	if rate == 0 {
 		return
@@ -113,6 +111,25 @@
 	a.account()
 }
 
+// countUse counts the time for which running requests held their slots.
+func (a *Admitter) countUse(now time.Time) {
+	if !a.cfg.PauseWithinRank {
+		return
+	}
+	for _, q := range a.ranks {
+		q.use = q.holdings.advance(now)
+	}
+	for _, e := range a.running {
+		if e.rank.use > 0 {
+			e.hold.used += e.rank.use
+			e.rank.reorder(e.req.Organisation)
+		}
+	}
+	for _, q := range a.ranks {
+		q.holdings.rebase()
+	}
+}
+
 func (a *Admitter) bucketOf(now time.Time) int64 {
 	return now.UnixNano() / (a.cfg.Window.Nanoseconds() / windowBuckets)
 }
--- a/spender/spender_test.go
+++ b/spender/spender_test.go
@@ -141,22 +141,27 @@
 
 // Guards against restarts that let agents spend more than the account holds.
 func TestRestartsNeverOverspend(t *testing.T) {
+	t.Parallel()
 	a := account("a", amount, 0, day)
 	for _, restarts := range []float64{0, 0.45, 10, 500} {
-		l := load{urgent: 300, batch: 300, restarts: restarts}
-		got := simulate(l, starter(a)).spent["a"]
-		whole := simulate(l, func(now time.Time) payer { return newSlice(now, agents, true, a) }).spent["a"]
-		t.Logf("%g restarts per agent and day: overspent %.0f, wasted %.4f; slice without accrual: overspent %.4f",
-			restarts, math.Max(0, got-amount), 1-got/amount, math.Max(0, whole/amount-1))
-		require.LessOrEqual(t, got, amount)
-		if restarts >= 0.45 {
-			require.Greater(t, whole, amount)
-		}
+		t.Run(fmt.Sprint(restarts), func(t *testing.T) {
+			t.Parallel()
+			l := load{urgent: 300, batch: 300, restarts: restarts}
+			got := simulate(l, starter(a)).spent["a"]
+			whole := simulate(l, func(now time.Time) payer { return newSlice(now, agents, true, a) }).spent["a"]
+			t.Logf("%g restarts per agent and day: overspent %.0f, wasted %.4f; slice without accrual: overspent %.4f",
+				restarts, math.Max(0, got-amount), 1-got/amount, math.Max(0, whole/amount-1))
+			require.LessOrEqual(t, got, amount)
+			if restarts >= 0.45 {
+				require.Greater(t, whole, amount)
+			}
+		})
 	}
 }
 
 // Guards against projections that leave credits to expire, and states the largest waste measured.
 func TestWaste(t *testing.T) {
+	t.Parallel()
 	a := account("a", amount, 0, day)
 	tests := []struct {
 		name  string
@@ -170,23 +175,22 @@
 		{"tenfold skew of demand", load{urgent: 60, batch: 300, skew: 10}, 0.05},
 		{"tenfold skew, demand just above supply", load{urgent: 60, batch: 60, skew: 10}, 0.30},
 	}
-	largest := 0.0
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			res := simulate(tt.l, starter(a))
 			waste := 1 - res.spent["a"]/amount
-			largest = max(largest, waste)
 			t.Logf("wasted %.4f, urgent work paid %.4f", waste, res.urgentPaid/res.urgentAsked)
 			require.LessOrEqual(t, waste, tt.limit)
 			require.GreaterOrEqual(t, waste, 0.0)
 		})
 	}
-	t.Logf("largest waste %.4f", largest)
 }
 
 // Guards against work of little worth taking the credits that work of greater worth will use,
 // and against credits that expire because they are kept for it.
 func TestGreatestWorthFirst(t *testing.T) {
+	t.Parallel()
 	a := account("a", amount, 0, day)
 	l := load{urgent: 60, batch: 300}
 	got := simulate(l, starter(a))
@@ -208,6 +212,7 @@
 
 // Guards against credits that expire while later ones are spent.
 func TestSoonestToLapseFirst(t *testing.T) {
+	t.Parallel()
 	soon, late := account("soon", amount/4, 0, day/2), account("late", amount, 0, day)
 	l := load{urgent: 60}
 	got := simulate(l, starter(late, soon))
@@ -220,6 +225,7 @@
 
 // Guards against rules of the projection that change unseen.
 func TestSpend(t *testing.T) {
+	t.Parallel()
 	start := func(accounts ...configurer.Account) *spender.Spender {
 		s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
 		s.Accounts(epoch, accounts)
@@ -278,6 +284,7 @@
 
 // Guards against a clock that is set back and accrues the same time twice.
 func TestClockSetBack(t *testing.T) {
+	t.Parallel()
 	s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
 	s.Accounts(epoch, []configurer.Account{account("a", 3600, 0, time.Hour)})
 	require.InDelta(t, 600, s.Balance(epoch.Add(10*time.Minute), "a"), 1e-6)
@@ -287,6 +294,7 @@
 
 // Guards against a sheet that lets an agent spend again what it spent after the provider read the amount.
 func TestNewSheet(t *testing.T) {
+	t.Parallel()
 	s := spender.New(epoch, spender.Config{Agents: 2, Ranks: ranks()})
 	s.Accounts(epoch, []configurer.Account{account("a", 7200, 0, time.Hour)})
 	at := epoch.Add(30 * time.Minute)
@@ -313,6 +321,7 @@
 
 // Guards against spending that is forgotten because the provider's reading falls into the same minute.
 func TestNewSheetWithinTheMinute(t *testing.T) {
+	t.Parallel()
 	s := spender.New(epoch, spender.Config{Agents: 1, Ranks: ranks()})
 	s.Accounts(epoch, []configurer.Account{account("a", 3600, 0, time.Hour)})
 	_, ok := s.Spend(epoch.Add(30*time.Minute+50*time.Second), "urgent", 1800)
@@ -323,6 +332,7 @@
 
 // Guards against any sequence of spending, restarts, refunds and sheets that overspends an account.
 func TestNeverOverspends(t *testing.T) {
+	t.Parallel()
 	largest, used := 0.0, 0.0
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 4).Draw(rt, "agents")
@@ -389,6 +399,7 @@
 // States the one case that can overspend: an agent spends its balance after the provider read the
 // amount and restarts before it adopts the new sheet. The bound is the balance of that agent.
 func TestRestartBeforeNewSheet(t *testing.T) {
+	t.Parallel()
 	const n = 10
 	s := spender.New(epoch, spender.Config{Agents: n, Ranks: ranks()})
 	s.Accounts(epoch, []configurer.Account{account("a", 100_000, 0, 10*time.Hour)})
