--- a/launcher/config.go
+++ b/launcher/config.go
@@ -62,6 +62,9 @@
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
 	s.Alarms = p.watcher.Alarms()
+	if p.role.alarms != nil {
+		s.Alarms = append(s.Alarms, p.role.alarms()...)
+	}
 	totals := p.budget.Totals()
 	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
 		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
