Bring a configuration into force without room in the control budget

Cause: after a change that replaced many parts, processes were in debt and skipped their exchanges, so a process that no push reached waited for the next fallback read. And a process that does not watch the platform, but read a manifest there whose parts no peer had, fetched one part (its rate has no room for a second at once) and tried again only at its next fallback read.

Now an exchange without room becomes an announcement of the configuration, and missing parts of a manifest from the platform are asked for again after the retry delay.

--- a/gossiper/distributor.go
+++ b/gossiper/distributor.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
@@ -280,7 +281,12 @@
 			signal(d.readWake)
 		}
 		for _, peer := range d.randomPeers(1) {
-			if _, err := d.cfg.Gossip.Exchange(ctx, peer); err != nil {
+			_, err := d.cfg.Gossip.Exchange(ctx, peer)
+			if trace.IsLimitExceeded(err) {
+				// Load may age, but a push can miss a process, and then this is how it hears of a configuration.
+				_, err = d.cfg.Gossip.Announce(ctx, peer)
+			}
+			if err != nil {
 				d.cfg.Log.Debug("exchange failed", "peer", peer, "error", err.Error())
 			}
 		}
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -17,6 +17,12 @@
 // parallelParts is the number of parts that are fetched at once, so that a first start does not pay one round trip per part.
 const parallelParts = 8
 
+func (d *Distributor) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readyClosed
+}
+
 // takeManifest offers the platform's manifest and fetches what it lists.
 func (d *Distributor) takeManifest(ctx context.Context, v platform.Value) (configurer.Pair, bool) {
 	m, err := configurer.DecodeManifest(v.Data)
@@ -145,8 +151,9 @@
 		})
 	}
 	_ = group.Wait()
-	if len(d.cfg.Holder.Missing()) > 0 && d.isWatcher() {
-		// The watch tells of changes only, so a read that failed is repeated by time.
+	if len(d.cfg.Holder.Missing()) > 0 && (d.isWatcher() || peer == "" && d.isReady()) {
+		// The watch tells of changes only, and no peer may have the parts, so a read that failed is repeated by time.
+		// A starting process repeats all its questions anyway.
 		time.AfterFunc(RetryDelay(len(d.cfg.Hosts()), 1, d.float()), func() { signal(d.readWake) })
 	}
 }
