--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -58,6 +58,8 @@
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
 	Settings func(role, name string) string
+	// Network returns the network of a process; nil means the system's own.
+	Network func(name string) launcher.Network
 }
 
 // Fleet is a platform, engines, a plain service, agents and routers on loopback.
@@ -180,7 +182,11 @@
 	if out == nil {
 		out = io.Discard
 	}
-	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), launcher.Network{})
+	var network launcher.Network
+	if f.cfg.Network != nil {
+		network = f.cfg.Network(name)
+	}
+	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), network)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- /dev/null
+++ b/measurer/control.go
@@ -0,0 +1,313 @@
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/demonstrator"
+	"clementineramp/encoder"
+	"clementineramp/launcher"
+	"clementineramp/standin"
+)
+
+const (
+	// controlRouters and controlEngines make more upstreams than an exchange has entries.
+	controlRouters, controlEngines = 10, 40
+	// controlSettle lets the traffic of the start end, and controlWindow is the time that is measured.
+	controlSettle, controlWindow = 2 * time.Second, 5 * time.Second
+	// controlWarmUp is the load before the measured window, in which unused budget of up to 10 s is spent.
+	controlWarmUp = 13 * time.Second
+	// controlRate is the number of requests that each router takes in a second; at the target size it is 3,800 / 420.
+	controlRate = 9
+	// controlBytes and controlCore are the goals of a process: bytes a second, and percent of a core.
+	controlBytes, controlCore = 8000, 1.4
+	// controlTokens is the length of an answer.
+	controlTokens = 4
+	// targetAgents is the number of agents that a router of the baseline polls at the target size.
+	targetAgents = 600
+)
+
+func controlMeasure() Measure {
+	return Measure{
+		Name:    "control",
+		Summary: "control bytes a second of routers and agents, and processor time of an idle process",
+		Run:     measureControl,
+	}
+}
+
+// controlProcess is a process whose control traffic is counted twice.
+type controlProcess struct {
+	*launcher.Process
+	traffic *traffic
+	// load holds the addresses whose connections carry no control traffic.
+	load map[string]bool
+	// sent, received and skipped are the process's own counts at the start of a window, and wire those at its connections.
+	sent, received, skipped, wire float64
+}
+
+func measureControl(ctx context.Context, seed uint64) (Result, error) {
+	r := Result{Name: "control", Seed: seed}
+	networks := map[string]*traffic{}
+	// Requests to agents and upstreams are the load and not control.
+	load := map[string]bool{}
+	f, err := demonstrator.StartFleet(ctx, demonstrator.FleetConfig{
+		Routers: controlRouters, Engines: controlEngines, Workers: 1,
+		Engine: standin.EngineConfig{Slots: 8, CacheTokens: 4000, TokenInterval: time.Millisecond},
+		Network: func(name string) launcher.Network {
+			networks[name] = newTraffic()
+			return networks[name].network()
+		},
+	})
+	if err != nil {
+		return r, trace.Wrap(err)
+	}
+	defer f.Close()
+	for _, e := range f.Engines {
+		load[e.Address()] = true
+	}
+	for _, w := range f.Workers {
+		load[w.Address()] = true
+	}
+	for _, a := range f.Agents {
+		load[a.Address()] = true
+	}
+	routers, agents := controlProcesses(f.Routers, networks, load), controlProcesses(f.Agents, networks, load)
+	time.Sleep(controlSettle)
+	if err := measureIdle(ctx, &r, routers, agents); err != nil {
+		return r, err
+	}
+	if err := measureLoaded(ctx, &r, seed, routers, agents); err != nil {
+		return r, err
+	}
+	return r, addPollBaseline(&r)
+}
+
+func controlProcesses(list []*launcher.Process, networks map[string]*traffic, load map[string]bool) []*controlProcess {
+	var out []*controlProcess
+	for _, p := range list {
+		out = append(out, &controlProcess{Process: p, traffic: networks[p.Status().Name], load: load})
+	}
+	return out
+}
+
+// begin notes the counts at the start of a window.
+func (p *controlProcess) begin() (err error) {
+	p.wire = p.traffic.total(p.load)
+	p.sent, p.received, p.skipped, err = p.counts()
+	return err
+}
+
+// counts reads the process's own counts from its metrics.
+func (p *controlProcess) counts() (sent, received, skipped float64, err error) {
+	resp, err := http.Get("http://" + p.OperatorAddress() + "/metrics")
+	if err != nil {
+		return 0, 0, 0, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	var m struct {
+		Sent     gaugeValue `json:"control_bytes_sent"`
+		Received gaugeValue `json:"control_bytes_received"`
+		Skipped  gaugeValue `json:"control_skipped"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&m)
+	return m.Sent.Value, m.Received.Value, m.Skipped.Value, trace.Wrap(err)
+}
+
+type gaugeValue struct {
+	Value float64 `json:"value"`
+}
+
+// controlWindowOf runs a window and returns each process's rates: sent, received, wire, skipped.
+func controlWindowOf(processes []*controlProcess, run func() error) error {
+	for _, p := range processes {
+		if err := p.begin(); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	if err := run(); err != nil {
+		return err
+	}
+	seconds := time.Since(began).Seconds()
+	for _, p := range processes {
+		sent, received, skipped, err := p.counts()
+		if err != nil {
+			return err
+		}
+		p.sent, p.received, p.skipped = (sent-p.sent)/seconds, (received-p.received)/seconds, (skipped-p.skipped)/seconds
+		p.wire = (p.traffic.total(p.load) - p.wire) / seconds
+	}
+	return nil
+}
+
+func measureIdle(ctx context.Context, r *Result, routers, agents []*controlProcess) error {
+	var used time.Duration
+	all := slices.Concat(routers, agents)
+	err := controlWindowOf(all, func() error {
+		before := processorTime()
+		sleepFor(ctx, controlWindow)
+		used = processorTime() - before
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	addRates(r, "router without load", routers, true)
+	addRates(r, "agent without load", agents, true)
+	core := 100 * used.Seconds() / controlWindow.Seconds() / float64(len(all))
+	r.Figures = append(r.Figures, Figure{
+		Name: "processor time of a process without load, stand-ins included", Subject: subject, Value: core, Unit: "% of a core", Goal: AtMost(controlCore),
+	})
+	return nil
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// addRates appends the mean and the worst rates of some processes; wire says that the connections carry nothing but control.
+func addRates(r *Result, what string, processes []*controlProcess, wire bool) {
+	add := func(name string, get func(p *controlProcess) float64, goal *Goal) {
+		sum, worst := 0.0, 0.0
+		for _, p := range processes {
+			sum += get(p)
+			worst = max(worst, get(p))
+		}
+		r.Figures = append(r.Figures,
+			Figure{Name: what + ", " + name + ", mean", Subject: subject, Value: sum / float64(len(processes)), Unit: "B/s", Goal: goal},
+			Figure{Name: what + ", " + name + ", worst", Subject: subject, Value: worst, Unit: "B/s"})
+	}
+	add("sent", func(p *controlProcess) float64 { return p.sent }, nil)
+	add("received", func(p *controlProcess) float64 { return p.received }, nil)
+	add("sent and received", func(p *controlProcess) float64 { return p.sent + p.received }, AtMost(controlBytes))
+	if wire {
+		add("at its connections", func(p *controlProcess) float64 { return p.wire }, AtMost(controlBytes))
+	}
+	skipped := 0.0
+	for _, p := range processes {
+		skipped += p.skipped
+	}
+	r.Figures = append(r.Figures, Figure{Name: what + ", skipped, mean", Subject: subject, Value: skipped / float64(len(processes)), Unit: "/s"})
+}
+
+// measureLoaded drives each router at the rate of the target size.
+func measureLoaded(ctx context.Context, r *Result, seed uint64, routers, agents []*controlProcess) error {
+	var failed atomic.Int64
+	var g errgroup.Group
+	for i, p := range routers {
+		g.Go(func() error {
+			driveRouter(ctx, p.Address(), seed, i, &failed)
+			return nil
+		})
+	}
+	sleepFor(ctx, controlWarmUp)
+	err := controlWindowOf(slices.Concat(routers, agents), func() error {
+		sleepFor(ctx, controlWindow)
+		return nil
+	})
+	_ = g.Wait()
+	if err != nil {
+		return err
+	}
+	addRates(r, fmt.Sprintf("router with %d requests/s", controlRate), routers, false)
+	addRates(r, fmt.Sprintf("agent with %.3g requests/s", float64(controlRate*controlRouters)/controlEngines), agents, false)
+	r.Notes = append(r.Notes, fmt.Sprintf("%d requests failed", failed.Load()),
+		"bytes are those above TCP; the figures of the loaded window are the processes' own counts, since the answers share the connections",
+		"the worst process of a window of 5 s may exceed the rate of the budget, which keeps up to 10 s of unspent bytes",
+		"the processor time is that of the whole program, divided by the daemons")
+	return nil
+}
+
+func driveRouter(ctx context.Context, address string, seed uint64, router int, failed *atomic.Int64) {
+	var g errgroup.Group
+	o := demonstrator.Organisations[router%len(demonstrator.Organisations)]
+	for i := range int(controlRate * (controlWarmUp + controlWindow).Seconds()) {
+		sleepFor(ctx, time.Second/controlRate)
+		g.Go(func() error {
+			s := int64(seed)*1_000_000 + int64(router*1000+i)
+			req := encoder.ChatRequest{
+				Model: demonstrator.Model, MaxTokens: controlTokens, Seed: &s,
+				Messages: []encoder.Message{{Role: "user", Content: fmt.Sprintf("Chat %d: which form is due?", s)}},
+			}
+			if _, err := (&standin.Caller{Key: o.Key}).Chat(ctx, address, req, nil); err != nil {
+				failed.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// addPollBaseline measures one poll of an agent's load and works out the rate of a router that polls all agents.
+func addPollBaseline(r *Result) error {
+	size, err := pollSize()
+	if err != nil {
+		return err
+	}
+	r.Figures = append(r.Figures,
+		Figure{Name: "one poll of an agent", Subject: pollSubject, Value: size, Unit: "B"},
+		Figure{Name: "router, sent and received", Subject: pollSubject, Value: size * controlEngines, Unit: "B/s"},
+		Figure{Name: "router, sent and received, at 600 agents", Subject: pollSubject, Value: size * targetAgents, Unit: "B/s"},
+		Figure{Name: "agent, sent and received, at 420 routers", Subject: pollSubject, Value: size * targetRouters, Unit: "B/s"})
+	r.Notes = append(r.Notes, "the baseline's rates are worked out from the size of one poll on a kept connection")
+	return nil
+}
+
+const (
+	pollSubject   = "every router polls each agent each second"
+	targetRouters = 420
+)
+
+// pollSize returns the bytes of one HTTP poll on a kept connection, sent and received.
+func pollSize() (float64, error) {
+	report, err := json.Marshal(encoder.LoadEntry{
+		Upstream: "vavrad-001", Incarnation: 1 << 63, Sequence: 12345, Work: 5120, Queued: 640, UptimeMS: 86_400_000, Version: "2026-12-01",
+	})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	s, err := standin.Start("", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(report) }))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer s.Kill()
+	t := newTraffic()
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		return t.dial(ctx, network, address)
+	}}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	const polls = 10
+	for range polls {
+		resp, err := client.Get("http://" + s.Address() + "/v1/load")
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	return t.total(nil) / polls, nil
+}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -21,7 +21,7 @@
 
 // Measures lists all measurements.
 func Measures() []Measure {
-	return []Measure{}
+	return []Measure{configMeasure(), controlMeasure()}
 }
 
 // Find returns the measure with a name.
