--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,12 +62,18 @@
 	Horizon time.Duration
 	// TicketLifetime is the time for which a ticket may be used.
 	TicketLifetime time.Duration
+	// Admission is the rule of admission; zero means the standard one, and the others are baselines for measures.
+	Admission admitter.Policy
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
 
 	Snapshot func() *configurer.Snapshot
 	// Confirmed returns when the platform last confirmed the configuration in force.
 	Confirmed func() time.Time
+	// Opened returns since when the fleet has been old enough for orders with callers' own keys, and its first configuration.
+	Opened func() (time.Time, configurer.Pair)
+	// LearnFleet takes what a router knows of the past of the fleet.
+	LearnFleet func(encoder.Fleet)
 	// Mean returns the known load of a pool.
 	Mean func(pool string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
@@ -129,7 +135,7 @@
 	a.lifetime, a.end = context.WithCancel(context.Background())
 	a.engine = engine.New(engine.Config{Address: cfg.Upstream, Dial: cfg.DialUpstream, IdleTimeout: cfg.StreamIdle})
 	a.gate = newGate(admitter.Config{
-		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
+		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
 	return a, a.buildMemory()
 }
@@ -335,6 +341,7 @@
 	}
 	a.countControl(0, encoder.LoadBytes(env.Load))
 	a.cfg.Merge(env.Load)
+	a.cfg.LearnFleet(env.Fleet)
 	return env, nil
 }
 
