--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -65,6 +65,8 @@
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
 	Settings func(role, name string) string
+	// Network returns the network of a process; nil means the system's own.
+	Network func(name string) launcher.Network
 }
 
 // Fleet is a platform, engines, a plain service, agents and routers on loopback.
@@ -190,8 +192,12 @@
 	if out == nil {
 		out = io.Discard
 	}
+	var network launcher.Network
+	if f.cfg.Network != nil {
+		network = f.cfg.Network(name)
+	}
 	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name)
-	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission})
+	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Network: network})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -50,6 +50,7 @@
 		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
 		Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		CountControl: w.CountControl,
 		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -25,6 +25,8 @@
 		{Name: "ranks", Summary: "guaranteed shares while the urgent rank floods, and use of idle capacity", Run: ranks},
 		{Name: "flood", Summary: "urgent first token while the least urgent work floods, recovery, and retries in an outage", Run: flood},
 		{Name: "fairness", Summary: "small organisations beside one that asks for 50 times its share", Run: fairness},
+		configMeasure(),
+		controlMeasure(),
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -50,7 +50,7 @@
 	// Fleet returns what is known of the past of the fleet.
 	Fleet func() encoder.Fleet
 	// CountControl counts the bytes of control traffic.
-	CountControl func(bytes int)
+	CountControl func(sent, received int)
 	Retries      *limiter.RetryBudget
 	Forwarder    forwarder.Config
 	Log          hclog.Logger
