Show records of stand-ins and reread the platform's files on SIGHUP

Reason: scripted scenarios run the stand-ins as separate processes, so they cannot read records or publish a sheet through Go values.

- GET /standin/records at an engine and a service returns what they recorded; a run also records when it began.
Its revisions grow with the version of the manifest: a platform that restarts from 1 made watchers wait for the watch limit.
- Caller takes header fields for all requests and reports events as they come.

Ruled out: a command endpoint on the stand-in platform, because a read-only endpoint and a signal are enough.

--- a/commander/deployment.go
+++ b/commander/deployment.go
@@ -123,6 +123,6 @@
 	pool, _ := d.snapshot.Pool(up.Name)
 	return s.engine(standin.EngineConfig{
 		Name: agent.Name, Address: up.Address.String(), Model: pool.Model, Version: pool.Version,
-		Slots: up.Slots, ChecksFence: up.ChecksFencing,
+		Slots: up.Slots, ChecksFence: up.ChecksFencing, TokenInterval: engineTokenInterval, LoadTime: engineLoadTime,
 	})
 }
--- /dev/null
+++ b/commander/publish.go
@@ -0,0 +1,171 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/configurer"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+// revisionsPerVersion spreads the revisions of a stand-in platform by the version of its manifest, so that a platform
+// that starts again with a newer sheet has greater revisions, and one with an older sheet smaller ones.
+const revisionsPerVersion = 1000
+
+// publisher keeps a stand-in platform at the content of files.
+type publisher struct {
+	sheet, values, hosts string
+	platform             *standin.Platform
+	published            map[string][]byte
+}
+
+// publishedPlatform starts a platform that reads its files again on SIGHUP.
+func (s *standins) publishedPlatform(ctx context.Context) error {
+	p := &publisher{
+		sheet: s.cmd.String("sheet"), values: s.cmd.String("values"), hosts: s.cmd.String("hosts"),
+		platform: standin.NewPlatform(), published: map[string][]byte{},
+	}
+	p.platform.SetReadRate(platformReadsPerSecond)
+	version, err := p.publish(s)
+	if err != nil {
+		return err
+	}
+	// The signal is taken before the address is served, because it would end the process otherwise.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	server, err := standin.Start(s.cmd.String("listen"), p.platform.Handler())
+	if err != nil {
+		signal.Stop(hangup)
+		return trace.Wrap(err)
+	}
+	s.started("platform", fmt.Sprintf("with version %d", version), server.Address(), server.Kill)
+	go func() {
+		defer signal.Stop(hangup)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangup:
+				p.republish(s)
+			}
+		}
+	}()
+	return nil
+}
+
+func (p *publisher) republish(s *standins) {
+	version, err := p.publish(s)
+	if err != nil {
+		fmt.Fprintln(s.cmd.Root().ErrWriter, "not published:", printable(err.Error()))
+		return
+	}
+	fmt.Fprintf(s.cmd.Root().Writer, "published version %d\n", version)
+}
+
+// publish publishes what differs from the last publication and returns the version of the manifest, 0 if it has none.
+func (p *publisher) publish(s *standins) (uint64, error) {
+	outputs, err := p.outputs(s)
+	if err != nil {
+		return 0, err
+	}
+	hosts, err := readHosts(p.hosts)
+	if err != nil {
+		return 0, err
+	}
+	var version uint64
+	for _, o := range outputs {
+		if o.key != configurer.ManifestKey {
+			continue
+		}
+		var m struct {
+			Version uint64 `json:"version"`
+		}
+		_ = json.Unmarshal(o.data, &m)
+		version = m.Version
+		p.platform.RaiseRevision(version * revisionsPerVersion)
+	}
+	if err := p.publishHosts(hosts); err != nil {
+		return 0, err
+	}
+	for _, o := range outputs {
+		if p.changed(o.key, o.data) {
+			p.platform.SetValue(o.key, o.data)
+		}
+	}
+	return version, nil
+}
+
+func (p *publisher) publishHosts(hosts []platform.Host) error {
+	data, err := json.Marshal(hosts)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if p.changed("hosts", data) {
+		p.platform.SetHosts(hosts)
+	}
+	return nil
+}
+
+// changed notes the content of a key and reports whether it differs from the one before.
+func (p *publisher) changed(key string, data []byte) bool {
+	old, ok := p.published[key]
+	p.published[key] = data
+	return !ok || !bytes.Equal(old, data)
+}
+
+// outputs returns the values in the order of publication.
+func (p *publisher) outputs(s *standins) ([]output, error) {
+	if p.sheet != "" {
+		sheet, err := compileShown(s.cmd, p.sheet)
+		if err != nil {
+			return nil, err
+		}
+		return outputsOf(sheet), nil
+	}
+	return readValues(p.values)
+}
+
+// readValues reads a directory of values named by key, the manifest last; the content is not checked, as the platform
+// checks none.
+func readValues(dir string) ([]output, error) {
+	var outputs []output
+	var manifest *output
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || strings.HasPrefix(entry.Name(), ".") {
+			return err
+		}
+		data, err := readInput(path)
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(dir, path)
+		if err != nil {
+			return err
+		}
+		o := output{filepath.ToSlash(name), data}
+		if o.key == configurer.ManifestKey {
+			manifest = &o
+			return nil
+		}
+		outputs = append(outputs, o)
+		return nil
+	})
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if manifest == nil {
+		return nil, trace.NotFound("%s holds no file %s", dir, configurer.ManifestKey)
+	}
+	return append(outputs, *manifest), nil
+}
--- a/commander/standin.go
+++ b/commander/standin.go
@@ -58,24 +58,22 @@
 		Name:  "platform",
 		Usage: "serve a sheet and a host list as the platform does",
 		Description: `Compiles the sheet, serves its manifest and parts by key and the host list, and runs until SIGINT or SIGTERM.
+--values takes a directory that "sheet compile" wrote in place of a sheet. SIGHUP reads the files again.
 
 Examples:
-  clementinectl standin platform --listen 127.0.0.1:7000 --sheet monday.csv --hosts hosts.json`,
+  clementinectl standin platform --listen 127.0.0.1:7000 --sheet monday.csv --hosts hosts.json
+  clementinectl standin platform --listen 127.0.0.1:7000 --values published --hosts hosts.json`,
 		Flags: []cli.Flag{
 			listenFlag(),
-			requiredFlag("sheet", "CSV `FILE` of the sheet, or a directory of CSV files"),
+			&cli.StringFlag{Name: "sheet", Usage: "CSV `FILE` of the sheet, or a directory of CSV files"},
+			&cli.StringFlag{Name: "values", Usage: "directory `DIR` of values, named by key"},
 			requiredFlag("hosts", "JSON `FILE` with the host list"),
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			sheet, err := compileShown(cmd, cmd.String("sheet"))
-			if err != nil {
-				return err
-			}
-			hosts, err := readHosts(cmd.String("hosts"))
-			if err != nil {
-				return err
+			if (cmd.String("sheet") == "") == (cmd.String("values") == "") {
+				return wrongUsage(cmd, "want one of --sheet and --values")
 			}
-			return runStandins(ctx, cmd, func(s *standins) error { return s.platform(cmd.String("listen"), sheet, hosts) })
+			return runStandins(ctx, cmd, func(s *standins) error { return s.publishedPlatform(ctx) })
 		},
 	}
 }
@@ -100,12 +98,15 @@
 				return nil
 			}},
 			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse a command with an old fencing number"},
+			&cli.DurationFlag{Name: "token-interval", Usage: "`TIME` between two tokens of an answer", Value: engineTokenInterval},
+			&cli.DurationFlag{Name: "load-time", Usage: "`TIME` that a load order takes", Value: engineLoadTime},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			return runStandins(ctx, cmd, func(s *standins) error {
 				return s.engine(standin.EngineConfig{
 					Name: cmd.String("name"), Address: cmd.String("listen"), Model: cmd.String("model"), Version: cmd.String("version"),
 					Slots: cmd.Int("slots"), ChecksFence: cmd.Bool("checks-fencing"),
+					TokenInterval: cmd.Duration("token-interval"), LoadTime: cmd.Duration("load-time"),
 				})
 			})
 		},
@@ -196,7 +197,7 @@
 }
 
 func (s *standins) engine(cfg standin.EngineConfig) error {
-	cfg.PrefillPerToken, cfg.TokenInterval, cfg.LoadTime = enginePrefillPerToken, engineTokenInterval, engineLoadTime
+	cfg.PrefillPerToken = enginePrefillPerToken
 	e, err := standin.StartEngine(cfg)
 	if err != nil {
 		return trace.Wrap(err)
--- a/commander/standin_test.go
+++ b/commander/standin_test.go
@@ -99,6 +99,16 @@
 	require.Len(t, hosts, 25)
 }
 
+// Guards against a platform that silently serves one of two sources.
+func TestStandinPlatformSource(t *testing.T) {
+	for _, source := range [][]string{nil, {"--sheet", "sheet.csv", "--values", "published"}} {
+		var stdout, stderr bytes.Buffer
+		args := append([]string{"clementinectl", "standin", "platform", "--listen", "127.0.0.1:0", "--hosts", "hosts.json"}, source...)
+		require.Equal(t, commander.ExitUsage, commander.Run(t.Context(), args, &stdout, &stderr))
+		require.Contains(t, stderr.String(), "one of --sheet and --values")
+	}
+}
+
 func TestStandinEngine(t *testing.T) {
 	printed := startStandins(t, "engine", "--listen", "127.0.0.1:0", "--model", "m", "--version", "v", "--name", "e-1", "--slots", "3")
 	require.Len(t, printed, 1)
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -21,6 +21,10 @@
 	Key string
 	// HTTP is the client; nil means http.DefaultClient.
 	HTTP *http.Client
+	// Header holds header fields of each request.
+	Header http.Header
+	// OnEvent is told each event of an answer as it arrives; nil means that nobody is told.
+	OnEvent func(encoder.Event)
 }
 
 // Reply is what a caller got for a chat request.
@@ -46,7 +50,7 @@
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	return readReply(resp.Body, started)
+	return c.readReply(resp.Body, started)
 }
 
 // errEnough ends a caller's reading on purpose.
@@ -90,10 +94,10 @@
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	return readReply(resp.Body, started)
+	return c.readReply(resp.Body, started)
 }
 
-func readReply(body io.Reader, started time.Time) (Reply, error) {
+func (c *Caller) readReply(body io.Reader, started time.Time) (Reply, error) {
 	var reply Reply
 	var text strings.Builder
 	err := encoder.ReadEvents(body, func(ev encoder.Event) error {
@@ -101,14 +105,17 @@
 			reply.FirstToken = time.Since(started)
 		}
 		reply.LastEvent = ev.ID
+		if c.OnEvent != nil {
+			c.OnEvent(ev)
+		}
 		if ev.Done {
 			return nil
 		}
 		reply.Events++
 		text.WriteString(ev.Text)
-		var c encoder.Chunk
-		if json.Unmarshal([]byte(ev.Data), &c) == nil && c.Usage != nil {
-			reply.Usage = *c.Usage
+		var chunk encoder.Chunk
+		if json.Unmarshal([]byte(ev.Data), &chunk) == nil && chunk.Usage != nil {
+			reply.Usage = *chunk.Usage
 		}
 		return nil
 	})
@@ -151,8 +158,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	for name, values := range header {
-		req.Header[name] = values
+	for _, fields := range []http.Header{c.Header, header} {
+		for name, values := range fields {
+			req.Header[name] = values
+		}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	client := c.HTTP
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -43,19 +43,21 @@
 
 // Run is the record of one generation at an engine.
 type Run struct {
-	Engine       string
-	RequestID    string
-	Organisation string
-	Version      string
-	PromptTokens int
-	CachedTokens int
+	Engine       string `json:"engine"`
+	RequestID    string `json:"request_id"`
+	Organisation string `json:"organisation,omitempty"`
+	Version      string `json:"version"`
+	// Started is when the engine took the request into its batch.
+	Started      time.Time `json:"started"`
+	PromptTokens int       `json:"prompt_tokens"`
+	CachedTokens int       `json:"cached_tokens"`
 	// Work is the estimated work of the request, in tokens.
-	Work float64
+	Work float64 `json:"work"`
 	// Emitted counts the tokens that this run added to the answer.
-	Emitted   int
-	Completed bool
+	Emitted   int  `json:"emitted"`
+	Completed bool `json:"completed"`
 	// Foreign says that the answer prefix was not the start of this generation.
-	Foreign bool
+	Foreign bool `json:"foreign"`
 }
 
 // Engine is a stand-in model engine with a batch, a prefix cache and a deterministic answer.
@@ -174,6 +176,7 @@
 	mux.HandleFunc("GET /v1/status", e.serveStatus)
 	mux.HandleFunc("POST /v1/load", e.serveLoad)
 	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("GET "+RecordsPath, func(w http.ResponseWriter, _ *http.Request) { writeRecords(w, e.Records()) })
 	return mux
 }
 
@@ -355,7 +358,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	run := &Run{
-		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version,
+		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version, Started: time.Now(),
 		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
 		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -67,6 +67,14 @@
 	return p
 }
 
+// RaiseRevision makes the next change have a revision above a number, so that a platform that starts again with newer
+// content does not repeat revisions that its readers know.
+func (p *Platform) RaiseRevision(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision = max(p.revision, revision)
+}
+
 // SetValue publishes a value.
 func (p *Platform) SetValue(key string, data []byte) {
 	p.mu.Lock()
--- a/standin/service.go
+++ b/standin/service.go
@@ -10,10 +10,10 @@
 
 // Execution is the record of one order that a plain service ran.
 type Execution struct {
-	Service string
-	Key     string
-	Body    string
-	Number  int
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	Body    string `json:"body"`
+	Number  int    `json:"number"`
 }
 
 // Service is a stand-in for a plain service that runs whatever it receives and has no memory of keys.
@@ -69,6 +69,10 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == RecordsPath {
+		writeRecords(w, s.Records())
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
