Keep a router out of the load balancer until it knows the hosts

Cause: a router was ready with a configuration alone. Its peers give it one while the platform is down, but the host list comes from the platform only, so it answered each request with "no_upstream". After a usual start the same window lasts until the first read of the list.

--- a/launcher/config.go
+++ b/launcher/config.go
@@ -34,7 +34,7 @@
 			SkipFactor: noSkip,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
-		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, View: w.View, KnowsHosts: w.KnowsHosts, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
 		CountControl: w.CountControl,
 		Forwarder:    forwarder.Config{Dial: p.network.Dial},
 		Retries:      retries, Log: p.log, Metrics: p.registry,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -312,11 +312,12 @@
 	p.state = s
 }
 
-// State returns how far the process is in its life.
+// State returns how far the process is in its life. A router is ready only once it knows the hosts, since it could
+// answer no request before.
 func (p *Process) State() operator.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == operator.StateStarting {
+	if p.state == operator.StateStarting && (p.cfg.Role != loader.RoleRouter || p.watcher.KnowsHosts()) {
 		select {
 		case <-p.watcher.Ready():
 			p.state = operator.StateReady
--- a/router/router.go
+++ b/router/router.go
@@ -39,6 +39,8 @@
 	Snapshot func() *configurer.Snapshot
 	// View returns what is known of the upstreams of a pool or service.
 	View func(pool string) []chooser.Upstream
+	// KnowsHosts reports whether a list of hosts is known; nil means that one always is.
+	KnowsHosts func() bool
 	// Address returns the address of the agent beside an upstream.
 	Address func(upstream string) (string, bool)
 	// Observe takes what this router saw of an upstream.
@@ -82,6 +84,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.KnowsHosts == nil {
+		cfg.KnowsHosts = func() bool { return true }
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -158,8 +163,11 @@
 	return nil
 }
 
-// ready returns an error once the load balancer should send no more.
+// ready returns an error while the load balancer should send nothing: before the router knows any host, and once it leaves.
 func (r *Router) ready() error {
+	if !r.cfg.KnowsHosts() {
+		return judge.Refuse(judge.ReasonNotReady, "router %s knows no list of hosts yet", r.cfg.Name)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leaving || r.retiring {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -82,6 +82,8 @@
 	hosts   []platform.Host
 	byName  map[string]platform.Host
 	alarms  []string
+	// listed says that a list of hosts was read.
+	listed bool
 }
 
 // New returns a watcher that knows nothing until Run.
@@ -166,6 +168,13 @@
 	return w.hosts
 }
 
+// KnowsHosts reports whether the platform's list was read.
+func (w *Watcher) KnowsHosts() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed
+}
+
 // Observe takes what this process saw of an upstream.
 func (w *Watcher) Observe(o tracker.Observation) {
 	w.mu.Lock()
@@ -300,6 +309,7 @@
 	w.mu.Lock()
 	change := w.tracker.Hosts(list, w.cfg.Now())
 	w.hosts = hosts
+	w.listed = true
 	// An address outlives its entry, because orders and streams name an agent that the list may have dropped.
 	for name, h := range byName {
 		w.byName[name] = h
