Ask upstreams that are known as leaving when no other is left

Cause: an agent that was restarted stays "leaving" at a router until a newer report arrives by gossip, up to a few seconds. When the agents of a pool were restarted one after the other within that time, each after the one before answered /healthz with 200, the router held all of them for leaving and refused with no_upstream, although all of them took work. Tickets and orders without a key had the same fault, and also for agents that are held back after a restart.

Ruled out: lost reports of the new agents (each logged its start and the host list; the router's log shows no_candidate 215 ms after the second restart); a push of the report from a ready agent to all routers, which would cost 420 exchanges per restart at the target size.

Now the router asks such upstreams as a last resort. This gives a leaving upstream no new work, because its agent refuses by itself.

--- a/router/chat.go
+++ b/router/chat.go
@@ -132,7 +132,11 @@
 // choose asks the chooser for candidates that were not tried, and logs the decision.
 func (t *chatRoute) choose() bool {
 	r := t.router
-	choice := r.chooser.Choose(t.key, t.body.Cost(), t.untried())
+	untried := t.untried()
+	choice := r.chooser.Choose(t.key, t.body.Cost(), untried)
+	if len(choice.Order) == 0 {
+		choice = r.chooser.Choose(t.key, t.body.Cost(), asDown(untried))
+	}
 	t.order = choice.Order
 	r.cfg.Log.Info("route", append([]any{
 		"request", t.env.RequestID, "organisation", t.chat.Organisation.Name, "rank", t.chat.Rank,
@@ -141,6 +145,17 @@
 	return len(t.order) > 0
 }
 
+// asDown returns upstreams with those that are known as leaving as a last resort. An agent that was restarted may
+// not have been heard of, and one that does leave refuses by itself.
+func asDown(ups []chooser.Upstream) []chooser.Upstream {
+	for i := range ups {
+		if ups[i].State == chooser.Leaving {
+			ups[i].State = chooser.Down
+		}
+	}
+	return ups
+}
+
 // chooseAgain offers the request once more to agents that had no room, after others have failed.
 func (t *chatRoute) chooseAgain() bool {
 	if len(t.refused) == 0 || len(t.failed) == 0 {
--- a/router/order.go
+++ b/router/order.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -76,21 +77,35 @@
 	return last
 }
 
-// leastLoaded returns the candidate with the least known work that was not tried.
+// leastLoaded returns the candidate with the least known work that was not tried. Those that are down or leaving as far
+// as the router knows come last: an agent that was restarted is held back for a while, and one that does leave refuses
+// by itself.
 func (r *Router) leastLoaded(service string, tried map[string]bool) (chooser.Upstream, bool) {
 	var best chooser.Upstream
 	found := false
 	for _, u := range r.cfg.View(service) {
-		if tried[u.Name] || u.State == chooser.Leaving || u.State == chooser.Down {
+		if tried[u.Name] {
 			continue
 		}
-		if !found || u.Work < best.Work {
+		if !found || cmp.Or(cmp.Compare(lastResort(u), lastResort(best)), cmp.Compare(u.Work, best.Work)) < 0 {
 			best, found = u, true
 		}
 	}
 	return best, found
 }
 
+// lastResort orders upstreams by how little is to be expected of them.
+func lastResort(u chooser.Upstream) int {
+	switch u.State {
+	case chooser.Down:
+		return 1
+	case chooser.Leaving:
+		return 2
+	default:
+		return 0
+	}
+}
+
 // order carries a call of a plain service.
 func (r *Router) order(ctx context.Context, o caller.Order) (caller.Answer, error) {
 	end, err := r.begin()
