ticketer: name the action of an order in logs

The agent logged action=1 for an order that it runs. The scenarios wait for the line of the running first try, so the value must be readable. Before: action=1, action=2. After: action=run, action=wait, action=replay.

--- a/ticketer/ledger.go
+++ b/ticketer/ledger.go
@@ -153,6 +153,20 @@
 	Replay
 )
 
+// String returns the name of the action in logs.
+func (a Action) String() string {
+	switch a {
+	case Run:
+		return "run"
+	case Wait:
+		return "wait"
+	case Replay:
+		return "replay"
+	default:
+		return fmt.Sprintf("action(%d)", int(a))
+	}
+}
+
 // Decision is the outcome of Begin.
 type Decision struct {
 	Action Action
