Add scripted scenarios over separate processes

Package scenarist runs scripts in a small language of a dozen and a half commands: daemons and stand-ins are processes of the test binary, each script has a loopback address of its own with ports below the ephemeral range, and each wait is for a condition with an upper limit.

Ruled out: free ports found by listening on port 0, because another process can take the port before the daemon binds it.

--- /dev/null
+++ b/scenarist/caller.go
@@ -0,0 +1,201 @@
+package scenarist
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"clementineramp/caller"
+	"clementineramp/encoder"
+	"clementineramp/judge"
+	"clementineramp/standin"
+)
+
+// seed makes the answer of each request known to the caller.
+const seed = 7
+
+// callLimit bounds each request of a caller.
+const callLimit = 50 * time.Second
+
+// get reads a body from an address of a process.
+func get(url string) ([]byte, error) {
+	resp, err := operators.Get(url)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return io.ReadAll(resp.Body)
+}
+
+// balancer is the platform's load balancer in front of the routers: it gives requests to ready routers in turn.
+type balancer struct {
+	mu   sync.Mutex
+	next int
+}
+
+// router returns the address of a router by name, or of the next one that is ready.
+func (s *scenario) router(name string) (string, error) {
+	if name != "routers" {
+		p, err := s.fleet.process(name)
+		if err != nil {
+			return "", err
+		}
+		return p.address, nil
+	}
+	list, err := s.fleet.group(name)
+	if err != nil {
+		return "", err
+	}
+	s.balancer.mu.Lock()
+	s.balancer.next++
+	from := s.balancer.next
+	s.balancer.mu.Unlock()
+	address := ""
+	err = await(func() error {
+		for i := range list {
+			p := list[(from+i)%len(list)]
+			if ok("http://"+p.address+"/v1/ready") == nil {
+				address = p.address
+				return nil
+			}
+		}
+		return errors.New("no router is ready")
+	})
+	return address, err
+}
+
+// newCaller returns a caller with connections of its own.
+func newCaller(key string) *standin.Caller {
+	return &standin.Caller{Key: key, HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+// chat is a streamed chat of a script.
+type chat struct {
+	caller  *standin.Caller
+	request encoder.ChatRequest
+
+	mu     sync.Mutex
+	text   strings.Builder
+	last   string
+	events int
+	// ended is closed at the end of the answer or of the connection.
+	ended chan struct{}
+	err   error
+}
+
+func newChat(key, model, text string, tokens int) *chat {
+	n := int64(seed)
+	c := &chat{caller: newCaller(key), request: encoder.ChatRequest{
+		Model: model, MaxTokens: tokens, Seed: &n, Messages: []encoder.Message{{Role: "user", Content: text}},
+	}}
+	c.caller.OnEvent = c.event
+	return c
+}
+
+func (c *chat) event(ev encoder.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = ev.ID
+	if !ev.Done {
+		c.events++
+		c.text.WriteString(ev.Text)
+	}
+}
+
+func (c *chat) progress() (events int, last string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.events, c.last
+}
+
+// send runs the chat through a router until its end.
+func (c *chat) send(address string, header http.Header) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	_, err := c.caller.Chat(ctx, address, c.request, header)
+	return err
+}
+
+// begin runs a part of the chat in the background.
+func (c *chat) begin(part func() error) {
+	ended := make(chan struct{})
+	c.ended = ended
+	go func() {
+		c.err = part()
+		close(ended)
+	}()
+}
+
+// resume reads the rest of the answer through a router.
+func (c *chat) resume(address string) {
+	_, last := c.progress()
+	c.begin(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		_, err := c.caller.Resume(ctx, address, last)
+		return err
+	})
+}
+
+// whole reports whether the answer is whole in one of the versions.
+func (c *chat) whole(versions []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range versions {
+		if c.text.String() == standin.Answer(c.request, v) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the answer is not whole in one of the versions %q: %d events, %q", versions, c.events, c.text.String())
+}
+
+// order is an order of a script.
+type order struct {
+	ended  chan struct{}
+	answer string
+	err    error
+}
+
+func sendOrder(c *standin.Caller, address, service, key, body string, deadline time.Duration) *order {
+	o := &order{ended: make(chan struct{})}
+	c.Header = http.Header{caller.DeadlineHeader: {strconv.FormatInt(deadline.Milliseconds(), 10)}}
+	go func() {
+		defer close(o.ended)
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		o.answer, o.err = c.Order(ctx, address, service, "/orders", key, []byte(body))
+	}()
+	return o
+}
+
+// rankHeader returns the header that names a rank.
+func rankHeader(rank string) http.Header {
+	if rank == "" {
+		return nil
+	}
+	return http.Header{caller.RankHeader: {rank}}
+}
+
+// refusedWith checks the verdict and the code of an order that was not answered.
+func refusedWith(err error, verdict judge.Verdict, code string) error {
+	if err == nil {
+		return errors.New("the order was answered")
+	}
+	var judged *judge.Error
+	if !errors.As(err, &judged) {
+		return fmt.Errorf("no verdict: %w", err)
+	}
+	if judged.Verdict != verdict || code != "" && string(judged.Reason) != code {
+		return fmt.Errorf("want %v %s, got %w", verdict, code, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarist/fleet.go
@@ -0,0 +1,436 @@
+package scenarist
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+	"clementineramp/loader"
+	"clementineramp/platform"
+)
+
+const (
+	// firstPort is below the ports that the system gives to outgoing connections, so that none of them is taken.
+	firstPort = 20000
+	// sharedKey authenticates the processes of a fleet to each other.
+	sharedKey = "a-shared-key-of-the-scenarios"
+	// sheetFile and hostsFile are the files of a script, and publishedDir the directory that its platform serves.
+	sheetFile    = "sheet.csv"
+	hostsFile    = "hosts.json"
+	publishedDir = "published"
+)
+
+// domains are the failure domains over which a fleet is spread.
+var domains = []string{"malaren", "hjalmaren", "vanern"}
+
+// fleet is the fleet of one script.
+type fleet struct {
+	// dir is the directory of the script, and ip its own loopback address.
+	dir, ip   string
+	port      int
+	processes []*process
+	hosts     []platform.Host
+	left      map[string]time.Time
+	mu        sync.Mutex
+	// versions are the model versions that were published, and models the models by pool.
+	versions map[string]bool
+	models   map[string]string
+}
+
+func newFleet(dir, ip string) *fleet {
+	return &fleet{
+		dir: dir, ip: ip, port: firstPort, versions: map[string]bool{}, models: map[string]string{},
+		left: map[string]time.Time{},
+	}
+}
+
+func (f *fleet) path(name string) string {
+	return filepath.Join(f.dir, name)
+}
+
+func (f *fleet) newAddress() string {
+	f.port++
+	return f.ip + ":" + strconv.Itoa(f.port)
+}
+
+// compile compiles a sheet and notes the models that it orders.
+func (f *fleet) compile(name string) (*compiler.Sheet, *configurer.Snapshot, error) {
+	data, err := os.ReadFile(f.path(name))
+	if err != nil {
+		return nil, nil, err
+	}
+	sheet, err := compiler.Compile(compiler.Source{Name: name, Data: data})
+	if err != nil {
+		return nil, nil, err
+	}
+	snapshot, err := configurer.Load(sheet.Manifest, sheet.Part)
+	if err != nil {
+		return nil, nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range snapshot.Pools {
+		f.versions[p.Version] = true
+		f.models[p.Name] = p.Model
+	}
+	return sheet, snapshot, nil
+}
+
+// fleetOptions are the arguments of the command fleet.
+type fleetOptions struct {
+	routers, engines, slots                       int
+	token, load, grace, firstByte, silence, limit time.Duration
+}
+
+// build writes settings and the host list for the script's sheet.
+func (f *fleet) build(o fleetOptions) error {
+	sheet, snapshot, err := f.compile(sheetFile)
+	if err != nil {
+		return err
+	}
+	if err := f.write(sheet); err != nil {
+		return err
+	}
+	platformAddress := f.newAddress()
+	f.processes = append(f.processes, f.platform(platformAddress, "--values", f.path(publishedDir)))
+	settings := map[string]any{
+		"platform": []string{platformAddress}, "region": "svealand", "shared_key": sharedKey,
+		"drain":   map[string]any{"grace": o.grace.String()},
+		"limits":  map[string]any{"stream_idle_time": o.silence.String()},
+		"routing": map[string]any{"first_byte_timeout": o.firstByte.String()},
+	}
+	peers := []string{}
+	for i := range o.routers {
+		name := fmt.Sprintf("router-%d", i+1)
+		p := f.daemon(name, roleRouter, "", domains[i%len(domains)])
+		peers = append(peers, f.hosts[len(f.hosts)-1].Control)
+		f.processes = append(f.processes, p)
+	}
+	settings["peers"] = peers
+	for _, pool := range snapshot.Pools {
+		for i := range o.engines {
+			name := fmt.Sprintf("%s-%d", pool.Name, i+1)
+			f.addAgent(name, pool.Name, domains[i%len(domains)], "engine", "--model", pool.Model, "--version", pool.Version,
+				"--slots", strconv.Itoa(o.slots), "--token-interval", o.token.String(), "--load-time", o.load.String())
+		}
+	}
+	for _, service := range snapshot.Services {
+		for i, name := range service.Workers {
+			f.addAgent(name, service.Name, domains[i%len(domains)], "service")
+		}
+	}
+	for _, p := range f.processes {
+		p.limit = o.limit
+	}
+	for _, h := range f.hosts {
+		if err := f.writeSettings(settings, h, o.slots); err != nil {
+			return err
+		}
+	}
+	return f.writeHosts()
+}
+
+// addAgent adds an agent and the stand-in of its upstream.
+func (f *fleet) addAgent(name, pool, domain, kind string, args ...string) {
+	address := f.newAddress()
+	f.processes = append(f.processes, &process{
+		name: name + ".upstream", role: roleUpstream, pool: pool, address: address,
+		command: append([]string{"clementinectl", "standin", kind, "--listen", address, "--name", name}, args...),
+	}, f.daemon(name, roleAgent, pool, domain))
+}
+
+// daemon adds a host and returns its process.
+func (f *fleet) daemon(name, role, pool, domain string) *process {
+	h := platform.Host{
+		Name: name, Address: f.newAddress(), Control: f.newAddress(), Domain: domain, Role: role, Upstream: pool,
+		State: platform.StateLive,
+	}
+	f.hosts = append(f.hosts, h)
+	return &process{
+		name: name, role: role, pool: pool, address: h.Address, operators: f.newAddress(),
+		command: []string{"clementined", "--settings", f.path(name + ".json")},
+	}
+}
+
+func (f *fleet) platform(address string, args ...string) *process {
+	return &process{
+		name: "platform", role: rolePlatform, address: address,
+		command: append([]string{"clementinectl", "standin", "platform", "--listen", address, "--hosts", f.path(hostsFile)}, args...),
+	}
+}
+
+func (f *fleet) writeSettings(common map[string]any, h platform.Host, slots int) error {
+	s := map[string]any{}
+	for name, value := range common {
+		s[name] = value
+	}
+	p, err := f.process(h.Name)
+	if err != nil {
+		return err
+	}
+	s["name"], s["role"], s["failure_domain"] = h.Name, h.Role, h.Domain
+	s["listen"], s["control_listen"], s["operator_listen"] = h.Address, h.Control, p.operators
+	if h.Role == roleAgent {
+		up, err := f.process(h.Name + ".upstream")
+		if err != nil {
+			return err
+		}
+		s["upstream"] = map[string]any{"kind": up.command[2], "name": h.Upstream, "address": up.address, "slots": slots}
+	}
+	return f.writeJSON(h.Name+".json", s)
+}
+
+func (f *fleet) writeHosts() error {
+	return f.writeJSON(hostsFile, struct {
+		Revision int             `json:"revision"`
+		Hosts    []platform.Host `json:"hosts"`
+	}{1, f.hosts})
+}
+
+func (f *fleet) writeJSON(name string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.path(name), append(data, '\n'), 0o600)
+}
+
+// write replaces what the platform serves by a sheet.
+func (f *fleet) write(sheet *compiler.Sheet) error {
+	for _, p := range sheet.Parts {
+		if err := f.writeValue(configurer.PartKey(p.Digest), p.Data); err != nil {
+			return err
+		}
+	}
+	return f.writeValue(configurer.ManifestKey, sheet.Manifest)
+}
+
+func (f *fleet) writeValue(key string, data []byte) error {
+	path := filepath.Join(f.path(publishedDir), filepath.FromSlash(key))
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
+
+// publish publishes a sheet and returns when the platform serves it; a platform that is down serves it later.
+func (f *fleet) publish(name string) error {
+	sheet, _, err := f.compile(name)
+	if err != nil {
+		return err
+	}
+	if err := f.write(sheet); err != nil {
+		return err
+	}
+	return f.reread(sheet.Manifest)
+}
+
+// publishPart publishes a version with a change in its parts that no tool checks.
+func (f *fleet) publishPart(before, after string, version uint64) error {
+	data, err := os.ReadFile(filepath.Join(f.path(publishedDir), filepath.FromSlash(configurer.ManifestKey)))
+	if err != nil {
+		return err
+	}
+	m, err := configurer.DecodeManifest(data)
+	if err != nil {
+		return err
+	}
+	found := false
+	for i, ref := range m.Parts {
+		part, err := os.ReadFile(filepath.Join(f.path(publishedDir), filepath.FromSlash(configurer.PartKey(ref.Digest))))
+		if err != nil {
+			return err
+		}
+		changed := bytes.ReplaceAll(part, []byte(before), []byte(after))
+		if bytes.Equal(part, changed) {
+			continue
+		}
+		found = true
+		m.Parts[i].Digest = configurer.DigestOf(changed)
+		if err := f.writeValue(configurer.PartKey(m.Parts[i].Digest), changed); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return fmt.Errorf("no part contains %q", before)
+	}
+	m.Version = version
+	if data, err = json.Marshal(m); err != nil {
+		return err
+	}
+	if err := f.writeValue(configurer.ManifestKey, data); err != nil {
+		return err
+	}
+	return f.reread(data)
+}
+
+// reread makes the platform read its files and waits until it serves a manifest.
+func (f *fleet) reread(manifest []byte) error {
+	p, err := f.process("platform")
+	if err != nil || !p.running() {
+		return err
+	}
+	if err := p.signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	return p.await("the publication", func() error {
+		data, err := get("http://" + p.address + "/v1/values/" + configurer.ManifestKey)
+		if err == nil && !bytes.Equal(data, manifest) {
+			err = fmt.Errorf("serves another manifest")
+		}
+		return err
+	})
+}
+
+// leave lists a host as leaving.
+func (f *fleet) leave(name string) error {
+	found := false
+	for i := range f.hosts {
+		if f.hosts[i].Name == name {
+			f.hosts[i].State, found = platform.StateLeaving, true
+		}
+	}
+	if !found {
+		return fmt.Errorf("no host %q", name)
+	}
+	if err := f.writeHosts(); err != nil {
+		return err
+	}
+	p, err := f.process("platform")
+	if err != nil {
+		return err
+	}
+	f.left[name] = time.Now()
+	return p.signal(syscall.SIGHUP)
+}
+
+// example takes a deployment from a directory, with another address in place of 127.0.0.1.
+func (f *fleet) example(dir string) error {
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(dir, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			return os.MkdirAll(f.path(name), 0o755)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(f.path(name), bytes.ReplaceAll(data, []byte("127.0.0.1"), []byte(f.ip)), 0o600)
+	})
+	if err != nil {
+		return err
+	}
+	if _, _, err := f.compile(sheetFile); err != nil {
+		return err
+	}
+	f.processes = append(f.processes, &process{
+		name: "platform", role: rolePlatform, command: []string{"clementinectl", "standin", "all", f.dir}, limit: waitLimit,
+	})
+	files, err := filepath.Glob(f.path("settings/*.json"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		if err := f.addDaemon(file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addDaemon adds the daemon of a settings file of an example.
+func (f *fleet) addDaemon(file string) error {
+	s, err := loader.Check(file)
+	if err != nil {
+		return err
+	}
+	p := &process{
+		name: s.Name, role: string(s.Role), address: s.Listen.String(), operators: s.OperatorListen.String(),
+		command: []string{"clementined", "--settings", file}, env: []string{s.SharedKeyEnv + "=" + sharedKey},
+		limit: waitLimit,
+	}
+	if s.Upstream != nil {
+		p.pool = s.Upstream.Name
+		f.processes = append(f.processes, &process{
+			name: s.Name + ".upstream", role: roleUpstream, pool: p.pool, address: s.Upstream.Address.String(),
+		})
+	}
+	f.processes = append(f.processes, p)
+	return nil
+}
+
+// process returns the process with a name.
+func (f *fleet) process(name string) (*process, error) {
+	for _, p := range f.processes {
+		if p.name == name {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("no process %q", name)
+}
+
+// group returns the processes that a word of a script stands for.
+func (f *fleet) group(word string) ([]*process, error) {
+	var list []*process
+	for _, p := range f.processes {
+		daemon := p.role == roleRouter || p.role == roleAgent
+		if p.name == word || word == "all" && daemon || word == p.role+"s" || word == p.pool && p.role == roleAgent {
+			list = append(list, p)
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("no process or group %q", word)
+	}
+	return list, nil
+}
+
+// groups returns the processes that several words stand for, in the order of the words.
+func (f *fleet) groups(words []string) ([]*process, error) {
+	var list []*process
+	for _, word := range words {
+		g, err := f.group(word)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, g...)
+	}
+	return list, nil
+}
+
+// upstreams returns the stand-ins beside the agents of a pool or service.
+func (f *fleet) upstreams(pool string) ([]*process, error) {
+	var list []*process
+	for _, p := range f.processes {
+		if p.role == roleUpstream && (p.pool == pool || strings.TrimSuffix(p.name, ".upstream") == pool) {
+			list = append(list, p)
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("no pool or service %q", pool)
+	}
+	return list, nil
+}
+
+// keepLogs writes the logs of all processes beside the files of the script, which go test -args -testwork keeps.
+func (f *fleet) keepLogs() {
+	_ = os.MkdirAll(f.path("logs"), 0o755)
+	for _, p := range f.processes {
+		_ = os.WriteFile(filepath.Join(f.path("logs"), p.name+".log"), []byte(p.log.String()), 0o600)
+	}
+}
--- /dev/null
+++ b/scenarist/load.go
@@ -0,0 +1,159 @@
+package scenarist
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+
+	"clementineramp/judge"
+)
+
+// maxShownFaults bounds the faults that a load shows.
+const maxShownFaults = 5
+
+// orderTries bounds how often a caller begins an order again, with a new ticket, after it was told that it did not run.
+const orderTries = 8
+
+// loadOptions are the arguments of the command load.
+type loadOptions struct {
+	key, rank, model, service string
+	chats, orders, tokens     int
+	refusals                  bool
+}
+
+// load keeps requests running.
+type load struct {
+	scenario *scenario
+	options  loadOptions
+	versions func() []string
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	answered int
+	refused  int
+	// bodies are the orders that were answered.
+	bodies []string
+	faults []string
+}
+
+func (s *scenario) startLoad(name string, o loadOptions) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{scenario: s, options: o, stop: cancel, versions: s.knownVersions}
+	for i := range o.chats {
+		l.wg.Go(func() {
+			for turn := 0; ctx.Err() == nil; turn++ {
+				l.note(l.chat(fmt.Sprintf("%s: chat %d, turn %d", name, i, turn)))
+			}
+		})
+	}
+	for i := range o.orders {
+		l.wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				l.note(l.order(fmt.Sprintf("%s: order %d of caller %d", name, n, i)))
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) note(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.answered++
+	case l.options.refusals && judge.VerdictOf(err) == judge.NotRun:
+		l.refused++
+	default:
+		l.faults = append(l.faults, err.Error())
+	}
+}
+
+// count returns the answers so far, and the first fault.
+func (l *load) count() (answered int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.faults) > 0 {
+		shown := l.faults[:min(len(l.faults), maxShownFaults)]
+		err = fmt.Errorf("%d requests failed, %d were answered:\n%s", len(l.faults), l.answered, strings.Join(shown, "\n"))
+	}
+	return l.answered, err
+}
+
+func (l *load) chat(text string) error {
+	address, err := l.scenario.router("routers")
+	if err != nil {
+		return err
+	}
+	c := newChat(l.options.key, l.options.model, text, l.options.tokens)
+	defer c.caller.HTTP.CloseIdleConnections()
+	if err := c.send(address, rankHeader(l.options.rank)); err != nil {
+		return fmt.Errorf("%s through %s: %w", text, address, err)
+	}
+	return c.whole(l.versions())
+}
+
+// order places one order; after "not run" the caller begins again with a new ticket.
+func (l *load) order(body string) error {
+	var err error
+	for range orderTries {
+		if err = l.orderOnce(body); err == nil || judge.VerdictOf(err) != judge.NotRun {
+			return err
+		}
+	}
+	return err
+}
+
+func (l *load) orderOnce(body string) error {
+	address, err := l.scenario.router("routers")
+	if err != nil {
+		return err
+	}
+	c := newCaller(l.options.key)
+	defer c.HTTP.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	ticket, err := c.Ticket(ctx, address, l.options.service)
+	if err != nil {
+		return fmt.Errorf("ticket for %s through %s: %w", body, address, err)
+	}
+	if address, err = l.scenario.router("routers"); err != nil {
+		return err
+	}
+	if _, err := c.Order(ctx, address, l.options.service, "/orders", ticket, []byte(body)); err != nil {
+		return fmt.Errorf("%s through %s: %w", body, address, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bodies = append(l.bodies, body)
+	return nil
+}
+
+// finish ends the load and checks that each answered order ran once.
+func (l *load) finish() error {
+	l.stop()
+	l.wg.Wait()
+	answered, err := l.count()
+	if err != nil {
+		return err
+	}
+	if answered == 0 {
+		return errors.New("nothing was answered")
+	}
+	if len(l.bodies) == 0 {
+		return nil
+	}
+	ran, err := l.scenario.executions(l.options.service)
+	if err != nil {
+		return err
+	}
+	for _, body := range l.bodies {
+		if ran[body] != 1 {
+			return fmt.Errorf("%s was answered and ran %d times", body, ran[body])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarist/look.go
@@ -0,0 +1,245 @@
+package scenarist
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"clementineramp/engine"
+	"clementineramp/standin"
+)
+
+// clearance is the time after the limit of no-new-work for which other agents must have got work.
+const clearance = time.Second
+
+func (s *scenario) knownVersions() []string {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	var list []string
+	for v := range s.fleet.versions {
+		list = append(list, v)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// decode reads a JSON value from an address of a process.
+func decode[T any](url string) (T, error) {
+	var v T
+	data, err := get(url)
+	if err == nil {
+		err = json.Unmarshal(data, &v)
+	}
+	return v, err
+}
+
+// field returns a field of the status of a process, such as configuration.version, as JSON.
+func field(p *process, path string) (string, error) {
+	data, err := get("http://" + p.operators + "/status")
+	if err != nil {
+		return "", err
+	}
+	for name := range strings.SplitSeq(path, ".") {
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal(data, &object); err != nil {
+			return "", err
+		}
+		data = object[name]
+	}
+	return string(data), nil
+}
+
+// awaitStatus waits until a field matches at each process.
+func (s *scenario) awaitStatus(word, path, expression string) error {
+	re, err := regexp.Compile(expression)
+	if err != nil {
+		return err
+	}
+	return s.each(word, path+" "+expression, func(p *process) error {
+		value, err := field(p, path)
+		if err == nil && !re.MatchString(value) {
+			err = fmt.Errorf("%s is %s", path, value)
+		}
+		return err
+	})
+}
+
+// awaitLog waits for a line in the log of each process.
+func (s *scenario) awaitLog(word, expression string) error {
+	re, err := regexp.Compile("(?m)" + expression)
+	if err != nil {
+		return err
+	}
+	return s.each(word, expression, func(p *process) error {
+		if !re.MatchString(p.log.String()) {
+			return errors.New("no such line in the log")
+		}
+		return nil
+	})
+}
+
+// awaitLogOfOne waits for a line in the log of one of the processes.
+func (s *scenario) awaitLogOfOne(word, expression string) error {
+	re, err := regexp.Compile("(?m)" + expression)
+	if err != nil {
+		return err
+	}
+	list, err := s.fleet.group(word)
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		for _, p := range list {
+			if re.MatchString(p.log.String()) {
+				return nil
+			}
+		}
+		return fmt.Errorf("no line in the logs of %s", word)
+	})
+}
+
+// each waits for a condition of each process that a word stands for.
+func (s *scenario) each(word, what string, condition func(*process) error) error {
+	list, err := s.fleet.group(word)
+	if err != nil {
+		return err
+	}
+	for _, p := range list {
+		if err := p.await(what, func() error { return condition(p) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitAgreement waits until a field has one value at all processes.
+func (s *scenario) awaitAgreement(word, path string) error {
+	list, err := s.fleet.group(word)
+	if err != nil {
+		return err
+	}
+	return await(func() error {
+		values := map[string]string{}
+		for _, p := range list {
+			v, err := field(p, path)
+			if err != nil {
+				return err
+			}
+			values[v] = p.name
+		}
+		if len(values) != 1 {
+			return fmt.Errorf("%s differs: %v", path, values)
+		}
+		return nil
+	})
+}
+
+// executions returns how often each order ran, over all workers of a service.
+func (s *scenario) executions(service string) (map[string]int, error) {
+	list, err := s.fleet.upstreams(service)
+	if err != nil {
+		return nil, err
+	}
+	ran := map[string]int{}
+	for _, p := range list {
+		r, err := decode[standin.ServiceRecords]("http://" + p.address + standin.RecordsPath)
+		if err != nil {
+			return nil, err
+		}
+		for _, x := range r.Executions {
+			ran[x.Body]++
+		}
+	}
+	return ran, nil
+}
+
+// checkExecutions checks that a number of orders ran, each of them once.
+func (s *scenario) checkExecutions(service string, want int) error {
+	ran, err := s.executions(service)
+	if err != nil {
+		return err
+	}
+	for body, n := range ran {
+		if n > 1 {
+			return fatal{fmt.Errorf("%s ran %d times", body, n)}
+		}
+	}
+	if len(ran) != want {
+		return fmt.Errorf("%d orders ran, want %d", len(ran), want)
+	}
+	return nil
+}
+
+// awaitLoaded waits until each engine of a pool has a version ready.
+func (s *scenario) awaitLoaded(pool, version string) error {
+	list, err := s.fleet.upstreams(pool)
+	if err != nil {
+		return err
+	}
+	for _, p := range list {
+		err := p.await("version "+version, func() error {
+			status, err := decode[engine.Status]("http://" + p.address + "/v1/status")
+			if err == nil && (status.Version != version || !status.Ready) {
+				err = fmt.Errorf("version %s, ready %t", status.Version, status.Ready)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newestRun returns when the last run of an engine began.
+func newestRun(p *process) (time.Time, error) {
+	r, err := decode[standin.EngineRecords]("http://" + p.address + standin.RecordsPath)
+	var newest time.Time
+	for _, run := range r.Runs {
+		if run.Started.After(newest) {
+			newest = run.Started
+		}
+	}
+	return newest, err
+}
+
+// noNewWork waits until other engines of the pool got work well after a time limit from the leaving of an agent, and
+// checks that the agent's engine got none after the limit.
+func (s *scenario) noNewWork(agent string, limit time.Duration) error {
+	left, ok := s.fleet.left[agent]
+	if !ok {
+		return fmt.Errorf("%s is not leaving", agent)
+	}
+	own, err := s.fleet.process(agent + ".upstream")
+	if err != nil {
+		return err
+	}
+	list, err := s.fleet.upstreams(own.pool)
+	if err != nil {
+		return err
+	}
+	for _, p := range list {
+		if p == own {
+			continue
+		}
+		err := p.await("work after the leaving", func() error {
+			newest, err := newestRun(p)
+			if err == nil && newest.Before(left.Add(limit+clearance)) {
+				err = errors.New("no work yet")
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	newest, err := newestRun(own)
+	if err == nil && newest.After(left.Add(limit)) {
+		err = fmt.Errorf("%s got work %v after it was listed as leaving", agent, newest.Sub(left))
+	}
+	return err
+}
--- /dev/null
+++ b/scenarist/scenarist_test.go
@@ -0,0 +1,81 @@
+package scenarist_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/commander"
+	"clementineramp/launcher"
+	"clementineramp/scenarist"
+)
+
+// TestMain runs the programs of the fleet as separate processes of the test binary.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"clementined":   daemon,
+		"clementinectl": control,
+	})
+}
+
+// daemon is the program clementined with its only flag.
+func daemon() {
+	os.Exit(runDaemon())
+}
+
+func runDaemon() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if len(os.Args) != 3 || os.Args[1] != "--settings" {
+		fmt.Fprintln(os.Stderr, "clementined: want --settings FILE")
+		return 1
+	}
+	if err := launcher.RunFile(ctx, os.Args[2], os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "clementined:", err)
+		return 1
+	}
+	return 0
+}
+
+// control is the program clementinectl.
+func control() {
+	os.Exit(runControl())
+}
+
+func runControl() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return commander.Run(ctx, os.Args, os.Stdout, os.Stderr)
+}
+
+// TestScenarios guards the invariants of section 1.2 of the design against failures of whole processes.
+func TestScenarios(t *testing.T) {
+	run(t, "script")
+}
+
+// TestRouterWithoutPlatform guards against a router that cannot serve after a restart during an outage of the platform.
+func TestRouterWithoutPlatform(t *testing.T) {
+	run(t, "red")
+}
+
+// run runs the scripts of a directory.
+func run(t *testing.T, dir string) {
+	examples, err := filepath.Abs(filepath.Join("..", "examples"))
+	require.NoError(t, err)
+	testscript.Run(t, testscript.Params{
+		Dir:  filepath.Join("testdata", dir),
+		Cmds: scenarist.Commands(),
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("EXAMPLES", examples)
+			return scenarist.Setup(env, os.Getpid())
+		},
+		RequireUniqueNames: true,
+	})
+}
