--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,6 +53,8 @@
 	CachedTokens int       `json:"cached_tokens"`
 	// Work is the estimated work of the request, in tokens.
 	Work float64 `json:"work"`
+	// Priority is the position of the request's rank; 0 is the most urgent.
+	Priority int `json:"priority"`
 	// Emitted counts the tokens that this run added to the answer.
 	Emitted   int  `json:"emitted"`
 	Completed bool `json:"completed"`
@@ -163,6 +165,13 @@
 	return e.work, e.maxWork
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // Loaded returns the model version in service.
 func (e *Engine) Loaded() (model, version string) {
 	e.mu.Lock()
@@ -358,7 +367,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	run := &Run{
-		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version, Started: time.Now(),
+		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version, Started: time.Now(), Priority: req.Priority,
 		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
 		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
 	}
