Ask agents again that refused before an answer began

Cause: a chat keeps the agents that failed it for as long as it lasts. An agent that answered "not ready" before the answer began was never asked again when the engine of that answer failed later, so the answer ended with an error although another agent could go on. The router's log: vavrad-1 refused with not_ready 81 ms after its start, served another chat 0.7 s later, and was no candidate when vavrad-2 froze in mid-answer (failed=2, no_candidate).

Ruled out: a second timeout at the other agent; the log shows no attempt there.

When a begun answer goes on elsewhere, only agents where the request may have run stay excluded; the number of continuations stays bounded.

--- a/router/chat.go
+++ b/router/chat.go
@@ -45,6 +45,8 @@
 	order []chooser.Candidate
 	// failed holds the upstreams that failed this request, and refused those that refused it for want of room.
 	failed, refused []string
+	// broken holds those of failed where the request may have run.
+	broken []string
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -240,6 +242,7 @@
 	if f.Cause.Verdict == judge.NotRun {
 		return len(t.failed) <= maxFailures, f.Cause
 	}
+	t.broken = append(t.broken, c.Name)
 	// A chat is idempotent, so that a request that may have run is tried again within the budget.
 	t.continuations++
 	if t.continuations > maxContinuations {
@@ -248,6 +251,8 @@
 	if t.env.Offset > 0 {
 		// An answer that has begun is always finished; it costs no more than the part that was lost.
 		r.count("continuations")
+		// Refusals from before the answer began may be long out of date.
+		t.failed, t.refused, t.order = slices.Clone(t.broken), nil, nil
 		return true, nil
 	}
 	return t.waitForBudget(ctx, f.Cause)
