scenarist: make the scenario of frozen agents deterministic

Two causes lay in the script. SIGSTOP takes effect some time after it is sent, so an order still reached the agent: signal now waits until all threads are stopped.

--- a/scenarist/caller.go
+++ b/scenarist/caller.go
@@ -160,13 +160,14 @@
 
 // order is an order of a script.
 type order struct {
+	body   string
 	ended  chan struct{}
 	answer string
 	err    error
 }
 
 func sendOrder(c *standin.Caller, address, service, key, body string, deadline time.Duration) *order {
-	o := &order{ended: make(chan struct{})}
+	o := &order{body: body, ended: make(chan struct{})}
 	c.Header = http.Header{caller.DeadlineHeader: {strconv.FormatInt(deadline.Milliseconds(), 10)}}
 	go func() {
 		defer close(o.ended)
--- a/scenarist/doc.go
+++ b/scenarist/doc.go
@@ -40,6 +40,8 @@
 //	    places an order; KEY may be a ticket, a key, or - for none
 //	answered NAME...      waits until orders are answered; all must have the same answer
 //	refused NAME VERDICT [CODE]        waits until an order is refused with a verdict
+//	truthful SERVICE NAME...           waits for the end of orders, and checks that those that were answered ran
+//	    once, those with the verdict not_run never, and no other twice
 //	load NAME [rank=NAME] [chats=4] [orders=0] [service=NAME] [tokens=10] [refusals=fail|count]
 //	    keeps so many chats and orders with tickets running, each caller with one request at a time
 //	progress NAME N       waits until a load got N more answers
--- a/scenarist/process.go
+++ b/scenarist/process.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -150,8 +151,30 @@
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return err
 	}
-	if sig == syscall.SIGKILL {
+	switch sig {
+	case syscall.SIGKILL:
 		<-p.done
+	case syscall.SIGSTOP:
+		return p.await("its stop", p.stopped)
+	}
+	return nil
+}
+
+// stopped returns nil when all threads of the process are stopped; SIGSTOP takes effect some time after it is sent.
+func (p *process) stopped() error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("no threads of %s: %w", p.name, cmp.Or(err, os.ErrNotExist))
+	}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return err
+		}
+		// The state follows the name of the program, which is in parentheses.
+		if _, rest, _ := strings.Cut(string(data), ") "); !strings.HasPrefix(rest, "T") {
+			return errors.New("a thread still runs")
+		}
 	}
 	return nil
 }
--- a/scenarist/request.go
+++ b/scenarist/request.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"clementineramp/judge"
 )
 
 // find returns a chat, order or load by its name in the script.
@@ -203,6 +205,26 @@
 	return refusedWith(o.err, verdict, strings.Join(args[2:], ""))
 }
 
+func runTruthful(s *scenario, _ *testscript.TestScript, args []string) error {
+	for _, name := range args[1:] {
+		o, err := find(s.orders, name)
+		if err != nil {
+			return err
+		}
+		<-o.ended
+		// The records are read after each answer, because an order may run until then.
+		ran, err := s.executions(args[0])
+		if err != nil {
+			return err
+		}
+		n := ran[o.body]
+		if n > 1 || o.err == nil && n != 1 || o.err != nil && judge.VerdictOf(o.err) == judge.NotRun && n != 0 {
+			return fmt.Errorf("%s ran %d times: %w", name, n, cmp.Or(o.err, errWhole))
+		}
+	}
+	return nil
+}
+
 func runLoad(s *scenario, ts *testscript.TestScript, args []string) error {
 	o := parseOptions(args[1:], "rank", "chats", "orders", "service", "tokens", "refusals")
 	model, err := s.model()
--- a/scenarist/scenario.go
+++ b/scenarist/scenario.go
@@ -87,6 +87,7 @@
 	{"order", 5, runOrder},
 	{"answered", 1, runAnswered},
 	{"refused", 2, runRefused},
+	{"truthful", 2, runTruthful},
 	{"load", 1, runLoad},
 	{"progress", 2, runProgress},
 	{"unload", 1, runUnload},
