--- a/router/chat.go
+++ b/router/chat.go
@@ -45,6 +45,8 @@
 	order []chooser.Candidate
 	// failed holds the upstreams that failed this request, and refused those that refused it for want of room.
 	failed, refused []string
+	// broken holds those of failed where the request may have run.
+	broken []string
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -132,7 +134,11 @@
 // choose asks the chooser for candidates that were not tried, and logs the decision.
 func (t *chatRoute) choose() bool {
 	r := t.router
-	choice := r.chooser.Choose(t.key, t.body.Cost(), t.untried())
+	untried := t.untried()
+	choice := r.chooser.Choose(t.key, t.body.Cost(), untried)
+	if len(choice.Order) == 0 {
+		choice = r.chooser.Choose(t.key, t.body.Cost(), asDown(untried))
+	}
 	t.order = choice.Order
 	r.cfg.Log.Info("route", append([]any{
 		"request", t.env.RequestID, "organisation", t.chat.Organisation.Name, "rank", t.chat.Rank,
@@ -141,6 +147,17 @@
 	return len(t.order) > 0
 }
 
+// asDown returns upstreams with those that are known as leaving as a last resort. An agent that was restarted may
+// not have been heard of, and one that does leave refuses by itself.
+func asDown(ups []chooser.Upstream) []chooser.Upstream {
+	for i := range ups {
+		if ups[i].State == chooser.Leaving {
+			ups[i].State = chooser.Down
+		}
+	}
+	return ups
+}
+
 // chooseAgain offers the request once more to agents that had no room, after others have failed.
 func (t *chatRoute) chooseAgain() bool {
 	if len(t.refused) == 0 || len(t.failed) == 0 {
@@ -225,6 +242,7 @@
 	if f.Cause.Verdict == judge.NotRun {
 		return len(t.failed) <= maxFailures, f.Cause
 	}
+	t.broken = append(t.broken, c.Name)
 	// A chat is idempotent, so that a request that may have run is tried again within the budget.
 	t.continuations++
 	if t.continuations > maxContinuations {
@@ -233,6 +251,8 @@
 	if t.env.Offset > 0 {
 		// An answer that has begun is always finished; it costs no more than the part that was lost.
 		r.count("continuations")
+		// Refusals from before the answer began may be long out of date.
+		t.failed, t.refused, t.order = slices.Clone(t.broken), nil, nil
 		return true, nil
 	}
 	return t.waitForBudget(ctx, f.Cause)
