--- a/scenarist/process.go
+++ b/scenarist/process.go
@@ -151,10 +151,10 @@
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return err
 	}
-	switch sig {
-	case syscall.SIGKILL:
+	if sig == syscall.SIGKILL {
 		<-p.done
-	case syscall.SIGSTOP:
+	}
+	if sig == syscall.SIGSTOP {
 		return p.await("its stop", p.stopped)
 	}
 	return nil
