--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// CountControl counts the bytes of control traffic; nil counts nothing.
+	CountControl func(sent, received int)
 	// OnCrash is called when a request may have crashed the engine, so that peers hear of the marks soon; it must not block.
 	OnCrash func()
 	// DialUpstream opens connections to the upstream; nil means the network's own.
@@ -100,6 +102,7 @@
 	engine      *engine.Client
 	engineState *engineState
 	gate        *gate
+	credit      *credit
 	recorder    *recorder.Recorder
 	suspects    *suspects
 	ledger      *ticketer.Ledger
@@ -135,6 +138,7 @@
 	a.gate = newGate(admitter.Config{
 		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
+	a.credit = &credit{log: cfg.Log, view: cfg.View}
 	return a, a.buildMemory()
 }
 
@@ -170,6 +174,7 @@
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
 		g.Go(func() error { return a.place(ctx) })
+		g.Go(func() error { return a.watchCredit(ctx) })
 	}
 	return g.Wait()
 }
@@ -192,6 +197,7 @@
 // SetSnapshot takes a configuration that came into force.
 func (a *Agent) SetSnapshot(s *configurer.Snapshot) {
 	a.gate.setRanks(s.Ranks)
+	a.credit.setSnapshot(a.cfg.Now(), a.cfg.Pool, s)
 }
 
 // Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
@@ -241,6 +247,25 @@
 	return alive && status.Ready && !a.engineState.isChanging()
 }
 
+// Alarms returns the conditions that need an operator.
+func (a *Agent) Alarms() []string {
+	return a.credit.check(a.cfg.Now())
+}
+
+// watchCredit logs the alarms of the pool's account until ctx ends.
+func (a *Agent) watchCredit(ctx context.Context) error {
+	t := time.NewTicker(creditCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.Alarms()
+		}
+	}
+}
+
 // Running returns the number of requests in progress.
 func (a *Agent) Running() int {
 	return int(a.running.Load())
@@ -337,6 +362,7 @@
 	if err != nil {
 		return env, judge.Refuse(judge.ReasonInvalid, "%w", err)
 	}
+	a.countControl(0, encoder.LoadBytes(env.Load))
 	a.cfg.Merge(env.Load)
 	a.cfg.LearnFleet(env.Fleet)
 	return env, nil
@@ -352,13 +378,31 @@
 	a.cfg.Log.Info("refused", "request", env.RequestID, "organisation", env.Organisation, "rank", env.Rank,
 		"reason", r.Error.Code, "verdict", r.Error.Verdict, "mark", r.Mark, "try", r.Try, "error", err)
 	metrics.GetOrRegisterCounter("refused_"+string(r.Error.Code), a.cfg.Metrics).Inc(1)
-	w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	a.setReport(w.Header(), a.report(env))
 	r.Write(w)
 }
 
-// report returns the agent's own load entry and a few of others.
-func (a *Agent) report() encoder.Report {
-	return encoder.Report{Self: a.Entry(), Load: a.cfg.Freshest()}
+// report returns the agent's own load entry and a few of others. It holds no more of them than the envelope, which
+// has as many as the router's budget has room for.
+func (a *Agent) report(env encoder.Envelope) encoder.Report {
+	r := encoder.Report{Self: a.Entry()}
+	if len(env.Load) > 0 {
+		load := a.cfg.Freshest()
+		r.Load = load[:min(len(load), len(env.Load))]
+	}
+	return r
+}
+
+// setReport puts a report into a header or trailer and counts it.
+func (a *Agent) setReport(h http.Header, r encoder.Report) {
+	h.Set(encoder.ReportHeader, encoder.EncodeHeader(r))
+	a.countControl(encoder.ReportBytes(h), 0)
+}
+
+func (a *Agent) countControl(sent, received int) {
+	if a.cfg.CountControl != nil {
+		a.cfg.CountControl(sent, received)
+	}
 }
 
 // Entry returns the agent's own load entry.
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -51,6 +51,7 @@
 		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
 		Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		CountControl: w.CountControl,
 		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
@@ -63,6 +64,9 @@
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
 	s.Alarms = p.watcher.Alarms()
+	if p.role.alarms != nil {
+		s.Alarms = append(s.Alarms, p.role.alarms()...)
+	}
 	totals := p.budget.Totals()
 	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
 		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
