--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -27,6 +27,7 @@
 		{Name: "fairness", Summary: "small organisations beside one that asks for 50 times its share", Run: fairness},
 		configMeasure(),
 		controlMeasure(),
+		slopesMeasure(),
 	}
 }
 
--- /dev/null
+++ b/measurer/slopes_parts.go
@@ -0,0 +1,413 @@
+package measurer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/admitter"
+	"clementineramp/chooser"
+	"clementineramp/compiler"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/gossiper"
+	"clementineramp/platform"
+	"clementineramp/recorder"
+	"clementineramp/ticketer"
+	"clementineramp/tracker"
+)
+
+// The sizes at which slopes are measured; the last of each is that of the target.
+var (
+	upstreamSizes     = []int{60, 200, 600}
+	hostSizes         = []int{100, 340, 1020}
+	organisationSizes = []int{1000, 4000, 14000}
+	queueSizes        = []int{100, 1000, 4000, 14000}
+	entrySizes        = []int{4, 12, 24}
+	streamSizes       = []int{100, 400, 1600}
+)
+
+const (
+	slopePool = "pool"
+	// slopeCost is the work of a request, in tokens.
+	slopeCost = 1000
+	// slopeSlots is the number of slots of an engine.
+	slopeSlots = 64
+	// slopeEvents is the number of events of a recorded answer.
+	slopeEvents = 256
+	// ticketsPerRun is the number of tickets of one timing.
+	ticketsPerRun = 500
+)
+
+func upstreamName(i int) string {
+	return fmt.Sprintf("vavrad-%04d", i)
+}
+
+func chooseSlopes(spread *float64) ([]series, error) {
+	s := series{name: "choose", per: "upstreams", unit: "ns"}
+	c, err := chooser.New(chooser.Config{})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for _, n := range upstreamSizes {
+		ups := make([]chooser.Upstream, n)
+		for i := range ups {
+			ups[i] = chooser.Upstream{Name: upstreamName(i), State: chooser.Live, Known: true, Work: float64(slopeCost * (i % 7)), Uptime: time.Hour}
+		}
+		key := uint64(0)
+		s.points = append(s.points, point{float64(n), timed(spread, func() {
+			key++
+			c.Choose(key, slopeCost, ups)
+		})})
+	}
+	return []series{s}, nil
+}
+
+func loadEntriesOf(n int, sequence uint64) []encoder.LoadEntry {
+	list := make([]encoder.LoadEntry, n)
+	for i := range list {
+		list[i] = encoder.LoadEntry{
+			Upstream: upstreamName(i), Incarnation: 1<<62 + uint64(i), Sequence: sequence, Work: float64(5120 + i), Queued: 640,
+			AgeMS: int64(i % 900), UptimeMS: 86_400_000, Version: "2026-12-01",
+		}
+	}
+	return list
+}
+
+func hostsOf(n int) []platform.Host {
+	list := make([]platform.Host, n)
+	for i := range list {
+		h := platform.Host{
+			Name: upstreamName(i), Address: fmt.Sprintf("10.20.%d.%d:8001", i/250, i%250), Control: fmt.Sprintf("10.20.%d.%d:8002", i/250, i%250),
+			Domain: fmt.Sprintf("domain-%d", i%10), Role: platform.RoleAgent, Upstream: slopePool, State: platform.StateLive,
+		}
+		if i%17 >= 10 {
+			h.Role, h.Upstream = platform.RoleRouter, ""
+		}
+		list[i] = h
+	}
+	return list
+}
+
+func trackerSlopes(spread *float64) ([]series, error) {
+	view := series{name: "view of a pool", per: "upstreams", unit: "ns"}
+	merge := series{name: "merge of a report of 9 entries", per: "upstreams", unit: "ns"}
+	freshest := series{name: "choice of 24 freshest entries", per: "upstreams", unit: "ns"}
+	memory := series{name: "memory of the load table", per: "upstreams", unit: "B"}
+	now := time.Now()
+	for _, n := range upstreamSizes {
+		var t *tracker.Tracker
+		size, t := memoryOf(func() *tracker.Tracker {
+			t = tracker.New(tracker.Config{})
+			hosts := make([]tracker.Host, n)
+			for i := range hosts {
+				hosts[i] = tracker.Host{Name: upstreamName(i), Address: fmt.Sprintf("10.20.0.1:%d", 1000+i), Pool: slopePool, Domain: fmt.Sprintf("domain-%d", i%10)}
+			}
+			t.Hosts(hosts, now)
+			t.Merge(loadEntriesOf(n, 1), now)
+			return t
+		})
+		x := float64(n)
+		memory.points = append(memory.points, point{x, size})
+		view.points = append(view.points, point{x, timed(spread, func() { t.View(slopePool, now) })})
+		freshest.points = append(freshest.points, point{x, timed(spread, func() { t.Freshest(24, now) })})
+		sequence := uint64(1)
+		report := loadEntriesOf(9, 1)
+		merge.points = append(merge.points, point{x, timed(spread, func() {
+			sequence++
+			for i := range report {
+				report[i].Sequence = sequence
+			}
+			t.Merge(report, now)
+		})})
+	}
+	return []series{view, freshest, merge, memory}, nil
+}
+
+func admitterSlopes(spread *float64) ([]series, error) {
+	work := series{name: "offer, next and done", per: "queued requests", unit: "ns"}
+	memory := series{name: "memory of the queue", per: "queued requests", unit: "B"}
+	now := time.Now()
+	for _, n := range queueSizes {
+		id := uint64(0)
+		offer := func(a *admitter.Admitter) {
+			id++
+			_ = a.Offer(now, admitter.Request{ID: id, Rank: "normal", Organisation: fmt.Sprintf("organisation-%d", id%14000), Cost: slopeCost, Last: true})
+		}
+		size, a := memoryOf(func() *admitter.Admitter {
+			a := admitter.New(admitter.Config{
+				Slots: slopeSlots, MaxQueueTime: time.Hour,
+				Ranks: []configurer.Rank{{Name: "urgent", TargetMS: 440, Worth: 100, Share: 0.5}, {Name: "normal", TargetMS: 2000, Worth: 10, Share: 0.2}},
+			})
+			for range n {
+				offer(a)
+			}
+			return a
+		})
+		memory.points = append(memory.points, point{float64(n), size})
+		var running []uint64
+		for r, ok := a.Next(now); ok; r, ok = a.Next(now) {
+			running = append(running, r.ID)
+		}
+		i := 0
+		work.points = append(work.points, point{float64(n), timed(spread, func() {
+			now = now.Add(time.Millisecond)
+			offer(a)
+			a.Done(now, running[i%len(running)], slopeCost)
+			if r, ok := a.Next(now); ok {
+				running[i%len(running)] = r.ID
+			}
+			i++
+		})})
+		runtime.KeepAlive(a)
+	}
+	return []series{work, memory}, nil
+}
+
+func newLedger(now time.Time) (*ticketer.Ledger, error) {
+	return ticketer.New(ticketer.Config{
+		Service: "bestall", Agent: "bestall-1", Incarnation: 1, Secret: make([]byte, 32), Started: now, MaxEntries: 1 << 20, MaxBytes: 1 << 30,
+	})
+}
+
+func ticketSlopes(spread *float64) ([]series, error) {
+	issue := series{name: "issue of a ticket", per: "remembered tickets", unit: "ns"}
+	check := series{name: "check, run and close of an order", per: "remembered tickets", unit: "ns"}
+	memory := series{name: "memory of orders with answers of 200 B", per: "remembered tickets", unit: "B"}
+	for _, n := range organisationSizes {
+		now := time.Now()
+		var err error
+		size, l := memoryOf(func() *ticketer.Ledger {
+			var l *ticketer.Ledger
+			if l, err = newLedger(now); err != nil {
+				return nil
+			}
+			for range n {
+				if err = orderOnce(l, now); err != nil {
+					return nil
+				}
+			}
+			return l
+		})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		memory.points = append(memory.points, point{float64(n), size})
+		// A timing in which the ledger grew by more than a few percent would not be one of its size.
+		whole := timed(spread, func() { err = orderOnce(l, now) })
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		began := time.Now()
+		for range ticketsPerRun {
+			if _, err = l.Issue(now); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
+		one := float64(time.Since(began).Nanoseconds()) / ticketsPerRun
+		issue.points = append(issue.points, point{float64(n), one})
+		check.points = append(check.points, point{float64(n), whole - one})
+	}
+	return []series{issue, check, memory}, nil
+}
+
+func orderOnce(l *ticketer.Ledger, now time.Time) error {
+	t, err := l.Issue(now)
+	if err != nil {
+		return err
+	}
+	key := ticketer.Key{Organisation: "organisation-1", Text: t.String()}
+	if _, err := l.Begin(now, key, ticketer.DigestOf([]byte("order")), ticketer.Freshness{}); err != nil {
+		return err
+	}
+	return l.Finish(now, key, ticketer.Answer{Status: 201, Body: make([]byte, 200)})
+}
+
+func organisationSheet(n int, version uint64) []byte {
+	b := fmt.Appendf(nil, "version,number\nversion,%d\nrank,name,target,worth,share\nrank,normal,2s,10,0.2\n", version)
+	b = append(b, "pool,name,model,version,floor,account\npool,pool,vavrad-text,v1,0.5,\norganisation,name,key_hash,rank,ranks,weight\n"...)
+	for i := range n {
+		sum := sha256.Sum256(fmt.Append(nil, i))
+		weight := uint64(1)
+		if i == 0 {
+			weight = version
+		}
+		b = fmt.Appendf(b, "organisation,organisation-%d,%s,normal,,%d\n", i, hex.EncodeToString(sum[:]), weight)
+	}
+	return b
+}
+
+func deliver(h *configurer.Holder, s *compiler.Sheet) (int, error) {
+	parts := map[configurer.Digest][]byte{}
+	for _, p := range s.Parts {
+		parts[p.Digest] = p.Data
+	}
+	if _, err := h.Offer(s.Manifest); err != nil {
+		return 0, err
+	}
+	moved := len(s.Manifest)
+	for _, d := range h.Missing() {
+		moved += len(parts[d])
+		if _, err := h.AddPart(d, parts[d]); err != nil {
+			return 0, err
+		}
+	}
+	return moved, nil
+}
+
+func holderSlopes(spread *float64) ([]series, error) {
+	whole := series{name: "bytes of a whole configuration", per: "organisations", unit: "B"}
+	change := series{name: "bytes of a change of one organisation", per: "organisations", unit: "B"}
+	memory := series{name: "memory of a configuration in force", per: "organisations", unit: "B"}
+	first := series{name: "adoption of a whole configuration", per: "organisations", unit: "ns"}
+	adopt := series{name: "adoption of a change of one organisation", per: "organisations", unit: "ns"}
+	for _, n := range organisationSizes {
+		sheets := make([]*compiler.Sheet, 2)
+		for i := range sheets {
+			var err error
+			if sheets[i], err = compiler.Compile(compiler.Source{Name: "s.csv", Data: organisationSheet(n, uint64(i+1))}); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
+		var moved, changed int
+		var err error
+		size, h := memoryOf(func() *configurer.Holder {
+			h := configurer.NewHolder()
+			moved, err = deliver(h, sheets[0])
+			return h
+		})
+		if err == nil {
+			changed, err = deliver(h, sheets[1])
+		}
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		x := float64(n)
+		// The parts that the holder keeps are those of the sheet, so their bytes are added.
+		memory.points = append(memory.points, point{x, size + float64(moved)})
+		whole.points = append(whole.points, point{x, float64(moved)})
+		change.points = append(change.points, point{x, float64(changed)})
+		took := timed(spread, func() { _, err = deliver(configurer.NewHolder(), sheets[0]) })
+		first.points = append(first.points, point{x, took})
+		version := uint64(len(sheets))
+		adopt.points = append(adopt.points, point{x, timed(spread, func() {
+			version++
+			_, err = deliver(h, withVersion(sheets[version%2], version))
+		})})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return []series{whole, change, memory, first, adopt}, nil
+}
+
+// withVersion returns a sheet with another version, so that a holder adopts it again.
+func withVersion(s *compiler.Sheet, version uint64) *compiler.Sheet {
+	changed := *s
+	m, err := configurer.DecodeManifest(s.Manifest)
+	if err != nil {
+		return s
+	}
+	m.Version = version
+	// A decoded manifest always encodes.
+	changed.Manifest, _ = json.Marshal(m)
+	return &changed
+}
+
+func hostSlopes(spread *float64) ([]series, error) {
+	size := series{name: "bytes of the host list", per: "hosts", unit: "B"}
+	decode := series{name: "decoding of the host list", per: "hosts", unit: "ns"}
+	for _, n := range hostSizes {
+		data, err := json.Marshal(platform.HostList{Revision: 1, Hosts: hostsOf(n)})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		size.points = append(size.points, point{float64(n), float64(len(data))})
+		decode.points = append(decode.points, point{float64(n), timed(spread, func() { _, err = platform.DecodeHostList(data) })})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return []series{size, decode}, nil
+}
+
+// gossipSlopes measures the bytes of an exchange, sent and received, on a kept connection and on a new one.
+func gossipSlopes(ctx context.Context) ([]series, error) {
+	kept := series{name: "exchange on a kept connection, sent and received", per: "entries each way", unit: "B"}
+	fresh := series{name: "exchange on a new connection, sent and received", per: "entries each way", unit: "B"}
+	for _, n := range entrySizes {
+		first, next, err := exchangeBytes(ctx, loadEntriesOf(n, 12345))
+		if err != nil {
+			return nil, err
+		}
+		kept.points = append(kept.points, point{float64(n), next})
+		fresh.points = append(fresh.points, point{float64(n), first})
+	}
+	return []series{kept, fresh}, nil
+}
+
+func exchangeBytes(ctx context.Context, entries []encoder.LoadEntry) (first, next float64, err error) {
+	var bytes atomic.Int64
+	cfg := gossiper.Config{
+		Name: "vavrad-0001", Key: []byte("key of the slope measure"), Control: "10.20.0.1:8002",
+		Load:   func() []encoder.LoadEntry { return entries },
+		Newest: func() configurer.Pair { return configurer.Pair{Version: 412, Digest: configurer.DigestOf(nil)} },
+	}
+	server, err := gossiper.New(cfg)
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	defer func() { _ = l.Close() }()
+	cfg.Count = func(sent, received int) { bytes.Add(int64(sent + received)) }
+	client, err := gossiper.New(cfg)
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	defer client.Close()
+	if _, err = client.Exchange(ctx, l.Addr().String()); err != nil {
+		return 0, 0, err
+	}
+	first = float64(bytes.Load())
+	_, err = client.Exchange(ctx, l.Addr().String())
+	return first, float64(bytes.Load()) - first, err
+}
+
+func recorderSlopes() ([]series, error) {
+	memory := series{name: "memory of recorded streams of 256 events", per: "streams", unit: "B"}
+	data := `{"id":"c","object":"chat.completion.chunk","model":"vavrad-text","choices":[{"index":0,"delta":{"role":"assistant","content":"word "},"finish_reason":null}]}`
+	for _, n := range streamSizes {
+		var err error
+		size, r := memoryOf(func() *recorder.Recorder {
+			r := recorder.New(recorder.Config{MaxBytes: 1 << 30})
+			for i := range n {
+				s := r.Open(encoder.StreamID{Agent: "vavrad-0001", Incarnation: 1, Serial: uint64(i)}, "organisation-1", 0)
+				for range slopeEvents {
+					if e := s.Append(encoder.Event{Data: string([]byte(data)), Text: "word "}); e != nil {
+						err = e
+					}
+				}
+			}
+			return r
+		})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		memory.points = append(memory.points, point{float64(n), size})
+		runtime.KeepAlive(r)
+	}
+	return []series{memory}, nil
+}
