--- a/encoder/chat.go
+++ b/encoder/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,7 +36,9 @@
 	// Prefix is the part of the answer that the caller already has; the engine goes on after it.
 	Prefix string
 
-	fields map[string]json.RawMessage
+	// fields holds the caller's fields that the fleet does not know, and messages the caller's own text of that field.
+	fields   map[string]json.RawMessage
+	messages json.RawMessage
 }
 
 type chatFields struct {
@@ -60,6 +63,18 @@
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return fmt.Errorf("chat request: %w", err)
 	}
+	known, err := takeKnown(raw)
+	if err != nil {
+		return err
+	}
+	messages := known["messages"]
+	// A field that stands twice is merged into the first by package json, while raw holds the last.
+	f.Messages = nil
+	if messages != nil {
+		if err := json.Unmarshal(messages, &f.Messages); err != nil {
+			return fmt.Errorf("chat request: %w", err)
+		}
+	}
 	if f.Model == "" {
 		return fmt.Errorf("chat request: field model is missing")
 	}
@@ -71,18 +86,43 @@
 	}
 	*r = ChatRequest{
 		Model: f.Model, Messages: f.Messages, Stream: f.Stream, MaxTokens: f.MaxTokens, Seed: f.Seed,
-		Priority: f.Priority, RequestID: f.RequestID, Version: f.Version, Prefix: f.Prefix, fields: raw,
+		Priority: f.Priority, RequestID: f.RequestID, Version: f.Version, Prefix: f.Prefix, fields: raw, messages: messages,
 	}
 	return nil
 }
 
+// takeKnown removes the fields that chatFields decodes and returns them by their own names. A known field must not be
+// kept in the caller's text: its value would come back after the edge has cleared it.
+func takeKnown(raw map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+	known := map[string]json.RawMessage{}
+	for name, value := range raw {
+		for _, own := range chatFieldNames {
+			// Package json takes names in any case.
+			if !strings.EqualFold(name, own) {
+				continue
+			}
+			if _, twice := known[own]; twice {
+				return nil, fmt.Errorf("chat request: field %s stands twice", own)
+			}
+			known[own] = value
+			delete(raw, name)
+		}
+	}
+	return known, nil
+}
+
+// chatFieldNames lists the JSON names of chatFields.
+var chatFieldNames = []string{
+	"model", "messages", "stream", "max_tokens", "seed", "priority", "request_id", "model_version", "answer_prefix",
+}
+
 // MarshalJSON encodes the request with the fields that it did not know.
 func (r ChatRequest) MarshalJSON() ([]byte, error) {
 	known, err := json.Marshal(chatFields{
 		Model: r.Model, Messages: r.Messages, Stream: r.Stream, MaxTokens: r.MaxTokens, Seed: r.Seed,
 		Priority: r.Priority, RequestID: r.RequestID, Version: r.Version, Prefix: r.Prefix,
 	})
-	if err != nil || len(r.fields) == 0 {
+	if err != nil || len(r.fields) == 0 && r.messages == nil {
 		return known, err
 	}
 	var knownFields map[string]json.RawMessage
@@ -93,13 +133,12 @@
 	for name, value := range r.fields {
 		merged[name] = value
 	}
-	// Messages may hold parts that Message does not know, so the caller's own bytes win.
-	original, hasOriginal := r.fields["messages"]
 	for name, value := range knownFields {
 		merged[name] = value
 	}
-	if hasOriginal {
-		merged["messages"] = original
+	// Messages may hold parts that Message does not know, so the caller's own bytes win.
+	if r.messages != nil {
+		merged["messages"] = r.messages
 	}
 	return json.Marshal(merged)
 }
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,6 +37,9 @@
 // maxHeaderBytes bounds a decoded header, so that a faulty peer cannot make a process allocate without limit.
 const maxHeaderBytes = 16 << 10
 
+// maxMS bounds a time in milliseconds, so that it does not overflow a time.Duration.
+const maxMS = math.MaxInt64 / int64(time.Millisecond)
+
 // Envelope accompanies a request from a router to an agent.
 type Envelope struct {
 	RequestID    string `json:"request_id"`
@@ -82,6 +86,8 @@
 		return fmt.Errorf("field attempt is %d, want 0 or more", e.Attempt)
 	case e.Offset < 0:
 		return fmt.Errorf("field offset is %d, want 0 or more", e.Offset)
+	case e.DeadlineMS > maxMS:
+		return fmt.Errorf("field deadline_ms is %d, want at most %d", e.DeadlineMS, maxMS)
 	case e.Mark < 0:
 		return fmt.Errorf("field mark is %d, want 0 or more", e.Mark)
 	}
@@ -111,7 +117,7 @@
 
 func checkLoad(entries []LoadEntry) error {
 	for _, e := range entries {
-		if e.Upstream == "" || e.Work < 0 || e.Queued < 0 || e.AgeMS < 0 || e.UptimeMS < 0 {
+		if e.Upstream == "" || e.Work < 0 || e.Queued < 0 || e.AgeMS < 0 || e.UptimeMS < 0 || e.AgeMS > maxMS || e.UptimeMS > maxMS {
 			return fmt.Errorf("load entry %q is out of range", e.Upstream)
 		}
 	}
@@ -178,7 +184,8 @@
 	}
 	var b strings.Builder
 	for _, r := range s {
-		if r < 0x80 {
+		// JSON allows DEL in a string, and HTTP forbids it in a header.
+		if r < 0x7f {
 			b.WriteRune(r)
 			continue
 		}
@@ -260,7 +267,7 @@
 func (r Refusal) Judged() *judge.Error {
 	return &judge.Error{
 		Verdict: r.Error.Verdict, Reason: r.Error.Code,
-		RetryAfter: time.Duration(r.Error.RetryAfterMS) * time.Millisecond,
+		RetryAfter: time.Duration(min(max(r.Error.RetryAfterMS, 0), maxMS)) * time.Millisecond,
 		Err:        fmt.Errorf("%s", r.Error.Message),
 	}
 }
--- a/encoder/header.go
+++ b/encoder/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/textproto"
 	"slices"
 	"strings"
 )
@@ -18,7 +19,12 @@
 // EndToEnd returns a copy of a header without the fields that concern one connection and without the fleet's own.
 func EndToEnd(h http.Header) http.Header {
 	out := http.Header{}
-	named := h.Values("Connection")
+	var named []string
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
 	for name, values := range h {
 		if slices.Contains(hopHeaders, name) || slices.Contains(named, name) || strings.HasPrefix(name, ownPrefix) {
 			continue
--- a/encoder/stream.go
+++ b/encoder/stream.go
@@ -106,14 +106,16 @@
 		if ev.Type == errorEvent {
 			return decodeErrorEvent(ev.Data)
 		}
-		if ev.Data == doneData {
+		// Line ends around a chunk mean nothing in JSON, and the closing one would be lost when the event is written again.
+		data := strings.Trim(ev.Data, "\n")
+		if data == doneData {
 			return f(Event{ID: ev.LastEventID, Data: doneData, Done: true})
 		}
 		var c Chunk
-		if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
 			return fmt.Errorf("read stream: chunk is not JSON: %w", err)
 		}
-		if err := f(Event{ID: ev.LastEventID, Data: ev.Data, Text: c.Text()}); err != nil {
+		if err := f(Event{ID: ev.LastEventID, Data: data, Text: c.Text()}); err != nil {
 			return err
 		}
 	}
