--- a/caller/caller.go
+++ b/caller/caller.go
@@ -242,7 +242,8 @@
 		if err != nil || ms <= 0 {
 			return identity{}, judge.Refuse(judge.ReasonInvalid, "header %s: want a positive number of milliseconds, have %q", DeadlineHeader, text)
 		}
-		id.deadline = min(id.deadline, time.Duration(ms)*time.Millisecond)
+		// The comparison in milliseconds keeps a large number from overflowing to a negative deadline.
+		id.deadline = time.Duration(min(id.deadline.Milliseconds(), ms)) * time.Millisecond
 	}
 	return id, nil
 }
