--- a/agent/agent.go
+++ b/agent/agent.go
@@ -102,6 +102,7 @@
 	engine      *engine.Client
 	engineState *engineState
 	gate        *gate
+	credit      *credit
 	recorder    *recorder.Recorder
 	suspects    *suspects
 	ledger      *ticketer.Ledger
@@ -137,6 +138,7 @@
 	a.gate = newGate(admitter.Config{
 		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
+	a.credit = &credit{log: cfg.Log, view: cfg.View}
 	return a, a.buildMemory()
 }
 
@@ -172,6 +174,7 @@
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
 		g.Go(func() error { return a.place(ctx) })
+		g.Go(func() error { return a.watchCredit(ctx) })
 	}
 	return g.Wait()
 }
@@ -194,6 +197,7 @@
 // SetSnapshot takes a configuration that came into force.
 func (a *Agent) SetSnapshot(s *configurer.Snapshot) {
 	a.gate.setRanks(s.Ranks)
+	a.credit.setSnapshot(a.cfg.Now(), a.cfg.Pool, s)
 }
 
 // Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
@@ -243,6 +247,25 @@
 	return alive && status.Ready && !a.engineState.isChanging()
 }
 
+// Alarms returns the conditions that need an operator.
+func (a *Agent) Alarms() []string {
+	return a.credit.check(a.cfg.Now())
+}
+
+// watchCredit logs the alarms of the pool's account until ctx ends.
+func (a *Agent) watchCredit(ctx context.Context) error {
+	t := time.NewTicker(creditCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.Alarms()
+		}
+	}
+}
+
 // Running returns the number of requests in progress.
 func (a *Agent) Running() int {
 	return int(a.running.Load())
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -24,11 +24,12 @@
 	body        encoder.ChatRequest
 	fingerprint quarantiner.Fingerprint
 	// marked says that the request was in flight at a crash, and trial is its present run at the engine.
-	marked bool
-	trial  trial
-	slot   *slot
-	stream *recorder.Stream
-	id     encoder.StreamID
+	marked  bool
+	trial   trial
+	slot    *slot
+	payment payment
+	stream  *recorder.Stream
+	id      encoder.StreamID
 	// offset is the number of events of the answer so far, with those that the router had before.
 	offset int
 	// tokens counts the events that this agent's engine emitted, and before those of them before the last pause.
@@ -96,17 +97,22 @@
 		r.Try = upstream
 		return r, err
 	}
+	if g.payment, err = a.credit.pay(a.cfg.Now(), env.Rank, cost); err != nil {
+		return g.refusalOf(err), err
+	}
 	g.slot, err = a.gate.acquire(ctx, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
 		// A refusal for load would change the order of the agents that a marked request meets.
 		Cost: cost, Deadline: env.Deadline(), Last: env.Last || marked, Suspect: marked,
 	})
 	if err != nil {
+		g.payment.settle(a.cfg.Now(), 0)
 		r := g.refusalOf(err)
 		r.Try = a.displace(env, cost, err)
 		return r, err
 	}
 	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
+		g.payment.settle(a.cfg.Now(), 0)
 		g.slot.done(0)
 		return g.refusalOf(err), err
 	}
@@ -141,6 +147,7 @@
 	}
 	err = g.conclude(err)
 	g.slot.done(g.workDone())
+	g.payment.settle(a.cfg.Now(), float64(g.body.PromptTokens()+g.tokens))
 	g.stream.Close(err)
 	a.cfg.Log.Info("generated", "request", g.env.RequestID, "organisation", g.env.Organisation, "rank", g.env.Rank,
 		"stream", g.id.String(), "events", g.tokens, "offset", g.offset, "error", err)
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -34,7 +34,8 @@
 			SkipFactor: noSkip,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
-		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, KnowsHosts: w.KnowsHosts, Address: w.Address,
+		Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
 		CountControl: w.CountControl,
 		Forwarder:    forwarder.Config{Dial: p.network.Dial},
 		Retries:      retries, Log: p.log, Metrics: p.registry,
@@ -63,6 +64,9 @@
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
 	s.Alarms = p.watcher.Alarms()
+	if p.role.alarms != nil {
+		s.Alarms = append(s.Alarms, p.role.alarms()...)
+	}
 	totals := p.budget.Totals()
 	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
 		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
