--- /dev/null
+++ b/demonstrator/control.go
@@ -0,0 +1,94 @@
+package demonstrator
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/launcher"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+// PlatformEndpoint is the name of the platform on the fleet's network.
+const PlatformEndpoint = "platform"
+
+// UpstreamEndpoint returns the name on the fleet's network of the upstream beside an agent.
+func UpstreamEndpoint(agent string) string {
+	return agent + "-upstream"
+}
+
+// listenAs returns the listen function of a stand-in; each listener belongs to a new incarnation of it.
+func (f *Fleet) listenAs(process string) standin.ListenFunc {
+	if f.cfg.Network == nil {
+		return nil
+	}
+	return func(network, address string) (net.Listener, error) {
+		return f.cfg.Network.Endpoint(process).Listen(network, address)
+	}
+}
+
+func (f *Fleet) networkOf(process string) launcher.Network {
+	if f.cfg.Network == nil {
+		return launcher.Network{}
+	}
+	e := f.cfg.Network.Endpoint(process)
+	return launcher.Network{Listen: e.Listen, Dial: e.Dial}
+}
+
+// Process returns the process with a name.
+func (f *Fleet) Process(name string) (*launcher.Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, err := f.place(name)
+	if err != nil {
+		return nil, err
+	}
+	return *p, nil
+}
+
+// place returns where the fleet keeps the process with a name; the caller holds the lock.
+func (f *Fleet) place(name string) (**launcher.Process, error) {
+	for _, list := range [][]*launcher.Process{f.Routers, f.Agents} {
+		for i, p := range list {
+			if p.Name() == name {
+				return &list[i], nil
+			}
+		}
+	}
+	return nil, trace.NotFound("no process %q", name)
+}
+
+// KillProcess ends a process at once.
+func (f *Fleet) KillProcess(name string) error {
+	p, err := f.Process(name)
+	if err != nil {
+		return err
+	}
+	if f.cfg.Network != nil {
+		f.cfg.Network.Kill(name)
+	}
+	p.Kill()
+	return nil
+}
+
+// RestartProcess starts a process that has ended again, at the same address.
+func (f *Fleet) RestartProcess(name string) error {
+	p, _, err := f.run(f.specs[name])
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, err := f.place(name)
+	if err != nil {
+		return err
+	}
+	*at = p
+	return nil
+}
+
+// Hosts returns the fleet's true list of hosts.
+func (f *Fleet) Hosts() []platform.Host {
+	return append([]platform.Host(nil), f.hosts...)
+}
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -58,6 +59,11 @@
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
 	Settings func(role, name string) string
+	// Adjust changes the settings of a process after they were checked, also beyond what the check allows; nil changes
+	// nothing. Tests switch mechanisms off with it.
+	Adjust func(*loader.Settings)
+	// Network carries all traffic of the fleet; nil means loopback.
+	Network *standin.Network
 }
 
 // Fleet is a platform, engines, a plain service, agents and routers on loopback.
@@ -71,14 +77,17 @@
 
 	cfg   FleetConfig
 	hosts []platform.Host
+	specs map[string]*processSpec
 	ctx   context.Context
 	stop  context.CancelFunc
 	done  sync.WaitGroup
+	// mu guards the elements of Agents and Routers after the start, when processes may be restarted.
+	mu sync.Mutex
 }
 
 // StartFleet starts a fleet and waits until every process has its configuration.
 func StartFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, Platform: standin.NewPlatform()}
+	f := &Fleet{cfg: cfg, Platform: standin.NewPlatform(), specs: map[string]*processSpec{}}
 	f.ctx, f.stop = context.WithCancel(ctx)
 	if err := f.start(); err != nil {
 		f.Close()
@@ -89,7 +98,7 @@
 
 func (f *Fleet) start() error {
 	var err error
-	if f.PlatformServer, err = standin.Start("", f.Platform.Handler()); err != nil {
+	if f.PlatformServer, err = standin.StartOn(f.listenAs(PlatformEndpoint), "", f.Platform.Handler()); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := f.Publish(1, Version); err != nil {
@@ -106,7 +115,7 @@
 		}
 	}
 	for i := range f.cfg.Routers {
-		name := fmt.Sprintf("router-%d", i+1)
+		name := RouterName(i)
 		p, err := f.startProcess("router", name, i, "")
 		if err != nil {
 			return err
@@ -127,9 +136,15 @@
 	return fmt.Sprintf("worker-%d", i+1)
 }
 
+// RouterName returns the name of a router by its index.
+func RouterName(i int) string {
+	return fmt.Sprintf("router-%d", i+1)
+}
+
 func (f *Fleet) startEngine(i int) error {
 	cfg := f.cfg.Engine
 	cfg.Name, cfg.Model, cfg.Version = EngineName(i), Model, Version
+	cfg.Listen = f.listenAs(UpstreamEndpoint(cfg.Name))
 	e, err := standin.StartEngine(cfg)
 	if err != nil {
 		return trace.Wrap(err)
@@ -143,7 +158,7 @@
 }
 
 func (f *Fleet) startWorker(i int) error {
-	s, err := standin.StartService(WorkerName(i), "")
+	s, err := standin.StartServiceOn(f.listenAs(UpstreamEndpoint(WorkerName(i))), WorkerName(i), "")
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -157,6 +172,14 @@
 // anyPort lets the system choose a port; settings files must name one.
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
+// processSpec is what a process of the fleet is started from.
+type processSpec struct {
+	name     string
+	settings string
+	// listen, control and operator are the addresses of the first start, which every later start keeps.
+	listen, control, operator netip.AddrPort
+}
+
 func (f *Fleet) startProcess(role, name string, i int, upstream string) (*launcher.Process, error) {
 	fields := []string{
 		fmt.Sprintf(`"role": %q, "name": %q, "region": "demo", "failure_domain": %q`, role, name, domains[i%len(domains)]),
@@ -171,19 +194,12 @@
 			fields = append(fields, more)
 		}
 	}
-	cfg, err := loader.Parse(name, []byte("{"+strings.Join(fields, ",\n")+"}"), nil)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	cfg.Listen, cfg.ControlListen, cfg.OperatorListen = anyPort, anyPort, anyPort
-	out := f.cfg.Log
-	if out == nil {
-		out = io.Discard
-	}
-	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), launcher.Network{})
+	spec := &processSpec{name: name, settings: "{" + strings.Join(fields, ",\n") + "}", listen: anyPort, control: anyPort, operator: anyPort}
+	p, cfg, err := f.run(spec)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
+	f.specs[name] = spec
 	host := platform.Host{
 		Name: name, Address: p.Address(), Control: p.ControlAddress(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
 	}
@@ -191,16 +207,40 @@
 		host.Upstream = cfg.Upstream.Name
 	}
 	f.hosts = append(f.hosts, host)
+	return p, nil
+}
+
+// run starts a process and fills in the addresses that its settings left open.
+func (f *Fleet) run(spec *processSpec) (*launcher.Process, *loader.Settings, error) {
+	cfg, err := loader.Parse(spec.name, []byte(spec.settings), nil)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	if f.cfg.Adjust != nil {
+		f.cfg.Adjust(cfg)
+	}
+	cfg.Listen, cfg.ControlListen, cfg.OperatorListen = spec.listen, spec.control, spec.operator
+	out := f.cfg.Log
+	if out == nil {
+		out = io.Discard
+	}
+	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(spec.name)
+	p, err := launcher.New(cfg, log, f.networkOf(spec.name))
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	spec.listen, spec.control = netip.MustParseAddrPort(p.Address()), netip.MustParseAddrPort(p.ControlAddress())
+	spec.operator = netip.MustParseAddrPort(p.OperatorAddress())
 	f.done.Add(1)
 	go func() {
 		defer f.done.Done()
 		_ = p.Run(f.ctx)
 	}()
-	return p, nil
+	return p, cfg, nil
 }
 
-// sheet returns a version of the fleet's sheet that places a model version.
-func (f *Fleet) sheet(version uint64, modelVersion string) string {
+// sheet returns a version of the fleet's sheet that places a model version, with further organisations.
+func (f *Fleet) sheet(version uint64, modelVersion string, more []Organisation) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version,number\nversion,%d\n", version)
 	b.WriteString("rank,name,target,worth,share\nrank,urgent,440ms,100,0.5\nrank,normal,2s,10,0.2\nrank,batch,1m,1,0.1\n")
@@ -211,16 +251,17 @@
 	}
 	fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
 	b.WriteString("organisation,name,key_hash,rank,ranks,weight\n")
-	for _, o := range Organisations {
+	for _, o := range append(slices.Clone(Organisations), more...) {
 		sum := sha256.Sum256([]byte(o.Key))
 		fmt.Fprintf(&b, "organisation,%s,%s,%s,,1\n", o.Name, hex.EncodeToString(sum[:]), o.Rank)
 	}
 	return b.String()
 }
 
-// Publish puts a version of the configuration at the platform, with the model version that the pool should carry.
-func (f *Fleet) Publish(version uint64, modelVersion string) error {
-	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version, modelVersion))})
+// Publish puts a version of the configuration at the platform, with the model version that the pool should carry and
+// further organisations.
+func (f *Fleet) Publish(version uint64, modelVersion string, more ...Organisation) error {
+	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version, modelVersion, more))})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- /dev/null
+++ b/demonstrator/network_test.go
@@ -0,0 +1,47 @@
+package demonstrator_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/demonstrator"
+	"clementineramp/encoder"
+	"clementineramp/standin"
+)
+
+// Guards against a process of the fleet that uses the system's network or blocks outside the bubble of virtual time.
+func TestFleetOnNetwork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := standin.NewNetwork()
+		f, err := demonstrator.StartFleet(t.Context(), demonstrator.FleetConfig{
+			Routers: 2, Engines: 2, Workers: 2, Network: n,
+			Engine: standin.EngineConfig{Slots: 4, TokenInterval: 20 * time.Millisecond},
+		})
+		require.NoError(t, err)
+		e := n.Endpoint("caller")
+		transport := &http.Transport{DialContext: e.Dial}
+		c := &standin.Caller{Key: demonstrator.Organisations[0].Key, HTTP: &http.Client{Transport: transport}}
+		seed := int64(1)
+		req := encoder.ChatRequest{
+			Model: demonstrator.Model, Messages: []encoder.Message{{Role: "user", Content: "hello"}}, MaxTokens: 8, Seed: &seed,
+		}
+		reply, err := c.Chat(t.Context(), f.Routers[0].Address(), req, nil)
+		require.NoError(t, err)
+		require.Equal(t, standin.Answer(req, demonstrator.Version), reply.Text)
+		require.NoError(t, f.KillProcess("router-1"))
+		_, err = c.Chat(t.Context(), f.Routers[0].Address(), req, nil)
+		require.Error(t, err)
+		require.NoError(t, f.RestartProcess("router-1"))
+		require.Eventually(t, func() bool {
+			_, err = c.Chat(t.Context(), f.Routers[0].Address(), req, nil)
+			return err == nil
+		}, 10*time.Second, 100*time.Millisecond)
+		transport.CloseIdleConnections()
+		f.Close()
+		n.Close()
+	})
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -120,6 +120,11 @@
 	return nil
 }
 
+// Name returns the name of the process.
+func (p *Process) Name() string {
+	return p.cfg.Name
+}
+
 // Address returns the address that the process serves, which tells the port where the settings leave it open.
 func (p *Process) Address() string {
 	return p.listener.Addr().String()
--- a/router/marks.go
+++ b/router/marks.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/expirable"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // maxMarks bounds the crash marks that a router remembers.
@@ -14,19 +14,32 @@
 
 // markMemory remembers the crash marks that agents handed over, so that a repeat starts with its mark.
 type markMemory struct {
-	marks *expirable.LRU[uint64, int]
+	now   func() time.Time
+	marks *lru.Cache[uint64, markEntry]
 }
 
-func newMarkMemory() *markMemory {
-	return &markMemory{marks: expirable.NewLRU[uint64, int](maxMarks, nil, markLifetime)}
+// markEntry is a mark with the time at which it was last raised.
+type markEntry struct {
+	mark int
+	at   time.Time
+}
+
+func newMarkMemory(now func() time.Time) *markMemory {
+	// A plain cache with times is used because the expirable one starts a goroutine that never ends.
+	marks, _ := lru.New[uint64, markEntry](maxMarks)
+	return &markMemory{now: now, marks: marks}
 }
 
 // raise remembers the larger of the known mark and mark, and returns it.
 func (m *markMemory) raise(fingerprint uint64, mark int) int {
+	now := m.now()
 	known, _ := m.marks.Get(fingerprint)
-	if mark > known {
-		m.marks.Add(fingerprint, mark)
+	if now.Sub(known.at) >= markLifetime {
+		known.mark = 0
+	}
+	if mark > known.mark {
+		m.marks.Add(fingerprint, markEntry{mark, now})
 		return mark
 	}
-	return known
+	return known.mark
 }
--- a/router/router.go
+++ b/router/router.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r := &Router{cfg: cfg, chooser: ch, marks: newMarkMemory(), attempts: cmp.Or(cfg.Chooser.Attempts, chooser.DefaultAttempts)}
+	r := &Router{cfg: cfg, chooser: ch, marks: newMarkMemory(cfg.Now), attempts: cmp.Or(cfg.Chooser.Attempts, chooser.DefaultAttempts)}
 	cfg.Forwarder.OnReport = r.onReport
 	r.agents = forwarder.New(cfg.Forwarder)
 	r.edge = caller.New(caller.Config{
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,8 @@
 	LoadTime time.Duration
 	// ChecksFence says that the engine refuses an order with an old fencing number.
 	ChecksFence bool
+	// Listen opens the engine's listener; nil means the system's network.
+	Listen ListenFunc
 }
 
 // Run is the record of one generation at an engine.
@@ -56,6 +58,14 @@
 	Completed bool
 	// Foreign says that the answer prefix was not the start of this generation.
 	Foreign bool
+	// Seed is the seed of the request; zero means that it had none.
+	Seed int64
+	// Started and Ended are the times at which the run entered and left the batch; a running one has no end.
+	Started, Ended time.Time
+	// Before is the work of the batch before the run entered it, in tokens.
+	Before float64
+	// Crashed says that the request crashed the engine.
+	Crashed bool
 }
 
 // Engine is a stand-in model engine with a batch, a prefix cache and a deterministic answer.
@@ -97,7 +107,7 @@
 		cfg: cfg, model: cfg.Model, version: cfg.Version, ready: true,
 		cache: newPrefixCache(cfg.CacheTokens), running: map[string]context.CancelFunc{},
 	}
-	s, err := Start(cfg.Address, e.handler())
+	s, err := StartOn(cfg.Listen, cfg.Address, e.handler())
 	e.server = s
 	return e, err
 }
@@ -161,6 +171,13 @@
 	return e.work, e.maxWork
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // Loaded returns the model version in service.
 func (e *Engine) Loaded() (model, version string) {
 	e.mu.Lock()
@@ -274,8 +291,8 @@
 	if e.enter(ctx, req, cancel) != nil {
 		return
 	}
-	defer e.leave(req)
 	run := e.record(req, version)
+	defer e.leave(req, run)
 	e.stream(ctx, w, req, run, generation)
 }
 
@@ -283,7 +300,9 @@
 func (e *Engine) crashOn(req encoder.ChatRequest) bool {
 	for _, m := range req.Messages {
 		if strings.Contains(m.Content, CrashText) {
+			run := e.record(req, req.Version)
 			e.mu.Lock()
+			run.Crashed, run.Ended = true, run.Started
 			e.crashes++
 			e.mu.Unlock()
 			e.Kill()
@@ -328,9 +347,10 @@
 	e.grant()
 }
 
-func (e *Engine) leave(req encoder.ChatRequest) {
+func (e *Engine) leave(req encoder.ChatRequest, run *Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	run.Ended = time.Now()
 	delete(e.running, req.RequestID)
 	e.work -= req.Cost()
 	e.grant()
@@ -358,6 +378,10 @@
 		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version,
 		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
 		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
+		Started: time.Now(), Before: max(e.work-req.Cost(), 0),
+	}
+	if req.Seed != nil {
+		run.Seed = *req.Seed
 	}
 	e.runs = append(e.runs, run)
 	return run
--- a/standin/server.go
+++ b/standin/server.go
@@ -8,9 +8,13 @@
 	"time"
 )
 
+// ListenFunc opens a listener, as net.Listen does.
+type ListenFunc func(network, address string) (net.Listener, error)
+
 // Server serves a handler on loopback and can be killed and restarted at the same address.
 type Server struct {
 	handler http.Handler
+	listen  ListenFunc
 
 	mu      sync.Mutex
 	address string
@@ -19,7 +23,15 @@
 
 // Start serves a handler; an empty address means a free port on loopback.
 func Start(address string, h http.Handler) (*Server, error) {
-	s := &Server{handler: h, address: address}
+	return StartOn(nil, address, h)
+}
+
+// StartOn serves a handler on the network of a listen function; nil means the system's network.
+func StartOn(listen ListenFunc, address string, h http.Handler) (*Server, error) {
+	if listen == nil {
+		listen = net.Listen
+	}
+	s := &Server{handler: h, listen: listen, address: address}
 	if s.address == "" {
 		s.address = "127.0.0.1:0"
 	}
@@ -50,7 +62,7 @@
 	if s.http != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.address)
+	l, err := s.listen("tcp", s.address)
 	if err != nil {
 		return err
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -14,6 +14,9 @@
 	Key     string
 	Body    string
 	Number  int
+	// At is the time at which the order ran, and Answered says that its answer was written.
+	At       time.Time
+	Answered bool
 }
 
 // Service is a stand-in for a plain service that runs whatever it receives and has no memory of keys.
@@ -24,13 +27,19 @@
 	mu         sync.Mutex
 	delay      time.Duration
 	breakAfter bool
+	onRun      func(Execution)
 	executions []Execution
 }
 
 // StartService starts a stand-in service on loopback.
 func StartService(name, address string) (*Service, error) {
+	return StartServiceOn(nil, name, address)
+}
+
+// StartServiceOn starts a stand-in service on the network of a listen function; nil means the system's network.
+func StartServiceOn(listen ListenFunc, name, address string) (*Service, error) {
 	s := &Service{name: name}
-	srv, err := Start(address, http.HandlerFunc(s.serve))
+	srv, err := StartOn(listen, address, http.HandlerFunc(s.serve))
 	s.server = srv
 	return s, err
 }
@@ -61,6 +70,13 @@
 	s.breakAfter = b
 }
 
+// SetOnRun makes the service call f when it runs an order, before it answers.
+func (s *Service) SetOnRun(f func(Execution)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRun = f
+}
+
 // Executions returns the record of all orders that ran.
 func (s *Service) Executions() []Execution {
 	s.mu.Lock()
@@ -74,12 +90,15 @@
 		return
 	}
 	s.mu.Lock()
-	x := Execution{Service: s.name, Key: r.Header.Get("Idempotency-Key"), Body: string(body), Number: len(s.executions) + 1}
+	x := Execution{Service: s.name, Key: r.Header.Get("Idempotency-Key"), Body: string(body), Number: len(s.executions) + 1, At: time.Now()}
 	if r.Method != http.MethodGet {
 		s.executions = append(s.executions, x)
 	}
-	delay, breakAfter := s.delay, s.breakAfter
+	delay, breakAfter, onRun := s.delay, s.breakAfter, s.onRun
 	s.mu.Unlock()
+	if onRun != nil && r.Method != http.MethodGet {
+		onRun(x)
+	}
 	if !sleep(r.Context(), delay) {
 		return
 	}
@@ -88,9 +107,14 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
-	_ = json.NewEncoder(w).Encode(struct {
+	err = json.NewEncoder(w).Encode(struct {
 		Worker string `json:"worker"`
 		Number int    `json:"number"`
 		Path   string `json:"path"`
 	}{s.name, x.Number, r.URL.Path})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method != http.MethodGet {
+		s.executions[x.Number-1].Answered = err == nil
+	}
 }
