router: keep the verdict of earlier attempts of a chat

Cause: the error of the last attempt went to the caller with its own verdict. After a first agent that may have run the request, a second one that refused it made the answer "not run". Ruled out: an agent that runs what it refused; the engines' records show the run at the agent of the first attempt only. Conclusion: the verdict of a refusal is that of all attempts together.

--- a/router/chat.go
+++ b/router/chat.go
@@ -45,6 +45,8 @@
 	order []chooser.Candidate
 	// failed holds the upstreams that failed this request, and refused those that refused it for want of room.
 	failed, refused []string
+	// mayHaveRun says that an attempt of this request may have run.
+	mayHaveRun bool
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -79,11 +81,23 @@
 		RequestID: newRequestID(), Organisation: c.Organisation.Name, Rank: c.Rank, ChatKey: t.key,
 		Mark: r.marks.raise(c.Body.Fingerprint(c.Organisation.Name), 0),
 	}
-	err = t.run(ctx)
+	err = t.truthful(t.run(ctx))
 	r.logResult(t, err)
 	return err
 }
 
+// truthful returns err with a verdict that holds for all attempts of the request: a later agent's refusal says "not run"
+// of its own attempt only.
+func (t *chatRoute) truthful(err error) error {
+	var judged *judge.Error
+	if !t.mayHaveRun || !errors.As(err, &judged) || judged.Verdict != judge.NotRun {
+		return err
+	}
+	doubt := *judged
+	doubt.Verdict = judge.MayHaveRun
+	return &doubt
+}
+
 // run tries agents in the chat's order until one finishes the answer.
 func (t *chatRoute) run(ctx context.Context) error {
 	for {
@@ -209,6 +223,7 @@
 		return false, err
 	}
 	r.observe(c.Name, f)
+	t.mayHaveRun = t.mayHaveRun || f.Cause.Verdict != judge.NotRun
 	t.env.Mark = r.marks.raise(t.chat.Body.Fingerprint(t.chat.Organisation.Name), max(f.Mark, t.env.Mark))
 	t.last = f.Cause
 	r.cfg.Log.Info("attempt_failed", "request", t.env.RequestID, "upstream", c.Name, "reason", f.Cause.Reason,
