agent: a generation that was paused may have run

Cause: a generation that made room for a more urgent one and then met a dead engine, or left the queue, ended with "not run" of its last part, although its first part had run. Ruled out: the router's own verdict; the agent's log line of the generation already says not_run after 7 events. Conclusion: a refusal after a pause says "may have run".

--- a/agent/chat.go
+++ b/agent/chat.go
@@ -127,17 +127,19 @@
 	stop := a.abandon.watch(g.stream, cancel)
 	defer stop()
 	var err error
+	ran := false
 	for {
 		var paused bool
 		paused, err = g.runOnce(ctx)
 		if !paused {
 			break
 		}
+		ran = true
 		if err = g.resume(ctx); err != nil {
 			break
 		}
 	}
-	err = g.conclude(err)
+	err = g.conclude(afterRun(ran, err))
 	g.slot.done(g.workDone())
 	g.stream.Close(err)
 	a.cfg.Log.Info("generated", "request", g.env.RequestID, "organisation", g.env.Organisation, "rank", g.env.Rank,
@@ -155,6 +157,18 @@
 	return err
 }
 
+// afterRun returns the error of a generation that may have run before it was paused: what ended it while it was queued
+// again, or when it should have gone on, says "not run" of its last part only.
+func afterRun(ran bool, err error) error {
+	var judged *judge.Error
+	if !ran || !errors.As(err, &judged) || judged.Verdict != judge.NotRun {
+		return err
+	}
+	doubt := *judged
+	doubt.Verdict = judge.MayHaveRun
+	return &doubt
+}
+
 // errPreempted is the cause of a stream that made room for a more urgent one.
 var errPreempted = errors.New("paused for a more urgent request")
 
