Add the fault matrix

Package prover runs every fault at every step of a chat, an order, a configuration change, a placement order and a planned stop, and checks the seven invariants on what callers, stand-ins and the network recorded.

--- /dev/null
+++ b/prover/check_test.go
@@ -0,0 +1,182 @@
+package prover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/demonstrator"
+	"clementineramp/judge"
+	"clementineramp/loader"
+	"clementineramp/prover"
+	"clementineramp/standin"
+)
+
+// start is the time of the first event of the recorded journals.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// overloaded returns two runs of 100 tokens on one engine of three, which so carries far more than 1.25 times the mean.
+func overloaded() []standin.Run {
+	return []standin.Run{
+		{Engine: demonstrator.EngineName(0), RequestID: "a", Seed: 1, Work: 100, Started: at(0), Ended: at(9)},
+		{Engine: demonstrator.EngineName(0), RequestID: "b", Seed: 2, Work: 100, Before: 100, Started: at(5), Ended: at(9)},
+	}
+}
+
+// Guards against a check that passes whatever happened: each journal holds one violation, and the check must name it.
+func TestCheckReports(t *testing.T) {
+	one := demonstrator.EngineName(0)
+	worker := demonstrator.WorkerName(0)
+	cases := []struct {
+		name    string
+		want    prover.Invariant
+		journal *prover.Journal
+	}{
+		{"overloaded engine", prover.LoadBound, &prover.Journal{Engines: 3, Bound: 1.25, Runs: overloaded()}},
+		{"foreign answer", prover.WholeAnswer, &prover.Journal{
+			Chats: []prover.Attempt{{ID: "c", Outcome: prover.Whole, Text: "other", Want: []string{"own"}}},
+		}},
+		{"lost answer", prover.WholeAnswer, &prover.Journal{Results: []prover.Result{{ID: "c"}}}},
+		{"joined generations", prover.WholeAnswer, &prover.Journal{Runs: []standin.Run{{Engine: one, Foreign: true}}}},
+		{"answer of another order", prover.WholeAnswer, &prover.Journal{
+			Orders:     []prover.Attempt{{ID: "order-a", Outcome: prover.Whole, Text: `{"worker":"worker-1","number":2}`}},
+			Executions: []standin.Execution{{Service: worker, Body: `{"order": "order-a"}`, Number: 1}},
+		}},
+		{"chat that ran", prover.TrueNotRun, &prover.Journal{
+			Chats: []prover.Attempt{{ID: "c", Seed: 7, Outcome: prover.Refused, Verdict: judge.NotRun}},
+			Runs:  []standin.Run{{Engine: one, Seed: 7}},
+		}},
+		{"order that ran", prover.TrueNotRun, &prover.Journal{
+			Orders:     []prover.Attempt{{ID: "order-a", Key: "k", Outcome: prover.Refused, Verdict: judge.NotRun}},
+			Executions: []standin.Execution{{Service: worker, Key: "k", Body: `{"order": "order-a"}`}},
+		}},
+		{"order that ran twice", prover.AtMostOnce, &prover.Journal{Executions: []standin.Execution{
+			{Service: worker, Key: "k", Body: `{"order": "order-a"}`}, {Service: worker, Key: "l", Body: `{"order": "order-a"}`},
+		}}},
+		{"chat to a leaving engine", prover.NoWorkLeaving, &prover.Journal{
+			Leaving: []prover.Interval{{Process: one, From: at(0)}},
+			Runs:    []standin.Run{{Engine: one, RequestID: "a", Started: at(3.5)}},
+		}},
+		{"order to a leaving worker", prover.NoWorkLeaving, &prover.Journal{
+			Leaving:    []prover.Interval{{Process: worker, From: at(0)}},
+			Executions: []standin.Execution{{Service: worker, Body: `{"order": "order-a"}`, At: at(3.5)}},
+		}},
+		{"answer cut by a router's stop", prover.CleanStop, &prover.Journal{
+			Stops: []prover.Interval{{Process: "router-1", From: at(0), To: at(5)}},
+			Chats: []prover.Attempt{{ID: "c", Router: "router-1", Started: at(1), Ended: at(2), Outcome: prover.Broken, Accepted: true}},
+		}},
+		{"generation cut by an agent's stop", prover.CleanStop, &prover.Journal{
+			Stops: []prover.Interval{{Process: one, From: at(0), To: at(5)}},
+			Runs:  []standin.Run{{Engine: one, RequestID: "a", Started: at(1), Ended: at(2)}},
+		}},
+		{"order cut by an agent's stop", prover.CleanStop, &prover.Journal{
+			Stops:      []prover.Interval{{Process: worker, From: at(0), To: at(5)}},
+			Executions: []standin.Execution{{Service: worker, Body: `{"order": "order-a"}`, At: at(1)}},
+		}},
+		{"configuration that is late", prover.ConfigInForce, &prover.Journal{
+			Processes: []string{"router-1"}, Published: at(0), Version: 2,
+			Samples: []prover.Sample{{Process: "router-1", At: at(18), Version: 1}},
+		}},
+		{"configuration that went back", prover.ConfigInForce, &prover.Journal{
+			Samples: []prover.Sample{{Process: "router-1", At: at(1), Version: 2}, {Process: "router-1", At: at(2), Version: 1}},
+		}},
+		{"two configurations of one version", prover.ConfigInForce, &prover.Journal{
+			Processes: []string{"router-1", "router-2"}, Published: at(0), Version: 3,
+			Samples: []prover.Sample{
+				{Process: "router-1", At: at(18), Version: 3, Content: "a"}, {Process: "router-2", At: at(18), Version: 3, Content: "b"},
+			},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			violations := prover.Check(c.journal)
+			require.Len(t, violations, 1, "%v", violations)
+			require.Equal(t, c.want, violations[0].Invariant, violations[0].Text)
+		})
+	}
+}
+
+// Guards against a check that reports what the design allows.
+func TestCheckAccepts(t *testing.T) {
+	one := demonstrator.EngineName(0)
+	killed := prover.Interval{Process: "router-1", Fault: prover.KillRouter, From: at(1), To: at(3)}
+	journal := &prover.Journal{
+		Engines: 3, Bound: 1.25,
+		Stops:   []prover.Interval{{Process: "router-1", From: at(0), To: at(5)}},
+		Faults:  []prover.Interval{killed},
+		Leaving: []prover.Interval{{Process: one, From: at(0), To: at(10)}},
+		Chats: []prover.Attempt{
+			{ID: "c", Router: "router-1", Started: at(1), Ended: at(2), Outcome: prover.Broken, Accepted: true},
+			{ID: "d", Seed: 7, Outcome: prover.Refused, Verdict: judge.MayHaveRun},
+		},
+		Runs: []standin.Run{
+			{Engine: one, RequestID: "a", Seed: 7, Started: at(2), Ended: at(3), Completed: true},
+			{Engine: one, RequestID: "b", Started: at(10), Ended: at(11), Completed: true},
+		},
+	}
+	require.Empty(t, prover.Check(journal))
+}
+
+// cellNamed returns a cell of the matrix.
+func cellNamed(t *testing.T, name string) prover.Cell {
+	for _, c := range prover.Matrix() {
+		if c.Name() == name {
+			return c
+		}
+	}
+	t.Fatalf("no cell %s", name)
+	return prover.Cell{}
+}
+
+// Guards against a matrix in which the load bound holds by itself: with a bound of 4, the agents let one engine carry the
+// whole load, and the check against 1.25 must see it in what the engines recorded.
+func TestCheckSeesBoundSwitchedOff(t *testing.T) {
+	report := run(t, cellNamed(t, "stop_router/announce/platform_stale"), prover.Options{
+		Adjust: func(s *loader.Settings) { s.Routing.Bound = 4 },
+	})
+	require.NoError(t, report.Err)
+	require.Contains(t, invariants(report), prover.LoadBound)
+}
+
+// Guards against a matrix in which a planned stop cuts nothing by itself: with a drain limit below the time of a running
+// answer, the stop cuts it, and the check must see it.
+func TestCheckSeesCutStop(t *testing.T) {
+	report := run(t, cellNamed(t, "stop_agent/announce/platform_stale"), prover.Options{
+		Adjust:        func(s *loader.Settings) { s.Drain.Grace, s.Drain.Limit = 0, 100*time.Millisecond },
+		TokenInterval: 100 * time.Millisecond,
+	})
+	require.NoError(t, report.Err)
+	require.Contains(t, invariants(report), prover.CleanStop)
+}
+
+func invariants(r prover.Report) []prover.Invariant {
+	var list []prover.Invariant
+	for _, v := range r.Violations {
+		list = append(list, v.Invariant)
+	}
+	return list
+}
+
+// Guards against a cell that is forgotten: the matrix is the whole product, and only typed reasons leave a cell out.
+func TestMatrixIsWhole(t *testing.T) {
+	cells := prover.Matrix()
+	require.Len(t, cells, len(prover.Steps())*(len(prover.Faults())+len(prover.Pairs())))
+	names := map[string]bool{}
+	for _, c := range cells {
+		require.False(t, names[c.Name()], c.Name())
+		names[c.Name()] = true
+		require.Contains(t, []prover.Reason{prover.Applies, prover.NotBuilt, prover.AlreadyEnded}, c.Reason)
+	}
+	paired := map[prover.Fault]bool{}
+	for _, p := range prover.Pairs() {
+		paired[p[0]], paired[p[1]] = true, true
+	}
+	for _, f := range prover.Faults() {
+		require.True(t, paired[f], "fault %s is in no pair", f)
+	}
+}
--- /dev/null
+++ b/prover/fault.go
@@ -0,0 +1,258 @@
+package prover
+
+import (
+	"context"
+	"time"
+
+	"clementineramp/demonstrator"
+	"clementineramp/platform"
+	"clementineramp/standin"
+)
+
+// Fault is something that fails.
+type Fault string
+
+// The faults.
+const (
+	KillRouter         Fault = "kill_router"
+	KillAgent          Fault = "kill_agent"
+	KillUpstream       Fault = "kill_upstream"
+	CutRouterAgent     Fault = "cut_router_agent"
+	CutRouterToAgent   Fault = "cut_router_to_agent"
+	CutAgentToRouter   Fault = "cut_agent_to_router"
+	CutAgentUpstream   Fault = "cut_agent_upstream"
+	CutAgentToUpstream Fault = "cut_agent_to_upstream"
+	CutUpstreamToAgent Fault = "cut_upstream_to_agent"
+	FreezeRouter       Fault = "freeze_router"
+	FreezeAgent        Fault = "freeze_agent"
+	FreezeUpstream     Fault = "freeze_upstream"
+	PlatformDown       Fault = "platform_down"
+	PlatformStale      Fault = "platform_stale"
+	ListsDiffer        Fault = "lists_differ"
+	UpstreamLeaving    Fault = "upstream_leaving"
+	UpstreamFlapping   Fault = "upstream_flapping"
+	OperatorsRacing    Fault = "operators_racing"
+	CrashingRequest    Fault = "crashing_request"
+	Flood              Fault = "flood"
+)
+
+// Faults returns every fault.
+func Faults() []Fault {
+	return []Fault{
+		KillRouter, KillAgent, KillUpstream,
+		CutRouterAgent, CutRouterToAgent, CutAgentToRouter, CutAgentUpstream, CutAgentToUpstream, CutUpstreamToAgent,
+		FreezeRouter, FreezeAgent, FreezeUpstream, PlatformDown, PlatformStale, ListsDiffer,
+		UpstreamLeaving, UpstreamFlapping, OperatorsRacing, CrashingRequest, Flood,
+	}
+}
+
+// Pairs returns the pairs of faults that are brought about together; each fault is in at least one of them.
+func Pairs() [][2]Fault {
+	return [][2]Fault{
+		{KillRouter, KillAgent},
+		{KillRouter, PlatformStale},
+		{KillAgent, PlatformDown},
+		{KillUpstream, CutAgentToRouter},
+		{CutRouterAgent, UpstreamLeaving},
+		{CutRouterToAgent, FreezeUpstream},
+		{CutAgentUpstream, Flood},
+		{CutAgentToUpstream, ListsDiffer},
+		{CutUpstreamToAgent, KillRouter},
+		{FreezeRouter, KillUpstream},
+		{FreezeAgent, UpstreamLeaving},
+		{UpstreamFlapping, Flood},
+		{OperatorsRacing, PlatformStale},
+		{CrashingRequest, Flood},
+	}
+}
+
+const (
+	// holdTime is how long a fault lasts; it is longer than the first-byte timeout of the cells' routers.
+	holdTime = 3 * time.Second
+	// frozenTime is how long a process is frozen; it is longer than every timeout of a request in the cells.
+	frozenTime = 8 * time.Second
+	// flapTime is the time for which a flapping upstream is down or up.
+	flapTime = 700 * time.Millisecond
+	flaps    = 3
+	// floodChats is many times what the fleet of a cell serves at once.
+	floodChats = 24
+	// superviseTime is the time within which the supervisor of a host starts a crashed engine again.
+	superviseTime = time.Second
+	// raceTime bounds the wait for a process to adopt the first of two configurations that race.
+	raceTime = 2 * time.Second
+)
+
+// duration returns how long a fault lasts before it is healed.
+func (f Fault) duration() time.Duration {
+	switch f {
+	case FreezeRouter, FreezeAgent, FreezeUpstream:
+		return frozenTime
+	default:
+		return holdTime
+	}
+}
+
+// link returns the two ends of the link that a fault cuts, and the directions.
+func (f Fault) link(c *cellRun) (a, b string, there, back bool) {
+	upstream := demonstrator.UpstreamEndpoint(c.agent)
+	switch f {
+	case CutRouterAgent:
+		return c.router, c.agent, true, true
+	case CutRouterToAgent:
+		return c.router, c.agent, true, false
+	case CutAgentToRouter:
+		return c.router, c.agent, false, true
+	case CutAgentUpstream:
+		return c.agent, upstream, true, true
+	case CutAgentToUpstream:
+		return c.agent, upstream, true, false
+	case CutUpstreamToAgent:
+		return c.agent, upstream, false, true
+	default:
+		return "", "", false, false
+	}
+}
+
+// target returns the process that a fault kills or freezes.
+func (f Fault) target(c *cellRun) string {
+	switch f {
+	case KillRouter, FreezeRouter:
+		return c.router
+	case KillAgent, FreezeAgent, UpstreamLeaving:
+		return c.agent
+	case KillUpstream, FreezeUpstream, UpstreamFlapping:
+		return demonstrator.UpstreamEndpoint(c.agent)
+	default:
+		return ""
+	}
+}
+
+// strike brings about at once, within the event that is the step, what other processes see of the fault.
+func (f Fault) strike(c *cellRun) {
+	a, b, there, back := f.link(c)
+	if there {
+		c.network.Cut(a, b)
+	}
+	if back {
+		c.network.Cut(b, a)
+	}
+	switch f {
+	case KillRouter, KillAgent, KillUpstream:
+		c.network.Kill(f.target(c))
+	case FreezeRouter, FreezeAgent, FreezeUpstream:
+		c.network.Freeze(f.target(c), true)
+	case PlatformDown:
+		c.fleet.Platform.SetDown(true)
+	case PlatformStale:
+		c.fleet.Platform.SetStale(true)
+	default:
+	}
+}
+
+// carryOut does the part of a fault that takes time; it returns before the fault is healed.
+func (f Fault) carryOut(ctx context.Context, c *cellRun) {
+	switch f {
+	case KillRouter, KillAgent:
+		_ = c.fleet.KillProcess(f.target(c))
+	case KillUpstream:
+		c.upstream().Kill()
+	case ListsDiffer:
+		other := demonstrator.RouterName(1)
+		c.network.Cut(demonstrator.PlatformEndpoint, other)
+		c.fleet.Platform.SetHosts(without(c.fleet.Hosts(), c.agent))
+	case UpstreamLeaving:
+		c.fleet.Platform.SetHosts(leaving(c.fleet.Hosts(), c.agent))
+		c.stop(c.agent)
+	case UpstreamFlapping:
+		for range flaps {
+			c.network.Kill(f.target(c))
+			c.upstream().Kill()
+			time.Sleep(flapTime)
+			_ = c.upstream().Restart()
+			time.Sleep(flapTime)
+		}
+	case OperatorsRacing:
+		c.race(ctx)
+	case CrashingRequest:
+		c.crash(ctx)
+	case Flood:
+		c.flood(ctx)
+	default:
+	}
+}
+
+// heal ends a fault.
+func (f Fault) heal(c *cellRun) {
+	if a, b, _, _ := f.link(c); a != "" {
+		c.network.Heal(a, b)
+		c.network.Heal(b, a)
+	}
+	switch f {
+	case KillRouter, KillAgent:
+		c.restart(f.target(c))
+	case KillUpstream:
+		c.restartUpstreams()
+	case FreezeRouter, FreezeAgent, FreezeUpstream:
+		c.network.Freeze(f.target(c), false)
+	case PlatformDown:
+		c.fleet.Platform.SetDown(false)
+	case PlatformStale:
+		c.fleet.Platform.SetStale(false)
+	case ListsDiffer:
+		c.network.Heal(demonstrator.PlatformEndpoint, demonstrator.RouterName(1))
+		c.fleet.Platform.SetHosts(c.fleet.Hosts())
+	case UpstreamLeaving:
+		c.replace(c.agent)
+		c.fleet.Platform.SetHosts(c.fleet.Hosts())
+	default:
+	}
+}
+
+func without(hosts []platform.Host, name string) []platform.Host {
+	var kept []platform.Host
+	for _, h := range hosts {
+		if h.Name != name {
+			kept = append(kept, h)
+		}
+	}
+	return kept
+}
+
+func leaving(hosts []platform.Host, name string) []platform.Host {
+	for i := range hosts {
+		if hosts[i].Name == name {
+			hosts[i].State = platform.StateLeaving
+		}
+	}
+	return hosts
+}
+
+// killable is a stand-in that can be killed and started again.
+type killable interface {
+	Kill()
+	Restart() error
+}
+
+// upstream returns the stand-in beside the agent that the cell's faults hit.
+func (c *cellRun) upstream() killable {
+	for _, e := range c.fleet.Engines {
+		if e.Name() == c.agent {
+			return e
+		}
+	}
+	for _, s := range c.fleet.Workers {
+		if s.Name() == c.agent {
+			return s
+		}
+	}
+	return (*standin.Engine)(nil)
+}
+
+func (c *cellRun) restartUpstreams() {
+	for _, e := range c.fleet.Engines {
+		_ = e.Restart()
+	}
+	for _, s := range c.fleet.Workers {
+		_ = s.Restart()
+	}
+}
--- /dev/null
+++ b/prover/run.go
@@ -0,0 +1,541 @@
+package prover
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"regexp"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"clementineramp/demonstrator"
+	"clementineramp/loader"
+	"clementineramp/standin"
+)
+
+// Size of the fleet of a cell.
+const (
+	routers = 2
+	engines = 3
+	workers = 2
+	// slots is small, so that a few requests fill an engine.
+	slots = 2
+)
+
+const (
+	tokenInterval = 20 * time.Millisecond
+	// loadTime is longer than the interval at which an agent reads its engine's status, so that the load is visible.
+	loadTime = 1500 * time.Millisecond
+	// orderTime is the time between running an order and answering it.
+	orderTime = 50 * time.Millisecond
+	// stepTime bounds the wait for the step.
+	stepTime = 30 * time.Second
+	// stopTime bounds the wait for a process that stops on plan.
+	stopTime = 30 * time.Second
+	// loadBound is the multiple of the mean load that no engine may exceed.
+	loadBound = 1.25
+)
+
+// settings shortens the timeouts of the processes, so that a cell takes seconds of virtual time.
+const settings = `"routing": {"first_byte_timeout": "2s"}, "limits": {"stream_idle_time": "2s"}`
+
+// Options change how cells are run.
+type Options struct {
+	// Adjust changes the settings of each process, for example to switch a mechanism off; nil changes nothing.
+	Adjust func(*loader.Settings)
+	// TokenInterval replaces the time between tokens of an answer; zero means the default.
+	TokenInterval time.Duration
+	// Log receives each log line; nil drops them.
+	Log func(line []byte)
+}
+
+// Report is the result of one cell.
+type Report struct {
+	Cell       Cell
+	Journal    *Journal
+	Violations []Violation
+	// Err says why the cell could not be run, for example because its step was not reached.
+	Err error
+}
+
+// Run runs one cell with a fleet of its own on an in-memory network. It waits by timers only, so that inside a bubble of
+// testing/synctest it takes virtual time.
+func Run(ctx context.Context, cell Cell, opts Options) Report {
+	report := Report{Cell: cell}
+	if cell.Reason != Applies {
+		report.Err = trace.BadParameter("%s", string(cell.Reason))
+		return report
+	}
+	c := &cellRun{
+		cell: cell, opts: opts, network: standin.NewNetwork(), journal: newJournal(),
+		routerAddress: map[string]string{}, agents: map[string]bool{}, fired: make(chan struct{}),
+		modelVersion: demonstrator.Version, adopted: make(chan struct{}, 1), stopped: map[string]chan struct{}{},
+	}
+	report.Err = c.run(ctx)
+	report.Journal = c.journal
+	if report.Err == nil {
+		report.Violations = Check(c.journal)
+	}
+	return report
+}
+
+// cellRun is one run of a cell.
+type cellRun struct {
+	cell    Cell
+	opts    Options
+	network *standin.Network
+	fleet   *demonstrator.Fleet
+	journal *Journal
+	seeds   atomic.Int64
+	// router and agent are those on the way of the probe; faults hit them.
+	router, agent string
+	ticket        string
+	// modelVersion is the version that the cell's configurations place in the pool.
+	modelVersion  string
+	routerAddress map[string]string
+	agents        map[string]bool
+	// events counts the events of the probe's answer.
+	events atomic.Int64
+	armed  atomic.Bool
+	fired  chan struct{}
+	// adopted receives a value when a process adopts a configuration.
+	adopted chan struct{}
+
+	mu sync.Mutex
+	// stopped holds a channel for each process that stops on plan.
+	stopped  map[string]chan struct{}
+	sampling bool
+	// endSampling ends the looks at the configuration of each process.
+	endSampling context.CancelFunc
+
+	// callers counts the callers at work, and strikes the faults.
+	callers, strikes, samplers sync.WaitGroup
+}
+
+func (c *cellRun) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer c.network.Close()
+	defer cancel()
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	defer c.fleet.Close()
+	defer c.samplers.Wait()
+	defer cancel()
+	if err := c.settle(ctx); err != nil {
+		return err
+	}
+	if err := c.findTargets(ctx); err != nil {
+		return err
+	}
+	c.startProbe(ctx)
+	select {
+	case <-c.fired:
+	case <-time.After(stepTime):
+		return trace.NotFound("step %s was not reached", c.cell.Step)
+	}
+	c.background(ctx)
+	c.healFaults()
+	c.strikes.Wait()
+	c.journal.mu.Lock()
+	c.journal.Healed = time.Now()
+	c.journal.mu.Unlock()
+	c.aftermath(ctx)
+	c.callers.Wait()
+	c.awaitConfiguration()
+	c.collect()
+	return nil
+}
+
+func (c *cellRun) start(ctx context.Context) error {
+	cfg := demonstrator.FleetConfig{
+		Routers: routers, Engines: engines, Workers: workers, Network: c.network, Log: logHook{c},
+		Engine:   standin.EngineConfig{Slots: slots, TokenInterval: cmp.Or(c.opts.TokenInterval, tokenInterval), LoadTime: loadTime},
+		Settings: func(string, string) string { return settings }, Adjust: c.opts.Adjust,
+	}
+	var err error
+	if c.fleet, err = demonstrator.StartFleet(ctx, cfg); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, p := range c.fleet.Routers {
+		c.routerAddress[p.Name()] = p.Address()
+	}
+	for _, p := range c.fleet.Agents {
+		c.agents[p.Name()] = true
+	}
+	for _, s := range c.fleet.Workers {
+		s.SetDelay(orderTime)
+		s.SetOnRun(func(x standin.Execution) { c.observe(event{order: &x}) })
+	}
+	c.network.SetTap(func(t standin.Traffic) { c.observe(event{traffic: &t}) })
+	return nil
+}
+
+// settle waits until every agent knows the load of all engines, as in a fleet that has run for a while.
+func (c *cellRun) settle(ctx context.Context) error {
+	knows := func() bool {
+		for _, p := range c.fleet.Agents {
+			if p.Watcher().Mean(demonstrator.Pool).Known < engines {
+				return false
+			}
+		}
+		return true
+	}
+	deadline := time.Now().Add(stepTime)
+	for !knows() {
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return trace.LimitExceeded("the agents did not learn the load of all engines within %v", stepTime)
+		}
+		pause(ctx, tokenInterval)
+	}
+	return nil
+}
+
+func (c *cellRun) isAgent(name string) bool { return c.agents[name] }
+
+// probeChat is the name of the probe's chat; its first turn finds the engine that later turns meet.
+const probeChat = "probe-chat"
+
+// findTargets sends a first turn of the probe's chat and gets its ticket, to know which agents are on the probe's way.
+func (c *cellRun) findTargets(ctx context.Context) error {
+	c.router = demonstrator.RouterName(0)
+	first := c.newCaller("first-turn", demonstrator.Organisations[0])
+	if c.cell.Step.Way == Order {
+		ticket, err := first.ticket(ctx, 0)
+		if err != nil {
+			return trace.Wrap(err, "ticket")
+		}
+		c.ticket = ticket
+		c.agent, err = agentOfTicket(ticket)
+		return err
+	}
+	a := first.attemptChat(ctx, probeChat, "first turn", chatTokens, 0)
+	if a.Outcome != Whole {
+		return trace.Errorf("the first turn ended as %s: %s", a.Outcome, a.Reason)
+	}
+	for _, e := range c.fleet.Engines {
+		for _, r := range e.Runs() {
+			if r.Seed == a.Seed {
+				c.agent = e.Name()
+			}
+		}
+	}
+	return nil
+}
+
+// observe takes everything that happens, and brings the faults about when the step is reached.
+func (c *cellRun) observe(ev event) {
+	c.note(ev)
+	if !c.armed.Load() || !c.cell.Step.reached(c, ev) || !c.armed.CompareAndSwap(true, false) {
+		return
+	}
+	if c.cell.Step.Way == Placement {
+		c.agent = c.agentOf(ev)
+	}
+	for _, f := range c.cell.Faults {
+		c.noteFault(f)
+		f.strike(c)
+		c.strikes.Add(1)
+		go func() {
+			defer c.strikes.Done()
+			f.carryOut(context.Background(), c)
+		}()
+	}
+	close(c.fired)
+}
+
+var (
+	requestPattern = regexp.MustCompile(`"request_id":"([0-9a-f]+)"`)
+	orderPattern   = regexp.MustCompile(`order-[0-9a-z-]+`)
+)
+
+// note records what the check needs of an event.
+func (c *cellRun) note(ev event) {
+	if ev.traffic != nil && ev.traffic.Kind == standin.Accepted {
+		c.journal.addAccepted(ev.traffic.From, ev.traffic.To)
+	}
+	if from, to, data := ev.sent(); data != nil && c.agents[to] && !c.agents[from] {
+		if m := requestPattern.FindSubmatch(data); m != nil {
+			c.journal.addSent(to, string(m[1]))
+		}
+		if m := orderPattern.Find(data); m != nil {
+			c.journal.addSent(to, string(m))
+		}
+	}
+	if ev.logged("", " event=configuration_in_force ") {
+		select {
+		case c.adopted <- struct{}{}:
+		default:
+		}
+	}
+	if ev.logged("", " event=stopped ") {
+		c.noteStopped(ev)
+	}
+}
+
+func (c *cellRun) noteStopped(ev event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, done := range c.stopped {
+		if done != nil && ev.logged(name) {
+			c.journal.close(&c.journal.Stops, name)
+			close(done)
+			c.stopped[name] = nil
+		}
+	}
+}
+
+// noteFault records which processes a fault hits.
+func (c *cellRun) noteFault(f Fault) {
+	if t := f.target(c); t != "" && f != UpstreamLeaving {
+		c.journal.open(&c.journal.Faults, t, f)
+	}
+	if a, b, _, _ := f.link(c); a != "" {
+		c.journal.open(&c.journal.Faults, a, f)
+		c.journal.open(&c.journal.Faults, b, f)
+	}
+	if f == CrashingRequest {
+		for _, e := range c.fleet.Engines {
+			c.journal.open(&c.journal.Faults, demonstrator.UpstreamEndpoint(e.Name()), f)
+		}
+	}
+}
+
+// startProbe begins the way that the cell's step belongs to.
+func (c *cellRun) startProbe(ctx context.Context) {
+	probe := c.newCaller(probeCaller, demonstrator.Organisations[0])
+	switch c.cell.Step.Way {
+	case Chat:
+		if c.cell.Step.Name == "queue" {
+			c.fill(ctx)
+		}
+		c.armed.Store(true)
+		c.goCall(func() { probe.chat(ctx, probeChat, "next turn", chatTokens, 0) })
+	case Order:
+		c.armed.Store(true)
+		c.goCall(func() { probe.order(ctx, "order-probe", c.ticket, 0) })
+	case Configuration:
+		c.armed.Store(true)
+		c.publish(ctx, versionLate, late)
+	case StopAgent, StopRouter:
+		c.stopUnderLoad(ctx, probe)
+	case Placement:
+		c.modelVersion = nextVersion
+		c.armed.Store(true)
+		c.publish(ctx, versionLate, late)
+	}
+}
+
+func (c *cellRun) goCall(f func()) {
+	c.callers.Add(1)
+	go func() {
+		defer c.callers.Done()
+		f()
+	}()
+}
+
+// fill occupies every slot of the pool.
+func (c *cellRun) fill(ctx context.Context) {
+	for i := range engines * slots * 2 {
+		name := fmt.Sprintf("fill-%d", i)
+		filler := c.newCaller(name, demonstrator.Organisations[2])
+		c.goCall(func() { filler.chat(ctx, name, name, fillTokens, i) })
+	}
+	busy := func() bool {
+		for _, e := range c.fleet.Engines {
+			if e.Running() < slots {
+				return false
+			}
+		}
+		return true
+	}
+	for range 2 * fillTokens {
+		if busy() {
+			return
+		}
+		pause(ctx, tokenInterval)
+	}
+}
+
+// stopUnderLoad stops the router or the agent of the probe on plan, while requests run on it and further ones arrive.
+func (c *cellRun) stopUnderLoad(ctx context.Context, probe *caller) {
+	c.goCall(func() { probe.chat(ctx, probeChat, "long turn", fillTokens, 0) })
+	for range fillTokens / 2 {
+		if busy := c.busyEngine(); busy != "" {
+			c.agent = busy
+			break
+		}
+		pause(ctx, tokenInterval)
+	}
+	c.goCall(func() {
+		for i := range 12 {
+			id := fmt.Sprintf("during-stop-%d", i)
+			during := c.newCaller(id, demonstrator.Organisations[0])
+			c.goCall(func() { during.chat(ctx, probeChat, id, chatTokens, 0) })
+			pause(ctx, holdTime/10)
+		}
+	})
+	c.armed.Store(true)
+	if c.cell.Step.Way == StopRouter {
+		c.stop(c.router)
+	} else {
+		c.stop(c.agent)
+	}
+}
+
+// busyEngine returns the engine that runs the probe, or nothing.
+func (c *cellRun) busyEngine() string {
+	for _, e := range c.fleet.Engines {
+		if e.Running() > 0 {
+			return e.Name()
+		}
+	}
+	return ""
+}
+
+// stop begins the planned stop of a process.
+func (c *cellRun) stop(name string) {
+	p, err := c.fleet.Process(name)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	if _, begun := c.stopped[name]; begun {
+		c.mu.Unlock()
+		return
+	}
+	c.stopped[name] = make(chan struct{})
+	c.mu.Unlock()
+	if c.agents[name] {
+		c.journal.open(&c.journal.Leaving, name, "")
+	}
+	c.journal.open(&c.journal.Stops, name, "")
+	p.Drain()
+}
+
+// replace starts a process again after its planned stop.
+func (c *cellRun) replace(name string) {
+	c.mu.Lock()
+	done := c.stopped[name]
+	c.mu.Unlock()
+	if done != nil {
+		select {
+		case <-done:
+		case <-time.After(stopTime):
+			_ = c.fleet.KillProcess(name)
+		}
+	}
+	c.restart(name)
+}
+
+// restart starts a process again that has ended.
+func (c *cellRun) restart(name string) {
+	if err := c.fleet.RestartProcess(name); err == nil {
+		c.journal.close(&c.journal.Leaving, name)
+	}
+}
+
+// background starts callers whose requests are under way while the faults last.
+func (c *cellRun) background(ctx context.Context) {
+	c.traffic(ctx, "during", 2)
+}
+
+// aftermath starts callers after the faults are healed.
+func (c *cellRun) aftermath(ctx context.Context) {
+	c.traffic(ctx, "after", 2)
+}
+
+func (c *cellRun) traffic(ctx context.Context, name string, n int) {
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", name, i)
+		chats := c.newCaller("chat-"+id, demonstrator.Organisations[i%len(demonstrator.Organisations)])
+		c.goCall(func() { chats.chat(ctx, id, "question "+id, chatTokens, i) })
+		orders := c.newCaller("order-"+id, demonstrator.Organisations[i%len(demonstrator.Organisations)])
+		c.goCall(func() { orders.order(ctx, "order-"+id, "", i) })
+	}
+	single := c.newCaller("keyless-"+name, demonstrator.Organisations[0])
+	c.goCall(func() { single.keyless(ctx, "order-keyless-"+name, 0) })
+}
+
+// healFaults ends each fault after its time.
+func (c *cellRun) healFaults() {
+	var g sync.WaitGroup
+	for _, f := range c.cell.Faults {
+		g.Add(1)
+		go func() {
+			defer g.Done()
+			time.Sleep(f.duration())
+			f.heal(c)
+			c.endFault(f)
+		}()
+	}
+	g.Wait()
+}
+
+func (c *cellRun) endFault(f Fault) {
+	c.journal.mu.Lock()
+	defer c.journal.mu.Unlock()
+	for i := range c.journal.Faults {
+		if c.journal.Faults[i].Fault == f {
+			c.journal.Faults[i].To = time.Now()
+		}
+	}
+}
+
+func (c *cellRun) flood(ctx context.Context) {
+	for i := range floodChats {
+		name := fmt.Sprintf("flood-%d", i)
+		flood := c.newCaller(name, demonstrator.Organisations[2])
+		c.goCall(func() { flood.chat(ctx, name, name, chatTokens, i) })
+	}
+}
+
+// crash sends a request that crashes its engine, while supervisors start crashed engines again.
+func (c *cellRun) crash(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.newCaller("crasher", demonstrator.Organisations[1]).crash(ctx, "crasher")
+	}()
+	for {
+		select {
+		case <-done:
+			c.restartUpstreams()
+			return
+		case <-time.After(superviseTime):
+			c.restartUpstreams()
+		}
+	}
+}
+
+// collect takes the records of the stand-ins.
+func (c *cellRun) collect() {
+	j := c.journal
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Engines, j.Bound = engines, loadBound
+	for _, h := range c.fleet.Hosts() {
+		j.Processes = append(j.Processes, h.Name)
+	}
+	for _, e := range c.fleet.Engines {
+		j.Runs = append(j.Runs, e.Runs()...)
+	}
+	for _, s := range c.fleet.Workers {
+		j.Executions = append(j.Executions, s.Executions()...)
+	}
+}
+
+// logHook passes each log line of the fleet to the cell, at the moment when the process writes it.
+type logHook struct{ cell *cellRun }
+
+// Write takes one line.
+func (h logHook) Write(line []byte) (int, error) {
+	if h.cell.opts.Log != nil {
+		h.cell.opts.Log(line)
+	}
+	h.cell.observe(event{line: line})
+	return len(line), nil
+}
--- /dev/null
+++ b/prover/step.go
@@ -0,0 +1,200 @@
+package prover
+
+import (
+	"bytes"
+	"slices"
+
+	"clementineramp/demonstrator"
+	"clementineramp/standin"
+)
+
+// Way is a course of events that a fault may hit.
+type Way string
+
+// The ways.
+const (
+	Chat          Way = "chat"
+	Order         Way = "order"
+	Configuration Way = "configuration"
+	Placement     Way = "placement"
+	StopAgent     Way = "stop_agent"
+	StopRouter    Way = "stop_router"
+)
+
+// Step is one step of a way.
+type Step struct {
+	Way  Way
+	Name string
+	// reached reports whether an event is the step; nil means that the step cannot be observed.
+	reached func(c *cellRun, ev event) bool
+}
+
+// String returns the name of the step with its way.
+func (s Step) String() string { return string(s.Way) + "/" + s.Name }
+
+// event is one thing that the cell observes: traffic of the network, a log line, or an order that a service runs.
+type event struct {
+	traffic *standin.Traffic
+	line    []byte
+	order   *standin.Execution
+}
+
+// sent returns the data of a write between two processes.
+func (ev event) sent() (from, to string, data []byte) {
+	if ev.traffic == nil || ev.traffic.Kind != standin.Sent {
+		return "", "", nil
+	}
+	return ev.traffic.From, ev.traffic.To, ev.traffic.Data
+}
+
+// logged reports whether the event is a log line of a process that holds all of the texts.
+func (ev event) logged(process string, texts ...string) bool {
+	if ev.line == nil || process != "" && !bytes.Contains(ev.line, []byte(" logger="+process+" ")) {
+		return false
+	}
+	return !slices.ContainsFunc(texts, func(t string) bool { return !bytes.Contains(ev.line, []byte(t)) })
+}
+
+// Steps returns the steps of every way.
+func Steps() []Step {
+	return slices.Concat(requestSteps(Chat), requestSteps(Order), configurationSteps(), placementSteps(),
+		stopSteps(StopAgent), stopSteps(StopRouter))
+}
+
+func requestSteps(w Way) []Step {
+	routed, posted, answered := " event=route ", "POST /v1/chat/completions", "data:"
+	if w == Order {
+		routed, posted, answered = " event=route_order ", "POST /", "HTTP/1.1 201"
+	}
+	done := "[DONE]"
+	if w == Order {
+		done = answered
+	}
+	return []Step{
+		{w, "accept", func(c *cellRun, ev event) bool {
+			return ev.traffic != nil && ev.traffic.Kind == standin.Connecting && ev.traffic.From == probeCaller
+		}},
+		{w, "authenticate", sends(fromProbe, "POST ")},
+		{w, "admit", sends(toProbe, "HTTP/1.1 100")},
+		{w, "choose", func(c *cellRun, ev event) bool { return ev.logged(c.router, routed) }},
+		{w, "send", sends(routerToAgent, posted)},
+		{w, "queue", queues(w)},
+		{w, "upstream", sends(agentToUpstream, posted)},
+		{w, "first_byte", sends(upstreamToAgent, answered)},
+		middle(w),
+		{w, "end", end(w, done)},
+		{w, "acknowledge", sends(toProbe, done)},
+	}
+}
+
+func fromProbe(_ *cellRun, from, _ string) bool { return from == probeCaller }
+
+func toProbe(_ *cellRun, _, to string) bool { return to == probeCaller }
+
+func routerToAgent(c *cellRun, from, to string) bool { return from == c.router && c.isAgent(to) }
+
+func agentToUpstream(c *cellRun, from, to string) bool {
+	return c.isAgent(from) && to == demonstrator.UpstreamEndpoint(from)
+}
+
+func upstreamToAgent(c *cellRun, from, to string) bool {
+	return c.isAgent(to) && from == demonstrator.UpstreamEndpoint(to)
+}
+
+// sends returns a condition for a write on a link that holds a text.
+func sends(on func(c *cellRun, from, to string) bool, text string) func(*cellRun, event) bool {
+	return func(c *cellRun, ev event) bool {
+		from, to, data := ev.sent()
+		return data != nil && on(c, from, to) && bytes.Contains(data, []byte(text))
+	}
+}
+
+// queues returns the condition for the probe that enters the queue of an agent. A chat waits there for a slot that others
+// hold, and an order passes through the queue of an idle agent.
+func queues(w Way) func(*cellRun, event) bool {
+	return func(c *cellRun, ev event) bool {
+		if w == Order {
+			return ev.logged(c.agent, " event=admit ", " action=queue ")
+		}
+		return ev.logged("", " event=admit ", " action=queue ", " rank="+probeRank+" ")
+	}
+}
+
+// middle is half of a chat's answer, or the time in which the service runs an order.
+func middle(w Way) Step {
+	if w == Order {
+		return Step{w, "middle", func(_ *cellRun, ev event) bool { return ev.order != nil }}
+	}
+	first := sends(upstreamToAgent, "data:")
+	return Step{w, "middle", func(c *cellRun, ev event) bool {
+		return first(c, ev) && c.events.Add(1) == chatTokens/2
+	}}
+}
+
+// end is the end of the answer at the engine, or the agent's answer to an order.
+func end(w Way, done string) func(*cellRun, event) bool {
+	if w == Order {
+		return sends(func(c *cellRun, from, to string) bool { return c.isAgent(from) && to == c.router }, done)
+	}
+	return sends(upstreamToAgent, done)
+}
+
+func configurationSteps() []Step {
+	w := Configuration
+	fromPlatform := func(_ *cellRun, from, _ string) bool { return from == demonstrator.PlatformEndpoint }
+	toPlatform := func(_ *cellRun, _, to string) bool { return to == demonstrator.PlatformEndpoint }
+	return []Step{
+		{w, "publish", func(_ *cellRun, ev event) bool { return ev.traffic == nil && ev.line == nil && ev.order == nil }},
+		{w, "notify", sends(fromPlatform, "HTTP/1.1 200")},
+		{w, "read_part", sends(toPlatform, "GET /v1/values/config/part/")},
+		{w, "adopt", func(_ *cellRun, ev event) bool { return ev.logged("", " event=configuration_in_force ") }},
+	}
+}
+
+// placementSteps are those of the first order that an agent gives its engine after the pool's version has changed.
+func placementSteps() []Step {
+	w := Placement
+	return []Step{
+		{w, "decide", func(_ *cellRun, ev event) bool { return ev.logged("", " event=load_order ") }},
+		{w, "send", sends(agentToUpstream, "POST /v1/load")},
+		{w, "load", sends(upstreamToAgent, `"ready":false`)},
+		{w, "read_back", sends(upstreamToAgent, `"version":"`+nextVersion+`"`)},
+	}
+}
+
+// agentOf returns the agent that an event belongs to.
+func (c *cellRun) agentOf(ev event) string {
+	for name := range c.agents {
+		from, to, _ := ev.sent()
+		if from == name || to == name || ev.logged(name) {
+			return name
+		}
+	}
+	return c.agent
+}
+
+func stopSteps(w Way) []Step {
+	stopping := func(c *cellRun) string {
+		if w == StopRouter {
+			return c.router
+		}
+		return c.agent
+	}
+	done := sends(func(c *cellRun, from, to string) bool {
+		if w == StopRouter {
+			return from == c.router
+		}
+		return upstreamToAgent(c, from, to) && to == c.agent
+	}, "[DONE]")
+	refuse := sends(func(c *cellRun, from, _ string) bool { return from == c.router }, `"code":"leaving"`)
+	if w == StopAgent {
+		// Routers learn that an agent is leaving before it refuses, so that it may never have to answer a refusal.
+		refuse = func(c *cellRun, ev event) bool { return ev.logged(c.agent, " event=leaving running=") }
+	}
+	return []Step{
+		{w, "announce", func(c *cellRun, ev event) bool { return ev.logged(stopping(c), " event=leaving grace_ms=") }},
+		{w, "finish", done},
+		{w, "refuse", refuse},
+		{w, "exit", func(c *cellRun, ev event) bool { return ev.logged(stopping(c), " event=drained") }},
+	}
+}
