--- a/demonstrator/control.go
+++ b/demonstrator/control.go
@@ -20,19 +20,22 @@
 
 // listenAs returns the listen function of a stand-in; each listener belongs to a new incarnation of it.
 func (f *Fleet) listenAs(process string) standin.ListenFunc {
-	if f.cfg.Network == nil {
+	if f.cfg.InMemory == nil {
 		return nil
 	}
 	return func(network, address string) (net.Listener, error) {
-		return f.cfg.Network.Endpoint(process).Listen(network, address)
+		return f.cfg.InMemory.Endpoint(process).Listen(network, address)
 	}
 }
 
 func (f *Fleet) networkOf(process string) launcher.Network {
-	if f.cfg.Network == nil {
+	if f.cfg.Network != nil {
+		return f.cfg.Network(process)
+	}
+	if f.cfg.InMemory == nil {
 		return launcher.Network{}
 	}
-	e := f.cfg.Network.Endpoint(process)
+	e := f.cfg.InMemory.Endpoint(process)
 	return launcher.Network{Listen: e.Listen, Dial: e.Dial}
 }
 
@@ -65,8 +68,8 @@
 	if err != nil {
 		return err
 	}
-	if f.cfg.Network != nil {
-		f.cfg.Network.Kill(name)
+	if f.cfg.InMemory != nil {
+		f.cfg.InMemory.Kill(name)
 	}
 	p.Kill()
 	return nil
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/admitter"
 	"clementineramp/compiler"
 	"clementineramp/launcher"
 	"clementineramp/loader"
@@ -55,6 +56,12 @@
 	Workers int
 	// Engine is the template of the stand-in engines.
 	Engine standin.EngineConfig
+	// Organisations lists the customers; nil means those of the demonstration.
+	Organisations []Organisation
+	// QueueWork bounds the waiting work of a rank at an agent, in tokens; zero means the default.
+	QueueWork int
+	// Admission is the rule by which agents admit requests.
+	Admission admitter.Policy
 	// Log receives the log lines of all processes.
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
@@ -62,8 +69,10 @@
 	// Adjust changes the settings of a process after they were checked, also beyond what the check allows; nil changes
 	// nothing. Tests switch mechanisms off with it.
 	Adjust func(*loader.Settings)
-	// Network carries all traffic of the fleet; nil means loopback.
-	Network *standin.Network
+	// Network returns the network of a process; nil means the system's own, or that of InMemory.
+	Network func(name string) launcher.Network
+	// InMemory carries all traffic of the fleet and its stand-ins; nil means loopback.
+	InMemory *standin.Network
 }
 
 // Fleet is a platform, engines, a plain service, agents and routers on loopback.
@@ -150,8 +159,11 @@
 		return trace.Wrap(err)
 	}
 	f.Engines = append(f.Engines, e)
-	slots := max(cfg.Slots, 1)
-	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d}`, Pool, e.Address(), slots)
+	slots, queueWork := max(cfg.Slots, 1), ""
+	if f.cfg.QueueWork > 0 {
+		queueWork = fmt.Sprintf(`, "queue_work": %d`, f.cfg.QueueWork)
+	}
+	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d%s}`, Pool, e.Address(), slots, queueWork)
 	p, err := f.startProcess("agent", cfg.Name, i, upstream)
 	f.Agents = append(f.Agents, p)
 	return err
@@ -225,7 +237,7 @@
 		out = io.Discard
 	}
 	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(spec.name)
-	p, err := launcher.New(cfg, log, f.networkOf(spec.name))
+	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Network: f.networkOf(spec.name)})
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
@@ -249,9 +261,15 @@
 	for i := range workers {
 		workers[i] = WorkerName(i)
 	}
-	fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	if len(workers) > 0 {
+		fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	}
 	b.WriteString("organisation,name,key_hash,rank,ranks,weight\n")
-	for _, o := range append(slices.Clone(Organisations), more...) {
+	organisations := f.cfg.Organisations
+	if organisations == nil {
+		organisations = Organisations
+	}
+	for _, o := range append(slices.Clone(organisations), more...) {
 		sum := sha256.Sum256([]byte(o.Key))
 		fmt.Fprintf(&b, "organisation,%s,%s,%s,,1\n", o.Name, hex.EncodeToString(sum[:]), o.Rank)
 	}
--- a/demonstrator/network_test.go
+++ b/demonstrator/network_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := standin.NewNetwork()
 		f, err := demonstrator.StartFleet(t.Context(), demonstrator.FleetConfig{
-			Routers: 2, Engines: 2, Workers: 2, Network: n,
+			Routers: 2, Engines: 2, Workers: 2, InMemory: n,
 			Engine: standin.EngineConfig{Slots: 4, TokenInterval: 20 * time.Millisecond},
 		})
 		require.NoError(t, err)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -28,6 +28,9 @@
 	// frameOverhead is the size of the length prefixes and the header of a message, in bytes.
 	frameOverhead = 2*lengthBytes + 32
 
+	// minAnswerEntries is what a peer that sends fewer load entries still gets, since it may have just started.
+	minAnswerEntries = 8
+
 	serviceName = "Gossip"
 )
 
@@ -46,6 +49,9 @@
 	// Marks returns the crash marks to send; MergeMarks takes those of a peer.
 	Marks      func() []Mark
 	MergeMarks func([]Mark)
+	// Fleet returns what the process knows of the past of the fleet; LearnFleet takes what a peer knows.
+	Fleet      func() encoder.Fleet
+	LearnFleet func(encoder.Fleet)
 	// Newest returns the configuration in force; Note takes that of a peer with the peer's gossip address.
 	Newest func() configurer.Pair
 	Note   func(peer string, p configurer.Pair)
@@ -53,7 +59,7 @@
 	Manifest, Part func(configurer.Digest) ([]byte, bool)
 
 	// Count is told every byte that is sent or received above TCP.
-	Count func(bytes int)
+	Count func(sent, received int)
 	// Allow says whether the budget has room for an exchange of a size; nil allows all.
 	Allow func(bytes int) bool
 	// Dial opens a connection; nil means TCP.
@@ -107,6 +113,12 @@
 	if cfg.MergeMarks == nil {
 		cfg.MergeMarks = func([]Mark) {}
 	}
+	if cfg.Fleet == nil {
+		cfg.Fleet = func() encoder.Fleet { return encoder.Fleet{} }
+	}
+	if cfg.LearnFleet == nil {
+		cfg.LearnFleet = func(encoder.Fleet) {}
+	}
 	if cfg.Newest == nil {
 		cfg.Newest = func() configurer.Pair { return configurer.Pair{} }
 	}
@@ -121,7 +133,7 @@
 		cfg.Part = none
 	}
 	if cfg.Count == nil {
-		cfg.Count = func(int) {}
+		cfg.Count = func(int, int) {}
 	}
 	if cfg.Allow == nil {
 		cfg.Allow = func(int) bool { return true }
@@ -200,7 +212,7 @@
 
 // state returns what the process knows now; without room in the budget it holds the configuration only.
 func (g *Gossiper) state(full bool) State {
-	s := State{Protocol: Protocol, Name: g.cfg.Name, Control: g.cfg.Control, Newest: g.cfg.Newest()}
+	s := State{Protocol: Protocol, Name: g.cfg.Name, Control: g.cfg.Control, Newest: g.cfg.Newest(), Fleet: g.cfg.Fleet()}
 	if full {
 		s.Load = g.cfg.Load()
 		s.Marks = g.cfg.Marks()
@@ -209,6 +221,7 @@
 }
 
 func (g *Gossiper) merge(s State, address string) {
+	g.cfg.LearnFleet(s.Fleet)
 	if len(s.Load) > 0 {
 		g.cfg.MergeLoad(s.Load)
 	}
@@ -231,10 +244,12 @@
 	return g.exchange(ctx, address, s)
 }
 
-// Announce sends only the newest configuration to a peer and merges the peer's state.
-// It does not ask the budget, since a configuration must be in force within seconds and the message is small.
+// Announce tells a peer of the newest configuration and asks for that of the peer.
+// It does not ask the budget, since a configuration must be in force within seconds and the messages are small.
 func (g *Gossiper) Announce(ctx context.Context, address string) (State, error) {
-	return g.exchange(ctx, address, g.state(false))
+	s := g.state(false)
+	s.Brief = true
+	return g.exchange(ctx, address, s)
 }
 
 func (g *Gossiper) exchange(ctx context.Context, address string, s State) (State, error) {
@@ -365,7 +380,9 @@
 // Exchange takes a peer's state and answers with the process's own.
 func (s *service) Exchange(theirs *State, mine *State) error {
 	s.g.merge(*theirs, theirs.Control)
-	*mine = s.g.state(true)
+	*mine = s.g.state(!theirs.Brief)
+	// The peer's own entries show how many its budget has room for.
+	mine.Load = mine.Load[:min(len(mine.Load), max(len(theirs.Load), minAnswerEntries))]
 	if !s.g.cfg.Allow(stateBytes(*mine)) {
 		*mine = s.g.state(false)
 	}
--- a/prover/run.go
+++ b/prover/run.go
@@ -152,7 +152,7 @@
 
 func (c *cellRun) start(ctx context.Context) error {
 	cfg := demonstrator.FleetConfig{
-		Routers: routers, Engines: engines, Workers: workers, Network: c.network, Log: logHook{c},
+		Routers: routers, Engines: engines, Workers: workers, InMemory: c.network, Log: logHook{c},
 		Engine:   standin.EngineConfig{Slots: slots, TokenInterval: cmp.Or(c.opts.TokenInterval, tokenInterval), LoadTime: loadTime},
 		Settings: func(string, string) string { return settings }, Adjust: c.opts.Adjust,
 	}
