--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,8 @@
 	LoadTime time.Duration
 	// ChecksFence says that the engine refuses an order with an old fencing number.
 	ChecksFence bool
+	// Listen opens the engine's listener; nil means the system's network.
+	Listen ListenFunc
 }
 
 // Run is the record of one generation at an engine.
@@ -60,6 +62,14 @@
 	Completed bool `json:"completed"`
 	// Foreign says that the answer prefix was not the start of this generation.
 	Foreign bool `json:"foreign"`
+	// Seed is the seed of the request; zero means that it had none.
+	Seed int64 `json:"seed,omitempty"`
+	// Ended is when the run left the batch; a running one has no end.
+	Ended time.Time `json:"ended,omitzero"`
+	// Before is the work of the batch before the run entered it, in tokens.
+	Before float64 `json:"before"`
+	// Crashed says that the request crashed the engine.
+	Crashed bool `json:"crashed,omitempty"`
 }
 
 // Engine is a stand-in model engine with a batch, a prefix cache and a deterministic answer.
@@ -101,7 +111,7 @@
 		cfg: cfg, model: cfg.Model, version: cfg.Version, ready: true,
 		cache: newPrefixCache(cfg.CacheTokens), running: map[string]context.CancelFunc{},
 	}
-	s, err := Start(cfg.Address, e.handler())
+	s, err := StartOn(cfg.Listen, cfg.Address, e.handler())
 	e.server = s
 	return e, err
 }
@@ -286,8 +296,8 @@
 	if e.enter(ctx, req, cancel) != nil {
 		return
 	}
-	defer e.leave(req)
 	run := e.record(req, version)
+	defer e.leave(req, run)
 	e.stream(ctx, w, req, run, generation)
 }
 
@@ -295,7 +305,9 @@
 func (e *Engine) crashOn(req encoder.ChatRequest) bool {
 	for _, m := range req.Messages {
 		if strings.Contains(m.Content, CrashText) {
+			run := e.record(req, req.Version)
 			e.mu.Lock()
+			run.Crashed, run.Ended = true, run.Started
 			e.crashes++
 			e.mu.Unlock()
 			e.Kill()
@@ -340,9 +352,10 @@
 	e.grant()
 }
 
-func (e *Engine) leave(req encoder.ChatRequest) {
+func (e *Engine) leave(req encoder.ChatRequest, run *Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	run.Ended = time.Now()
 	delete(e.running, req.RequestID)
 	e.work -= req.Cost()
 	e.grant()
@@ -370,6 +383,10 @@
 		Engine: e.cfg.Name, RequestID: req.RequestID, Version: version, Started: time.Now(), Priority: req.Priority,
 		PromptTokens: req.PromptTokens(), CachedTokens: e.cache.hit(req.Messages), Work: req.Cost(),
 		Foreign: !strings.HasPrefix(Answer(req, version), req.Prefix),
+		Before:  max(e.work-req.Cost(), 0),
+	}
+	if req.Seed != nil {
+		run.Seed = *req.Seed
 	}
 	e.runs = append(e.runs, run)
 	return run
