Say "may have run" of a keyed order unless its owner says otherwise

Cause, found by the fault matrix (TestMatrix/order/end and first_byte, kill_router+kill_agent): a router that had just restarted without a configuration told the repeat of an order "not run (not_ready)", though worker-1 had run the key; the caller then placed the order under a new key and worker-2 ran it again. The verdict of a router is about this request, but a caller reads it as one about the order. Ruled out: the ledger of the agents; it was never asked. Now every refusal of a keyed call that is not the owner's says "may have run", at the router and at an agent that has not looked at the key. The path to the service is passed on as the caller wrote it. Before: 2 cells of the matrix fail. After: go test ./prover passes in 19 s.

--- a/agent/order.go
+++ b/agent/order.go
@@ -90,12 +90,15 @@
 	if err == nil {
 		err = a.takesOrders(env)
 	}
-	if err != nil {
-		a.refuse(w, env, err)
-		return
+	var c call
+	if err == nil {
+		c, err = readCall(r, env)
 	}
-	c, err := readCall(r, env)
 	if err != nil {
+		// The history of the key has not been looked at yet, or is not here.
+		if r.Header.Get("Idempotency-Key") != "" {
+			err = ticketer.WithoutHistory(err)
+		}
 		a.refuse(w, env, err)
 		return
 	}
--- a/caller/order.go
+++ b/caller/order.go
@@ -1,12 +1,16 @@
 package caller
 
 import (
+	"errors"
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"clementineramp/encoder"
+	"clementineramp/ticketer"
 )
 
 func (e *Edge) serveTicket(c echo.Context) error {
@@ -21,42 +25,77 @@
 	return c.JSON(http.StatusCreated, t)
 }
 
+// serveOrder answers a call of a plain service. Only the agent that owns a key knows whether an earlier try with it
+// ran, so every refusal of a keyed call that is not the agent's says "may have run".
 func (e *Edge) serveOrder(c echo.Context) error {
+	answer, err := e.order(c)
+	if err != nil && c.Request().Header.Get(KeyHeader) != "" {
+		var known *OwnerError
+		if !errors.As(err, &known) {
+			return ticketer.WithoutHistory(err)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	h := c.Response().Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	// The body may have been read in another length than the service announced.
+	h.Del("Content-Length")
+	c.Response().WriteHeader(answer.Status)
+	_, _ = c.Response().Write(answer.Body)
+	return nil
+}
+
+// OwnerError is the refusal of an order by the agent that knows the history of its key.
+type OwnerError struct {
+	Err error
+}
+
+// Error describes the refusal in one line.
+func (e *OwnerError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the agent's refusal.
+func (e *OwnerError) Unwrap() error { return e.Err }
+
+// order reads and authenticates a call and passes it on.
+func (e *Edge) order(c echo.Context) (Answer, error) {
 	started := time.Now()
 	r := c.Request()
 	id, err := e.authenticate(r)
 	if err != nil {
-		return err
+		return Answer{}, err
 	}
 	key, err := nameHeader(r, KeyHeader)
 	if err != nil {
-		return err
+		return Answer{}, err
 	}
 	body, err := e.readBody(c)
 	if err != nil {
-		return err
-	}
-	path := "/" + c.Param("*")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+		return Answer{}, err
 	}
-	answer, err := e.cfg.Order(r.Context(), Order{
+	return e.cfg.Order(r.Context(), Order{
 		Organisation: id.organisation, Rank: id.rank, Service: c.Param("service"),
-		Method: r.Method, Path: path, Header: passedHeader(r.Header), Key: key, Body: body,
+		Method: r.Method, Path: servicePath(r.URL), Header: passedHeader(r.Header), Key: key, Body: body,
 		Deadline: id.deadline, Started: started,
 	})
-	if err != nil {
-		return err
+}
+
+// callSegments is the number of segments of the path before that of the service: "", v1, services, name and call.
+const callSegments = 5
+
+// servicePath returns the path at the service with its query, as the caller wrote it.
+func servicePath(u *url.URL) string {
+	path := "/"
+	if parts := strings.SplitN(u.EscapedPath(), "/", callSegments+1); len(parts) > callSegments {
+		path += parts[callSegments]
 	}
-	h := c.Response().Header()
-	for name, values := range answer.Header {
-		h[name] = values
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
 	}
-	// The body may have been read in another length than the service announced.
-	h.Del("Content-Length")
-	c.Response().WriteHeader(answer.Status)
-	_, _ = c.Response().Write(answer.Body)
-	return nil
+	return path
 }
 
 // passedHeader returns the header that a plain service may see: the organisation's key is not part of it.
--- a/router/order.go
+++ b/router/order.go
@@ -172,7 +172,7 @@
 		}
 		r.observe(owner, f)
 		if f.Answered {
-			return caller.Answer{}, f.Cause
+			return caller.Answer{}, &caller.OwnerError{Err: f.Cause}
 		}
 		if repeat == keyedRepeats || ctx.Err() != nil || f.Cause.Reason != judge.ReasonBroken {
 			// An earlier try with the key may have run, and only the owner of the key can exclude it.
