scenarist: let callers wait the retry time of a refusal

In a trial with a fleet whose agents refused a whole rank, the callers of a load ignored Retry-After and sent 46,712 requests in 60 s through one router, which measured nothing and loaded the machine.

--- a/scenarist/load.go
+++ b/scenarist/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"clementineramp/judge"
 )
@@ -45,31 +46,50 @@
 	for i := range o.chats {
 		l.wg.Go(func() {
 			for turn := 0; ctx.Err() == nil; turn++ {
-				l.note(l.chat(fmt.Sprintf("%s: chat %d, turn %d", name, i, turn)))
+				l.note(ctx, l.chat(fmt.Sprintf("%s: chat %d, turn %d", name, i, turn)))
 			}
 		})
 	}
 	for i := range o.orders {
 		l.wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				l.note(l.order(fmt.Sprintf("%s: order %d of caller %d", name, n, i)))
+				l.note(ctx, l.order(fmt.Sprintf("%s: order %d of caller %d", name, n, i)))
 			}
 		})
 	}
 	return l
 }
 
-func (l *load) note(err error) {
+// note counts the outcome of a request; after a refusal the caller waits as long as it was told.
+func (l *load) note(ctx context.Context, err error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	refused := err != nil && l.options.refusals && judge.VerdictOf(err) == judge.NotRun
 	switch {
 	case err == nil:
 		l.answered++
-	case l.options.refusals && judge.VerdictOf(err) == judge.NotRun:
+	case refused:
 		l.refused++
 	default:
 		l.faults = append(l.faults, err.Error())
 	}
+	l.mu.Unlock()
+	if refused {
+		pause(ctx, err)
+	}
+}
+
+// pause waits for the retry time of a refusal.
+func pause(ctx context.Context, err error) {
+	var judged *judge.Error
+	if !errors.As(err, &judged) {
+		return
+	}
+	t := time.NewTimer(judged.RetryAfter)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // count returns the answers so far, and the first fault.
