--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +21,6 @@
 	"clementineramp/engine"
 	"clementineramp/judge"
 	"clementineramp/locator"
-	"clementineramp/quarantiner"
 	"clementineramp/recorder"
 	"clementineramp/service"
 	"clementineramp/ticketer"
@@ -70,6 +70,10 @@
 	Snapshot func() *configurer.Snapshot
 	// Confirmed returns when the platform last confirmed the configuration in force.
 	Confirmed func() time.Time
+	// Opened returns since when the fleet has been old enough for orders with callers' own keys, and its first configuration.
+	Opened func() (time.Time, configurer.Pair)
+	// LearnFleet takes what a router knows of the past of the fleet.
+	LearnFleet func(encoder.Fleet)
 	// Mean returns the known load of a pool.
 	Mean func(pool string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
@@ -78,6 +82,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// OnCrash is called when a request may have crashed the engine, so that peers hear of the marks soon; it must not block.
+	OnCrash func()
 	// DialUpstream opens connections to the upstream; nil means the network's own.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	Log          hclog.Logger
@@ -96,7 +102,7 @@
 	gate        *gate
 	credit      *credit
 	recorder    *recorder.Recorder
-	quarantine  *quarantiner.Quarantine
+	suspects    *suspects
 	ledger      *ticketer.Ledger
 	service     *service.Client
 	abandon     *abandonment
@@ -110,9 +116,12 @@
 	end      context.CancelFunc
 
 	mu       sync.Mutex
+	retiring bool
 	leaving  bool
 	requests sync.WaitGroup
 	running  atomic.Int64
+	// lastOrder is when the last ticket or order came.
+	lastOrder atomic.Pointer[time.Time]
 }
 
 // New returns an agent; Run keeps it, and its handler serves routers.
@@ -135,6 +144,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.OnCrash == nil {
+		cfg.OnCrash = func() {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -159,6 +171,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
+		g.Go(func() error { return a.place(ctx) })
 		g.Go(func() error { return a.watchCredit(ctx) })
 	}
 	return g.Wait()
@@ -185,6 +198,20 @@
 	a.credit.setSnapshot(a.cfg.Now(), a.cfg.Pool, s)
 }
 
+// Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
+func (a *Agent) Retire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retiring = true
+}
+
+// Tick counts the time for which the agent has owned the keys of its service; it is called several times a second.
+func (a *Agent) Tick(now time.Time) {
+	if a.cfg.Kind == KindService {
+		a.ledger.Observe(now, a.freshness(a.cfg.Pool))
+	}
+}
+
 // Leave makes the agent refuse new work; it still answers repeats and resumes.
 func (a *Agent) Leave() {
 	a.mu.Lock()
@@ -199,14 +226,14 @@
 func (a *Agent) Stay() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leaving = false
+	a.leaving, a.retiring = false, false
 }
 
-// Leaving reports whether the agent refuses new work.
+// Leaving reports whether routers should send no new work.
 func (a *Agent) Leaving() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.leaving
+	return a.leaving || a.retiring
 }
 
 // Ready reports whether the upstream can take work, as far as the agent knows.
@@ -215,7 +242,7 @@
 		return true
 	}
 	status, alive, _ := a.engineState.get()
-	return alive && status.Ready
+	return alive && status.Ready && !a.engineState.isChanging()
 }
 
 // Alarms returns the conditions that need an operator.
@@ -252,6 +279,26 @@
 	}()
 	select {
 	case <-done:
+		return a.linger(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// orderLinger is how long a drained agent still answers repeats after its last order. Callers that lost an answer
+// repeat within seconds, and after the agent has gone nobody can tell them whether the order ran.
+const orderLinger = 5 * time.Second
+
+// linger waits until callers have had time to repeat their last orders.
+func (a *Agent) linger(ctx context.Context) error {
+	last := a.lastOrder.Load()
+	if last == nil {
+		return nil
+	}
+	t := time.NewTimer(last.Add(orderLinger).Sub(a.cfg.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -314,6 +361,7 @@
 		return env, judge.Refuse(judge.ReasonInvalid, "%w", err)
 	}
 	a.cfg.Merge(env.Load)
+	a.cfg.LearnFleet(env.Fleet)
 	return env, nil
 }
 
@@ -347,12 +395,20 @@
 	if a.cfg.Kind == KindEngine {
 		status, _, since := a.engineState.get()
 		e.Version = status.Version
-		e.NotReady = !a.Ready()
-		e.UptimeMS = now.Sub(since).Milliseconds()
+		// Routers take an uptime of 0 for an upstream that cannot take work now.
+		e.UptimeMS = 0
+		if a.Ready() {
+			e.UptimeMS = max(now.Sub(since).Milliseconds(), 1)
+		}
 	}
 	return e
 }
 
+// controller names this incarnation to the engine.
+func (a *Agent) controller() string {
+	return fmt.Sprintf("%s.%x", a.cfg.Name, a.incarnation)
+}
+
 // newStreamID returns the identity of a new stream.
 func (a *Agent) newStreamID() encoder.StreamID {
 	return encoder.StreamID{Agent: a.cfg.Name, Incarnation: a.incarnation, Serial: a.serial.Add(1)}
--- a/agent/credit_test.go
+++ b/agent/credit_test.go
@@ -88,10 +88,11 @@
 	}
 	a, err := agent.New(agent.Config{
 		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key,
-		Snapshot: func() *configurer.Snapshot { return f.snapshot },
-		Mean:     func(string) tracker.Load { return tracker.Load{} },
-		View:     func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listed) },
-		Merge:    func([]encoder.LoadEntry) {}, Freshest: func() []encoder.LoadEntry { return nil },
+		Snapshot:   func() *configurer.Snapshot { return f.snapshot },
+		Mean:       func(string) tracker.Load { return tracker.Load{} },
+		View:       func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listed) },
+		LearnFleet: func(encoder.Fleet) {},
+		Merge:      func([]encoder.LoadEntry) {}, Freshest: func() []encoder.LoadEntry { return nil },
 		Log: hclog.NewNullLogger(), Now: func() time.Time { return *f.now.Load() },
 	})
 	require.NoError(f.t, err)
--- a/agent/order.go
+++ b/agent/order.go
@@ -47,6 +47,7 @@
 		return
 	}
 	defer end()
+	a.noteOrder()
 	t, err := a.ledger.Issue(a.cfg.Now())
 	if err != nil {
 		a.refuse(w, env, err)
@@ -59,6 +60,12 @@
 	_ = json.NewEncoder(w).Encode(ticketAnswer{t.String(), a.cfg.TicketLifetime.Milliseconds()})
 }
 
+// noteOrder remembers that a caller may soon repeat an order.
+func (a *Agent) noteOrder() {
+	now := a.cfg.Now()
+	a.lastOrder.Store(&now)
+}
+
 func (a *Agent) takesOrders(env encoder.Envelope) error {
 	if a.cfg.Kind != KindService || env.Service != a.cfg.Pool {
 		return judge.Refuse(judge.ReasonNotFound, "upstream %s is not a worker of service %q", a.cfg.Name, env.Service)
@@ -114,16 +121,10 @@
 		return call{}, judge.Refuse(judge.ReasonInvalid, "read body: %w", err)
 	}
 	path := strings.TrimPrefix(r.URL.RequestURI(), callPath)
-	header := http.Header{}
-	for _, name := range []string{"Accept", "Accept-Language", "Content-Type", "User-Agent", "Idempotency-Key"} {
-		if v := r.Header.Values(name); len(v) > 0 {
-			header[http.CanonicalHeaderKey(name)] = v
-		}
-	}
 	return call{
 		env: env, key: ticketer.Key{Organisation: env.Organisation, Text: env.Key},
 		digest: ticketer.DigestOf([]byte(r.Method), []byte(path), body),
-		method: r.Method, path: path, header: header, body: body,
+		method: r.Method, path: path, header: encoder.EndToEnd(r.Header), body: body,
 	}, nil
 }
 
@@ -132,6 +133,7 @@
 	if c.method == http.MethodGet || c.method == http.MethodHead {
 		return a.runOnceOnly(ctx, c)
 	}
+	a.noteOrder()
 	decision, err := a.ledger.Begin(a.cfg.Now(), c.key, c.digest, a.freshness(c.env.Service))
 	if err != nil {
 		return ticketer.Answer{}, err
@@ -155,7 +157,11 @@
 		return ticketer.Freshness{}
 	}
 	svc, _ := s.Service(name)
-	return ticketer.Freshness{Workers: svc.Workers, Confirmed: a.cfg.Confirmed()}
+	opened, first := a.cfg.Opened()
+	return ticketer.Freshness{
+		Workers: svc.Workers, Confirmed: a.cfg.Confirmed(),
+		Configuration: s.Pair(), Opened: opened, First: first,
+	}
 }
 
 func await(ctx context.Context, p *ticketer.Pending) (ticketer.Answer, error) {
@@ -213,7 +219,7 @@
 	// Once sent, the call goes on without the router, so that its outcome is known for a repeat.
 	ctx, cancel := context.WithTimeout(a.lifetime, callTimeout)
 	defer cancel()
-	answer, err := a.service.Call(ctx, c.method, c.path, c.header, c.body)
+	answer, err := a.service.Call(ctx, service.Request{Method: c.method, Path: c.path, Header: c.header, Body: c.body})
 	if err != nil {
 		var judged *judge.Error
 		if errors.As(err, &judged) {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -18,6 +18,7 @@
 	"clementineramp/launcher"
 	"clementineramp/loader"
 	"clementineramp/logger"
+	"clementineramp/operator"
 	"clementineramp/platform"
 	"clementineramp/standin"
 )
@@ -98,7 +99,7 @@
 	if f.PlatformServer, err = standin.Start("", f.Platform.Handler()); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := f.publish(1); err != nil {
+	if err := f.Publish(1, Version); err != nil {
 		return err
 	}
 	for i := range f.cfg.Engines {
@@ -195,7 +196,7 @@
 		return nil, trace.Wrap(err)
 	}
 	host := platform.Host{
-		Name: name, Address: p.Address(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
+		Name: name, Address: p.Address(), Control: p.ControlAddress(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
 	}
 	if cfg.Upstream != nil {
 		host.Upstream = cfg.Upstream.Name
@@ -209,12 +210,12 @@
 	return p, nil
 }
 
-// sheet returns the sheet of the fleet in a version.
-func (f *Fleet) sheet(version uint64) string {
+// sheet returns a version of the fleet's sheet that places a model version.
+func (f *Fleet) sheet(version uint64, modelVersion string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version,number\nversion,%d\n", version)
 	b.WriteString("rank,name,target,worth,share\nrank,urgent,440ms,100,0.5\nrank,normal,2s,10,0.2\nrank,batch,1m,1,0.1\n")
-	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, Version)
+	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, modelVersion)
 	workers := make([]string, f.cfg.Workers)
 	for i := range workers {
 		workers[i] = WorkerName(i)
@@ -234,9 +235,9 @@
 	return b.String()
 }
 
-// publish puts a version of the configuration at the platform.
-func (f *Fleet) publish(version uint64) error {
-	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version))})
+// Publish puts a version of the configuration at the platform, with the model version that the pool should carry.
+func (f *Fleet) Publish(version uint64, modelVersion string) error {
+	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version, modelVersion))})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -253,7 +254,7 @@
 func (f *Fleet) waitReady() error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, p := range append(append([]*launcher.Process{}, f.Routers...), f.Agents...) {
-		for p.Watcher().Snapshot() == nil || len(p.Watcher().View(Pool)) < f.cfg.Engines || !p.UpstreamReady() {
+		for p.State() != operator.StateReady || len(p.Watcher().View(Pool)) < f.cfg.Engines || !p.UpstreamReady() {
 			if time.Now().After(deadline) {
 				return trace.LimitExceeded("the fleet did not become ready within %v", readyTimeout)
 			}
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -6,8 +6,6 @@
 	"clementineramp/agent"
 	"clementineramp/caller"
 	"clementineramp/chooser"
-	"clementineramp/configurer"
-	"clementineramp/encoder"
 	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
@@ -18,12 +16,6 @@
 // its load exactly and knows where the chat's cached prefix is.
 const noSkip = 1e6
 
-type configSnapshot = configurer.Snapshot
-
-func entries(e ...encoder.LoadEntry) []encoder.LoadEntry {
-	return e
-}
-
 func (p *Process) routerConfig() router.Config {
 	retries, err := limiter.NewRetryBudget(limiter.RetryConfig{Ratio: p.cfg.Routing.RetryRatio})
 	if err != nil {
@@ -34,16 +26,18 @@
 		Name: p.cfg.Name, SharedKey: p.cfg.SharedKey.Reveal(),
 		Limits: caller.Limits{
 			BodyBytes: int64(p.cfg.Limits.BodySize), HeaderBytes: int(p.cfg.Limits.HeaderSize),
-			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime,
+			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime, BodyTime: p.cfg.Limits.BodyTime,
+			StreamTime: p.cfg.Limits.StreamTime, StreamBytes: int64(p.cfg.Limits.StreamSize),
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
 			SkipFactor: noSkip,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
-		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
-		Forwarder: forwarder.Config{Dial: p.network.Dial},
-		Retries:   retries, Log: p.log, Metrics: p.registry,
+		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		CountControl: w.CountControl,
+		Forwarder:    forwarder.Config{Dial: p.network.Dial},
+		Retries:      retries, Log: p.log, Metrics: p.registry,
 	}
 }
 
@@ -54,7 +48,9 @@
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
-		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
+		Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
 }
@@ -65,8 +61,13 @@
 		Name: p.cfg.Name, Role: string(p.cfg.Role), Region: p.cfg.Region, FailureDomain: p.cfg.FailureDomain,
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
+	s.Alarms = p.watcher.Alarms()
+	totals := p.budget.Totals()
+	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
+		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
+	}
 	if p.role.alarms != nil {
-		s.Alarms = p.role.alarms()
+		s.Alarms = append(s.Alarms, p.role.alarms()...)
 	}
 	snapshot := p.watcher.Snapshot()
 	if snapshot == nil {
