--- a/agent/credit_test.go
+++ b/agent/credit_test.go
@@ -1,12 +1,16 @@
 package agent_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -45,7 +49,11 @@
 	engines  []*standin.Engine
 	agents   []*agent.Agent
 	stops    []context.CancelFunc
-	requests int
+	requests atomic.Int64
+	// slots is the size of the batch, interval the time between tokens, and log receives the log lines.
+	slots    int
+	interval time.Duration
+	log      io.Writer
 	// text replaces the text of the requests.
 	text string
 }
@@ -63,17 +71,25 @@
 }
 
 func newFleet(t *testing.T, n int, s *configurer.Snapshot) *fleet {
-	f := &fleet{t: t, listed: n, snapshot: s, engines: make([]*standin.Engine, n), agents: make([]*agent.Agent, n), stops: make([]context.CancelFunc, n)}
+	f := &fleet{t: t, listed: n, snapshot: s, slots: 8, log: io.Discard}
+	f.run(n)
+	return f
+}
+
+// run starts the engines and their agents.
+func (f *fleet) run(n int) {
+	f.engines, f.agents, f.stops = make([]*standin.Engine, n), make([]*agent.Agent, n), make([]context.CancelFunc, n)
 	f.at(0)
 	for i := range n {
 		var err error
-		f.engines[i], err = standin.StartEngine(standin.EngineConfig{Name: fmt.Sprint("engine-", i), Model: model, Version: "v1", CacheTokens: 1})
-		require.NoError(t, err)
-		t.Cleanup(f.engines[i].Kill)
+		f.engines[i], err = standin.StartEngine(standin.EngineConfig{
+			Name: fmt.Sprint("engine-", i), Model: model, Version: "v1", CacheTokens: 1, Slots: f.slots, TokenInterval: f.interval,
+		})
+		require.NoError(f.t, err)
+		f.t.Cleanup(f.engines[i].Kill)
 		f.start(i)
-		t.Cleanup(func() { f.stops[i]() })
+		f.t.Cleanup(func() { f.stops[i]() })
 	}
-	return f
 }
 
 func (f *fleet) at(d time.Duration) {
@@ -87,13 +103,13 @@
 		f.stops[i]()
 	}
 	a, err := agent.New(agent.Config{
-		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key,
+		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key, Slots: f.slots,
 		Snapshot:   func() *configurer.Snapshot { return f.snapshot },
 		Mean:       func(string) tracker.Load { return tracker.Load{} },
 		View:       func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listed) },
 		LearnFleet: func(encoder.Fleet) {},
 		Merge:      func([]encoder.LoadEntry) {}, Freshest: func() []encoder.LoadEntry { return nil },
-		Log: hclog.NewNullLogger(), Now: func() time.Time { return *f.now.Load() },
+		Log: hclog.New(&hclog.LoggerOptions{Output: f.log}), Now: func() time.Time { return *f.now.Load() },
 	})
 	require.NoError(f.t, err)
 	a.SetSnapshot(f.snapshot)
@@ -115,16 +131,16 @@
 
 // ask sends a request and returns the refusal, or nil when the whole answer came.
 func (f *fleet) ask(i int, rank string) *judge.Error {
-	f.requests++
+	id := f.requests.Add(1)
 	text := f.text + strings.Repeat("x", (promptTokens-1)*4-len(f.text))
 	body, err := json.Marshal(encoder.ChatRequest{
-		Model: model, MaxTokens: answerTokens, Stream: true, RequestID: fmt.Sprint("r", f.requests),
+		Model: model, MaxTokens: answerTokens, Stream: true, RequestID: fmt.Sprint("r", id),
 		Messages: []encoder.Message{{Role: "user", Content: text}},
 	})
 	require.NoError(f.t, err)
 	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(string(body)))
 	envelope := encoder.EncodeHeader(encoder.Envelope{
-		RequestID: fmt.Sprint("r", f.requests), Organisation: "o", Rank: rank, Last: true, DeadlineMS: 1e6,
+		RequestID: fmt.Sprint("r", id), Organisation: "o", Rank: rank, Last: true, DeadlineMS: 1e6,
 	})
 	r.Header.Set(encoder.EnvelopeHeader, envelope)
 	r.Header.Set(encoder.SignatureHeader, encoder.Sign(key, envelope))
@@ -273,3 +289,28 @@
 		})
 	}
 }
+
+// Guards against the work of a paused request being counted twice, which makes its rank look better served than it was.
+func TestWorkAfterPause(t *testing.T) {
+	var log bytes.Buffer
+	f := &fleet{t: t, listed: 1, snapshot: snapshot(""), slots: 1, interval: 5 * time.Millisecond, log: &log}
+	f.run(1)
+	batch := make(chan *judge.Error, 1)
+	go func() { batch <- f.ask(0, "batch") }()
+	require.Eventually(t, func() bool {
+		runs := f.engines[0].Runs()
+		return len(runs) == 1 && runs[0].Emitted > 2
+	}, 10*time.Second, time.Millisecond)
+	require.Nil(t, f.ask(0, "urgent"))
+	require.Nil(t, <-batch)
+	f.stops[0]()
+	work := func(action string) float64 {
+		m := regexp.MustCompile(`action=` + action + ` id=1 .* work=([0-9.]+)`).FindStringSubmatch(log.String())
+		require.NotNil(t, m, log.String())
+		v, err := strconv.ParseFloat(m[1], 64)
+		require.NoError(t, err)
+		return v
+	}
+	// The closing event of an answer counts as one token.
+	require.InDelta(t, work("paused"), work("done"), 1)
+}
--- a/measurer/fairness.go
+++ b/measurer/fairness.go
@@ -54,5 +54,7 @@
 			Figure{Name: "small " + f.name + " p95, alone", Subject: subject, Value: a, Unit: "ms"},
 			Figure{Name: "small " + f.name + " p95, beside over alone", Subject: subject, Value: b / a, Goal: AtMost(fairnessGoal)})
 	}
-	return append(figures, Figure{Name: "small answered, beside", Subject: subject, Value: answered(during, small), Goal: AtLeast(1)}), nil
+	return append(figures,
+		Figure{Name: "small answered, beside", Subject: subject, Value: answered(during, small), Goal: AtLeast(1)},
+		r.lag(subject)), nil
 }
--- a/measurer/flood.go
+++ b/measurer/flood.go
@@ -53,7 +53,7 @@
 		{Name: "normal answered, flood", Subject: subject, Value: answered(during, normal), Goal: AtLeast(1)},
 		{Name: "time until the queues are empty after the flood", Subject: subject, Value: empty.Seconds(), Unit: "s", Goal: AtMost(emptyGoal * queueSeconds())},
 	}
-	return append(figures, r.outage(ctx, subject, seed)...), nil
+	return append(append(figures, r.outage(ctx, subject, seed)...), r.lag(subject)), nil
 }
 
 // queueSeconds is the time in which the fleet works off full queues of one rank and the running requests.
--- a/measurer/load.go
+++ b/measurer/load.go
@@ -62,6 +62,8 @@
 	fleet    *demonstrator.Fleet
 	client   *http.Client
 	attempts attemptCounter
+	// lags are how late timers fired during the phases.
+	lags []sample
 }
 
 // startRig starts a fleet that admits by a policy and serves the organisations of some classes.
@@ -107,10 +109,36 @@
 			arrivals.Go(func() { r.arrive(ctx, p, i, c, length, rand.New(rand.NewPCG(seed, uint64(i)))) })
 		}
 	}
+	stop := make(chan struct{})
+	lags := make(chan []sample)
+	go func() { lags <- timerLags(stop) }()
 	arrivals.Wait()
+	close(stop)
+	r.lags = append(r.lags, <-lags...)
 	return p
 }
 
+// timerLags samples how late a timer fires. On a busy machine this lag is part of each measured time.
+func timerLags(stop chan struct{}) []sample {
+	const interval = 5 * time.Millisecond
+	var lags []sample
+	for {
+		started := time.Now()
+		select {
+		case <-stop:
+			return lags
+		case <-time.After(interval):
+		}
+		lags = append(lags, sample{total: time.Since(started) - interval})
+	}
+}
+
+// lag returns the figure by which to judge whether the machine was quiet enough for the others.
+func (r *rig) lag(subject string) Figure {
+	lag := quantile(r.lags, 0.95, func(sample) bool { return true }, latency)
+	return Figure{Name: "lag of timers p95 on this machine", Subject: subject, Value: lag, Unit: "ms"}
+}
+
 // wait returns the samples of the phase when its last request has ended.
 func (p *phase) wait() []sample {
 	p.done.Wait()
