--- a/agent/chat.go
+++ b/agent/chat.go
@@ -114,6 +114,7 @@
 	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
 		g.payment.settle(a.cfg.Now(), 0)
 		g.slot.done(0)
+		g.payment.settle(a.cfg.Now(), 0)
 		return g.refusalOf(err), err
 	}
 	g.marked = marked
