Measure reuse, skew and overhead against baselines

The measures drive real routers and agents before stand-in engines through a join, a leave with return and a flap.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/chooser"
 	"clementineramp/compiler"
 	"clementineramp/launcher"
 	"clementineramp/loader"
@@ -53,6 +54,8 @@
 	Workers int
 	// Engine is the template of the stand-in engines.
 	Engine standin.EngineConfig
+	// Policy is the routing policy of the routers; the zero value is the one in service.
+	Policy chooser.Policy
 	// Log receives the log lines of all processes.
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
@@ -179,7 +182,8 @@
 	if out == nil {
 		out = io.Discard
 	}
-	p, err := launcher.New(cfg, logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name), launcher.Network{})
+	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name)
+	p, err := launcher.NewBaseline(cfg, log, launcher.Network{}, f.cfg.Policy)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -198,6 +202,16 @@
 	return p, nil
 }
 
+// SetState lists a host at the platform in another state.
+func (f *Fleet) SetState(name, state string) {
+	for i := range f.hosts {
+		if f.hosts[i].Name == name {
+			f.hosts[i].State = state
+		}
+	}
+	f.Platform.SetHosts(f.hosts)
+}
+
 // sheet returns the sheet of the fleet in a version.
 func (f *Fleet) sheet(version uint64) string {
 	var b strings.Builder
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -38,7 +38,7 @@
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
-			SkipFactor: noSkip,
+			SkipFactor: noSkip, Policy: p.policy,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
 		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementineramp/agent"
+	"clementineramp/chooser"
 	"clementineramp/loader"
 	"clementineramp/operator"
 	"clementineramp/platform"
@@ -62,6 +63,7 @@
 type Process struct {
 	cfg      *loader.Settings
 	network  Network
+	policy   chooser.Policy
 	log      hclog.Logger
 	registry metrics.Registry
 	watcher  *watcher.Watcher
@@ -80,9 +82,14 @@
 
 // New binds the addresses of a daemon; Run serves them.
 func New(cfg *loader.Settings, log hclog.Logger, network Network) (*Process, error) {
+	return NewBaseline(cfg, log, network, chooser.Rendezvous)
+}
+
+// NewBaseline is New with another routing policy, as a baseline of a measurement.
+func NewBaseline(cfg *loader.Settings, log hclog.Logger, network Network, policy chooser.Policy) (*Process, error) {
 	network.setDefaults()
 	p := &Process{
-		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		cfg: cfg, network: network, policy: policy, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
@@ -290,3 +297,8 @@
 func (p *Process) Watcher() *watcher.Watcher {
 	return p.watcher
 }
+
+// Metrics returns the counters of the process.
+func (p *Process) Metrics() metrics.Registry {
+	return p.registry
+}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -21,7 +21,11 @@
 
 // Measures lists all measurements.
 func Measures() []Measure {
-	return []Measure{}
+	return []Measure{
+		{"reuse", "cache reuse of returning chats through churn, against complete knowledge", measureReuse},
+		{"skew", "load of the engines against the bound through churn", measureSkew},
+		{"overhead", "latency and processor time that router and agent add to a call of the engine", measureOverhead},
+	}
 }
 
 // Find returns the measure with a name.
--- /dev/null
+++ b/measurer/meter.go
@@ -0,0 +1,145 @@
+package measurer
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"clementineramp/chooser"
+)
+
+// joinTime is the time after which a ready engine counts in the true mean though it has run nothing yet; sooner no
+// agent can know of it.
+const joinTime = time.Second
+
+// member is an engine as it really is.
+type member struct {
+	work float64
+	up   bool
+	// counts says that the engine is part of the mean.
+	counts  bool
+	readyAt time.Time
+}
+
+// meter checks the load bound against the engines' own records, with the true mean at the moment of admission.
+type meter struct {
+	bound float64
+
+	mu      sync.Mutex
+	engines map[string]*member
+	checked int
+	over    int
+	worst   float64
+	// sum and span integrate the ratio of the largest load to the mean over time.
+	sum  float64
+	span time.Duration
+	last time.Time
+	// watching is false while the load builds up and drains.
+	watching bool
+}
+
+func newMeter(bound float64, names []string) *meter {
+	m := &meter{bound: bound, engines: map[string]*member{}}
+	for _, n := range names {
+		m.engines[n] = &member{up: true, counts: true}
+	}
+	return m
+}
+
+// change takes a change of an engine's running work; an increase is an admission and is checked.
+func (m *meter) change(engine string, delta float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.integrate(now)
+	e := m.engines[engine]
+	if delta <= 0 {
+		e.work = max(0, e.work+delta)
+		return
+	}
+	e.counts = e.counts || e.up
+	total, n := m.total(now)
+	if m.watching && e.up {
+		m.check(e, total, n, delta)
+	}
+	e.work += delta
+}
+
+// check applies the bound to an admission. Loads come in whole requests, so an engine that is idle, or not above the
+// mean, may take one request whatever its size.
+func (m *meter) check(e *member, total float64, n int, cost float64) {
+	m.checked++
+	if e.work <= 0 || chooser.Even(e.work, total, n) {
+		return
+	}
+	ratio := (e.work + cost) * float64(n) / (total + cost)
+	m.worst = max(m.worst, ratio)
+	if !chooser.Admits(e.work, cost, chooser.Limit(m.bound, total, n, cost)) {
+		m.over++
+	}
+}
+
+func (m *meter) total(now time.Time) (total float64, n int) {
+	for _, e := range m.engines {
+		if !e.up {
+			continue
+		}
+		if !e.counts && now.Sub(e.readyAt) < joinTime {
+			continue
+		}
+		total += e.work
+		n++
+	}
+	return total, n
+}
+
+func (m *meter) integrate(now time.Time) {
+	if total, n := m.total(now); m.watching && total > 0 {
+		most := 0.0
+		for _, e := range m.engines {
+			if e.up {
+				most = math.Max(most, e.work)
+			}
+		}
+		d := now.Sub(m.last)
+		m.sum += most * float64(n) / total * d.Seconds()
+		m.span += d
+	}
+	m.last = now
+}
+
+// setUp says that an engine takes work or takes none; one that leaves counts no more.
+func (m *meter) setUp(engine string, up bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.integrate(time.Now())
+	e := m.engines[engine]
+	e.up, e.counts, e.readyAt = up, false, time.Now()
+}
+
+func (m *meter) watch(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.integrate(time.Now())
+	m.watching = on
+}
+
+// loads returns the true load of each engine that takes work.
+func (m *meter) loads() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]float64{}
+	for name, e := range m.engines {
+		if e.up {
+			out[name] = e.work
+		}
+	}
+	return out
+}
+
+// skew returns the mean over time of the largest load as a multiple of the mean load.
+func (m *meter) skew() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sum / m.span.Seconds()
+}
--- /dev/null
+++ b/measurer/overhead.go
@@ -0,0 +1,143 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/demonstrator"
+	"clementineramp/encoder"
+	"clementineramp/standin"
+)
+
+// Both ways of the overhead measurement take turns in short rounds, so that a busy machine slows both alike.
+const (
+	overheadRounds   = 10
+	overheadCallers  = 8
+	overheadRequests = 10 // of each caller in a round
+	overheadTokens   = 8
+)
+
+// path is one way to the engine and what was measured on it.
+type path struct {
+	send       sendChat
+	firstToken []time.Duration
+	processor  time.Duration
+	requests   int
+}
+
+func measureOverhead(ctx context.Context, seed uint64) (Result, error) {
+	f, err := demonstrator.StartFleet(ctx, demonstrator.FleetConfig{
+		Routers: 1, Engines: 1, Workers: 1,
+		Engine: standin.EngineConfig{Slots: 2 * overheadCallers, TokenInterval: 5 * time.Millisecond},
+	})
+	if err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	defer f.Close()
+	c := &standin.Caller{Key: demonstrator.Organisations[0].Key, HTTP: newHTTPClient()}
+	through, direct := &path{}, &path{}
+	through.send = func(ctx context.Context, chat string, _ int, req encoder.ChatRequest) (standin.Reply, error) {
+		return c.Chat(ctx, f.Routers[0].Address(), req, http.Header{"Clementine-Chat": {chat}})
+	}
+	direct.send = func(ctx context.Context, chat string, turn int, req encoder.ChatRequest) (standin.Reply, error) {
+		req.RequestID = chat + "-" + fmt.Sprint(turn)
+		return c.Chat(ctx, f.Engines[0].Address(), req, nil)
+	}
+	// The first round only opens the connections.
+	for round := range overheadRounds + 1 {
+		for _, p := range []*path{direct, through} {
+			if err := p.round(ctx, seed, round); err != nil {
+				return Result{}, err
+			}
+			if round == 0 {
+				*p = path{send: p.send}
+			}
+		}
+	}
+	return overheadResult(seed, through, direct), nil
+}
+
+// round sends the requests of one round by all callers side by side.
+func (p *path) round(ctx context.Context, seed uint64, round int) error {
+	before, err := processorTime()
+	if err != nil {
+		return err
+	}
+	replies := make([][]time.Duration, overheadCallers)
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range overheadCallers {
+		g.Go(func() error {
+			for n := range overheadRequests {
+				s := int64(seed) + int64(n)
+				reply, err := p.send(ctx, fmt.Sprintf("chat-%d", i), round*overheadRequests+n, encoder.ChatRequest{
+					Model: demonstrator.Model, MaxTokens: overheadTokens, Seed: &s,
+					Messages: []encoder.Message{{Role: "user", Content: fmt.Sprintf("Question %d of chat %d?", n, i)}},
+				})
+				if err != nil {
+					return trace.Wrap(err)
+				}
+				replies[i] = append(replies[i], reply.FirstToken)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	after, err := processorTime()
+	if err != nil {
+		return err
+	}
+	p.processor += after - before
+	for _, r := range replies {
+		p.firstToken = append(p.firstToken, r...)
+		p.requests += len(r)
+	}
+	return nil
+}
+
+// processorTime returns the time that this process spent on processors, with the stand-ins that run in it.
+func processorTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
+
+// perRequest returns the processor time of one request.
+func (p *path) perRequest() float64 {
+	return milliseconds(p.processor / time.Duration(p.requests))
+}
+
+func overheadResult(seed uint64, through, direct *path) Result {
+	r := Result{Name: "overhead", Seed: seed}
+	for _, q := range []struct {
+		name string
+		q    float64
+	}{{"first token p50", 0.5}, {"first token p95", 0.95}} {
+		t, d := milliseconds(quantile(through.firstToken, q.q)), milliseconds(quantile(direct.firstToken, q.q))
+		r.Figures = append(r.Figures,
+			Figure{Name: "added to " + q.name, Subject: ownSubject, Value: t - d, Unit: "ms"},
+			Figure{Name: q.name, Subject: ownSubject, Value: t, Unit: "ms"},
+			Figure{Name: q.name, Subject: "direct_call", Value: d, Unit: "ms"},
+		)
+	}
+	t, d := through.perRequest(), direct.perRequest()
+	r.Figures = append(r.Figures,
+		Figure{Name: "processor time of router and agent", Subject: ownSubject, Value: t - d, Unit: "ms per request"},
+		Figure{Name: "processor time of the whole path", Subject: ownSubject, Value: t, Unit: "ms per request"},
+		Figure{Name: "processor time of the whole path", Subject: "direct_call", Value: d, Unit: "ms per request"},
+	)
+	r.Notes = []string{
+		fmt.Sprintf("%d requests of %d tokens each way, %d at a time; caller and engine run in the same process", through.requests, overheadTokens, overheadCallers),
+		"the processor time of router and agent is the difference between both ways",
+	}
+	return r
+}
--- /dev/null
+++ b/measurer/skew.go
@@ -0,0 +1,31 @@
+package measurer
+
+import (
+	"context"
+
+	"clementineramp/chooser"
+)
+
+func measureSkew(ctx context.Context, seed uint64) (Result, error) {
+	own, complete, baselines, err := runTrials(ctx, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	r := Result{Name: "skew", Seed: seed, Figures: []Figure{
+		{Name: "largest load at an admission", Subject: ownSubject, Value: own.most, Unit: "of the mean", Goal: AtMost(chooser.DefaultBound)},
+		{Name: "admissions over the bound", Subject: ownSubject, Value: float64(own.over), Goal: AtMost(0)},
+	}}
+	for _, t := range append([]trial{own, complete}, baselines...) {
+		r.Figures = append(r.Figures,
+			Figure{Name: "admissions", Subject: t.subject, Value: float64(t.checked)},
+			Figure{Name: "admissions over the bound", Subject: t.subject, Value: float64(t.over)},
+			Figure{Name: "largest load at an admission", Subject: t.subject, Value: t.most, Unit: "of the mean"},
+			Figure{Name: "largest load, mean over time", Subject: t.subject, Value: t.skew, Unit: "of the mean"},
+		)
+	}
+	r.Notes = []string{
+		"loads are read from the engines' own records, the mean is the true one at the moment of admission",
+		"loads come in whole requests: an engine that is idle or not above the mean may take one request of any size",
+	}
+	return r, nil
+}
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -39,11 +39,24 @@
 	return hashes
 }
 
-// hit returns the number of prompt tokens that the cache holds.
+// hit returns the number of prompt tokens that the cache holds, and marks them as used.
 func (c *prefixCache) hit(messages []encoder.Message) int {
+	return match(messages, func(h uint64) bool {
+		_, ok := c.entries.Get(h)
+		return ok
+	})
+}
+
+// peek returns the number of prompt tokens that the cache holds.
+func (c *prefixCache) peek(messages []encoder.Message) int {
+	return match(messages, c.entries.Contains)
+}
+
+// match returns the tokens of the longest prefix whose hashes are all held.
+func match(messages []encoder.Message, held func(uint64) bool) int {
 	n := 0
 	for i, h := range chain(messages) {
-		if _, ok := c.entries.Get(h); !ok {
+		if !held(h) {
 			break
 		}
 		n += messageTokens(messages[i])
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,8 @@
 	LoadTime time.Duration
 	// ChecksFence says that the engine refuses an order with an old fencing number.
 	ChecksFence bool
+	// OnWork is told each change of the running work, in tokens; nil means that nobody is told.
+	OnWork func(engine string, change float64)
 }
 
 // Run is the record of one generation at an engine.
@@ -147,6 +149,13 @@
 	return runs
 }
 
+// Cached returns the number of prompt tokens that the engine's cache holds, without counting as a use of them.
+func (e *Engine) Cached(messages []encoder.Message) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.peek(messages)
+}
+
 // Crashes returns how often a request crashed the engine.
 func (e *Engine) Crashes() int {
 	e.mu.Lock()
@@ -312,6 +321,7 @@
 	e.work += req.Cost()
 	e.maxWork = max(e.maxWork, e.work)
 	e.mu.Unlock()
+	e.tell(req.Cost())
 	return nil
 }
 
@@ -328,7 +338,15 @@
 	e.grant()
 }
 
+// tell passes a change of the running work on.
+func (e *Engine) tell(change float64) {
+	if e.cfg.OnWork != nil {
+		e.cfg.OnWork(e.cfg.Name, change)
+	}
+}
+
 func (e *Engine) leave(req encoder.ChatRequest) {
+	e.tell(-req.Cost())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.running, req.RequestID)
