--- a/agent/agent.go
+++ b/agent/agent.go
@@ -68,8 +68,8 @@
 	Snapshot func() *configurer.Snapshot
 	// Confirmed returns when the platform last confirmed the configuration in force.
 	Confirmed func() time.Time
-	// Mean returns the known load of a pool.
-	Mean func(pool string) tracker.Load
+	// Others returns the known load of a pool without this agent's own.
+	Others func(pool, self string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
 	View func(pool string) []chooser.Upstream
 	// Merge takes load entries from a router's envelope.
@@ -253,21 +253,6 @@
 	}, nil
 }
 
-// limit returns the work that the engine may carry once a request of a cost runs in it.
-// Queued work counts in the mean, so that a pool with a backlog fills its batches; an engine at or below the
-// mean may take one more request, because requests cannot be divided.
-func (a *Agent) limit(work, cost float64) float64 {
-	if a.cfg.Kind != KindEngine {
-		return noLimit
-	}
-	pool := a.cfg.Mean(a.cfg.Pool)
-	demand := pool.Work + pool.Queued
-	if chooser.Even(work, demand, pool.Known) {
-		return noLimit
-	}
-	return chooser.Limit(chooser.AdmissionBound(a.cfg.Bound), demand, pool.Known, cost)
-}
-
 // weight returns the organisation's part beside others of its rank.
 func (a *Agent) weight(organisation string) float64 {
 	s := a.cfg.Snapshot()
--- a/agent/home.go
+++ b/agent/home.go
@@ -15,8 +15,9 @@
 	if !ok || upstream == a.cfg.Name {
 		return "", false
 	}
-	pool := a.cfg.Mean(a.cfg.Pool)
-	limit := chooser.Limit(a.cfg.Bound, pool.Work+pool.Queued, pool.Known, cost)
+	own, _, _ := a.gate.load()
+	pool := a.pool(own)
+	limit := chooser.Limit(a.cfg.Bound, pool.work, pool.n, cost)
 	for _, u := range a.cfg.View(a.cfg.Pool) {
 		if u.Name != upstream {
 			continue
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -54,7 +54,7 @@
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
-		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Others: w.Others, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
 }
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// carries reports whether the upstream counts in the mean load. One that is held back after a restart does as soon as
+// it reports that it is ready: without it, the others would take the mean for higher than it is.
+func (e *entry) carries(now time.Time, cfg *Config) bool {
+	switch e.state(now, cfg) {
+	case chooser.Leaving:
+		return false
+	case chooser.Down:
+		return e.reported && !e.report.NotReady && e.measured.After(e.failed)
+	default:
+		return !e.reported || !e.report.NotReady
+	}
+}
+
 // held reports whether the wait after a failure still runs.
 func (e *entry) held(now time.Time) bool {
 	return e.failure != chooser.Live && now.Before(e.eligible)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -21,6 +21,8 @@
 	// sorted holds the entries by name, so that views of equal knowledge are equal.
 	sorted []*entry
 	primed bool
+	// drift tells how fast the load of one upstream strays from its last report.
+	drift drift
 	// aside is the newest host list if it was not applied.
 	aside []Host
 	// Reports merged before delayedUntil count as older by delay.
@@ -165,8 +167,12 @@
 		if now.Before(t.delayedUntil) {
 			age += t.delay
 		}
+		before, known := *e, e.reported && e.report.Incarnation == r.Incarnation
 		if e.merge(r, now.Add(-age), now, &t.cfg) {
 			n++
+			if known {
+				t.drift.add(r.Work-before.report.Work, e.measured.Sub(before.measured))
+			}
 		}
 	}
 	return n
@@ -216,25 +222,31 @@
 	return e.host, true
 }
 
-// Mean returns the known load of a pool. Upstreams that are leaving or down count neither as known nor as members.
+// Mean returns the known load of a pool. Upstreams that are leaving or take no work count neither as known nor as
+// members.
 func (t *Tracker) Mean(pool string, now time.Time) Load {
+	return t.Others(pool, "", now)
+}
+
+// Others is Mean without one upstream, for an agent that knows its own load exactly.
+func (t *Tracker) Others(pool, self string, now time.Time) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var l Load
+	variance := 0.0
 	for _, e := range t.sorted {
-		if e.host.Pool != pool || !e.visible(now, &t.cfg) {
-			continue
-		}
-		if s := e.state(now, &t.cfg); s == chooser.Leaving || s == chooser.Down {
+		if e.host.Pool != pool || e.host.Name == self || !e.visible(now, &t.cfg) || !e.carries(now, &t.cfg) {
 			continue
 		}
 		l.Members++
-		if _, ok := e.loadAge(now, &t.cfg); ok {
+		if age, ok := e.loadAge(now, &t.cfg); ok {
 			l.Known++
 			l.Work += e.report.Work
 			l.Queued += e.report.Queued
+			variance += t.drift.rate() * age.Seconds()
 		}
 	}
+	l.Deviation = math.Sqrt(variance)
 	return l
 }
 
--- a/tracker/types.go
+++ b/tracker/types.go
@@ -116,4 +116,6 @@
 	// Known is the number of upstreams whose load is known, and Members the number that may take work.
 	Known   int
 	Members int
+	// Deviation is the standard deviation of Work from what runs now, since the reports are some time old.
+	Deviation float64
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -111,6 +111,13 @@
 	return w.tracker.Mean(pool, w.cfg.Now())
 }
 
+// Others returns the known load of a pool without one upstream.
+func (w *Watcher) Others(pool, self string) tracker.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Others(pool, self, w.cfg.Now())
+}
+
 // Address returns the address of the agent beside an upstream, also of one that is leaving.
 func (w *Watcher) Address(upstream string) (string, bool) {
 	w.mu.Lock()
