--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,7 +20,6 @@
 	"clementineramp/engine"
 	"clementineramp/judge"
 	"clementineramp/locator"
-	"clementineramp/quarantiner"
 	"clementineramp/recorder"
 	"clementineramp/service"
 	"clementineramp/ticketer"
@@ -76,6 +75,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// OnCrash is called when a request may have crashed the engine, so that peers hear of the marks soon; it must not block.
+	OnCrash func()
 	// DialUpstream opens connections to the upstream; nil means the network's own.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	Log          hclog.Logger
@@ -93,7 +94,7 @@
 	engineState *engineState
 	gate        *gate
 	recorder    *recorder.Recorder
-	quarantine  *quarantiner.Quarantine
+	suspects    *suspects
 	ledger      *ticketer.Ledger
 	service     *service.Client
 	abandon     *abandonment
@@ -107,6 +108,7 @@
 	end      context.CancelFunc
 
 	mu       sync.Mutex
+	retiring bool
 	leaving  bool
 	requests sync.WaitGroup
 	running  atomic.Int64
@@ -131,6 +133,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.OnCrash == nil {
+		cfg.OnCrash = func() {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -179,6 +184,20 @@
 	a.gate.setRanks(s.Ranks)
 }
 
+// Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
+func (a *Agent) Retire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retiring = true
+}
+
+// Tick counts the time for which the agent has owned the keys of its service; it is called several times a second.
+func (a *Agent) Tick(now time.Time) {
+	if a.cfg.Kind == KindService {
+		a.ledger.Observe(now, a.freshness(a.cfg.Pool))
+	}
+}
+
 // Leave makes the agent refuse new work; it still answers repeats and resumes.
 func (a *Agent) Leave() {
 	a.mu.Lock()
@@ -193,14 +212,14 @@
 func (a *Agent) Stay() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leaving = false
+	a.leaving, a.retiring = false, false
 }
 
-// Leaving reports whether the agent refuses new work.
+// Leaving reports whether routers should send no new work.
 func (a *Agent) Leaving() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.leaving
+	return a.leaving || a.retiring
 }
 
 // Ready reports whether the upstream can take work, as far as the agent knows.
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -6,8 +6,6 @@
 	"clementineramp/agent"
 	"clementineramp/caller"
 	"clementineramp/chooser"
-	"clementineramp/configurer"
-	"clementineramp/encoder"
 	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
@@ -18,12 +16,6 @@
 // its load exactly and knows where the chat's cached prefix is.
 const noSkip = 1e6
 
-type configSnapshot = configurer.Snapshot
-
-func entries(e ...encoder.LoadEntry) []encoder.LoadEntry {
-	return e
-}
-
 func (p *Process) routerConfig() router.Config {
 	retries, err := limiter.NewRetryBudget(limiter.RetryConfig{Ratio: p.cfg.Routing.RetryRatio})
 	if err != nil {
@@ -34,7 +26,8 @@
 		Name: p.cfg.Name, SharedKey: p.cfg.SharedKey.Reveal(),
 		Limits: caller.Limits{
 			BodyBytes: int64(p.cfg.Limits.BodySize), HeaderBytes: int(p.cfg.Limits.HeaderSize),
-			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime,
+			HeaderTime: p.cfg.Limits.HeaderTime, IdleTime: p.cfg.Limits.IdleTime, BodyTime: p.cfg.Limits.BodyTime,
+			StreamTime: p.cfg.Limits.StreamTime, StreamBytes: int64(p.cfg.Limits.StreamSize),
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
@@ -42,8 +35,9 @@
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
 		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
-		Forwarder: forwarder.Config{Dial: p.network.Dial},
-		Retries:   retries, Log: p.log, Metrics: p.registry,
+		CountControl: w.CountControl,
+		Forwarder:    forwarder.Config{Dial: p.network.Dial},
+		Retries:      retries, Log: p.log, Metrics: p.registry,
 	}
 }
 
@@ -55,6 +49,7 @@
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Others: w.Others, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
 }
@@ -65,6 +60,11 @@
 		Name: p.cfg.Name, Role: string(p.cfg.Role), Region: p.cfg.Region, FailureDomain: p.cfg.FailureDomain,
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
+	s.Alarms = p.watcher.Alarms()
+	totals := p.budget.Totals()
+	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
+		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
+	}
 	snapshot := p.watcher.Snapshot()
 	if snapshot == nil {
 		return s
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -15,6 +16,10 @@
 
 	"clementineramp/agent"
 	"clementineramp/chooser"
+	"clementineramp/configurer"
+	"clementineramp/encoder"
+	"clementineramp/gossiper"
+	"clementineramp/limiter"
 	"clementineramp/loader"
 	"clementineramp/operator"
 	"clementineramp/platform"
@@ -49,6 +54,8 @@
 	server  *http.Server
 	// run keeps the role's own knowledge until ctx ends; nil means that there is none.
 	run func(ctx context.Context) error
+	// retire tells others that the process is about to leave.
+	retire func()
 	// leave makes the role refuse new requests.
 	leave func()
 	// drain waits until no request is in progress.
@@ -72,7 +79,9 @@
 	incarn   uint64
 
 	listener         net.Listener
+	controlListener  net.Listener
 	operatorListener net.Listener
+	budget           *limiter.ControlBudget
 
 	mu      sync.Mutex
 	state   operator.State
@@ -107,6 +116,10 @@
 	if p.listener, err = p.network.Listen("tcp", p.cfg.Listen.String()); err != nil {
 		return trace.Wrap(err, "listen")
 	}
+	if p.controlListener, err = p.network.Listen("tcp", p.cfg.ControlListen.String()); err != nil {
+		p.closeListeners()
+		return trace.Wrap(err, "control_listen")
+	}
 	if p.operatorListener, err = p.network.Listen("tcp", p.cfg.OperatorListen.String()); err != nil {
 		p.closeListeners()
 		return trace.Wrap(err, "operator_listen")
@@ -119,13 +132,18 @@
 	return p.listener.Addr().String()
 }
 
+// ControlAddress returns the address that the process serves peers on.
+func (p *Process) ControlAddress() string {
+	return p.controlListener.Addr().String()
+}
+
 // OperatorAddress returns the address that the process serves operators on.
 func (p *Process) OperatorAddress() string {
 	return p.operatorListener.Addr().String()
 }
 
 func (p *Process) closeListeners() {
-	for _, l := range []net.Listener{p.listener, p.operatorListener} {
+	for _, l := range []net.Listener{p.listener, p.controlListener, p.operatorListener} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -134,18 +152,21 @@
 
 // assemble joins the view of the fleet and the role.
 func (p *Process) assemble() error {
-	addresses := make([]string, len(p.cfg.Platform))
-	for i, a := range p.cfg.Platform {
-		addresses[i] = a.String()
+	var err error
+	p.budget, err = limiter.NewControlBudget(limiter.ControlConfig{BytesPerSecond: int(p.cfg.Budget.ControlPerSecond)})
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	wcfg := watcher.Config{
 		Self: platform.Host{
-			Name: p.cfg.Name, Address: p.cfg.Listen.String(), Control: p.cfg.ControlListen.String(),
+			Name: p.cfg.Name, Address: p.Address(), Control: p.ControlAddress(),
 			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: platform.StateLive,
 		},
 		Platform: platform.New(platform.Config{
-			Addresses: addresses, HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+			Addresses: texts(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+			Count: func(n int) { p.watcher.CountControl(n) },
 		}),
+		Peers: texts(p.cfg.Peers), SharedKey: p.cfg.SharedKey.Reveal(), Budget: p.budget, Dial: p.network.Dial,
 		Log: p.log, Metrics: p.registry,
 	}
 	switch p.cfg.Role {
@@ -157,20 +178,32 @@
 	return trace.BadParameter("unknown role %q", p.cfg.Role)
 }
 
+// texts returns addresses as text.
+func texts(addresses []netip.AddrPort) []string {
+	list := make([]string, len(addresses))
+	for i, a := range addresses {
+		list[i] = a.String()
+	}
+	return list
+}
+
 func (p *Process) assembleRouter(wcfg watcher.Config) error {
-	p.watcher = watcher.New(wcfg)
+	var err error
+	if p.watcher, err = watcher.New(wcfg); err != nil {
+		return trace.Wrap(err)
+	}
 	r, err := router.New(p.routerConfig())
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	p.role = role{handler: r.Handler(), server: r.Server(), leave: r.Leave, drain: r.Drain, running: r.Running, close: func() {}}
+	p.role = role{handler: r.Handler(), server: r.Server(), retire: r.Retire, leave: r.Leave, drain: r.Drain, running: r.Running, close: func() {}}
 	return nil
 }
 
 func (p *Process) assembleAgent(wcfg watcher.Config) error {
 	wcfg.Self.Upstream = p.cfg.Upstream.Name
 	var a *agent.Agent
-	wcfg.OnSnapshot = func(s *configSnapshot) { a.SetSnapshot(s) }
+	wcfg.OnSnapshot = func(s *configurer.Snapshot) { a.SetSnapshot(s) }
 	wcfg.OnSelf = func(leaving bool) {
 		if leaving {
 			a.Leave()
@@ -178,15 +211,22 @@
 			a.Stay()
 		}
 	}
-	wcfg.OnTick = func(time.Time) { p.watcher.Merge(entries(a.Entry())) }
-	p.watcher = watcher.New(wcfg)
+	wcfg.Marks = func() []gossiper.Mark { return a.Marks() }
+	wcfg.MergeMarks = func(m []gossiper.Mark) { a.MergeMarks(m) }
+	wcfg.OnTick = func(now time.Time) {
+		a.Tick(now)
+		p.watcher.Merge([]encoder.LoadEntry{a.Entry()})
+	}
 	var err error
+	if p.watcher, err = watcher.New(wcfg); err != nil {
+		return trace.Wrap(err)
+	}
 	if a, err = agent.New(p.agentConfig()); err != nil {
 		return trace.Wrap(err)
 	}
 	p.incarn = a.Incarnation()
 	p.role = role{
-		handler: a.Handler(), run: a.Run, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
+		handler: a.Handler(), run: a.Run, retire: a.Retire, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
 		server: &http.Server{Handler: a.Handler(), ReadHeaderTimeout: p.cfg.Limits.HeaderTime, IdleTimeout: p.cfg.Limits.IdleTime},
 	}
 	return nil
@@ -201,7 +241,7 @@
 		Registry: p.registry, Logger: p.log,
 	})
 	g := &errgroup.Group{}
-	g.Go(func() error { return p.watcher.Run(run) })
+	g.Go(func() error { return p.watcher.Run(run, p.controlListener) })
 	if p.role.run != nil {
 		g.Go(func() error { return p.role.run(run) })
 	}
@@ -252,6 +292,7 @@
 func (p *Process) Drain() {
 	p.drain.Do(func() {
 		p.setState(operator.StateLeaving)
+		p.role.retire()
 		go p.carryOutDrain()
 	})
 }
@@ -282,8 +323,12 @@
 func (p *Process) State() operator.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == operator.StateStarting && p.watcher.Snapshot() != nil {
-		p.state = operator.StateReady
+	if p.state == operator.StateStarting {
+		select {
+		case <-p.watcher.Ready():
+			p.state = operator.StateReady
+		default:
+		}
 	}
 	return p.state
 }
