--- a/agent/agent.go
+++ b/agent/agent.go
@@ -168,6 +168,7 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", a.serveChat)
+	mux.HandleFunc("POST /v1/chats", a.servePlace)
 	mux.HandleFunc("GET /v1/streams/{id}", a.serveResume)
 	mux.HandleFunc("POST /v1/tickets", a.serveTicket)
 	mux.HandleFunc("/v1/call/", a.serveCall)
--- a/agent/bound.go
+++ b/agent/bound.go
@@ -2,27 +2,16 @@
 
 import "clementineramp/chooser"
 
-const (
-	// confidence is the number of standard deviations by which an agent assumes the pool's work to be lower than its
-	// table says.
-	confidence = 2
-	// maxMargin is the largest part of the pool's work that uncertainty may take away, so that agents that hear
-	// little of each other still fill their engines.
-	maxMargin = 0.2
-)
-
 // poolLoad is what an agent takes for the load of its pool.
 type poolLoad struct {
 	work float64
 	n    int
 }
 
-// pool returns a cautious estimate of the pool's load. Queued work counts in the mean, so that a pool with a backlog
-// fills its batches.
+// pool returns a cautious estimate of the pool's load, with its backlog.
 func (a *Agent) pool(own float64) poolLoad {
 	l := a.cfg.Others(a.cfg.Pool, a.cfg.Name)
-	margin := min(confidence*l.Deviation, maxMargin*l.Work)
-	return poolLoad{work: l.Work - margin + l.Queued + own, n: l.Known + 1}
+	return poolLoad{work: l.Cautious() + l.Backlog() + own, n: l.Known + 1}
 }
 
 // limit returns the work that the engine may carry once a request of a cost runs in it. An engine at or below the
@@ -37,3 +26,10 @@
 	}
 	return chooser.Limit(a.cfg.Bound, p.work, p.n, cost)
 }
+
+// work returns the work that runs in the engine, in tokens.
+func (g *gate) work() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Work()
+}
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -54,6 +54,7 @@
 		a.refuseWith(w, env, refusal, err)
 		return
 	}
+	beat.report(a.Entry())
 	a.follow(beat, r, g.id, g.stream, env.Offset, g.refusalOf)
 }
 
@@ -88,13 +89,14 @@
 		return g.refusalOf(err), err
 	}
 	cost := g.body.Cost()
-	if upstream, ok := a.redirect(env, cost); ok {
-		err := judge.Refuse(judge.ReasonElsewhere, "the prefix of the chat is cached at %s", upstream)
+	where := a.place(env, g.body)
+	if where.try != "" {
+		err := judge.Refuse(judge.ReasonElsewhere, "%s %s", where.try, where.reason)
 		r := g.refusalOf(err)
-		r.Try = upstream
+		r.Try = where.try
 		return r, err
 	}
-	g.slot, err = a.gate.acquire(ctx, admitter.Request{
+	g.slot, err = a.acquire(ctx, where, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
 		// A refusal for load would change the order of the agents that a marked request meets.
 		Cost: cost, Deadline: env.Deadline(), Last: env.Last || marked, Suspect: marked,
@@ -109,9 +111,7 @@
 		return g.refusalOf(err), err
 	}
 	g.marked = marked
-	if env.Home {
-		a.locator.Return(env.ChatKey)
-	}
+	a.locator.Place(env.ChatKey, a.cfg.Name, a.cfg.Now())
 	return encoder.Refusal{}, nil
 }
 
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"clementineramp/encoder"
 )
 
 // heartbeatInterval is the time between two signs of life to a router that waits for the first byte of an answer.
@@ -14,6 +16,7 @@
 // that waits in the queue from an agent that is frozen.
 type heartbeat struct {
 	w    http.ResponseWriter
+	mu   sync.Mutex
 	once sync.Once
 	quit chan struct{}
 	done chan struct{}
@@ -34,11 +37,28 @@
 		case <-b.quit:
 			return
 		case <-t.C:
-			b.w.WriteHeader(http.StatusProcessing)
+			b.beat()
 		}
 	}
 }
 
+// report tells the router the agent's load at once, so that it does not learn of an admission only with the first
+// token.
+func (b *heartbeat) report(own encoder.LoadEntry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(encoder.Report{Self: own}))
+	b.w.WriteHeader(http.StatusProcessing)
+	b.w.Header().Del(encoder.ReportHeader)
+}
+
+// beat sends one sign of life.
+func (b *heartbeat) beat() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.w.WriteHeader(http.StatusProcessing)
+}
+
 // stop ends the heartbeat and waits until nothing uses the response any more.
 func (b *heartbeat) stop() {
 	b.once.Do(func() { close(b.quit) })
--- a/agent/home.go
+++ b/agent/home.go
@@ -1,44 +1,166 @@
 package agent
 
 import (
+	"net/http"
+	"slices"
+	"time"
+
 	"clementineramp/chooser"
 	"clementineramp/encoder"
 	"clementineramp/judge"
+	"clementineramp/locator"
 )
 
-// redirect returns where a chat's cached prefix is, if that is another engine that can take the request now.
-func (a *Agent) redirect(env encoder.Envelope, cost float64) (upstream string, ok bool) {
-	if !env.Home || env.Last {
+// placement is what an agent decides on a chat request before it asks for a slot.
+type placement struct {
+	// try names the upstream that should run the request instead, and is empty if this one should.
+	try string
+	// reason says why it is elsewhere.
+	reason string
+	// holds says that this engine holds the chat's prefix.
+	holds bool
+}
+
+// place decides where a chat request should run, and logs the decision.
+func (a *Agent) place(env encoder.Envelope, body encoder.ChatRequest) placement {
+	own := a.gate.work()
+	pool := a.pool(own)
+	p := a.locate(env, body, own, pool)
+	a.cfg.Log.Info("place", "request", env.RequestID, "chat", env.ChatKey, "attempt", env.Attempt, "advised", env.Advised,
+		"holds", p.holds, "try", p.try, "reason", p.reason, "work", own, "cost", body.Cost(), "mean", pool.work/float64(pool.n))
+	return p
+}
+
+// locate decides where a chat request should run: where its prefix is if there may be room, and otherwise where the
+// load is at or below the mean, so that the room above the mean is left to chats that return.
+func (a *Agent) locate(env encoder.Envelope, body encoder.ChatRequest, own float64, pool poolLoad) placement {
+	at, known := a.find(env.ChatKey)
+	if known && at == a.cfg.Name {
+		return placement{holds: true}
+	}
+	if env.Last || !env.Home {
+		return placement{}
+	}
+	view, cost := a.cfg.View(a.cfg.Pool), body.Cost()
+	if !known && body.Returning() {
+		at, known = a.second(env.ChatKey, cost, view)
+	}
+	if known && a.takes(view, at, cost, pool) {
+		return a.send(env, at, "holds the prefix of the chat")
+	}
+	if chooser.Even(own, pool.work, pool.n) {
+		return placement{}
+	}
+	if light := a.light(env.ChatKey, cost, pool, view); light != "" {
+		return a.send(env, light, "carries less than the mean")
+	}
+	return placement{}
+}
+
+// find returns where a chat's prefix is; what was in this engine before it last became ready is lost.
+func (a *Agent) find(chat uint64) (upstream string, ok bool) {
+	upstream, since, ok := a.locator.Find(chat, a.cfg.Now())
+	if upstream == a.cfg.Name && since.Before(a.readySince()) {
+		return "", false
+	}
+	return upstream, ok
+}
+
+func (a *Agent) readySince() time.Time {
+	_, _, since := a.engineState.get()
+	return since
+}
+
+// second returns the agent that came first in a chat's order before this engine became ready, since the chat probably
+// ran there then.
+func (a *Agent) second(chat uint64, cost float64, view []chooser.Upstream) (upstream string, ok bool) {
+	if a.cfg.Now().Sub(a.readySince()) > locator.DefaultLifetime {
 		return "", false
 	}
-	upstream, ok = a.locator.Find(env.ChatKey, a.cfg.Now())
-	if !ok || upstream == a.cfg.Name {
+	others := slices.DeleteFunc(slices.Clone(view), func(u chooser.Upstream) bool { return u.Name == a.cfg.Name })
+	order := a.chooser.Choose(chat, cost, others).Order
+	if len(order) == 0 {
 		return "", false
 	}
-	own, _, _ := a.gate.load()
-	pool := a.pool(own)
+	return order[0].Name, true
+}
+
+// send names another engine for a chat and remembers it.
+func (a *Agent) send(env encoder.Envelope, upstream, reason string) placement {
+	a.locator.Place(env.ChatKey, upstream, a.cfg.Now())
+	return placement{try: upstream, reason: reason}
+}
+
+// nearBound is the multiple of the limit up to which a holder of a prefix is asked, since it may have room by then or
+// within the time for which it defers the request.
+const nearBound = 1.1
+
+// takes reports whether another engine may take a request soon, as far as this agent knows.
+func (a *Agent) takes(view []chooser.Upstream, name string, cost float64, pool poolLoad) bool {
 	limit := chooser.Limit(a.cfg.Bound, pool.work, pool.n, cost)
-	for _, u := range a.cfg.View(a.cfg.Pool) {
-		if u.Name != upstream {
+	for _, u := range view {
+		if u.Name == name {
+			return usable(u) && (!u.Known || u.Work+cost <= nearBound*limit)
+		}
+	}
+	return false
+}
+
+func usable(u chooser.Upstream) bool {
+	return u.State == chooser.Live || u.State == chooser.Joining
+}
+
+// light returns the first other engine in the chat's order that carries no more than the mean with the request, or
+// else the least loaded one. The chats' orders differ, so that agents do not all choose the same engine at a time.
+func (a *Agent) light(key uint64, cost float64, pool poolLoad, view []chooser.Upstream) string {
+	mean := pool.work / float64(pool.n)
+	var others, even []chooser.Upstream
+	for _, u := range view {
+		if u.Name == a.cfg.Name || !usable(u) || !u.Known {
 			continue
 		}
-		usable := u.State == chooser.Live || u.State == chooser.Joining
-		return upstream, usable && (!u.Known || chooser.Admits(u.Work, cost, limit))
+		others = append(others, u)
+		if u.Work+u.Queued+cost <= mean {
+			even = append(even, u)
+		}
+	}
+	if order := a.chooser.Choose(key, cost, even).Order; len(order) > 0 {
+		return order[0].Name
+	}
+	least := ""
+	work := mean
+	for _, u := range others {
+		if u.Work+u.Queued < work {
+			least, work = u.Name, u.Work+u.Queued
+		}
 	}
-	return "", false
+	return least
 }
 
 // displace picks another engine for a chat that this one cannot take within its load bound, and remembers it.
 func (a *Agent) displace(env encoder.Envelope, cost float64, err error) (upstream string) {
-	if !env.Home || judge.ReasonOf(err) != judge.ReasonBound {
+	if !env.Home && !env.Advised || judge.ReasonOf(err) != judge.ReasonBound {
 		return ""
 	}
-	choice := a.chooser.Choose(env.ChatKey, cost, a.cfg.View(a.cfg.Pool))
-	for _, c := range choice.Order {
-		if c.Name != a.cfg.Name {
-			a.locator.Displace(env.ChatKey, c.Name, a.cfg.Now())
-			return c.Name
-		}
+	own := a.gate.work()
+	upstream = a.light(env.ChatKey, cost, a.pool(own), a.cfg.View(a.cfg.Pool))
+	if upstream != "" && env.Home {
+		a.locator.Place(env.ChatKey, upstream, a.cfg.Now())
+	}
+	return upstream
+}
+
+// servePlace takes from a router which engine runs a chat that this agent sent away.
+func (a *Agent) servePlace(w http.ResponseWriter, r *http.Request) {
+	env, err := a.envelope(r)
+	if err != nil {
+		a.refuse(w, env, err)
+		return
+	}
+	if env.Holder == "" {
+		a.refuse(w, env, judge.Refuse(judge.ReasonInvalid, "field holder is missing"))
+		return
 	}
-	return ""
+	a.locator.Place(env.ChatKey, env.Holder, a.cfg.Now())
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/chooser/score.go
+++ b/chooser/score.go
@@ -11,8 +11,6 @@
 const (
 	// DefaultBound is the multiple of the mean load of its pool that an engine may carry.
 	DefaultBound = 1.25
-	// AdmissionFactor is the part of the bound that an agent uses, because its table of the other engines lags.
-	AdmissionFactor = 0.92
 )
 
 const (
@@ -43,11 +41,6 @@
 	return n > 0 && work <= totalWork/float64(n)
 }
 
-// AdmissionBound returns the multiple of the mean that an agent enforces for a bound.
-func AdmissionBound(bound float64) float64 {
-	return AdmissionFactor * bound
-}
-
 // weight returns the weight of an upstream that has been ready for uptime.
 func weight(uptime, ramp time.Duration) float64 {
 	if uptime >= ramp {
--- a/encoder/chat.go
+++ b/encoder/chat.go
@@ -121,6 +121,16 @@
 	return n
 }
 
+// Returning reports whether the prompt holds an earlier answer of the chat.
+func (r ChatRequest) Returning() bool {
+	for _, m := range r.Messages {
+		if m.Role == "assistant" {
+			return true
+		}
+	}
+	return false
+}
+
 // Cost estimates the work of the request in tokens.
 func (r ChatRequest) Cost() float64 {
 	return float64(r.PromptTokens() + r.AnswerTokens())
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -47,6 +47,10 @@
 	Last bool `json:"last,omitempty"`
 	// Home says that the agent is the first in the chat's order.
 	Home bool `json:"home,omitempty"`
+	// Advised says that another agent named this one, because it holds the chat's prefix or has room.
+	Advised bool `json:"advised,omitempty"`
+	// Holder names the engine that runs a chat, in a message to the first agent in the chat's order.
+	Holder string `json:"holder,omitempty"`
 	// Mark counts the engine crashes in which the request was in flight.
 	Mark int `json:"mark,omitempty"`
 	// Offset is the number of events of the answer that the caller already has.
--- a/explainer/chat.go
+++ b/explainer/chat.go
@@ -62,7 +62,7 @@
 // Bound is the load bound of a pool for one request, in tokens.
 type Bound struct {
 	Multiple float64 `json:"multiple"`
-	// Mean is the mean of the running and queued work of the Known upstreams whose load is known, out of Members.
+	// Mean is the mean of the running work and the backlog of the Known upstreams whose load is known, out of Members.
 	Mean    float64 `json:"mean"`
 	Known   int     `json:"known"`
 	Members int     `json:"members"`
@@ -129,16 +129,15 @@
 	view := e.tracker.View(out.Pool.Name, e.now)
 	explained := e.chooser.Explain(out.Key, out.Cost, view)
 	mean := e.tracker.Mean(out.Pool.Name, e.now)
-	// Agents count queued work in the mean, so that a pool with a backlog fills its batches.
-	demand := mean.Work + mean.Queued
+	work := mean.Cautious() + mean.Backlog()
 	out.Bound = Bound{Multiple: e.bound, Known: mean.Known, Members: mean.Members}
 	if mean.Known > 0 {
-		out.Bound.Mean = demand / float64(mean.Known)
-		out.Bound.Limit = chooser.Limit(chooser.AdmissionBound(e.bound), demand, mean.Known, out.Cost)
+		out.Bound.Mean = work / float64(mean.Known)
+		out.Bound.Limit = chooser.Limit(e.bound, work, mean.Known, out.Cost)
 	}
 	out.Reason, out.Ranking = explained.Choice.Reason, explained.Ranking
 	out.Why = why(explained.Choice)
-	e.attempt(out, explained.Choice.Order, demand)
+	e.attempt(out, explained.Choice.Order, work)
 	if len(out.Attempts) > 0 && out.Attempts[0].Admission == AdmissionRefused {
 		out.Why += fmt.Sprintf("; its agent is above the load bound and refuses, so %s takes the chat", out.Lands)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -125,7 +125,8 @@
 	timer := time.AfterFunc(c.cfg.Silence, func() { cancel(errFirstByte) })
 	defer timer.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			c.takeReport(http.Header(h))
 			timer.Reset(c.cfg.Silence)
 			return nil
 		},
@@ -187,6 +188,19 @@
 	return &Failure{Cause: judge.Doubt(judge.ReasonBroken, "agent: %w", err)}
 }
 
+// Place tells an agent which engine runs a chat; the loss of the message only costs reuse.
+func (c *Client) Place(ctx context.Context, address string, env encoder.Envelope) error {
+	resp, err := c.send(ctx, c.pooled, http.MethodPost, "http://"+address+"/v1/chats", env, http.Header{}, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return refusal(resp)
+	}
+	return nil
+}
+
 // Order is the answer of an agent to a call of a plain service.
 type Order struct {
 	Status int
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -6,6 +6,7 @@
 	"clementineramp/agent"
 	"clementineramp/caller"
 	"clementineramp/chooser"
+	"clementineramp/encoder"
 	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
@@ -48,7 +49,8 @@
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
 		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
-		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Others: w.Others, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Others: w.Others, View: w.View, Merge: w.Merge,
+		Freshest:     func() []encoder.LoadEntry { return w.Freshest(p.cfg.Name) },
 		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -24,7 +24,7 @@
 	Lifetime time.Duration
 }
 
-// Locator is the table of displaced chats of one agent; it is safe for concurrent use.
+// Locator is the table of the chats of one agent; it is safe for concurrent use.
 type Locator struct {
 	lifetime time.Duration
 
@@ -32,7 +32,7 @@
 	chats *lru.Cache[uint64, place]
 }
 
-// place is where a displaced chat was sent.
+// place is where the latest turn of a chat ran or was sent.
 type place struct {
 	upstream string
 	at       time.Time
@@ -56,30 +56,23 @@
 	return &Locator{lifetime: cfg.Lifetime, chats: chats}, nil
 }
 
-// Displace remembers that a chat's turn was sent to another upstream, which will hold its prefix.
-func (l *Locator) Displace(chat uint64, upstream string, now time.Time) {
+// Place remembers the upstream that runs or was named for a chat's turn, and will hold its prefix.
+func (l *Locator) Place(chat uint64, upstream string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.chats.Add(chat, place{upstream, now})
 }
 
-// Return forgets a chat whose turn runs at this agent again.
-func (l *Locator) Return(chat uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.chats.Remove(chat)
-}
-
-// Find returns the upstream that holds a chat's prefix, if it is another one.
-func (l *Locator) Find(chat uint64, now time.Time) (string, bool) {
+// Find returns the upstream that holds a chat's prefix, as far as this agent knows, and since when.
+func (l *Locator) Find(chat uint64, now time.Time) (upstream string, since time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.chats.Get(chat)
 	if ok && now.Sub(p.at) > l.lifetime {
 		l.chats.Remove(chat)
-		return "", false
+		return "", time.Time{}, false
 	}
-	return p.upstream, ok
+	return p.upstream, p.at, ok
 }
 
 // Len returns the number of remembered chats.
--- a/router/chat.go
+++ b/router/chat.go
@@ -45,6 +45,10 @@
 	order []chooser.Candidate
 	// failed holds the upstreams that failed this request, and refused those that refused it for want of room.
 	failed, refused []string
+	// advised is the upstream that the latest agent named.
+	advised string
+	// home is the first agent that refused, which keeps where the chat runs, and homeAdvice the upstream it named.
+	home, homeAdvice string
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -125,6 +129,7 @@
 	t.order = t.order[1:]
 	t.env.Attempt = len(t.failed) + len(t.refused)
 	t.env.Home = t.env.Attempt == 0
+	t.env.Advised = t.advised != "" && t.advised == c.Name
 	t.env.Last = len(t.order) == 0
 	return c, true
 }
@@ -171,12 +176,13 @@
 		r.cfg.Retries.First(r.cfg.Now())
 	}
 	t.env.DeadlineMS = left.Milliseconds()
-	t.env.Load = r.cfg.Freshest()
+	t.env.Load = r.cfg.Freshest(c.Name)
 	t.body.RequestID = t.env.RequestID
 	t.body.Prefix = t.text.String()
 	begin := func(h http.Header) {
 		t.env.Version = h.Get(encoder.VersionHeader)
 		r.cfg.Observe(tracker.Observation{Upstream: c.Name, Outcome: tracker.Answered})
+		t.tellHome(ctx, c.Name)
 	}
 	return r.agents.Chat(ctx, address, t.env, t.body, begin, func(ev encoder.Event) error {
 		if err := t.emit(ev); err != nil {
@@ -190,6 +196,29 @@
 	})
 }
 
+// placeTimeout bounds the message to the first agent, which nobody waits for.
+const placeTimeout = time.Second
+
+// tellHome tells the first agent in the chat's order which engine runs the chat, if it is not the one that it named.
+func (t *chatRoute) tellHome(ctx context.Context, holder string) {
+	if t.home == "" || holder == t.home || holder == t.homeAdvice {
+		return
+	}
+	r := t.router
+	address, ok := r.cfg.Address(t.home)
+	if !ok {
+		return
+	}
+	env := encoder.Envelope{RequestID: t.env.RequestID, Organisation: t.env.Organisation, ChatKey: t.key, Holder: holder}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeTimeout)
+	go func() {
+		defer cancel()
+		if err := r.agents.Place(ctx, address, env); err != nil {
+			r.cfg.Log.Debug("place_failed", "request", env.RequestID, "error", err)
+		}
+	}()
+}
+
 // callerGone is the error of an event that could not be passed to the caller.
 type callerGone struct{ err error }
 
@@ -218,6 +247,9 @@
 	}
 	if outOfRoom(f.Cause.Reason) {
 		t.refused = append(t.refused, c.Name)
+		if t.env.Home {
+			t.home, t.homeAdvice = c.Name, f.Try
+		}
 		t.advise(f.Try)
 		return !t.env.Last, f.Cause
 	}
@@ -273,6 +305,7 @@
 	if upstream == "" || t.wasTried(upstream) {
 		return
 	}
+	t.advised = upstream
 	t.order = slices.DeleteFunc(t.order, func(c chooser.Candidate) bool { return c.Name == upstream })
 	t.order = slices.Insert(t.order, 0, chooser.Candidate{Upstream: chooser.Upstream{Name: upstream}})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -45,8 +45,8 @@
 	Observe func(tracker.Observation)
 	// Merge takes load entries from an agent's report.
 	Merge func([]encoder.LoadEntry)
-	// Freshest returns load entries to pass on.
-	Freshest func() []encoder.LoadEntry
+	// Freshest returns load entries to pass on to an agent.
+	Freshest func(agent string) []encoder.LoadEntry
 	// CountControl counts the bytes of control traffic.
 	CountControl func(bytes int)
 	Retries      *limiter.RetryBudget
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -22,6 +22,9 @@
 	measured time.Time
 	ready    time.Time
 
+	// turned is when this process heard that the upstream became ready or ceased to be.
+	turned time.Time
+
 	answered time.Time
 	refusing time.Time
 
@@ -70,6 +73,8 @@
 		return chooser.Leaving
 	case e.held(now):
 		return e.failure
+	case e.unready(now, cfg):
+		return chooser.Down
 	case e.failing() || !e.alive(now, cfg):
 		return chooser.Joining
 	default:
@@ -84,10 +89,30 @@
 	case chooser.Leaving:
 		return false
 	case chooser.Down:
-		return e.reported && !e.report.NotReady && e.measured.After(e.failed)
+		return e.reported && !e.report.NotReady && e.measured.After(e.failed) && e.report.Work > 0
 	default:
-		return !e.reported || !e.report.NotReady
+		return true
+	}
+}
+
+// stay takes back what was said of the leaving of an upstream that the list names as live again: no router asks it,
+// so that its own report would be heard of late. The load that it had when it left has ended since.
+func (e *entry) stay() {
+	e.refusing = time.Time{}
+	e.reported = false
+}
+
+// newsTime orders reports by what they are worth to others.
+func (e *entry) newsTime(now time.Time) time.Time {
+	if now.Sub(e.turned) < newsLife {
+		return e.measured.Add(newsLife)
 	}
+	return e.measured
+}
+
+// unready reports whether the newest word of the upstream is that its agent answers but it takes no work.
+func (e *entry) unready(now time.Time, cfg *Config) bool {
+	return e.reported && e.report.NotReady && e.measured.After(e.answered) && e.alive(now, cfg)
 }
 
 // held reports whether the wait after a failure still runs.
@@ -154,6 +179,9 @@
 		// The report itself then counts as a sign of life after the restart.
 		e.fail(chooser.Down, e.measured, now, true, cfg)
 	}
+	if e.reported && (r.NotReady != e.report.NotReady || r.Leaving != e.report.Leaving) {
+		e.turned = now
+	}
 	e.reported = true
 	e.report = *r
 	e.measured = measured
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -100,6 +100,9 @@
 		if h.Leaving && (!e.listed || !e.host.Leaving) {
 			change.Leaving = append(change.Leaving, h.Name)
 		}
+		if !h.Leaving && e.listed && e.host.Leaving {
+			e.stay()
+		}
 		e.host = h
 		e.listed = true
 	}
@@ -244,15 +247,17 @@
 			l.Work += e.report.Work
 			l.Queued += e.report.Queued
 			variance += t.drift.rate() * age.Seconds()
+			l.Trend += t.drift.trend() * age.Seconds()
 		}
 	}
 	l.Deviation = math.Sqrt(variance)
 	return l
 }
 
-// Freshest returns up to n reports that have not expired, the youngest first, with their ages as they are now.
-// They tell what agents said, so what this process alone observed is no part of them.
-func (t *Tracker) Freshest(n int, now time.Time) []encoder.LoadEntry {
+// Freshest returns up to n reports, without that of one upstream, that have not expired, with their ages as they are now. Those of upstreams that
+// lately became ready or ceased to be come first, then the youngest: an engine that nobody asks any more has no young
+// report, and yet all others must leave it out of the mean. They tell what agents said, so what this process alone observed is no part of them.
+func (t *Tracker) Freshest(n int, except string, now time.Time) []encoder.LoadEntry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n <= 0 {
@@ -260,14 +265,14 @@
 	}
 	best := make([]*entry, 0, min(n, len(t.sorted))+1)
 	for _, e := range t.sorted {
-		if _, ok := e.loadAge(now, &t.cfg); !ok || !e.visible(now, &t.cfg) {
+		if _, ok := e.loadAge(now, &t.cfg); !ok || e.host.Name == except || !e.visible(now, &t.cfg) {
 			continue
 		}
-		if len(best) == n && !e.measured.After(best[n-1].measured) {
+		if len(best) == n && !e.newsTime(now).After(best[n-1].newsTime(now)) {
 			continue
 		}
 		i := len(best)
-		for i > 0 && e.measured.After(best[i-1].measured) {
+		for i > 0 && e.newsTime(now).After(best[i-1].newsTime(now)) {
 			i--
 		}
 		best = slices.Insert(best, i, e)
--- a/tracker/types.go
+++ b/tracker/types.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// newsLife is the time for which a change of readiness is passed on before other reports, enough for several
+	// requests of each router.
+	newsLife = 3 * time.Second
 	// Upstreams of the first host list have most likely been up for long; a process that starts must not treat
 	// them all as cold while its peers know better.
 	assumedUptime = time.Hour
@@ -118,4 +121,30 @@
 	Members int
 	// Deviation is the standard deviation of Work from what runs now, since the reports are some time old.
 	Deviation float64
+	// Trend is the change of Work to expect since the reports.
+	Trend float64
+}
+
+const (
+	// confidence is the number of standard deviations by which a cautious process takes the pool's work to be lower than
+	// its table says.
+	confidence = 1.5
+	// maxMargin is the largest part of the pool's work that uncertainty may take away, so that agents that hear little
+	// of each other still fill their engines.
+	maxMargin = 0.2
+	// backlogShare is the queued work, as a part of the running, above which it counts as a backlog.
+	backlogShare = 0.2
+)
+
+// Cautious returns the work that the pool most likely runs at least, in tokens.
+func (l Load) Cautious() float64 {
+	margin := confidence*l.Deviation + max(0, -l.Trend)
+	return l.Work - min(margin, maxMargin*l.Work)
+}
+
+// Backlog returns the queued work that counts in the mean, in tokens. A few queued requests do not: with them the bound
+// on what runs would rise above that of the true mean. A backlog does: without it a pool that starts cold under full
+// load never fills its batches, since each agent waits for a mean that it knows late.
+func (l Load) Backlog() float64 {
+	return max(0, l.Queued-backlogShare*l.Work)
 }
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -74,7 +74,7 @@
 func (w *Watcher) entries() []encoder.LoadEntry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.tracker.Freshest(loadEntries, w.cfg.Now())
+	return w.tracker.Freshest(loadEntries, "", w.cfg.Now())
 }
 
 // pushTimeout bounds the telling of all peers of a pool, and pushAtOnce the connections at one time.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -187,11 +187,11 @@
 	w.tracker.Merge(entries, w.cfg.Now())
 }
 
-// Freshest returns the load entries to pass on.
-func (w *Watcher) Freshest() []encoder.LoadEntry {
+// Freshest returns the load entries to pass on to an agent, which knows its own, or from one.
+func (w *Watcher) Freshest(agent string) []encoder.LoadEntry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.tracker.Freshest(piggybackEntries, w.cfg.Now())
+	return w.tracker.Freshest(piggybackEntries, agent, w.cfg.Now())
 }
 
 func (w *Watcher) housekeep(ctx context.Context) error {
