--- a/agent/agent.go
+++ b/agent/agent.go
@@ -110,6 +110,8 @@
 	mu       sync.Mutex
 	retiring bool
 	leaving  bool
+	// stayed is when the agent last took its leaving back.
+	stayed   time.Time
 	requests sync.WaitGroup
 	running  atomic.Int64
 }
@@ -213,6 +215,9 @@
 func (a *Agent) Stay() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.leaving {
+		a.stayed = a.cfg.Now()
+	}
 	a.leaving, a.retiring = false, false
 }
 
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -93,7 +93,7 @@
 	if where.try != "" {
 		err := judge.Refuse(judge.ReasonElsewhere, "%s %s", where.try, where.reason)
 		r := g.refusalOf(err)
-		r.Try = where.try
+		r.Try, r.Moved = where.try, where.moved
 		return r, err
 	}
 	g.slot, err = a.acquire(ctx, where, admitter.Request{
@@ -103,7 +103,7 @@
 	})
 	if err != nil {
 		r := g.refusalOf(err)
-		r.Try = a.displace(env, cost, err)
+		r.Try, r.Moved = a.displace(env, cost, err), true
 		return r, err
 	}
 	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
--- a/agent/home.go
+++ b/agent/home.go
@@ -17,6 +17,8 @@
 	try string
 	// reason says why it is elsewhere.
 	reason string
+	// moved says that the chat has not run there before.
+	moved bool
 	// holds says that this engine holds the chat's prefix.
 	holds bool
 }
@@ -38,7 +40,7 @@
 	if known && at == a.cfg.Name {
 		return placement{holds: true}
 	}
-	if env.Last || !env.Home {
+	if env.Last || !env.Home && (!env.Advised || !known) {
 		return placement{}
 	}
 	view, cost := a.cfg.View(a.cfg.Pool), body.Cost()
@@ -48,33 +50,41 @@
 	if known && a.takes(view, at, cost, pool) {
 		return a.send(env, at, "holds the prefix of the chat")
 	}
-	if chooser.Even(own, pool.work, pool.n) {
+	if !env.Home || chooser.Even(own, pool.work, pool.n) {
 		return placement{}
 	}
 	if light := a.light(env.ChatKey, cost, pool, view); light != "" {
-		return a.send(env, light, "carries less than the mean")
+		p := a.send(env, light, "carries less than the mean")
+		p.moved = true
+		return p
 	}
 	return placement{}
 }
 
-// find returns where a chat's prefix is; what was in this engine before it last became ready is lost.
+// find returns where a chat's prefix is. What this agent knew before its engine last became ready, or before it took
+// back its leaving, has passed to the next agent in the chat's order.
 func (a *Agent) find(chat uint64) (upstream string, ok bool) {
 	upstream, since, ok := a.locator.Find(chat, a.cfg.Now())
-	if upstream == a.cfg.Name && since.Before(a.readySince()) {
+	if since.Before(a.servingSince()) {
 		return "", false
 	}
 	return upstream, ok
 }
 
-func (a *Agent) readySince() time.Time {
-	_, _, since := a.engineState.get()
-	return since
+// servingSince returns since when routers ask this agent first for its chats.
+func (a *Agent) servingSince() time.Time {
+	_, _, ready := a.engineState.get()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stayed.After(ready) {
+		return a.stayed
+	}
+	return ready
 }
 
-// second returns the agent that came first in a chat's order before this engine became ready, since the chat probably
-// ran there then.
+// second returns the agent that came first in a chat's order while this one took no work. It knows where the chat ran.
 func (a *Agent) second(chat uint64, cost float64, view []chooser.Upstream) (upstream string, ok bool) {
-	if a.cfg.Now().Sub(a.readySince()) > locator.DefaultLifetime {
+	if a.cfg.Now().Sub(a.servingSince()) > locator.DefaultLifetime {
 		return "", false
 	}
 	others := slices.DeleteFunc(slices.Clone(view), func(u chooser.Upstream) bool { return u.Name == a.cfg.Name })
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -204,6 +204,8 @@
 	Mark int `json:"mark,omitempty"`
 	// Try names the upstream that the router should try next.
 	Try string `json:"try,omitempty"`
+	// Moved says that the chat moves to Try with this request; otherwise it ran there before.
+	Moved bool `json:"moved,omitempty"`
 }
 
 // RefusalError is the customary error object of the chat-completions shape, with a verdict.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,8 @@
 	Mark int
 	// Try names the upstream that the agent advises to try next.
 	Try string
+	// Moved says that the chat moves to Try with this request.
+	Moved bool
 	// Answered says that the agent itself gave the refusal.
 	Answered bool
 }
@@ -321,5 +323,5 @@
 	}
 	judged := r.Judged()
 	judged.Err = fmt.Errorf("%w", judged.Err)
-	return &Failure{Cause: judged, Mark: r.Mark, Try: r.Try, Answered: true}
+	return &Failure{Cause: judged, Mark: r.Mark, Try: r.Try, Moved: r.Moved, Answered: true}
 }
--- a/router/chat.go
+++ b/router/chat.go
@@ -49,6 +49,10 @@
 	advised string
 	// home is the first agent that refused, which keeps where the chat runs, and homeAdvice the upstream it named.
 	home, homeAdvice string
+	// second is the next agent in the chat's order, which is asked first when the first one is gone.
+	second string
+	// moved says that the chat runs for the first time where it runs now.
+	moved bool
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -182,7 +186,7 @@
 	begin := func(h http.Header) {
 		t.env.Version = h.Get(encoder.VersionHeader)
 		r.cfg.Observe(tracker.Observation{Upstream: c.Name, Outcome: tracker.Answered})
-		t.tellHome(ctx, c.Name)
+		t.tellPlace(ctx, c.Name)
 	}
 	return r.agents.Chat(ctx, address, t.env, t.body, begin, func(ev encoder.Event) error {
 		if err := t.emit(ev); err != nil {
@@ -196,16 +200,26 @@
 	})
 }
 
-// placeTimeout bounds the message to the first agent, which nobody waits for.
+// placeTimeout bounds the message on a chat's place, which nobody waits for.
 const placeTimeout = time.Second
 
-// tellHome tells the first agent in the chat's order which engine runs the chat, if it is not the one that it named.
-func (t *chatRoute) tellHome(ctx context.Context, holder string) {
-	if t.home == "" || holder == t.home || holder == t.homeAdvice {
+// tellPlace tells the agents that will be asked for the chat's next turn which engine runs it, unless they know.
+func (t *chatRoute) tellPlace(ctx context.Context, holder string) {
+	if t.home == "" || holder == t.home {
 		return
 	}
+	surprise := holder != t.homeAdvice
+	if surprise {
+		t.tell(ctx, t.home, holder)
+	}
+	if (surprise || t.moved) && t.second != "" && t.second != holder {
+		t.tell(ctx, t.second, holder)
+	}
+}
+
+func (t *chatRoute) tell(ctx context.Context, agent, holder string) {
 	r := t.router
-	address, ok := r.cfg.Address(t.home)
+	address, ok := r.cfg.Address(agent)
 	if !ok {
 		return
 	}
@@ -214,7 +228,7 @@
 	go func() {
 		defer cancel()
 		if err := r.agents.Place(ctx, address, env); err != nil {
-			r.cfg.Log.Debug("place_failed", "request", env.RequestID, "error", err)
+			r.cfg.Log.Debug("place_failed", "request", env.RequestID, "agent", agent, "error", err)
 		}
 	}()
 }
@@ -248,7 +262,10 @@
 	if outOfRoom(f.Cause.Reason) {
 		t.refused = append(t.refused, c.Name)
 		if t.env.Home {
-			t.home, t.homeAdvice = c.Name, f.Try
+			t.home, t.homeAdvice, t.moved = c.Name, f.Try, f.Moved
+			if len(t.order) > 0 {
+				t.second = t.order[0].Name
+			}
 		}
 		t.advise(f.Try)
 		return !t.env.Last, f.Cause
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -83,13 +83,15 @@
 }
 
 // carries reports whether the upstream counts in the mean load. One that is held back after a restart does as soon as
-// it reports that it is ready: without it, the others would take the mean for higher than it is.
+// it carries work or is soon eligible: others may have seen it fail earlier and use it already, and without it the mean
+// would seem higher than it is.
 func (e *entry) carries(now time.Time, cfg *Config) bool {
 	switch e.state(now, cfg) {
 	case chooser.Leaving:
 		return false
 	case chooser.Down:
-		return e.reported && !e.report.NotReady && e.measured.After(e.failed) && e.report.Work > 0
+		ready := e.reported && !e.report.NotReady && e.measured.After(e.failed)
+		return ready && (e.report.Work > 0 || e.eligible.Sub(now) <= cfg.MinWait/2)
 	default:
 		return true
 	}
