--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -61,12 +62,18 @@
 	Horizon time.Duration
 	// TicketLifetime is the time for which a ticket may be used.
 	TicketLifetime time.Duration
+	// Admission is the rule of admission; zero means the standard one, and the others are baselines for measures.
+	Admission admitter.Policy
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
 
 	Snapshot func() *configurer.Snapshot
 	// Confirmed returns when the platform last confirmed the configuration in force.
 	Confirmed func() time.Time
+	// Opened returns since when the fleet has been old enough for orders with callers' own keys, and its first configuration.
+	Opened func() (time.Time, configurer.Pair)
+	// LearnFleet takes what a router knows of the past of the fleet.
+	LearnFleet func(encoder.Fleet)
 	// Others returns the known load of a pool without this agent's own.
 	Others func(pool, self string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
@@ -75,6 +82,8 @@
 	Merge func([]encoder.LoadEntry)
 	// Freshest returns load entries to pass on.
 	Freshest func() []encoder.LoadEntry
+	// CountControl counts the bytes of control traffic; nil counts nothing.
+	CountControl func(sent, received int)
 	// OnCrash is called when a request may have crashed the engine, so that peers hear of the marks soon; it must not block.
 	OnCrash func()
 	// DialUpstream opens connections to the upstream; nil means the network's own.
@@ -93,6 +102,7 @@
 	engine      *engine.Client
 	engineState *engineState
 	gate        *gate
+	credit      *credit
 	recorder    *recorder.Recorder
 	suspects    *suspects
 	ledger      *ticketer.Ledger
@@ -114,6 +124,8 @@
 	stayed   time.Time
 	requests sync.WaitGroup
 	running  atomic.Int64
+	// lastOrder is when the last ticket or order came.
+	lastOrder atomic.Pointer[time.Time]
 }
 
 // New returns an agent; Run keeps it, and its handler serves routers.
@@ -126,8 +138,9 @@
 	a.lifetime, a.end = context.WithCancel(context.Background())
 	a.engine = engine.New(engine.Config{Address: cfg.Upstream, Dial: cfg.DialUpstream, IdleTimeout: cfg.StreamIdle})
 	a.gate = newGate(admitter.Config{
-		Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
+		Policy: cfg.Admission, Slots: cfg.Slots, MaxQueueWork: cfg.QueueWork, MaxQueueTime: cfg.QueueTime, PauseWithinRank: true,
 	}, cfg.Log, cfg.Now, a.limit)
+	a.credit = &credit{log: cfg.Log, view: cfg.View}
 	return a, a.buildMemory()
 }
 
@@ -138,6 +151,9 @@
 	if cfg.OnCrash == nil {
 		cfg.OnCrash = func() {}
 	}
+	if cfg.LearnFleet == nil {
+		cfg.LearnFleet = func(encoder.Fleet) {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -162,6 +178,8 @@
 	g, ctx := errgroup.WithContext(ctx)
 	if a.cfg.Kind == KindEngine {
 		g.Go(func() error { return a.pollEngine(ctx) })
+		g.Go(func() error { return a.place(ctx) })
+		g.Go(func() error { return a.watchCredit(ctx) })
 	}
 	return g.Wait()
 }
@@ -185,6 +203,7 @@
 // SetSnapshot takes a configuration that came into force.
 func (a *Agent) SetSnapshot(s *configurer.Snapshot) {
 	a.gate.setRanks(s.Ranks)
+	a.credit.setSnapshot(a.cfg.Now(), a.cfg.Pool, s)
 }
 
 // Retire tells routers that the agent is about to leave, while it still takes the work that is on its way.
@@ -234,7 +253,26 @@
 		return true
 	}
 	status, alive, _ := a.engineState.get()
-	return alive && status.Ready
+	return alive && status.Ready && !a.engineState.isChanging()
+}
+
+// Alarms returns the conditions that need an operator.
+func (a *Agent) Alarms() []string {
+	return a.credit.check(a.cfg.Now())
+}
+
+// watchCredit logs the alarms of the pool's account until ctx ends.
+func (a *Agent) watchCredit(ctx context.Context) error {
+	t := time.NewTicker(creditCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.Alarms()
+		}
+	}
 }
 
 // Running returns the number of requests in progress.
@@ -252,6 +290,26 @@
 	}()
 	select {
 	case <-done:
+		return a.linger(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// orderLinger is how long a drained agent still answers repeats after its last order. Callers that lost an answer
+// repeat within seconds, and after the agent has gone nobody can tell them whether the order ran.
+const orderLinger = 5 * time.Second
+
+// linger waits until callers have had time to repeat their last orders.
+func (a *Agent) linger(ctx context.Context) error {
+	last := a.lastOrder.Load()
+	if last == nil {
+		return nil
+	}
+	t := time.NewTimer(last.Add(orderLinger).Sub(a.cfg.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -298,7 +356,9 @@
 	if err != nil {
 		return env, judge.Refuse(judge.ReasonInvalid, "%w", err)
 	}
+	a.countControl(0, encoder.LoadBytes(env.Load))
 	a.cfg.Merge(env.Load)
+	a.cfg.LearnFleet(env.Fleet)
 	return env, nil
 }
 
@@ -312,13 +372,31 @@
 	a.cfg.Log.Info("refused", "request", env.RequestID, "organisation", env.Organisation, "rank", env.Rank,
 		"reason", r.Error.Code, "verdict", r.Error.Verdict, "mark", r.Mark, "try", r.Try, "error", err)
 	metrics.GetOrRegisterCounter("refused_"+string(r.Error.Code), a.cfg.Metrics).Inc(1)
-	w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	a.setReport(w.Header(), a.report(env))
 	r.Write(w)
 }
 
-// report returns the agent's own load entry and a few of others.
-func (a *Agent) report() encoder.Report {
-	return encoder.Report{Self: a.Entry(), Load: a.cfg.Freshest()}
+// report returns the agent's own load entry and a few of others. It holds no more of them than the envelope, which
+// has as many as the router's budget has room for.
+func (a *Agent) report(env encoder.Envelope) encoder.Report {
+	r := encoder.Report{Self: a.Entry()}
+	if len(env.Load) > 0 {
+		load := a.cfg.Freshest()
+		r.Load = load[:min(len(load), len(env.Load))]
+	}
+	return r
+}
+
+// setReport puts a report into a header or trailer and counts it.
+func (a *Agent) setReport(h http.Header, r encoder.Report) {
+	h.Set(encoder.ReportHeader, encoder.EncodeHeader(r))
+	a.countControl(encoder.ReportBytes(h), 0)
+}
+
+func (a *Agent) countControl(sent, received int) {
+	if a.cfg.CountControl != nil {
+		a.cfg.CountControl(sent, received)
+	}
 }
 
 // Entry returns the agent's own load entry.
@@ -332,12 +410,20 @@
 	if a.cfg.Kind == KindEngine {
 		status, _, since := a.engineState.get()
 		e.Version = status.Version
-		e.NotReady = !a.Ready()
-		e.UptimeMS = now.Sub(since).Milliseconds()
+		// Routers take an uptime of 0 for an upstream that cannot take work now.
+		e.UptimeMS = 0
+		if a.Ready() {
+			e.UptimeMS = max(now.Sub(since).Milliseconds(), 1)
+		}
 	}
 	return e
 }
 
+// controller names this incarnation to the engine.
+func (a *Agent) controller() string {
+	return fmt.Sprintf("%s.%x", a.cfg.Name, a.incarnation)
+}
+
 // newStreamID returns the identity of a new stream.
 func (a *Agent) newStreamID() encoder.StreamID {
 	return encoder.StreamID{Agent: a.cfg.Name, Incarnation: a.incarnation, Serial: a.serial.Add(1)}
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -24,15 +24,18 @@
 	body        encoder.ChatRequest
 	fingerprint quarantiner.Fingerprint
 	// marked says that the request was in flight at a crash, and trial is its present run at the engine.
-	marked bool
-	trial  trial
-	slot   *slot
-	stream *recorder.Stream
-	id     encoder.StreamID
+	marked  bool
+	trial   trial
+	slot    *slot
+	payment payment
+	stream  *recorder.Stream
+	id      encoder.StreamID
 	// offset is the number of events of the answer so far, with those that the router had before.
 	offset int
-	// tokens counts the events that this agent's engine emitted.
-	tokens int
+	// tokens counts the events that this agent's engine emitted, and before those of them before the last pause.
+	tokens, before int
+	// paused says that the request has been paused; its prompt was counted then.
+	paused bool
 }
 
 // serveChat runs a chat request and follows its stream.
@@ -55,7 +58,7 @@
 		return
 	}
 	beat.report(a.Entry())
-	a.follow(beat, r, g.id, g.stream, env.Offset, g.refusalOf)
+	a.follow(beat, r, g.id, g.stream, env, g.refusalOf)
 }
 
 // startGeneration admits a request and starts it at the engine.
@@ -89,24 +92,29 @@
 		return g.refusalOf(err), err
 	}
 	cost := g.body.Cost()
-	where := a.place(env, g.body)
+	where := a.direct(env, g.body)
 	if where.try != "" {
 		err := judge.Refuse(judge.ReasonElsewhere, "%s %s", where.try, where.reason)
 		r := g.refusalOf(err)
 		r.Try, r.Moved = where.try, where.moved
 		return r, err
 	}
+	if g.payment, err = a.credit.pay(a.cfg.Now(), env.Rank, cost); err != nil {
+		return g.refusalOf(err), err
+	}
 	g.slot, err = a.acquire(ctx, where, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
 		// A refusal for load would change the order of the agents that a marked request meets.
 		Cost: cost, Deadline: env.Deadline(), Last: env.Last || marked, Suspect: marked,
 	})
 	if err != nil {
+		g.payment.settle(a.cfg.Now(), 0)
 		r := g.refusalOf(err)
 		r.Try, r.Moved = a.displace(env, cost, err), true
 		return r, err
 	}
 	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
+		g.payment.settle(a.cfg.Now(), 0)
 		g.slot.done(0)
 		return g.refusalOf(err), err
 	}
@@ -139,6 +147,7 @@
 	}
 	err = g.conclude(err)
 	g.slot.done(g.workDone())
+	g.payment.settle(a.cfg.Now(), float64(g.body.PromptTokens()+g.tokens))
 	g.stream.Close(err)
 	a.cfg.Log.Info("generated", "request", g.env.RequestID, "organisation", g.env.Organisation, "rank", g.env.Rank,
 		"stream", g.id.String(), "events", g.tokens, "offset", g.offset, "error", err)
@@ -146,6 +155,7 @@
 
 // resume waits for a slot to go on after a pause.
 func (g *generation) resume(ctx context.Context) error {
+	g.before, g.paused = g.tokens, true
 	g.agent.suspects.end(g.trial, false)
 	if err := g.slot.pause(ctx, g.workLeft()); err != nil {
 		return err
@@ -177,7 +187,7 @@
 		_ = a.engine.Cancel(a.lifetime, g.body.RequestID)
 		return true, nil
 	}
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errFrozen) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errFrozen) || errors.Is(cause, errVersionChange)) {
 		return false, cause
 	}
 	return false, err
@@ -198,6 +208,9 @@
 
 // workDone returns the work that the engine did since the request last started, in tokens.
 func (g *generation) workDone() float64 {
+	if g.paused {
+		return float64(g.tokens - g.before)
+	}
 	return float64(g.body.PromptTokens() + g.tokens)
 }
 
@@ -215,18 +228,18 @@
 	return err
 }
 
-// follow writes the events of a stream after an offset until it ends or the router leaves.
-func (a *Agent) follow(beat *heartbeat, r *http.Request, id encoder.StreamID, s *recorder.Stream, offset int, refusal func(error) encoder.Refusal) {
+// follow writes the events of a stream after the offset of the envelope until it ends or the router leaves.
+func (a *Agent) follow(beat *heartbeat, r *http.Request, id encoder.StreamID, s *recorder.Stream, env encoder.Envelope, refusal func(error) encoder.Refusal) {
 	a.abandon.join(s)
 	defer a.abandon.leave(s)
 	defer beat.stop()
 	w := beat.w
 	started := false
-	err := s.ReadFrom(r.Context(), offset, func(ev encoder.Event) error {
+	err := s.ReadFrom(r.Context(), env.Offset, func(ev encoder.Event) error {
 		if !started {
 			started = true
 			beat.stop()
-			a.writeStreamHeader(w, id)
+			a.writeStreamHeader(w, id, env)
 		}
 		if err := encoder.WriteEvent(w, ev); err != nil {
 			return err
@@ -236,21 +249,22 @@
 	beat.stop()
 	switch {
 	case err == nil:
-		w.Header().Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+		// The entries of others went with the header; only the agent's own load is new.
+		a.setReport(w.Header(), encoder.Report{Self: a.Entry()})
 	case r.Context().Err() != nil:
 	case !started:
-		a.refuseWith(w, encoder.Envelope{}, refusal(err), err)
+		a.refuseWith(w, env, refusal(err), err)
 	default:
 		_ = encoder.WriteErrorEvent(w, refusal(err))
 	}
 }
 
-func (a *Agent) writeStreamHeader(w http.ResponseWriter, id encoder.StreamID) {
+func (a *Agent) writeStreamHeader(w http.ResponseWriter, id encoder.StreamID, env encoder.Envelope) {
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set(encoder.StreamHeader, id.String())
 	h.Set(encoder.VersionHeader, a.engineState.version())
-	h.Set(encoder.ReportHeader, encoder.EncodeHeader(a.report()))
+	a.setReport(h, a.report(env))
 	// The load is lower after the answer, so the report is sent again in the trailer.
 	h.Set("Trailer", encoder.ReportHeader)
 	w.WriteHeader(http.StatusOK)
@@ -277,5 +291,5 @@
 		a.refuse(w, env, judge.Refuse(judge.ReasonNotFound, "no stream %s of organisation %s", id, env.Organisation))
 		return
 	}
-	a.follow(startHeartbeat(w), r, id, s, env.Offset, encoder.NewRefusal)
+	a.follow(startHeartbeat(w), r, id, s, env, encoder.NewRefusal)
 }
--- a/agent/defer.go
+++ b/agent/defer.go
@@ -19,7 +19,7 @@
 
 // acquire asks for a slot. A request whose prefix is here waits a little for room within the load bound, because the
 // prefill at another engine usually takes longer than the wait.
-func (a *Agent) acquire(ctx context.Context, where placement, r admitter.Request) (*slot, error) {
+func (a *Agent) acquire(ctx context.Context, where destination, r admitter.Request) (*slot, error) {
 	s, err := a.gate.acquire(ctx, r)
 	if !where.holds || r.Last || judge.ReasonOf(err) != judge.ReasonBound {
 		return s, err
--- a/agent/home.go
+++ b/agent/home.go
@@ -11,8 +11,8 @@
 	"clementineramp/locator"
 )
 
-// placement is what an agent decides on a chat request before it asks for a slot.
-type placement struct {
+// destination is what an agent decides on a chat request before it asks for a slot.
+type destination struct {
 	// try names the upstream that should run the request instead, and is empty if this one should.
 	try string
 	// reason says why it is elsewhere.
@@ -23,25 +23,25 @@
 	holds bool
 }
 
-// place decides where a chat request should run, and logs the decision.
-func (a *Agent) place(env encoder.Envelope, body encoder.ChatRequest) placement {
+// direct decides where a chat request should run, and logs the decision.
+func (a *Agent) direct(env encoder.Envelope, body encoder.ChatRequest) destination {
 	own := a.gate.work()
 	pool := a.pool(own)
 	p := a.locate(env, body, own, pool)
-	a.cfg.Log.Info("place", "request", env.RequestID, "chat", env.ChatKey, "attempt", env.Attempt, "advised", env.Advised,
+	a.cfg.Log.Info("direct", "request", env.RequestID, "chat", env.ChatKey, "attempt", env.Attempt, "advised", env.Advised,
 		"holds", p.holds, "try", p.try, "reason", p.reason, "work", own, "cost", body.Cost(), "mean", pool.work/float64(pool.n))
 	return p
 }
 
 // locate decides where a chat request should run: where its prefix is if there may be room, and otherwise where the
 // load is at or below the mean, so that the room above the mean is left to chats that return.
-func (a *Agent) locate(env encoder.Envelope, body encoder.ChatRequest, own float64, pool poolLoad) placement {
+func (a *Agent) locate(env encoder.Envelope, body encoder.ChatRequest, own float64, pool poolLoad) destination {
 	at, known := a.find(env.ChatKey)
 	if known && at == a.cfg.Name {
-		return placement{holds: true}
+		return destination{holds: true}
 	}
 	if env.Last || !env.Home && (!env.Advised || !known) {
-		return placement{}
+		return destination{}
 	}
 	view, cost := a.cfg.View(a.cfg.Pool), body.Cost()
 	if !known && body.Returning() {
@@ -51,14 +51,14 @@
 		return a.send(env, at, "holds the prefix of the chat")
 	}
 	if !env.Home || chooser.Even(own, pool.work, pool.n) {
-		return placement{}
+		return destination{}
 	}
 	if light := a.light(env.ChatKey, cost, pool, view); light != "" {
 		p := a.send(env, light, "carries less than the mean")
 		p.moved = true
 		return p
 	}
-	return placement{}
+	return destination{}
 }
 
 // find returns where a chat's prefix is. What this agent knew before its engine last became ready, or before it took
@@ -96,9 +96,9 @@
 }
 
 // send names another engine for a chat and remembers it.
-func (a *Agent) send(env encoder.Envelope, upstream, reason string) placement {
+func (a *Agent) send(env encoder.Envelope, upstream, reason string) destination {
 	a.locator.Place(env.ChatKey, upstream, a.cfg.Now())
-	return placement{try: upstream, reason: reason}
+	return destination{try: upstream, reason: reason}
 }
 
 // nearBound is the multiple of the limit up to which a holder of a prefix is asked, since it may have room by then or
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/admitter"
 	"clementineramp/chooser"
 	"clementineramp/compiler"
 	"clementineramp/launcher"
@@ -55,12 +56,20 @@
 	Workers int
 	// Engine is the template of the stand-in engines.
 	Engine standin.EngineConfig
+	// Organisations lists the customers; nil means those of the demonstration.
+	Organisations []Organisation
+	// QueueWork bounds the waiting work of a rank at an agent, in tokens; zero means the default.
+	QueueWork int
+	// Admission is the rule by which agents admit requests.
+	Admission admitter.Policy
 	// Policy is the routing policy of the routers; the zero value is the one in service.
 	Policy chooser.Policy
 	// Log receives the log lines of all processes.
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
 	Settings func(role, name string) string
+	// Network returns the network of a process; nil means the system's own.
+	Network func(name string) launcher.Network
 }
 
 // Fleet is a platform, engines, a plain service, agents and routers on loopback.
@@ -95,7 +104,7 @@
 	if f.PlatformServer, err = standin.Start("", f.Platform.Handler()); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := f.publish(1); err != nil {
+	if err := f.Publish(1, Version); err != nil {
 		return err
 	}
 	for i := range f.cfg.Engines {
@@ -138,8 +147,11 @@
 		return trace.Wrap(err)
 	}
 	f.Engines = append(f.Engines, e)
-	slots := max(cfg.Slots, 1)
-	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d}`, Pool, e.Address(), slots)
+	slots, queueWork := max(cfg.Slots, 1), ""
+	if f.cfg.QueueWork > 0 {
+		queueWork = fmt.Sprintf(`, "queue_work": %d`, f.cfg.QueueWork)
+	}
+	upstream := fmt.Sprintf(`"upstream": {"kind": "engine", "name": %q, "address": %q, "slots": %d%s}`, Pool, e.Address(), slots, queueWork)
 	p, err := f.startProcess("agent", cfg.Name, i, upstream)
 	f.Agents = append(f.Agents, p)
 	return err
@@ -184,7 +196,11 @@
 		out = io.Discard
 	}
 	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(name)
-	p, err := launcher.NewBaseline(cfg, log, launcher.Network{}, f.cfg.Policy)
+	var network launcher.Network
+	if f.cfg.Network != nil {
+		network = f.cfg.Network(name)
+	}
+	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Routing: f.cfg.Policy, Network: network})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -213,28 +229,34 @@
 	f.Platform.SetHosts(f.hosts)
 }
 
-// sheet returns the sheet of the fleet in a version.
-func (f *Fleet) sheet(version uint64) string {
+// sheet returns a version of the fleet's sheet that places a model version.
+func (f *Fleet) sheet(version uint64, modelVersion string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version,number\nversion,%d\n", version)
 	b.WriteString("rank,name,target,worth,share\nrank,urgent,440ms,100,0.5\nrank,normal,2s,10,0.2\nrank,batch,1m,1,0.1\n")
-	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, Version)
+	fmt.Fprintf(&b, "pool,name,model,version,floor,account\npool,%s,%s,%s,0.5,\n", Pool, Model, modelVersion)
 	workers := make([]string, f.cfg.Workers)
 	for i := range workers {
 		workers[i] = WorkerName(i)
 	}
-	fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	if len(workers) > 0 {
+		fmt.Fprintf(&b, "service,name,workers,horizon\nservice,%s,%s,10m\n", Service, strings.Join(workers, " "))
+	}
 	b.WriteString("organisation,name,key_hash,rank,ranks,weight\n")
-	for _, o := range Organisations {
+	organisations := f.cfg.Organisations
+	if organisations == nil {
+		organisations = Organisations
+	}
+	for _, o := range organisations {
 		sum := sha256.Sum256([]byte(o.Key))
 		fmt.Fprintf(&b, "organisation,%s,%s,%s,,1\n", o.Name, hex.EncodeToString(sum[:]), o.Rank)
 	}
 	return b.String()
 }
 
-// publish puts a version of the configuration at the platform.
-func (f *Fleet) publish(version uint64) error {
-	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version))})
+// Publish puts a version of the configuration at the platform, with the model version that the pool should carry.
+func (f *Fleet) Publish(version uint64, modelVersion string) error {
+	s, err := compiler.Compile(compiler.Source{Name: "demo.csv", Data: []byte(f.sheet(version, modelVersion))})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -30,6 +30,9 @@
 	AnswerHeader = "Clementine-Answer"
 )
 
+// maxNameBytes bounds the name of a process.
+const maxNameBytes = 256
+
 // maxHeaderBytes bounds a decoded header, so that a faulty peer cannot make a process allocate without limit.
 const maxHeaderBytes = 16 << 10
 
@@ -63,6 +66,8 @@
 	Key string `json:"key,omitempty"`
 	// ConfigVersion is the version of the configuration by which the router chose the agent.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// Fleet is what the router knows of the past of the fleet; it is sent with orders only.
+	Fleet Fleet `json:"fleet,omitzero"`
 	// Load holds the freshest entries of the sender's load table.
 	Load []LoadEntry `json:"load,omitempty"`
 }
@@ -84,6 +89,9 @@
 	case e.Mark < 0:
 		return fmt.Errorf("field mark is %d, want 0 or more", e.Mark)
 	}
+	if err := e.Fleet.Check(); err != nil {
+		return err
+	}
 	return checkLoad(e.Load)
 }
 
@@ -98,11 +106,9 @@
 	Queued float64 `json:"b,omitempty"`
 	// AgeMS is the time since the agent measured it, in milliseconds.
 	AgeMS int64 `json:"a"`
-	// UptimeMS is the time since the upstream became ready, in milliseconds.
+	// UptimeMS is the time since the upstream became ready, in milliseconds; 0 means that it is not ready.
 	UptimeMS int64 `json:"t"`
 	Leaving  bool  `json:"l,omitempty"`
-	// NotReady says that the upstream cannot take work now, though its agent answers.
-	NotReady bool `json:"n,omitempty"`
 	// Version is the model version that is ready in the engine.
 	Version string `json:"v,omitempty"`
 }
@@ -116,6 +122,30 @@
 	return nil
 }
 
+// LoadBytes returns the size of load entries in a header; an envelope is control traffic for these bytes only.
+func LoadBytes(entries []LoadEntry) int {
+	if len(entries) == 0 {
+		return 0
+	}
+	b, err := json.Marshal(entries)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
+
+// reportLine is the size of the name of a report's header with its separators, in bytes.
+const reportLine = len(ReportHeader) + len(": \r\n")
+
+// ReportBytes returns the size of the report in a header or trailer; 0 means that there is none.
+func ReportBytes(h http.Header) int {
+	n := len(h.Get(ReportHeader))
+	if n == 0 {
+		return 0
+	}
+	return n + reportLine
+}
+
 // Report accompanies an answer or refusal from an agent to a router.
 type Report struct {
 	Self LoadEntry   `json:"self"`
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,7 +43,7 @@
 	// OnReport receives the report of each answer and refusal.
 	OnReport func(encoder.Report)
 	// Count receives the number of control bytes sent and received.
-	Count func(bytes int)
+	Count func(sent, received int)
 }
 
 // Client sends requests to agents.
@@ -69,14 +69,14 @@
 		cfg.OnReport = func(encoder.Report) {}
 	}
 	if cfg.Count == nil {
-		cfg.Count = func(int) {}
+		cfg.Count = func(int, int) {}
 	}
 	return &Client{
 		cfg: cfg,
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		}},
-		single: &http.Client{Transport: &http.Transport{
+		single: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, DisableKeepAlives: true, DisableCompression: true,
 		}},
 	}
@@ -230,11 +230,7 @@
 	if err != nil {
 		return Order{}, &Failure{Cause: judge.Doubt(judge.ReasonBroken, "agent: %w", err)}
 	}
-	h := resp.Header.Clone()
-	for _, name := range []string{encoder.AnswerHeader, encoder.ReportHeader, "Connection", "Date", "Content-Length"} {
-		h.Del(name)
-	}
-	return Order{Status: resp.StatusCode, Header: h, Body: b}, nil
+	return Order{Status: resp.StatusCode, Header: encoder.EndToEnd(resp.Header), Body: b}, nil
 }
 
 // Ticket asks an agent for a ticket and decodes it into out.
@@ -276,31 +272,19 @@
 	if err != nil {
 		return nil, sendFailure(ctx, err)
 	}
-	c.cfg.Count(loadBytes(env))
+	c.cfg.Count(encoder.LoadBytes(env.Load), 0)
 	c.takeReport(resp.Header)
 	return resp, nil
 }
 
 // takeReport counts and passes on the report in a header or trailer.
 func (c *Client) takeReport(h http.Header) {
-	c.cfg.Count(len(h.Get(encoder.ReportHeader)))
+	c.cfg.Count(0, encoder.ReportBytes(h))
 	if report, err := encoder.DecodeHeader[encoder.Report](h, encoder.ReportHeader); err == nil {
 		c.cfg.OnReport(report)
 	}
 }
 
-// loadBytes returns the part of an envelope that is control traffic, in bytes.
-func loadBytes(env encoder.Envelope) int {
-	if len(env.Load) == 0 {
-		return 0
-	}
-	b, err := json.Marshal(env.Load)
-	if err != nil {
-		return 0
-	}
-	return len(b)
-}
-
 func sendFailure(ctx context.Context, err error) *Failure {
 	var op *net.OpError
 	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -32,10 +32,11 @@
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
-			SkipFactor: noSkip, Policy: p.policy,
+			SkipFactor: noSkip, Policy: p.routing,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
-		Snapshot: w.Snapshot, View: w.View, Address: w.Address, Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
+		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, KnowsHosts: w.KnowsHosts, Address: w.Address,
+		Observe: w.Observe, Merge: w.Merge, Freshest: w.Freshest,
 		CountControl: w.CountControl,
 		Forwarder:    forwarder.Config{Dial: p.network.Dial},
 		Retries:      retries, Log: p.log, Metrics: p.registry,
@@ -48,9 +49,11 @@
 		Name: p.cfg.Name, Pool: u.Name, Kind: agent.Kind(u.Kind), Upstream: u.Address.String(),
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
-		StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
-		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Others: w.Others, View: w.View, Merge: w.Merge,
+		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
+		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
+		Others: w.Others, View: w.View, Merge: w.Merge,
 		Freshest:     func() []encoder.LoadEntry { return w.Freshest(p.cfg.Name) },
+		CountControl: w.CountControl,
 		OnCrash:      func() { w.PushMarks(u.Name) },
 		DialUpstream: p.network.Dial, Log: p.log, Metrics: p.registry,
 	}
@@ -63,6 +66,9 @@
 		Incarnation: p.incarn, State: p.State(), UptimeMS: time.Since(p.started).Milliseconds(), Running: p.role.running(),
 	}
 	s.Alarms = p.watcher.Alarms()
+	if p.role.alarms != nil {
+		s.Alarms = append(s.Alarms, p.role.alarms()...)
+	}
 	totals := p.budget.Totals()
 	if seconds := time.Since(p.started).Seconds(); seconds > 0 {
 		s.ControlBytesPerSecond = float64(totals.Sent+totals.Received) / seconds
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"clementineramp/admitter"
 	"clementineramp/agent"
 	"clementineramp/chooser"
 	"clementineramp/configurer"
@@ -64,19 +65,22 @@
 	close   func()
 	// ready reports whether the upstream beside the process can take work; nil means that there is none.
 	ready func() bool
+	// alarms returns the conditions that need an operator; nil means that there are none.
+	alarms func() []string
 }
 
 // Process is one daemon.
 type Process struct {
-	cfg      *loader.Settings
-	network  Network
-	policy   chooser.Policy
-	log      hclog.Logger
-	registry metrics.Registry
-	watcher  *watcher.Watcher
-	role     role
-	started  time.Time
-	incarn   uint64
+	cfg       *loader.Settings
+	network   Network
+	admission admitter.Policy
+	routing   chooser.Policy
+	log       hclog.Logger
+	registry  metrics.Registry
+	watcher   *watcher.Watcher
+	role      role
+	started   time.Time
+	incarn    uint64
 
 	listener         net.Listener
 	controlListener  net.Listener
@@ -89,16 +93,27 @@
 	drain   sync.Once
 }
 
+// Options are the parts of a process that tests and measures replace; zero fields mean the standard ones.
+type Options struct {
+	Network Network
+	// Admission is the rule by which an agent admits requests.
+	Admission admitter.Policy
+	// Routing is the policy by which a router chooses agents.
+	Routing chooser.Policy
+}
+
 // New binds the addresses of a daemon; Run serves them.
 func New(cfg *loader.Settings, log hclog.Logger, network Network) (*Process, error) {
-	return NewBaseline(cfg, log, network, chooser.Rendezvous)
+	return NewWith(cfg, log, Options{Network: network})
 }
 
-// NewBaseline is New with another routing policy, as a baseline of a measurement.
-func NewBaseline(cfg *loader.Settings, log hclog.Logger, network Network, policy chooser.Policy) (*Process, error) {
+// NewWith binds the addresses of a daemon with replaced parts; Run serves them.
+func NewWith(cfg *loader.Settings, log hclog.Logger, options Options) (*Process, error) {
+	network := options.Network
 	network.setDefaults()
 	p := &Process{
-		cfg: cfg, network: network, policy: policy, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		admission: options.Admission, routing: options.Routing,
+		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
@@ -164,7 +179,7 @@
 		},
 		Platform: platform.New(platform.Config{
 			Addresses: texts(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
-			Count: func(n int) { p.watcher.CountControl(n) },
+			Count: func(sent, received int) { p.watcher.CountControl(sent, received) },
 		}),
 		Peers: texts(p.cfg.Peers), SharedKey: p.cfg.SharedKey.Reveal(), Budget: p.budget, Dial: p.network.Dial,
 		Log: p.log, Metrics: p.registry,
@@ -227,6 +242,7 @@
 	p.incarn = a.Incarnation()
 	p.role = role{
 		handler: a.Handler(), run: a.Run, retire: a.Retire, leave: a.Leave, drain: a.Drain, running: a.Running, close: a.Close, ready: a.Ready,
+		alarms: a.Alarms,
 		server: &http.Server{Handler: a.Handler(), ReadHeaderTimeout: p.cfg.Limits.HeaderTime, IdleTimeout: p.cfg.Limits.IdleTime},
 	}
 	return nil
@@ -319,11 +335,12 @@
 	p.state = s
 }
 
-// State returns how far the process is in its life.
+// State returns how far the process is in its life. A router is ready only once it knows the hosts, since it could
+// answer no request before.
 func (p *Process) State() operator.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == operator.StateStarting {
+	if p.state == operator.StateStarting && (p.cfg.Role != loader.RoleRouter || p.watcher.KnowsHosts()) {
 		select {
 		case <-p.watcher.Ready():
 			p.state = operator.StateReady
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -25,6 +25,11 @@
 		{"reuse", "cache reuse of returning chats through churn, against complete knowledge", measureReuse},
 		{"skew", "load of the engines against the bound through churn", measureSkew},
 		{"overhead", "latency and processor time that router and agent add to a call of the engine", measureOverhead},
+		{Name: "ranks", Summary: "guaranteed shares while the urgent rank floods, and use of idle capacity", Run: ranks},
+		{Name: "flood", Summary: "urgent first token while the least urgent work floods, recovery, and retries in an outage", Run: flood},
+		{Name: "fairness", Summary: "small organisations beside one that asks for 50 times its share", Run: fairness},
+		configMeasure(),
+		controlMeasure(),
 	}
 }
 
--- a/router/order.go
+++ b/router/order.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -37,14 +38,14 @@
 		DeadlineMS: ticketDeadline.Milliseconds(),
 	}
 	var t caller.Ticket
-	err = r.anyAgent(service, env, func(address string) error {
+	err = r.anyAgent(service, env, true, func(address string) error {
 		return r.agents.Ticket(ctx, address, env, &t)
 	})
 	return t, err
 }
 
-// anyAgent calls send with agents of a service until one succeeds or may have run the request.
-func (r *Router) anyAgent(service string, env encoder.Envelope, send func(address string) error) error {
+// anyAgent calls send with agents of a service until one succeeds or, unless it is repeatable, may have run the request.
+func (r *Router) anyAgent(service string, env encoder.Envelope, repeatable bool, send func(address string) error) error {
 	var last error = judge.Refuse(judge.ReasonNoUpstream, "no upstream of service %s is known", service)
 	tried := map[string]bool{}
 	for range r.attempts {
@@ -69,28 +70,42 @@
 		}
 		r.observe(c.Name, f)
 		last = f.Cause
-		if f.Cause.Verdict != judge.NotRun || f.Cause.Reason == judge.ReasonInvalid {
+		if f.Cause.Reason == judge.ReasonInvalid || (f.Cause.Verdict != judge.NotRun && !repeatable) {
 			return last
 		}
 	}
 	return last
 }
 
-// leastLoaded returns the candidate with the least known work that was not tried.
+// leastLoaded returns the candidate with the least known work that was not tried. Those that are down or leaving as far
+// as the router knows come last: an agent that was restarted is held back for a while, and one that does leave refuses
+// by itself.
 func (r *Router) leastLoaded(service string, tried map[string]bool) (chooser.Upstream, bool) {
 	var best chooser.Upstream
 	found := false
 	for _, u := range r.cfg.View(service) {
-		if tried[u.Name] || u.State == chooser.Leaving || u.State == chooser.Down {
+		if tried[u.Name] {
 			continue
 		}
-		if !found || u.Work < best.Work {
+		if !found || cmp.Or(cmp.Compare(lastResort(u), lastResort(best)), cmp.Compare(u.Work, best.Work)) < 0 {
 			best, found = u, true
 		}
 	}
 	return best, found
 }
 
+// lastResort orders upstreams by how little is to be expected of them.
+func lastResort(u chooser.Upstream) int {
+	switch u.State {
+	case chooser.Down:
+		return 1
+	case chooser.Leaving:
+		return 2
+	default:
+		return 0
+	}
+}
+
 // order carries a call of a plain service.
 func (r *Router) order(ctx context.Context, o caller.Order) (caller.Answer, error) {
 	end, err := r.begin()
@@ -105,6 +120,7 @@
 	env := encoder.Envelope{
 		RequestID: newRequestID(), Organisation: o.Organisation.Name, Rank: o.Rank, Service: o.Service, Key: o.Key,
 		DeadlineMS: o.Deadline.Milliseconds(), ConfigVersion: r.cfg.Snapshot().Version,
+		Fleet: r.cfg.Fleet(),
 	}
 	var answer caller.Answer
 	switch {
@@ -125,7 +141,7 @@
 func (r *Router) keyless(ctx context.Context, o caller.Order, env encoder.Envelope) (caller.Answer, error) {
 	env.Key = ""
 	var answer caller.Answer
-	err := r.anyAgent(o.Service, env, func(address string) error {
+	err := r.anyAgent(o.Service, env, idempotentMethod(o.Method), func(address string) error {
 		a, err := r.agents.Call(ctx, address, o.Method, o.Path, env, o.Header, o.Body)
 		answer = caller.Answer(a)
 		return err
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -90,7 +90,7 @@
 	case chooser.Leaving:
 		return false
 	case chooser.Down:
-		ready := e.reported && !e.report.NotReady && e.measured.After(e.failed)
+		ready := e.reported && e.report.UptimeMS > 0 && e.measured.After(e.failed)
 		return ready && (e.report.Work > 0 || e.eligible.Sub(now) <= cfg.MinWait/2)
 	default:
 		return true
@@ -114,7 +114,7 @@
 
 // unready reports whether the newest word of the upstream is that its agent answers but it takes no work.
 func (e *entry) unready(now time.Time, cfg *Config) bool {
-	return e.reported && e.report.NotReady && e.measured.After(e.answered) && e.alive(now, cfg)
+	return e.reported && e.report.UptimeMS == 0 && e.measured.After(e.answered) && e.alive(now, cfg)
 }
 
 // held reports whether the wait after a failure still runs.
@@ -181,7 +181,7 @@
 		// The report itself then counts as a sign of life after the restart.
 		e.fail(chooser.Down, e.measured, now, true, cfg)
 	}
-	if e.reported && (r.NotReady != e.report.NotReady || r.Leaving != e.report.Leaving) {
+	if e.reported && ((r.UptimeMS == 0) != (e.report.UptimeMS == 0) || r.Leaving != e.report.Leaving) {
 		e.turned = now
 	}
 	e.reported = true
@@ -220,6 +220,9 @@
 		State:  e.state(now, cfg),
 		Uptime: e.uptime(now),
 	}
+	if e.reported {
+		u.Version = e.report.Version
+	}
 	if age, ok := e.loadAge(now, cfg); ok {
 		u.Known = true
 		u.Work = e.report.Work
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -73,7 +73,9 @@
 type Watcher struct {
 	cfg    Config
 	holder *configurer.Holder
-	gossip *gossiper.Gossiper
+	// history is what is known of the past of the fleet.
+	history *history
+	gossip  *gossiper.Gossiper
 	// distributor brings published configurations into force.
 	distributor *gossiper.Distributor
 
@@ -82,6 +84,10 @@
 	hosts   []platform.Host
 	byName  map[string]platform.Host
 	alarms  []string
+	// exchanged is when an exchange with a peer was last allowed.
+	exchanged time.Time
+	// listed says that a list of hosts was read.
+	listed bool
 }
 
 // New returns a watcher that knows nothing until Run.
@@ -93,9 +99,10 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	w := &Watcher{
-		cfg: cfg, holder: configurer.NewHolder(),
+		cfg: cfg, holder: configurer.NewHolder(), history: newHistory(cfg.Now()),
 		tracker: tracker.New(cfg.Tracker), byName: map[string]platform.Host{},
 	}
+	w.registerControl()
 	return w, trace.Wrap(w.connect())
 }
 
@@ -173,6 +180,13 @@
 	return w.hosts
 }
 
+// KnowsHosts reports whether the platform's list was read.
+func (w *Watcher) KnowsHosts() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed
+}
+
 // Observe takes what this process saw of an upstream.
 func (w *Watcher) Observe(o tracker.Observation) {
 	w.mu.Lock()
@@ -187,11 +201,18 @@
 	w.tracker.Merge(entries, w.cfg.Now())
 }
 
-// Freshest returns the load entries to pass on to an agent, which knows its own, or from one.
+// Freshest returns the load entries to pass on to an agent, which knows its own, or from one, as many as the budget has
+// room for.
 func (w *Watcher) Freshest(agent string) []encoder.LoadEntry {
+	now := w.cfg.Now()
+	n := w.room(piggybackEntries, 0, now)
+	if n == 0 {
+		w.cfg.Budget.Skip()
+		return nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.tracker.Freshest(piggybackEntries, agent, w.cfg.Now())
+	return w.tracker.Freshest(n, agent, now)
 }
 
 func (w *Watcher) housekeep(ctx context.Context) error {
@@ -307,6 +328,7 @@
 	w.mu.Lock()
 	change := w.tracker.Hosts(list, w.cfg.Now())
 	w.hosts = hosts
+	w.listed = true
 	// An address outlives its entry, because orders and streams name an agent that the list may have dropped.
 	for name, h := range byName {
 		w.byName[name] = h
