--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,8 +74,8 @@
 	Opened func() (time.Time, configurer.Pair)
 	// LearnFleet takes what a router knows of the past of the fleet.
 	LearnFleet func(encoder.Fleet)
-	// Mean returns the known load of a pool.
-	Mean func(pool string) tracker.Load
+	// Others returns the known load of a pool without this agent's own.
+	Others func(pool, self string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
 	View func(pool string) []chooser.Upstream
 	// Merge takes load entries from a router's envelope.
@@ -122,6 +122,8 @@
 	mu       sync.Mutex
 	retiring bool
 	leaving  bool
+	// stayed is when the agent last took its leaving back.
+	stayed   time.Time
 	requests sync.WaitGroup
 	running  atomic.Int64
 	// lastOrder is when the last ticket or order came.
@@ -157,6 +159,9 @@
 	if cfg.OnCrash == nil {
 		cfg.OnCrash = func() {}
 	}
+	if cfg.LearnFleet == nil {
+		cfg.LearnFleet = func(encoder.Fleet) {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -191,6 +196,7 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", a.serveChat)
+	mux.HandleFunc("POST /v1/chats", a.servePlace)
 	mux.HandleFunc("GET /v1/streams/{id}", a.serveResume)
 	mux.HandleFunc("POST /v1/tickets", a.serveTicket)
 	mux.HandleFunc("/v1/call/", a.serveCall)
@@ -236,6 +242,9 @@
 func (a *Agent) Stay() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.leaving {
+		a.stayed = a.cfg.Now()
+	}
 	a.leaving, a.retiring = false, false
 }
 
@@ -335,21 +344,6 @@
 	}, nil
 }
 
-// limit returns the work that the engine may carry once a request of a cost runs in it.
-// Queued work counts in the mean, so that a pool with a backlog fills its batches; an engine at or below the
-// mean may take one more request, because requests cannot be divided.
-func (a *Agent) limit(work, cost float64) float64 {
-	if a.cfg.Kind != KindEngine {
-		return noLimit
-	}
-	pool := a.cfg.Mean(a.cfg.Pool)
-	demand := pool.Work + pool.Queued
-	if chooser.Even(work, demand, pool.Known) {
-		return noLimit
-	}
-	return chooser.Limit(chooser.AdmissionBound(a.cfg.Bound), demand, pool.Known, cost)
-}
-
 // weight returns the organisation's part beside others of its rank.
 func (a *Agent) weight(organisation string) float64 {
 	s := a.cfg.Snapshot()
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"clementineramp/admitter"
+	"clementineramp/chooser"
 	"clementineramp/compiler"
 	"clementineramp/launcher"
 	"clementineramp/loader"
@@ -62,6 +63,8 @@
 	QueueWork int
 	// Admission is the rule by which agents admit requests.
 	Admission admitter.Policy
+	// Policy is the routing policy of the routers; the zero value is the one in service.
+	Policy chooser.Policy
 	// Log receives the log lines of all processes.
 	Log io.Writer
 	// Settings returns further settings of a process in JSON, without braces; nil means none.
@@ -237,7 +240,7 @@
 		out = io.Discard
 	}
 	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(spec.name)
-	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Network: f.networkOf(spec.name)})
+	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Routing: f.cfg.Policy, Network: f.networkOf(spec.name)})
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
@@ -251,6 +254,16 @@
 	return p, cfg, nil
 }
 
+// SetState lists a host at the platform in another state.
+func (f *Fleet) SetState(name, state string) {
+	for i := range f.hosts {
+		if f.hosts[i].Name == name {
+			f.hosts[i].State = state
+		}
+	}
+	f.Platform.SetHosts(f.hosts)
+}
+
 // sheet returns a version of the fleet's sheet that places a model version, with further organisations.
 func (f *Fleet) sheet(version uint64, modelVersion string, more []Organisation) string {
 	var b strings.Builder
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,8 @@
 	Mark int
 	// Try names the upstream that the agent advises to try next.
 	Try string
+	// Moved says that the chat moves to Try with this request.
+	Moved bool
 	// Answered says that the agent itself gave the refusal.
 	Answered bool
 }
@@ -125,7 +127,8 @@
 	timer := time.AfterFunc(c.cfg.Silence, func() { cancel(errFirstByte) })
 	defer timer.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			c.takeReport(http.Header(h))
 			timer.Reset(c.cfg.Silence)
 			return nil
 		},
@@ -187,6 +190,19 @@
 	return &Failure{Cause: judge.Doubt(judge.ReasonBroken, "agent: %w", err)}
 }
 
+// Place tells an agent which engine runs a chat; the loss of the message only costs reuse.
+func (c *Client) Place(ctx context.Context, address string, env encoder.Envelope) error {
+	resp, err := c.send(ctx, c.pooled, http.MethodPost, "http://"+address+"/v1/chats", env, http.Header{}, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return refusal(resp)
+	}
+	return nil
+}
+
 // Order is the answer of an agent to a call of a plain service.
 type Order struct {
 	Status int
@@ -291,5 +307,5 @@
 	}
 	judged := r.Judged()
 	judged.Err = fmt.Errorf("%w", judged.Err)
-	return &Failure{Cause: judged, Mark: r.Mark, Try: r.Try, Answered: true}
+	return &Failure{Cause: judged, Mark: r.Mark, Try: r.Try, Moved: r.Moved, Answered: true}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -16,6 +16,7 @@
 
 	"clementineramp/admitter"
 	"clementineramp/agent"
+	"clementineramp/chooser"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
 	"clementineramp/gossiper"
@@ -73,6 +74,7 @@
 	cfg       *loader.Settings
 	network   Network
 	admission admitter.Policy
+	routing   chooser.Policy
 	log       hclog.Logger
 	registry  metrics.Registry
 	watcher   *watcher.Watcher
@@ -96,6 +98,8 @@
 	Network Network
 	// Admission is the rule by which an agent admits requests.
 	Admission admitter.Policy
+	// Routing is the policy by which a router chooses agents.
+	Routing chooser.Policy
 }
 
 // New binds the addresses of a daemon; Run serves them.
@@ -108,8 +112,8 @@
 	network := options.Network
 	network.setDefaults()
 	p := &Process{
-		admission: options.Admission,
-		cfg:       cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		admission: options.Admission, routing: options.Routing,
+		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
@@ -360,3 +364,8 @@
 func (p *Process) Watcher() *watcher.Watcher {
 	return p.watcher
 }
+
+// Metrics returns the counters of the process.
+func (p *Process) Metrics() metrics.Registry {
+	return p.registry
+}
--- a/measurer/slopes_parts.go
+++ b/measurer/slopes_parts.go
@@ -118,7 +118,7 @@
 		x := float64(n)
 		memory.points = append(memory.points, point{x, size})
 		view.points = append(view.points, point{x, timed(spread, func() { t.View(slopePool, now) })})
-		freshest.points = append(freshest.points, point{x, timed(spread, func() { t.Freshest(24, now) })})
+		freshest.points = append(freshest.points, point{x, timed(spread, func() { t.Freshest(24, "", now) })})
 		sequence := uint64(1)
 		report := loadEntriesOf(9, 1)
 		merge.points = append(merge.points, point{x, timed(spread, func() {
--- a/router/router.go
+++ b/router/router.go
@@ -47,8 +47,8 @@
 	Observe func(tracker.Observation)
 	// Merge takes load entries from an agent's report.
 	Merge func([]encoder.LoadEntry)
-	// Freshest returns load entries to pass on.
-	Freshest func() []encoder.LoadEntry
+	// Freshest returns load entries to pass on to an agent.
+	Freshest func(agent string) []encoder.LoadEntry
 	// Fleet returns what is known of the past of the fleet.
 	Fleet func() encoder.Fleet
 	// CountControl counts the bytes of control traffic.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,6 +41,8 @@
 	ChecksFence bool
 	// Listen opens the engine's listener; nil means the system's network.
 	Listen ListenFunc
+	// OnWork is told each change of the running work, in tokens; nil means that nobody is told.
+	OnWork func(engine string, change float64)
 }
 
 // Run is the record of one generation at an engine.
@@ -161,6 +163,13 @@
 	return runs
 }
 
+// Cached returns the number of prompt tokens that the engine's cache holds, without counting as a use of them.
+func (e *Engine) Cached(messages []encoder.Message) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.peek(messages)
+}
+
 // Crashes returns how often a request crashed the engine.
 func (e *Engine) Crashes() int {
 	e.mu.Lock()
@@ -336,6 +345,7 @@
 	e.work += req.Cost()
 	e.maxWork = max(e.maxWork, e.work)
 	e.mu.Unlock()
+	e.tell(req.Cost())
 	return nil
 }
 
@@ -352,7 +362,15 @@
 	e.grant()
 }
 
+// tell passes a change of the running work on.
+func (e *Engine) tell(change float64) {
+	if e.cfg.OnWork != nil {
+		e.cfg.OnWork(e.cfg.Name, change)
+	}
+}
+
 func (e *Engine) leave(req encoder.ChatRequest, run *Run) {
+	e.tell(-req.Cost())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	run.Ended = time.Now()
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -116,7 +116,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.cfg.Now()
-	return w.tracker.Freshest(w.room(loadEntries, minLoadEntries, now), now)
+	return w.tracker.Freshest(w.room(loadEntries, minLoadEntries, now), "", now)
 }
 
 // room returns how many load entries a message may carry. It falls with the budget that is left, so that a process
