--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,8 @@
 	Opened func() (time.Time, configurer.Pair)
 	// LearnFleet takes what a router knows of the past of the fleet.
 	LearnFleet func(encoder.Fleet)
+	// Routing is the policy of the routers; agents place chats only for the one in service.
+	Routing chooser.Policy
 	// Others returns the known load of a pool without this agent's own.
 	Others func(pool, self string) tracker.Load
 	// View returns what is known of the upstreams of a pool.
--- a/agent/home.go
+++ b/agent/home.go
@@ -25,6 +25,9 @@
 
 // direct decides where a chat request should run, and logs the decision.
 func (a *Agent) direct(env encoder.Envelope, body encoder.ChatRequest) destination {
+	if a.cfg.Routing != chooser.Rendezvous {
+		return destination{}
+	}
 	own := a.gate.work()
 	pool := a.pool(own)
 	p := a.locate(env, body, own, pool)
@@ -149,7 +152,7 @@
 
 // displace picks another engine for a chat that this one cannot take within its load bound, and remembers it.
 func (a *Agent) displace(env encoder.Envelope, cost float64, err error) (upstream string) {
-	if !env.Home && !env.Advised || judge.ReasonOf(err) != judge.ReasonBound {
+	if !env.Home && !env.Advised || judge.ReasonOf(err) != judge.ReasonBound || a.cfg.Routing != chooser.Rendezvous {
 		return ""
 	}
 	own := a.gate.work()
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -49,7 +49,7 @@
 		Name: p.cfg.Name, Pool: u.Name, Kind: agent.Kind(u.Kind), Upstream: u.Address.String(),
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
-		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
+		Admission: p.admission, Routing: p.routing, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
 		Others: w.Others, View: w.View, Merge: w.Merge,
 		Freshest:     func() []encoder.LoadEntry { return w.Freshest(p.cfg.Name) },
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -98,7 +98,7 @@
 	Network Network
 	// Admission is the rule by which an agent admits requests.
 	Admission admitter.Policy
-	// Routing is the policy by which a router chooses agents.
+	// Routing is the policy by which a router chooses agents; agents place chats only under the standard one.
 	Routing chooser.Policy
 }
 
