launcher: answer the last accepted connections before the shutdown

Cause: http.Server closes a connection without an answer if it reads the request after Shutdown has begun, so that a planned stop of a router cut requests that arrived at its last instant. Ruled out: connections that still waited in the listener; the cut ones had been accepted. The router logged no event for the request. Conclusion: the listener is closed first, and what was accepted gets its refusal for 200 ms before the shutdown.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -272,6 +272,7 @@
 		<-p.drained
 	case <-p.drained:
 	}
+	p.answerLast()
 	p.shutdown(p.role.server)
 	p.shutdown(ops)
 	p.role.close()
@@ -297,6 +298,16 @@
 	return trace.Wrap(err)
 }
 
+// lastAnswers is the time in which requests on connections that were accepted last are still answered with a refusal.
+// http.Server closes a connection without an answer if it reads the request after the shutdown has begun.
+const lastAnswers = 200 * time.Millisecond
+
+// answerLast accepts no more connections and lets those that were accepted get their answer.
+func (p *Process) answerLast() {
+	_ = p.listener.Close()
+	time.Sleep(lastAnswers)
+}
+
 func (p *Process) shutdown(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
