router: refuse a call with a key as "may have run"

Cause: a router that had just been started answered "not ready, not run" to the repeat of an order that had run through it before; the caller took a new ticket, and the order ran twice. Ruled out: the agents; the second run was at another worker. Conclusion: the router's own refusals of calls with a key say "may have run". The refusals of package caller (key of the organisation, size of the body) still say "not run".

--- a/router/order.go
+++ b/router/order.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"clementineramp/caller"
@@ -106,16 +107,57 @@
 	}
 }
 
+// servicesPath is the prefix of the paths of calls of plain services.
+const servicesPath = "/v1/services/"
+
+// guardKeys answers calls with a key while the router cannot pass them on. An earlier try with the key may have run
+// through another router, or through this one before it was started again, so that the answer is not "not run".
+func (r *Router) guardKeys(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		keyed := q.Header.Get(caller.KeyHeader) != "" && strings.HasPrefix(q.URL.Path, servicesPath)
+		if err := r.canPass(); keyed && err != nil {
+			encoder.NewRefusal(doubtKeyed(err)).Write(w)
+			return
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+// canPass returns an error while the router refuses every call.
+func (r *Router) canPass() error {
+	if err := r.ready(); err != nil {
+		return err
+	}
+	if r.cfg.Snapshot() == nil {
+		return judge.Refuse(judge.ReasonNotReady, "no configuration is in force yet")
+	}
+	return nil
+}
+
+// doubtKeyed returns a router's own refusal of a call with a key, of which only the agent that knows the history of the
+// key may say "not run".
+func doubtKeyed(err error) error {
+	return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonOf(err), Err: err}
+}
+
+// refuseOrder returns a router's own refusal of an order.
+func refuseOrder(o caller.Order, err error) error {
+	if o.Key == "" {
+		return err
+	}
+	return doubtKeyed(err)
+}
+
 // order carries a call of a plain service.
 func (r *Router) order(ctx context.Context, o caller.Order) (caller.Answer, error) {
 	end, err := r.begin()
 	if err != nil {
-		return caller.Answer{}, err
+		return caller.Answer{}, refuseOrder(o, err)
 	}
 	defer end()
 	service, ok := r.cfg.Snapshot().Service(o.Service)
 	if !ok {
-		return caller.Answer{}, judge.Refuse(judge.ReasonNotFound, "no service %q", o.Service)
+		return caller.Answer{}, refuseOrder(o, judge.Refuse(judge.ReasonNotFound, "no service %q", o.Service))
 	}
 	env := encoder.Envelope{
 		RequestID: newRequestID(), Organisation: o.Organisation.Name, Rank: o.Rank, Service: o.Service, Key: o.Key,
--- a/router/router.go
+++ b/router/router.go
@@ -112,12 +112,14 @@
 
 // Handler returns the handler of the callers' address.
 func (r *Router) Handler() http.Handler {
-	return r.edge.Handler()
+	return r.guardKeys(r.edge.Handler())
 }
 
 // Server returns the HTTP server of the callers' address.
 func (r *Router) Server() *http.Server {
-	return r.edge.Server()
+	s := r.edge.Server()
+	s.Handler = r.Handler()
+	return s
 }
 
 // Running returns the number of requests in progress.
