Piggyback load entries in a compact form, and let incarnations grow

Cause 2: the incarnation of an agent was random, so after half of the restarts its reports were ignored for 64 s as those of an older process. It now grows with the time of the start.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -136,7 +136,7 @@
 func New(cfg Config) (*Agent, error) {
 	setDefaults(&cfg)
 	a := &Agent{
-		cfg: cfg, incarnation: rand.Uint64() | 1, started: cfg.Now(),
+		cfg: cfg, incarnation: newIncarnation(cfg.Now()), started: cfg.Now(),
 		engineState: &engineState{}, abandon: newAbandonment(cfg.Grace),
 	}
 	a.lifetime, a.end = context.WithCancel(context.Background())
@@ -148,6 +148,15 @@
 	return a, a.buildMemory()
 }
 
+// incarnationRandomBits tells two starts within the same millisecond apart.
+const incarnationRandomBits = 16
+
+// newIncarnation returns a number that grows from start to start, because processes believe the reports of the newest
+// incarnation; with a random one they would ignore every second restarted agent for a while.
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationRandomBits | uint64(rand.N(1<<incarnationRandomBits))
+}
+
 func setDefaults(cfg *Config) {
 	if cfg.Now == nil {
 		cfg.Now = time.Now
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -73,7 +73,7 @@
 	// Fleet is what the router knows of the past of the fleet; it is sent with orders only.
 	Fleet Fleet `json:"fleet,omitzero"`
 	// Load holds the freshest entries of the sender's load table.
-	Load []LoadEntry `json:"load,omitempty"`
+	Load LoadEntries `json:"load,omitempty"`
 }
 
 // Deadline returns the time left until the first byte is due.
@@ -98,46 +98,7 @@
 	if err := e.Fleet.Check(); err != nil {
 		return err
 	}
-	return checkLoad(e.Load)
-}
-
-// LoadEntry is what is known of the load of one upstream.
-type LoadEntry struct {
-	Upstream    string `json:"u"`
-	Incarnation uint64 `json:"i,string"`
-	Sequence    uint64 `json:"q"`
-	// Work is the work running in the engine, in tokens.
-	Work float64 `json:"w"`
-	// Queued is the work waiting at the agent, in tokens.
-	Queued float64 `json:"b,omitempty"`
-	// AgeMS is the time since the agent measured it, in milliseconds.
-	AgeMS int64 `json:"a"`
-	// UptimeMS is the time since the upstream became ready, in milliseconds; 0 means that it is not ready.
-	UptimeMS int64 `json:"t"`
-	Leaving  bool  `json:"l,omitempty"`
-	// Version is the model version that is ready in the engine.
-	Version string `json:"v,omitempty"`
-}
-
-func checkLoad(entries []LoadEntry) error {
-	for _, e := range entries {
-		if e.Upstream == "" || e.Work < 0 || e.Queued < 0 || e.AgeMS < 0 || e.UptimeMS < 0 || e.AgeMS > maxMS || e.UptimeMS > maxMS {
-			return fmt.Errorf("load entry %q is out of range", e.Upstream)
-		}
-	}
-	return nil
-}
-
-// LoadBytes returns the size of load entries in a header; an envelope is control traffic for these bytes only.
-func LoadBytes(entries []LoadEntry) int {
-	if len(entries) == 0 {
-		return 0
-	}
-	b, err := json.Marshal(entries)
-	if err != nil {
-		return 0
-	}
-	return len(b)
+	return e.Load.check()
 }
 
 // reportLine is the size of the name of a report's header with its separators, in bytes.
@@ -154,15 +115,40 @@
 
 // Report accompanies an answer or refusal from an agent to a router.
 type Report struct {
-	Self LoadEntry   `json:"self"`
-	Load []LoadEntry `json:"load,omitempty"`
+	// Self is the agent's own entry.
+	Self LoadEntry
+	// Load holds the freshest entries of others.
+	Load LoadEntries
+}
+
+// reportWire is the wire form of a report; the first entry is the agent's own.
+type reportWire struct {
+	Load LoadEntries `json:"load"`
+}
+
+// MarshalJSON encodes the report.
+func (r Report) MarshalJSON() ([]byte, error) {
+	return json.Marshal(reportWire{append(LoadEntries{r.Self}, r.Load...)})
+}
+
+// UnmarshalJSON decodes and checks a report.
+func (r *Report) UnmarshalJSON(data []byte) error {
+	var w reportWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	if len(w.Load) == 0 {
+		return fmt.Errorf("report: field load is empty")
+	}
+	r.Self, r.Load = w.Load[0], w.Load[1:]
+	return nil
 }
 
 func (r Report) check() error {
-	if err := checkLoad([]LoadEntry{r.Self}); err != nil {
+	if err := r.Self.check(); err != nil {
 		return err
 	}
-	return checkLoad(r.Load)
+	return r.Load.check()
 }
 
 // checked is a wire type that validates itself.
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -184,8 +184,14 @@
 	if e.reported && ((r.UptimeMS == 0) != (e.report.UptimeMS == 0) || r.Leaving != e.report.Leaving) {
 		e.turned = now
 	}
+	version := r.Version
+	if version == "" && e.reported && r.Incarnation == e.report.Incarnation {
+		// Piggybacked reports leave the version out.
+		version = e.report.Version
+	}
 	e.reported = true
 	e.report = *r
+	e.report.Upstream, e.report.Hash, e.report.Version = e.host.Name, 0, version
 	e.measured = measured
 	e.ready = ready
 	return true
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -18,6 +18,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// byHash finds entries by the hash of their names; nil marks a hash that two names share.
+	byHash map[uint32]*entry
 	// sorted holds the entries by name, so that views of equal knowledge are equal.
 	sorted []*entry
 	primed bool
@@ -115,6 +117,7 @@
 	t.primed = true
 	slices.SortFunc(t.sorted, func(a, b *entry) int { return cmp.Compare(a.host.Name, b.host.Name) })
 	t.forget(now)
+	t.index()
 	return change
 }
 
@@ -154,6 +157,27 @@
 	}
 }
 
+// lookup returns the entry that a report is about, or nil.
+func (t *Tracker) lookup(r *encoder.LoadEntry) *entry {
+	if r.Upstream == "" {
+		return t.byHash[r.Hash]
+	}
+	return t.entries[r.Upstream]
+}
+
+// index builds the table of hashes.
+func (t *Tracker) index() {
+	t.byHash = make(map[uint32]*entry, len(t.sorted))
+	for _, e := range t.sorted {
+		hash := encoder.NameHash(e.host.Name)
+		if _, shared := t.byHash[hash]; shared {
+			t.byHash[hash] = nil
+			continue
+		}
+		t.byHash[hash] = e
+	}
+}
+
 // Merge takes reports and returns how many were newer than what is known. Reports of upstreams that no host list
 // named are ignored, which bounds the table; so are loads that are not finite and non-negative numbers.
 func (t *Tracker) Merge(reports []encoder.LoadEntry, now time.Time) int {
@@ -162,8 +186,8 @@
 	n := 0
 	for i := range reports {
 		r := &reports[i]
-		e, ok := t.entries[r.Upstream]
-		if !ok || !valid(r.Work) || !valid(r.Queued) || r.UptimeMS < 0 {
+		e := t.lookup(r)
+		if e == nil || !valid(r.Work) || !valid(r.Queued) || r.UptimeMS < 0 {
 			continue
 		}
 		age := time.Duration(max(0, min(r.AgeMS, math.MaxInt64/int64(time.Millisecond)))) * time.Millisecond
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -212,9 +212,11 @@
 		w.cfg.Budget.Skip()
 		return nil
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.tracker.Freshest(n, agent, now)
+	entries := w.tracker.Freshest(n, agent, now)
+	for i, e := range entries {
+		entries[i] = e.Brief()
+	}
+	return entries
 }
 
 func (w *Watcher) housekeep(ctx context.Context) error {
