--- a/agent/chat.go
+++ b/agent/chat.go
@@ -57,6 +57,7 @@
 		a.refuseWith(w, env, refusal, err)
 		return
 	}
+	beat.report(a.Entry())
 	a.follow(beat, r, g.id, g.stream, env, g.refusalOf)
 }
 
@@ -91,16 +92,17 @@
 		return g.refusalOf(err), err
 	}
 	cost := g.body.Cost()
-	if upstream, ok := a.redirect(env, cost); ok {
-		err := judge.Refuse(judge.ReasonElsewhere, "the prefix of the chat is cached at %s", upstream)
+	where := a.direct(env, g.body)
+	if where.try != "" {
+		err := judge.Refuse(judge.ReasonElsewhere, "%s %s", where.try, where.reason)
 		r := g.refusalOf(err)
-		r.Try = upstream
+		r.Try, r.Moved = where.try, where.moved
 		return r, err
 	}
 	if g.payment, err = a.credit.pay(a.cfg.Now(), env.Rank, cost); err != nil {
 		return g.refusalOf(err), err
 	}
-	g.slot, err = a.gate.acquire(ctx, admitter.Request{
+	g.slot, err = a.acquire(ctx, where, admitter.Request{
 		Rank: env.Rank, Organisation: env.Organisation, Weight: a.weight(env.Organisation),
 		// A refusal for load would change the order of the agents that a marked request meets.
 		Cost: cost, Deadline: env.Deadline(), Last: env.Last || marked, Suspect: marked,
@@ -108,7 +110,7 @@
 	if err != nil {
 		g.payment.settle(a.cfg.Now(), 0)
 		r := g.refusalOf(err)
-		r.Try = a.displace(env, cost, err)
+		r.Try, r.Moved = a.displace(env, cost, err), true
 		return r, err
 	}
 	if g.trial, err = a.suspects.begin(g.fingerprint, marked); err != nil {
@@ -118,9 +120,7 @@
 		return g.refusalOf(err), err
 	}
 	g.marked = marked
-	if env.Home {
-		a.locator.Return(env.ChatKey)
-	}
+	a.locator.Place(env.ChatKey, a.cfg.Name, a.cfg.Now())
 	return encoder.Refusal{}, nil
 }
 
--- a/agent/credit_test.go
+++ b/agent/credit_test.go
@@ -105,7 +105,7 @@
 	a, err := agent.New(agent.Config{
 		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key, Slots: f.slots,
 		Snapshot:   func() *configurer.Snapshot { return f.snapshot },
-		Mean:       func(string) tracker.Load { return tracker.Load{} },
+		Others:     func(string, string) tracker.Load { return tracker.Load{} },
 		View:       func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listed) },
 		LearnFleet: func(encoder.Fleet) {},
 		Merge:      func([]encoder.LoadEntry) {}, Freshest: func() []encoder.LoadEntry { return nil },
@@ -129,6 +129,15 @@
 	require.Eventually(f.t, a.Ready, 10*time.Second, time.Millisecond)
 }
 
+// finalRecorder leaves out informational responses, which httptest.ResponseRecorder takes for the final one.
+type finalRecorder struct{ *httptest.ResponseRecorder }
+
+func (w finalRecorder) WriteHeader(code int) {
+	if code >= http.StatusOK {
+		w.ResponseRecorder.WriteHeader(code)
+	}
+}
+
 // ask sends a request and returns the refusal, or nil when the whole answer came.
 func (f *fleet) ask(i int, rank string) *judge.Error {
 	id := f.requests.Add(1)
@@ -144,7 +153,7 @@
 	})
 	r.Header.Set(encoder.EnvelopeHeader, envelope)
 	r.Header.Set(encoder.SignatureHeader, encoder.Sign(key, envelope))
-	w := httptest.NewRecorder()
+	w := finalRecorder{httptest.NewRecorder()}
 	f.agents[i].Handler().ServeHTTP(w, r)
 	if w.Code == http.StatusOK {
 		require.Contains(f.t, w.Body.String(), "[DONE]")
--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -54,6 +54,10 @@
 	Last bool `json:"last,omitempty"`
 	// Home says that the agent is the first in the chat's order.
 	Home bool `json:"home,omitempty"`
+	// Advised says that another agent named this one, because it holds the chat's prefix or has room.
+	Advised bool `json:"advised,omitempty"`
+	// Holder names the engine that runs a chat, in a message to the first agent in the chat's order.
+	Holder string `json:"holder,omitempty"`
 	// Mark counts the engine crashes in which the request was in flight.
 	Mark int `json:"mark,omitempty"`
 	// Offset is the number of events of the answer that the caller already has.
@@ -237,6 +241,8 @@
 	Mark int `json:"mark,omitempty"`
 	// Try names the upstream that the router should try next.
 	Try string `json:"try,omitempty"`
+	// Moved says that the chat moves to Try with this request; otherwise it ran there before.
+	Moved bool `json:"moved,omitempty"`
 }
 
 // RefusalError is the customary error object of the chat-completions shape, with a verdict.
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -6,6 +6,7 @@
 	"clementineramp/agent"
 	"clementineramp/caller"
 	"clementineramp/chooser"
+	"clementineramp/encoder"
 	"clementineramp/forwarder"
 	"clementineramp/limiter"
 	"clementineramp/operator"
@@ -35,7 +36,7 @@
 		},
 		Chooser: chooser.Config{
 			Bound: p.cfg.Routing.Bound, Attempts: p.cfg.Routing.Attempts, Ramp: p.cfg.Routing.Ramp, Domain: p.cfg.FailureDomain,
-			SkipFactor: noSkip,
+			SkipFactor: noSkip, Policy: p.routing,
 		},
 		FirstByte: p.cfg.Routing.FirstByteTimeout, StreamIdle: p.cfg.Limits.StreamIdleTime,
 		Snapshot: w.Snapshot, Fleet: w.Fleet, View: w.View, KnowsHosts: w.KnowsHosts, Address: w.Address,
@@ -52,9 +53,10 @@
 		Name: p.cfg.Name, Pool: u.Name, Kind: agent.Kind(u.Kind), Upstream: u.Address.String(),
 		SharedKey: p.cfg.SharedKey.Reveal(), Slots: u.Slots, Bound: p.cfg.Routing.Bound,
 		QueueWork: float64(u.QueueWork), QueueTime: u.QueueTime, AnswerKeep: u.AnswerKeep,
-		Admission: p.admission, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
+		Admission: p.admission, Routing: p.routing, StreamIdle: p.cfg.Limits.StreamIdleTime, ChecksFencing: u.ChecksFencing,
 		Snapshot: w.Snapshot, Confirmed: w.Confirmed, Opened: w.Opened, LearnFleet: w.LearnFleet,
-		Mean: w.Mean, View: w.View, Merge: w.Merge, Freshest: w.Freshest,
+		Others: w.Others, View: w.View, Merge: w.Merge,
+		Freshest:      func() []encoder.LoadEntry { return w.Freshest(p.cfg.Name) },
 		CountControl:  w.CountControl,
 		OnCrash:       func() { w.PushMarks(u.Name) },
 		CreditAdvance: creditAdvance,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -16,6 +16,7 @@
 
 	"clementineramp/admitter"
 	"clementineramp/agent"
+	"clementineramp/chooser"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
 	"clementineramp/gossiper"
@@ -73,6 +74,7 @@
 	cfg       *loader.Settings
 	network   Network
 	admission admitter.Policy
+	routing   chooser.Policy
 	log       hclog.Logger
 	registry  metrics.Registry
 	watcher   *watcher.Watcher
@@ -96,6 +98,8 @@
 	Network Network
 	// Admission is the rule by which an agent admits requests.
 	Admission admitter.Policy
+	// Routing is the policy by which a router chooses agents; agents place chats only under the standard one.
+	Routing chooser.Policy
 }
 
 // New binds the addresses of a daemon; Run serves them.
@@ -108,8 +112,8 @@
 	network := options.Network
 	network.setDefaults()
 	p := &Process{
-		admission: options.Admission,
-		cfg:       cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
+		admission: options.Admission, routing: options.Routing,
+		cfg: cfg, network: network, log: log, registry: metrics.NewRegistry(), started: time.Now(),
 		state: operator.StateStarting, drained: make(chan struct{}),
 	}
 	if err := p.listen(); err != nil {
@@ -272,6 +276,7 @@
 		<-p.drained
 	case <-p.drained:
 	}
+	p.answerLast()
 	p.shutdown(p.role.server)
 	p.shutdown(ops)
 	p.role.close()
@@ -297,6 +302,16 @@
 	return trace.Wrap(err)
 }
 
+// lastAnswers is the time in which requests on connections that were accepted last are still answered with a refusal.
+// http.Server closes a connection without an answer if it reads the request after the shutdown has begun.
+const lastAnswers = 200 * time.Millisecond
+
+// answerLast accepts no more connections and lets those that were accepted get their answer.
+func (p *Process) answerLast() {
+	_ = p.listener.Close()
+	time.Sleep(lastAnswers)
+}
+
 func (p *Process) shutdown(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
@@ -360,3 +375,8 @@
 func (p *Process) Watcher() *watcher.Watcher {
 	return p.watcher
 }
+
+// Metrics returns the counters of the process.
+func (p *Process) Metrics() metrics.Registry {
+	return p.registry
+}
--- a/router/chat.go
+++ b/router/chat.go
@@ -49,6 +49,14 @@
 	mayHaveRun bool
 	// broken holds those of failed where the request may have run.
 	broken []string
+	// advised is the upstream that the latest agent named.
+	advised string
+	// home is the first agent that refused, which keeps where the chat runs, and homeAdvice the upstream it named.
+	home, homeAdvice string
+	// second is the next agent in the chat's order, which is asked first when the first one is gone.
+	second string
+	// moved says that the chat runs for the first time where it runs now.
+	moved bool
 	// last is the last refusal or failure, given to the caller when no candidate is left.
 	last error
 	// continuations counts the failures after which another agent went on.
@@ -141,6 +149,7 @@
 	t.order = t.order[1:]
 	t.env.Attempt = len(t.failed) + len(t.refused)
 	t.env.Home = t.env.Attempt == 0
+	t.env.Advised = t.advised != "" && t.advised == c.Name
 	t.env.Last = len(t.order) == 0
 	return c, true
 }
@@ -202,12 +211,13 @@
 		r.cfg.Retries.First(r.cfg.Now())
 	}
 	t.env.DeadlineMS = left.Milliseconds()
-	t.env.Load = r.cfg.Freshest()
+	t.env.Load = r.cfg.Freshest(c.Name)
 	t.body.RequestID = t.env.RequestID
 	t.body.Prefix = t.text.String()
 	begin := func(h http.Header) {
 		t.env.Version = h.Get(encoder.VersionHeader)
 		r.cfg.Observe(tracker.Observation{Upstream: c.Name, Outcome: tracker.Answered})
+		t.tellPlace(ctx, c.Name)
 	}
 	return r.agents.Chat(ctx, address, t.env, t.body, begin, func(ev encoder.Event) error {
 		if err := t.emit(ev); err != nil {
@@ -221,6 +231,39 @@
 	})
 }
 
+// placeTimeout bounds the message on a chat's place, which nobody waits for.
+const placeTimeout = time.Second
+
+// tellPlace tells the agents that will be asked for the chat's next turn which engine runs it, unless they know.
+func (t *chatRoute) tellPlace(ctx context.Context, holder string) {
+	if t.home == "" || holder == t.home {
+		return
+	}
+	surprise := holder != t.homeAdvice
+	if surprise {
+		t.tell(ctx, t.home, holder)
+	}
+	if (surprise || t.moved) && t.second != "" && t.second != holder {
+		t.tell(ctx, t.second, holder)
+	}
+}
+
+func (t *chatRoute) tell(ctx context.Context, agent, holder string) {
+	r := t.router
+	address, ok := r.cfg.Address(agent)
+	if !ok {
+		return
+	}
+	env := encoder.Envelope{RequestID: t.env.RequestID, Organisation: t.env.Organisation, ChatKey: t.key, Holder: holder}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeTimeout)
+	go func() {
+		defer cancel()
+		if err := r.agents.Place(ctx, address, env); err != nil {
+			r.cfg.Log.Debug("place_failed", "request", env.RequestID, "agent", agent, "error", err)
+		}
+	}()
+}
+
 // callerGone is the error of an event that could not be passed to the caller.
 type callerGone struct{ err error }
 
@@ -250,6 +293,12 @@
 	}
 	if outOfRoom(f.Cause.Reason) {
 		t.refused = append(t.refused, c.Name)
+		if t.env.Home {
+			t.home, t.homeAdvice, t.moved = c.Name, f.Try, f.Moved
+			if len(t.order) > 0 {
+				t.second = t.order[0].Name
+			}
+		}
 		t.advise(f.Try)
 		return !t.env.Last, f.Cause
 	}
@@ -295,12 +344,12 @@
 
 // isFinal reports whether no other agent would answer otherwise.
 func isFinal(r judge.Reason) bool {
-	return r == judge.ReasonConvicted || r == judge.ReasonInvalid || r == judge.ReasonDeadline || r == judge.ReasonCredit
+	return r == judge.ReasonConvicted || r == judge.ReasonInvalid || r == judge.ReasonDeadline
 }
 
 // outOfRoom reports whether an agent gave a reason that another agent of the pool need not have.
 func outOfRoom(r judge.Reason) bool {
-	return r == judge.ReasonBound || r == judge.ReasonQueueFull || r == judge.ReasonElsewhere
+	return r == judge.ReasonBound || r == judge.ReasonQueueFull || r == judge.ReasonElsewhere || r == judge.ReasonCredit
 }
 
 // advise puts the upstream that an agent named before the other candidates.
@@ -308,6 +357,7 @@
 	if upstream == "" || t.wasTried(upstream) {
 		return
 	}
+	t.advised = upstream
 	t.order = slices.DeleteFunc(t.order, func(c chooser.Candidate) bool { return c.Name == upstream })
 	t.order = slices.Insert(t.order, 0, chooser.Candidate{Upstream: chooser.Upstream{Name: upstream}})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -47,8 +47,8 @@
 	Observe func(tracker.Observation)
 	// Merge takes load entries from an agent's report.
 	Merge func([]encoder.LoadEntry)
-	// Freshest returns load entries to pass on.
-	Freshest func() []encoder.LoadEntry
+	// Freshest returns load entries to pass on to an agent.
+	Freshest func(agent string) []encoder.LoadEntry
 	// Fleet returns what is known of the past of the fleet.
 	Fleet func() encoder.Fleet
 	// CountControl counts the bytes of control traffic.
@@ -112,12 +112,14 @@
 
 // Handler returns the handler of the callers' address.
 func (r *Router) Handler() http.Handler {
-	return r.edge.Handler()
+	return r.guardKeys(r.edge.Handler())
 }
 
 // Server returns the HTTP server of the callers' address.
 func (r *Router) Server() *http.Server {
-	return r.edge.Server()
+	s := r.edge.Server()
+	s.Handler = r.Handler()
+	return s
 }
 
 // Running returns the number of requests in progress.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -21,6 +21,8 @@
 	// sorted holds the entries by name, so that views of equal knowledge are equal.
 	sorted []*entry
 	primed bool
+	// drift tells how fast the load of one upstream strays from its last report.
+	drift drift
 	// aside is the newest host list if it was not applied.
 	aside []Host
 	// Reports merged before delayedUntil count as older by delay.
@@ -98,6 +100,9 @@
 		if h.Leaving && (!e.listed || !e.host.Leaving) {
 			change.Leaving = append(change.Leaving, h.Name)
 		}
+		if !h.Leaving && e.listed && e.host.Leaving {
+			e.stay()
+		}
 		e.host = h
 		e.listed = true
 	}
@@ -165,8 +170,12 @@
 		if now.Before(t.delayedUntil) {
 			age += t.delay
 		}
+		before, known := *e, e.reported && e.report.Incarnation == r.Incarnation
 		if e.merge(r, now.Add(-age), now, &t.cfg) {
 			n++
+			if known {
+				t.drift.add(r.Work-before.report.Work, e.measured.Sub(before.measured))
+			}
 		}
 	}
 	return n
@@ -216,31 +225,39 @@
 	return e.host, true
 }
 
-// Mean returns the known load of a pool. Upstreams that are leaving or down count neither as known nor as members.
+// Mean returns the known load of a pool. Upstreams that are leaving or take no work count neither as known nor as
+// members.
 func (t *Tracker) Mean(pool string, now time.Time) Load {
+	return t.Others(pool, "", now)
+}
+
+// Others is Mean without one upstream, for an agent that knows its own load exactly.
+func (t *Tracker) Others(pool, self string, now time.Time) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var l Load
+	variance := 0.0
 	for _, e := range t.sorted {
-		if e.host.Pool != pool || !e.visible(now, &t.cfg) {
-			continue
-		}
-		if s := e.state(now, &t.cfg); s == chooser.Leaving || s == chooser.Down {
+		if e.host.Pool != pool || e.host.Name == self || !e.visible(now, &t.cfg) || !e.carries(now, &t.cfg) {
 			continue
 		}
 		l.Members++
-		if _, ok := e.loadAge(now, &t.cfg); ok {
+		if age, ok := e.loadAge(now, &t.cfg); ok {
 			l.Known++
 			l.Work += e.report.Work
 			l.Queued += e.report.Queued
+			variance += t.drift.rate() * age.Seconds()
+			l.Trend += t.drift.trend() * age.Seconds()
 		}
 	}
+	l.Deviation = math.Sqrt(variance)
 	return l
 }
 
-// Freshest returns up to n reports that have not expired, the youngest first, with their ages as they are now.
-// They tell what agents said, so what this process alone observed is no part of them.
-func (t *Tracker) Freshest(n int, now time.Time) []encoder.LoadEntry {
+// Freshest returns up to n reports, without that of one upstream, that have not expired, with their ages as they are now. Those of upstreams that
+// lately became ready or ceased to be come first, then the youngest: an engine that nobody asks any more has no young
+// report, and yet all others must leave it out of the mean. They tell what agents said, so what this process alone observed is no part of them.
+func (t *Tracker) Freshest(n int, except string, now time.Time) []encoder.LoadEntry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n <= 0 {
@@ -248,14 +265,14 @@
 	}
 	best := make([]*entry, 0, min(n, len(t.sorted))+1)
 	for _, e := range t.sorted {
-		if _, ok := e.loadAge(now, &t.cfg); !ok || !e.visible(now, &t.cfg) {
+		if _, ok := e.loadAge(now, &t.cfg); !ok || e.host.Name == except || !e.visible(now, &t.cfg) {
 			continue
 		}
-		if len(best) == n && !e.measured.After(best[n-1].measured) {
+		if len(best) == n && !e.newsTime(now).After(best[n-1].newsTime(now)) {
 			continue
 		}
 		i := len(best)
-		for i > 0 && e.measured.After(best[i-1].measured) {
+		for i > 0 && e.newsTime(now).After(best[i-1].newsTime(now)) {
 			i--
 		}
 		best = slices.Insert(best, i, e)
--- a/watcher/control_test.go
+++ b/watcher/control_test.go
@@ -46,14 +46,14 @@
 	require.NoError(t, <-done)
 
 	w.Merge([]encoder.LoadEntry{{Upstream: "engine-1", Incarnation: 1, Sequence: 1, Work: 10, UptimeMS: 5}})
-	require.Len(t, w.Freshest(), 1)
+	require.Len(t, w.Freshest(""), 1)
 	w.CountControl(700, 300)
-	require.Empty(t, w.Freshest(), "no room for load entries")
+	require.Empty(t, w.Freshest(""), "no room for load entries")
 	require.Equal(t, []int64{700, 300, 1}, []int64{
 		gauge(registry, "control_bytes_sent"), gauge(registry, "control_bytes_received"), gauge(registry, "control_skipped"),
 	})
 	now = now.Add(time.Second)
-	require.Len(t, w.Freshest(), 1)
+	require.Len(t, w.Freshest(""), 1)
 }
 
 func gauge(r metrics.Registry, name string) int64 {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -160,6 +160,13 @@
 	return w.tracker.Mean(pool, w.cfg.Now())
 }
 
+// Others returns the known load of a pool without one upstream.
+func (w *Watcher) Others(pool, self string) tracker.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Others(pool, self, w.cfg.Now())
+}
+
 // Address returns the address of the agent beside an upstream, also of one that is leaving.
 func (w *Watcher) Address(upstream string) (string, bool) {
 	w.mu.Lock()
@@ -196,8 +203,9 @@
 	w.tracker.Merge(entries, w.cfg.Now())
 }
 
-// Freshest returns the load entries to pass on with a request or answer, as many as the budget has room for.
-func (w *Watcher) Freshest() []encoder.LoadEntry {
+// Freshest returns the load entries to pass on to an agent, which knows its own, or from one, as many as the budget has
+// room for.
+func (w *Watcher) Freshest(agent string) []encoder.LoadEntry {
 	now := w.cfg.Now()
 	n := w.room(piggybackEntries, 0, now)
 	if n == 0 {
@@ -206,7 +214,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.tracker.Freshest(n, now)
+	return w.tracker.Freshest(n, agent, now)
 }
 
 func (w *Watcher) housekeep(ctx context.Context) error {
