Do not send an unchanged list of hosts again; name events in snake case

Cause: a watch of the host list that ended without a change brought the whole list, 144 KB at 1,020 hosts, which alone is 7.2 KB/s at a limit of 20 s (docs/CAPACITY.md). The platform may now answer 304. The test of a failed connection stood three times and is judge.Unsent now.

--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -275,13 +275,14 @@
 		return http.StatusNotFound
 	case judge.ReasonConvicted:
 		return http.StatusUnprocessableEntity
-	case judge.ReasonBound, judge.ReasonQueueFull, judge.ReasonRetryBudget, judge.ReasonCredit, judge.ReasonDeadline:
+	case judge.ReasonBound, judge.ReasonElsewhere, judge.ReasonQueueFull, judge.ReasonRetryBudget, judge.ReasonCredit, judge.ReasonDeadline:
 		return http.StatusTooManyRequests
 	case judge.ReasonTimeout:
 		return http.StatusGatewayTimeout
 	case judge.ReasonBroken, judge.ReasonEngineCrashed:
 		return http.StatusBadGateway
-	case judge.ReasonTicketExpired, judge.ReasonIncarnation, judge.ReasonKeyUnknown:
+	case judge.ReasonTicketExpired, judge.ReasonIncarnation, judge.ReasonKeyUnknown,
+		judge.ReasonKeyReused, judge.ReasonAnswerNotKept:
 		return http.StatusConflict
 	case judge.ReasonInternal:
 		return http.StatusInternalServerError
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -184,11 +183,7 @@
 
 // sendError classifies an error of the transport before any answer.
 func sendError(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return judge.Refuse(judge.ReasonUnreachable, "engine: %w", err)
-	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if judge.Unsent(err) {
 		return judge.Refuse(judge.ReasonUnreachable, "engine: %w", err)
 	}
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,7 +12,6 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strconv"
-	"syscall"
 	"time"
 
 	"clementineramp/encoder"
@@ -286,8 +285,7 @@
 }
 
 func sendFailure(ctx context.Context, err error) *Failure {
-	var op *net.OpError
-	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
+	if judge.Unsent(err) {
 		return &Failure{Cause: judge.Refuse(judge.ReasonUnreachable, "agent: %w", err)}
 	}
 	if cause := context.Cause(ctx); cause != nil {
--- a/gossiper/distributor.go
+++ b/gossiper/distributor.go
@@ -155,7 +155,7 @@
 			break
 		}
 		if time.Since(began) > startPatience && d.cfg.Holder.Snapshot() != nil {
-			d.cfg.Log.Warn("start with a configuration that is not the newest", "newest", heard.String(), "in_force", d.cfg.Holder.Newest().String())
+			d.cfg.Log.Warn("start_with_a_configuration_that_is_not_the_newest", "newest", heard.String(), "in_force", d.cfg.Holder.Newest().String())
 			break
 		}
 		sleep(ctx, RetryDelay(len(d.cfg.Hosts()), failures, d.float()))
@@ -263,7 +263,7 @@
 func (d *Distributor) read(ctx context.Context) (configurer.Pair, bool) {
 	v, err := d.cfg.Platform.Value(ctx, configurer.ManifestKey)
 	if err != nil {
-		d.cfg.Log.Debug("platform read failed", "key", configurer.ManifestKey, "error", err.Error())
+		d.cfg.Log.Debug("platform_read_failed", "key", configurer.ManifestKey, "error", err.Error())
 		return configurer.Pair{}, false
 	}
 	return d.takeManifest(ctx, v)
@@ -277,7 +277,7 @@
 		began := time.Now()
 		sleep(ctx, wait)
 		if time.Since(began) > wait+pauseThreshold {
-			d.cfg.Log.Warn("process was paused", "seconds", (time.Since(began) - wait).Seconds())
+			d.cfg.Log.Warn("process_was_paused", "seconds", (time.Since(began) - wait).Seconds())
 			signal(d.readWake)
 		}
 		for _, peer := range d.randomPeers(1) {
@@ -287,7 +287,7 @@
 				_, err = d.cfg.Gossip.Announce(ctx, peer)
 			}
 			if err != nil {
-				d.cfg.Log.Debug("exchange failed", "peer", peer, "error", err.Error())
+				d.cfg.Log.Debug("exchange_failed", "peer", peer, "error", err.Error())
 			}
 		}
 	}
@@ -306,7 +306,7 @@
 		for _, peer := range d.randomPeers(pushPeers) {
 			group.Go(func() error {
 				if _, err := d.cfg.Gossip.Announce(ctx, peer); err != nil {
-					d.cfg.Log.Debug("push failed", "peer", peer, "error", err.Error())
+					d.cfg.Log.Debug("push_failed", "peer", peer, "error", err.Error())
 				}
 				return nil
 			})
@@ -345,7 +345,7 @@
 	if r.Conflict == nil {
 		return
 	}
-	d.cfg.Log.Error("configuration conflict", "version", r.Conflict.Version, "digests", r.Conflict.Digests)
+	d.cfg.Log.Error("configuration_conflict", "version", r.Conflict.Version, "digests", r.Conflict.Digests)
 	d.cfg.Alarm(*r.Conflict)
 }
 
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -28,7 +28,7 @@
 	m, err := configurer.DecodeManifest(v.Data)
 	if err != nil {
 		d.setRevision(v.Revision)
-		d.cfg.Log.Error("platform holds an invalid manifest", "revision", v.Revision, "error", err.Error())
+		d.cfg.Log.Error("platform_holds_an_invalid_manifest", "revision", v.Revision, "error", err.Error())
 		return configurer.Pair{}, false
 	}
 	pair := configurer.Pair{Version: m.Version, Digest: configurer.DigestOf(v.Data)}
@@ -43,7 +43,7 @@
 	case 0:
 		d.confirm()
 	case -1:
-		d.cfg.Log.Warn("platform holds an older configuration", "platform", pair.String(), "in_force", newest.String())
+		d.cfg.Log.Warn("platform_holds_an_older_configuration", "platform", pair.String(), "in_force", newest.String())
 	}
 	return pair, true
 }
@@ -71,7 +71,7 @@
 	failures := d.failures
 	d.mu.Unlock()
 	wait := RetryDelay(len(d.cfg.Hosts()), failures, d.float())
-	d.cfg.Log.Warn("platform watch failed", "retry_ms", wait.Milliseconds(), "error", err.Error())
+	d.cfg.Log.Warn("platform_watch_failed", "retry_ms", wait.Milliseconds(), "error", err.Error())
 	sleep(ctx, wait)
 }
 
@@ -79,12 +79,12 @@
 func (d *Distributor) taken(r configurer.Result, err error) {
 	d.alarm(r)
 	if err != nil {
-		d.cfg.Log.Error("configuration refused", "error", err.Error())
+		d.cfg.Log.Error("configuration_refused", "error", err.Error())
 	}
 	if r.Adopted == nil {
 		return
 	}
-	d.cfg.Log.Info("configuration adopted", "version", r.Adopted.Version, "digest", string(r.Adopted.Digest))
+	d.cfg.Log.Info("configuration_adopted", "version", r.Adopted.Version, "digest", string(r.Adopted.Digest))
 	d.cfg.Adopted(r.Adopted)
 	signal(d.pushWake)
 }
@@ -112,7 +112,7 @@
 	data, err := d.cfg.Gossip.Manifest(ctx, peer, pair.Digest)
 	if err != nil {
 		// The peer may have adopted a newer one in the meantime; the next exchange tells.
-		d.cfg.Log.Debug("manifest not fetched", "peer", peer, "configuration", pair.String(), "error", err.Error())
+		d.cfg.Log.Debug("manifest_not_fetched", "peer", peer, "configuration", pair.String(), "error", err.Error())
 		return
 	}
 	r, err := d.cfg.Holder.Offer(data)
@@ -217,10 +217,10 @@
 	}
 	d.hold()
 	if !trace.IsNotFound(err) {
-		d.cfg.Log.Debug("part not read", "digest", string(digest), "error", err.Error())
+		d.cfg.Log.Debug("part_not_read", "digest", string(digest), "error", err.Error())
 		return nil, false
 	}
-	d.cfg.Log.Warn("platform lacks a part that a manifest lists", "digest", string(digest))
+	d.cfg.Log.Warn("platform_lacks_a_part_that_a_manifest_lists", "digest", string(digest))
 	return nil, false
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -195,7 +195,7 @@
 func (g *Gossiper) serveConn(c net.Conn) {
 	m := &meteredConn{Conn: c, count: g.cfg.Count}
 	if err := acceptHandshake(m, g.cfg.Key, g.cfg.Timeout); err != nil {
-		g.cfg.Log.Warn("gossip connection refused", "peer", c.RemoteAddr().String(), "error", err.Error())
+		g.cfg.Log.Warn("gossip_connection_refused", "peer", c.RemoteAddr().String(), "error", err.Error())
 		return
 	}
 	g.server.ServeCodec(serverCodec{newFrames(m.bound(idleTimeout, g.cfg.Timeout), maxRequestBytes)})
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -72,6 +72,8 @@
 	ReasonTicketExpired Reason = "ticket_expired"
 	ReasonIncarnation   Reason = "other_incarnation"
 	ReasonKeyUnknown    Reason = "key_history_unknown"
+	ReasonKeyReused     Reason = "key_reused"
+	ReasonAnswerNotKept Reason = "answer_not_kept"
 	ReasonStreamLost    Reason = "stream_lost"
 	ReasonInternal      Reason = "internal"
 )
--- a/service/service.go
+++ b/service/service.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"clementineramp/encoder"
@@ -125,8 +124,7 @@
 
 // sendError classifies a failure before the answer: only one before a connection was open excludes that the call ran.
 func sendError(err error) error {
-	var op *net.OpError
-	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
+	if judge.Unsent(err) {
 		return judge.Refuse(judge.ReasonUnreachable, "service: %w", err)
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -191,11 +191,25 @@
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		if !watch || found && v.revision > after || !p.wait(r, changed, limit.C) {
+		if !watch || found && v.revision > after {
 			writeValue(w, v, found)
 			return
 		}
+		if !p.wait(r, changed, limit.C) {
+			p.writeUnchanged(w, r, v, found)
+			return
+		}
+	}
+}
+
+// writeUnchanged ends a watch without a change: a list of hosts is not sent again, since it is large.
+func (p *Platform) writeUnchanged(w http.ResponseWriter, r *http.Request, v platformValue, found bool) {
+	if found && r.URL.Path == "/v1/hosts" {
+		w.Header().Set(platform.RevisionHeader, strconv.FormatUint(v.revision, 10))
+		w.WriteHeader(http.StatusNotModified)
+		return
 	}
+	writeValue(w, v, found)
 }
 
 func writeValue(w http.ResponseWriter, v platformValue, found bool) {
--- a/ticketer/ledger.go
+++ b/ticketer/ledger.go
@@ -14,14 +14,6 @@
 	"clementineramp/judge"
 )
 
-// Reasons of refusals that only orders have.
-const (
-	// ReasonAnswerNotKept is the reason when an order ran and its answer is no longer kept.
-	ReasonAnswerNotKept judge.Reason = "answer_not_kept"
-	// ReasonKeyReused is the reason when a key comes back with a different request.
-	ReasonKeyReused judge.Reason = "key_reused"
-)
-
 // Defaults of Config.
 const (
 	DefaultLifetime       = 2 * time.Minute
@@ -315,7 +307,7 @@
 func (e *entry) repeat(digest Digest) (Decision, error) {
 	switch {
 	case e.digest != digest:
-		return Decision{}, judge.Doubt(ReasonKeyReused, "the key was used before with a different request; use one key for one order")
+		return Decision{}, judge.Doubt(judge.ReasonKeyReused, "the key was used before with a different request; use one key for one order")
 	case !e.closed:
 		return Decision{Action: Wait, Pending: e.pending}, nil
 	case e.kept != nil:
@@ -324,7 +316,7 @@
 		return Decision{}, e.pending.err
 	}
 	return Decision{}, &judge.Error{
-		Verdict: judge.Ran, Reason: ReasonAnswerNotKept,
+		Verdict: judge.Ran, Reason: judge.ReasonAnswerNotKept,
 		Err: fmt.Errorf("the order ran with status %d; its answer is no longer kept", e.pending.answer.Status),
 	}
 }
--- a/ticketer/ledger_test.go
+++ b/ticketer/ledger_test.go
@@ -163,7 +163,7 @@
 	_, err := l.Begin(epoch, key, digest, ticketer.Freshness{})
 	require.NoError(t, err)
 	_, err = l.Begin(epoch, key, ticketer.DigestOf([]byte("other")), ticketer.Freshness{})
-	requireRefused(t, err, judge.MayHaveRun, ticketer.ReasonKeyReused)
+	requireRefused(t, err, judge.MayHaveRun, judge.ReasonKeyReused)
 	require.NotEqual(t, ticketer.DigestOf([]byte("ab"), []byte("c")), ticketer.DigestOf([]byte("a"), []byte("bc")))
 }
 
@@ -389,7 +389,7 @@
 	recent := run("12345678")
 	for _, key := range []ticketer.Key{large, old} {
 		_, err := l.Begin(epoch, key, digest, ticketer.Freshness{})
-		requireRefused(t, err, judge.Ran, ticketer.ReasonAnswerNotKept)
+		requireRefused(t, err, judge.Ran, judge.ReasonAnswerNotKept)
 		require.ErrorContains(t, err, "201")
 	}
 	d, err := l.Begin(epoch, recent, digest, ticketer.Freshness{})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -263,26 +264,37 @@
 
 // watchHosts follows the platform's list.
 func (w *Watcher) watchHosts(ctx context.Context) error {
-	var list platform.HostList
-	return w.follow(ctx, "hosts", func() (err error) {
-		if list.Revision == 0 {
-			list, err = w.cfg.Platform.Hosts(ctx)
-		} else {
-			list, err = w.cfg.Platform.WatchHosts(ctx, list.Revision)
-		}
-		if err != nil && !w.KnowsHosts() {
-			w.askHosts(ctx)
+	revision := uint64(0)
+	return w.follow(ctx, "hosts", func() error {
+		list, err := w.readHosts(ctx, revision)
+		if errors.Is(err, platform.ErrUnchanged) {
+			return nil
 		}
-		if err == nil {
-			w.takeHosts(list.Hosts)
-			w.setList(list)
-			// All processes hear of a change at once; the wait spreads their next reads.
-			w.sleep(ctx, scaled(len(list.Hosts)))
+		if err != nil {
+			// The platform may have restarted with other revisions.
+			revision = 0
+			if !w.KnowsHosts() {
+				w.askHosts(ctx)
+			}
+			return err
 		}
-		return err
+		revision = list.Revision
+		w.takeHosts(list.Hosts)
+		w.setList(list)
+		// All processes hear of a change at once; the wait spreads their next reads.
+		w.sleep(ctx, scaled(len(list.Hosts)))
+		return nil
 	})
 }
 
+// readHosts reads the list, or waits for one after a revision.
+func (w *Watcher) readHosts(ctx context.Context, revision uint64) (platform.HostList, error) {
+	if revision == 0 {
+		return w.cfg.Platform.Hosts(ctx)
+	}
+	return w.cfg.Platform.WatchHosts(ctx, revision)
+}
+
 // scaled returns a random wait that keeps the fleet's reads of the list at a constant rate at any size.
 func scaled(hosts int) time.Duration {
 	return rand.N(max(hostsMin, time.Duration(hosts)*hostsPerHost))
