tracker: two standard deviations of caution; measurer: name unanswered turns

Cause 2: the turns without an answer of measure reuse were cut off by the measure itself 2.5 s after the last turn began ("context deadline exceeded"); with 8 s all are answered, so none is lost. The result now names the errors.

--- a/measurer/reuse.go
+++ b/measurer/reuse.go
@@ -30,6 +30,7 @@
 	reuse, skew, most float64
 	over, checked     int
 	failed            int
+	errors            []string
 	attempts          float64
 	p50, p95          time.Duration
 }
@@ -53,7 +54,7 @@
 		return t, err
 	}
 	t.reuse, t.skew, t.attempts = a.reuse(), a.meter.skew(), a.attempts()
-	t.failed = a.failed
+	t.failed, t.errors = a.failed, a.errors
 	t.most, t.over, t.checked = a.meter.worst, a.meter.over, a.meter.checked
 	t.p50, t.p95 = timeQuantile(a.firstToken, 0.5), timeQuantile(a.firstToken, 0.95)
 	return t, nil
@@ -120,6 +121,7 @@
 		"pauses and answers are shorter than in service; one engine joins, one leaves and returns, one flaps",
 		"the reference knows all caches and loads at once, sends straight to the engines and never defers a request",
 	}
+	r.Notes = append(r.Notes, t.own.errors...)
 	return r, nil
 }
 
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -41,7 +41,7 @@
 )
 
 // drainTime is the time for the last answers; what is not answered by then has failed.
-const drainTime = 2500 * time.Millisecond
+const drainTime = 8 * time.Second
 
 // unbounded is the bound of the baselines, which no batch reaches.
 const unbounded = 4
@@ -53,6 +53,9 @@
 // wideBudget is a control budget that no process reaches.
 const wideBudget = "1MB"
 
+// maxErrors bounds the failures that a result names.
+const maxErrors = 5
+
 // sendChat sends a turn of a chat and returns the answer.
 type sendChat func(ctx context.Context, chat string, turn int, req encoder.ChatRequest) (standin.Reply, error)
 
@@ -68,6 +71,7 @@
 	// reusable counts the tokens of earlier turns in the prompts, and reused those that came from a cache.
 	reusable, reused int
 	turns, failed    int
+	errors           []string
 	firstToken       []time.Duration
 }
 
@@ -229,6 +233,9 @@
 	a.turns++
 	if err != nil {
 		a.failed++
+		if len(a.errors) < maxErrors {
+			a.errors = append(a.errors, fmt.Sprintf("turn without an answer: %s: %v", chat, err))
+		}
 		return history
 	}
 	if a.watching {
--- a/tracker/types.go
+++ b/tracker/types.go
@@ -128,7 +128,7 @@
 const (
 	// confidence is the number of standard deviations by which a cautious process takes the pool's work to be lower than
 	// its table says.
-	confidence = 1.5
+	confidence = 2
 	// maxMargin is the largest part of the pool's work that uncertainty may take away, so that agents that hear little
 	// of each other still fill their engines.
 	maxMargin = 0.2
