Spread tickets over the workers of a service; one constructor of a process

Cause: workers of a plain service report the same load most of the time, and the choice of the least loaded took the first by name: the demo's six orders all ran at worker-1, so the loss of that one agent would have touched every open ticket.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -240,7 +240,7 @@
 		out = io.Discard
 	}
 	log := logger.New(logger.Config{Level: cfg.LogLevel, Output: out, Secrets: []string{sharedKey}}).Named(spec.name)
-	p, err := launcher.NewWith(cfg, log, launcher.Options{Admission: f.cfg.Admission, Routing: f.cfg.Policy, Network: f.networkOf(spec.name)})
+	p, err := launcher.New(cfg, log, launcher.Options{Admission: f.cfg.Admission, Routing: f.cfg.Policy, Network: f.networkOf(spec.name)})
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
--- a/launcher/file.go
+++ b/launcher/file.go
@@ -17,7 +17,7 @@
 		return trace.Wrap(err)
 	}
 	l := logger.New(logger.Config{Level: cfg.LogLevel, Output: log, Secrets: []string{cfg.SharedKey.Reveal()}})
-	p, err := New(cfg, l, Network{})
+	p, err := New(cfg, l, Options{})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -103,12 +103,7 @@
 }
 
 // New binds the addresses of a daemon; Run serves them.
-func New(cfg *loader.Settings, log hclog.Logger, network Network) (*Process, error) {
-	return NewWith(cfg, log, Options{Network: network})
-}
-
-// NewWith binds the addresses of a daemon with replaced parts; Run serves them.
-func NewWith(cfg *loader.Settings, log hclog.Logger, options Options) (*Process, error) {
+func New(cfg *loader.Settings, log hclog.Logger, options Options) (*Process, error) {
 	network := options.Network
 	network.setDefaults()
 	p := &Process{
--- a/router/order.go
+++ b/router/order.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -82,9 +83,12 @@
 // as the router knows come last: an agent that was restarted is held back for a while, and one that does leave refuses
 // by itself.
 func (r *Router) leastLoaded(service string, tried map[string]bool) (chooser.Upstream, bool) {
+	view := r.cfg.View(service)
+	// Workers of a plain service are mostly idle alike; without the shuffle the first by name would get every ticket.
+	rand.Shuffle(len(view), func(i, j int) { view[i], view[j] = view[j], view[i] })
 	var best chooser.Upstream
 	found := false
-	for _, u := range r.cfg.View(service) {
+	for _, u := range view {
 		if tried[u.Name] {
 			continue
 		}
