Rename package platform to subscriber

Cause: the name platform is needed for the adapter to the users' platform. Change: the client of the product's own configuration service is package subscriber; no behaviour changes.

--- a/commander/deployment.go
+++ b/commander/deployment.go
@@ -13,15 +13,15 @@
 	"clementineramp/configurer"
 	"clementineramp/explainer"
 	"clementineramp/loader"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // deployment is the content of a directory with a sheet, a host list and settings.
 type deployment struct {
 	sheet    *compiler.Sheet
 	snapshot *configurer.Snapshot
-	hosts    []platform.Host
+	hosts    []subscriber.Host
 	agents   []*loader.Settings
 	platform netip.AddrPort
 }
--- a/commander/explain.go
+++ b/commander/explain.go
@@ -16,7 +16,7 @@
 	"clementineramp/encoder"
 	"clementineramp/explainer"
 	"clementineramp/loader"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 	"clementineramp/tracker"
 )
 
@@ -154,12 +154,12 @@
 }
 
 // readHosts reads a host list in the platform's form.
-func readHosts(file string) ([]platform.Host, error) {
+func readHosts(file string) ([]subscriber.Host, error) {
 	data, err := readInput(file)
 	if err != nil {
 		return nil, err
 	}
-	list, err := platform.DecodeHostList(data)
+	list, err := subscriber.DecodeHostList(data)
 	if err != nil {
 		return nil, trace.BadParameter("%s: %v", file, err)
 	}
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -15,8 +15,8 @@
 	"github.com/gravitational/trace"
 
 	"clementineramp/configurer"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // revisionsPerVersion spreads the revisions of a stand-in platform by the version of its manifest, so that a platform
@@ -106,7 +106,7 @@
 	return version, nil
 }
 
-func (p *publisher) publishHosts(hosts []platform.Host) error {
+func (p *publisher) publishHosts(hosts []subscriber.Host) error {
 	data, err := json.Marshal(hosts)
 	if err != nil {
 		return trace.Wrap(err)
--- a/commander/standin.go
+++ b/commander/standin.go
@@ -11,8 +11,8 @@
 
 	"clementineramp/compiler"
 	"clementineramp/configurer"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -180,7 +180,7 @@
 	fmt.Fprintf(s.cmd.Root().Writer, "%s %s listens on %s\n", kind, printable(name), address)
 }
 
-func (s *standins) platform(listen string, sheet *compiler.Sheet, hosts []platform.Host) error {
+func (s *standins) platform(listen string, sheet *compiler.Sheet, hosts []subscriber.Host) error {
 	p := standin.NewPlatform()
 	p.SetReadRate(platformReadsPerSecond)
 	for _, part := range sheet.Parts {
--- a/commander/standin_test.go
+++ b/commander/standin_test.go
@@ -22,7 +22,7 @@
 	"clementineramp/encoder"
 	"clementineramp/engine"
 	"clementineramp/loader"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // startStandins runs a standin command until the test ends and returns what it prints until it is ready.
@@ -64,9 +64,9 @@
 }
 
 // checkPlatform reads all that a starting process reads.
-func checkPlatform(t *testing.T, address string) (*configurer.Snapshot, []platform.Host) {
+func checkPlatform(t *testing.T, address string) (*configurer.Snapshot, []subscriber.Host) {
 	t.Helper()
-	client := platform.New(platform.Config{Addresses: []string{address}})
+	client := subscriber.New(subscriber.Config{Addresses: []string{address}})
 	manifest, err := client.Value(t.Context(), configurer.ManifestKey)
 	require.NoError(t, err)
 	snapshot, err := configurer.Load(manifest.Data, func(d configurer.Digest) ([]byte, bool) {
--- a/demonstrator/control.go
+++ b/demonstrator/control.go
@@ -6,8 +6,8 @@
 	"github.com/gravitational/trace"
 
 	"clementineramp/launcher"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // PlatformEndpoint is the name of the platform on the fleet's network.
@@ -92,6 +92,6 @@
 }
 
 // Hosts returns the fleet's true list of hosts.
-func (f *Fleet) Hosts() []platform.Host {
-	return append([]platform.Host(nil), f.hosts...)
+func (f *Fleet) Hosts() []subscriber.Host {
+	return append([]subscriber.Host(nil), f.hosts...)
 }
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -21,8 +21,8 @@
 	"clementineramp/loader"
 	"clementineramp/logger"
 	"clementineramp/operator"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // Names of the demonstration fleet.
@@ -88,7 +88,7 @@
 	Routers        []*launcher.Process
 
 	cfg   FleetConfig
-	hosts []platform.Host
+	hosts []subscriber.Host
 	specs map[string]*processSpec
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -215,8 +215,8 @@
 		return nil, err
 	}
 	f.specs[name] = spec
-	host := platform.Host{
-		Name: name, Address: p.Address(), Control: p.ControlAddress(), Domain: cfg.FailureDomain, Role: role, State: platform.StateLive,
+	host := subscriber.Host{
+		Name: name, Address: p.Address(), Control: p.ControlAddress(), Domain: cfg.FailureDomain, Role: role, State: subscriber.StateLive,
 	}
 	if cfg.Upstream != nil {
 		host.Upstream = cfg.Upstream.Name
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -18,7 +18,7 @@
 	"clementineramp/configurer"
 	"clementineramp/explainer"
 	"clementineramp/loader"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // example states the size of a deployment as section 1.1 of the design gives it.
@@ -43,7 +43,7 @@
 type files struct {
 	sheet    *compiler.Sheet
 	snapshot *configurer.Snapshot
-	hosts    []platform.Host
+	hosts    []subscriber.Host
 	settings []*loader.Settings
 }
 
@@ -71,7 +71,7 @@
 
 	data, err = os.ReadFile(filepath.Join(ex.name, "hosts.json"))
 	require.NoError(t, err)
-	list, err := platform.DecodeHostList(data)
+	list, err := subscriber.DecodeHostList(data)
 	require.NoError(t, err)
 	f.hosts = list.Hosts
 
@@ -120,14 +120,14 @@
 // checkHosts compares each settings file with the host list.
 func checkHosts(t *testing.T, ex example, f files) {
 	t.Helper()
-	hosts := map[string]platform.Host{}
+	hosts := map[string]subscriber.Host{}
 	for _, h := range f.hosts {
 		hosts[h.Name] = h
 	}
 	for _, s := range f.settings {
-		want := platform.Host{
+		want := subscriber.Host{
 			Name: s.Name, Address: s.Listen.String(), Control: s.ControlListen.String(), Domain: s.FailureDomain,
-			Role: string(s.Role), State: platform.StateLive,
+			Role: string(s.Role), State: subscriber.StateLive,
 		}
 		if s.Upstream != nil {
 			want.Upstream = s.Upstream.Name
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -14,7 +14,7 @@
 	"clementineramp/compiler"
 	"clementineramp/configurer"
 	"clementineramp/encoder"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 	"clementineramp/tracker"
 )
 
@@ -25,7 +25,7 @@
 // Config holds what a router would know.
 type Config struct {
 	Sheet *compiler.Sheet
-	Hosts []platform.Host
+	Hosts []subscriber.Host
 	// Load holds load entries as the processes exchange them.
 	Load []encoder.LoadEntry
 	// Observations are outcomes that the router saw itself; none are needed.
@@ -45,7 +45,7 @@
 	bound     float64
 	// now is the only time at which the tracker is asked, so that an explanation does not depend on the clock.
 	now   time.Time
-	hosts map[string]platform.Host
+	hosts map[string]subscriber.Host
 	// reported names the hosts that a load entry describes.
 	reported map[string]bool
 }
@@ -70,7 +70,7 @@
 		cfg: cfg, snapshot: snapshot, chooser: c, displacer: displacer, bound: bound,
 		tracker: tracker.New(tracker.Config{LoadLife: cfg.Routing.LoadLife}),
 		now:     time.Unix(0, 0).UTC(),
-		hosts:   map[string]platform.Host{}, reported: map[string]bool{},
+		hosts:   map[string]subscriber.Host{}, reported: map[string]bool{},
 	}
 	e.takeHosts()
 	if err := e.takeLoad(); err != nil {
@@ -88,12 +88,12 @@
 func (e *Explainer) takeHosts() {
 	var list []tracker.Host
 	for _, h := range e.cfg.Hosts {
-		if h.Role != platform.RoleAgent {
+		if h.Role != subscriber.RoleAgent {
 			continue
 		}
 		e.hosts[h.Name] = h
 		list = append(list, tracker.Host{
-			Name: h.Name, Address: h.Address, Pool: h.Upstream, Domain: h.Domain, Leaving: h.State == platform.StateLeaving,
+			Name: h.Name, Address: h.Address, Pool: h.Upstream, Domain: h.Domain, Leaving: h.State == subscriber.StateLeaving,
 		})
 	}
 	e.tracker.Hosts(list, e.now)
@@ -116,7 +116,7 @@
 func (e *Explainer) agentNames() []string {
 	var names []string
 	for _, h := range e.cfg.Hosts {
-		if h.Role == platform.RoleAgent {
+		if h.Role == subscriber.RoleAgent {
 			names = append(names, h.Name)
 		}
 	}
@@ -124,12 +124,12 @@
 }
 
 // Disagreements says where a configuration and a host list do not fit together, one sentence each.
-func Disagreements(snapshot *configurer.Snapshot, hosts []platform.Host) []string {
+func Disagreements(snapshot *configurer.Snapshot, hosts []subscriber.Host) []string {
 	var out []string
 	count := map[string]int{}
 	serves := map[string]string{}
 	for _, h := range hosts {
-		if h.Role != platform.RoleAgent {
+		if h.Role != subscriber.RoleAgent {
 			continue
 		}
 		count[h.Upstream]++
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -14,7 +14,7 @@
 	"clementineramp/configurer"
 	"clementineramp/encoder"
 	"clementineramp/explainer"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 	"clementineramp/ticketer"
 	"clementineramp/tracker"
 )
@@ -40,15 +40,15 @@
 	return s
 }
 
-func agent(upstream string, i int) platform.Host {
-	return platform.Host{
+func agent(upstream string, i int) subscriber.Host {
+	return subscriber.Host{
 		Name: fmt.Sprintf("%s-%d", upstream, i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
-		Domain: fmt.Sprintf("d%d", i%3), Role: platform.RoleAgent, Upstream: upstream, State: platform.StateLive,
+		Domain: fmt.Sprintf("d%d", i%3), Role: subscriber.RoleAgent, Upstream: upstream, State: subscriber.StateLive,
 	}
 }
 
-func hosts(engines int) []platform.Host {
-	list := []platform.Host{{Name: "router-1", Address: "127.0.0.1:1", Domain: "d0", Role: platform.RoleRouter, State: platform.StateLive}}
+func hosts(engines int) []subscriber.Host {
+	list := []subscriber.Host{{Name: "router-1", Address: "127.0.0.1:1", Domain: "d0", Role: subscriber.RoleRouter, State: subscriber.StateLive}}
 	for i := range engines {
 		list = append(list, agent("vavrad", i+1))
 	}
@@ -89,7 +89,7 @@
 	table := tracker.New(tracker.Config{})
 	var list []tracker.Host
 	for _, h := range cfg.Hosts {
-		if h.Role == platform.RoleAgent {
+		if h.Role == subscriber.RoleAgent {
 			list = append(list, tracker.Host{Name: h.Name, Pool: h.Upstream, Domain: h.Domain})
 		}
 	}
@@ -209,7 +209,7 @@
 
 func TestNoCandidate(t *testing.T) {
 	list := hosts(1)
-	list[1].State = platform.StateLeaving
+	list[1].State = subscriber.StateLeaving
 	chat, err := newExplainer(t, explainer.Config{Hosts: list}).Chat(chatQuery("1"))
 	require.NoError(t, err)
 	require.Equal(t, chooser.ReasonNoCandidate, chat.Reason)
@@ -263,7 +263,7 @@
 // Guards against an order that is explained to go to another agent than routers send it to.
 func TestOrder(t *testing.T) {
 	list := hosts(1)
-	list[len(list)-1].State = platform.StateLeaving
+	list[len(list)-1].State = subscriber.StateLeaving
 	load := []encoder.LoadEntry{{Upstream: "bestall-1", Work: 2, UptimeMS: 60_000}, {Upstream: "bestall-2", Work: 1, UptimeMS: 60_000}}
 	e := newExplainer(t, explainer.Config{Hosts: list[:len(list)-1], Load: load})
 	workers := []string{"bestall-1", "bestall-2", "bestall-3"}
@@ -306,7 +306,7 @@
 	o, err = newExplainer(t, explainer.Config{Hosts: list}).Order(explainer.OrderQuery{Organisation: "Kvarnby", Service: "bestall"})
 	require.NoError(t, err)
 	require.Equal(t, "bestall-1", o.Lands)
-	require.Equal(t, platform.StateLeaving, o.Workers[2].State)
+	require.Equal(t, subscriber.StateLeaving, o.Workers[2].State)
 }
 
 func TestDisagreements(t *testing.T) {
--- a/explainer/order.go
+++ b/explainer/order.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"clementineramp/configurer"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // OrderQuery describes an order to a plain service.
@@ -95,7 +95,7 @@
 func (e *Explainer) ownerNotes(owner string) []string {
 	h, ok := e.hosts[owner]
 	switch {
-	case owner == "" || ok && h.State == platform.StateLive:
+	case owner == "" || ok && h.State == subscriber.StateLive:
 		return nil
 	case !ok:
 		return []string{fmt.Sprintf("%s is not in the host list; the answer is \"may have run\", because no other agent knows the history of the key", owner)}
--- a/explainer/organisation.go
+++ b/explainer/organisation.go
@@ -9,7 +9,7 @@
 
 	"clementineramp/compiler"
 	"clementineramp/configurer"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // Rank is a rank of work as an organisation meets it.
@@ -165,11 +165,11 @@
 func (e *Explainer) destination(name string) Destination {
 	d := Destination{Name: name}
 	for _, h := range e.cfg.Hosts {
-		if h.Role != platform.RoleAgent || h.Upstream != name {
+		if h.Role != subscriber.RoleAgent || h.Upstream != name {
 			continue
 		}
 		d.Agents++
-		if h.State == platform.StateLeaving {
+		if h.State == subscriber.StateLeaving {
 			d.Leaving++
 		}
 	}
--- a/gossiper/codec.go
+++ b/gossiper/codec.go
@@ -10,7 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -18,7 +18,7 @@
 	// maxRequestBytes bounds a frame that a server reads.
 	maxRequestBytes = 128 << 10
 	// maxResponseBytes bounds a frame that a client reads; the largest content is a value of the platform.
-	maxResponseBytes = platform.MaxValueBytes + 1024
+	maxResponseBytes = subscriber.MaxValueBytes + 1024
 	maxNestedLevels  = 8
 )
 
--- a/gossiper/distributor.go
+++ b/gossiper/distributor.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"clementineramp/configurer"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -33,10 +33,10 @@
 	// Name and Domain are the process's own name and failure domain.
 	Name, Domain string
 	Holder       *configurer.Holder
-	Platform     *platform.Client
+	Platform     *subscriber.Client
 	Gossip       *Gossiper
 	// Hosts returns the newest known list of hosts; an empty list makes the process a watcher.
-	Hosts func() []platform.Host
+	Hosts func() []subscriber.Host
 	// Interval is the time between exchanges with a random peer; zero means 1 s.
 	Interval time.Duration
 	// Fallback returns the time between fallback reads from the number of hosts and a random number; nil means FallbackInterval.
--- a/gossiper/distributor_test.go
+++ b/gossiper/distributor_test.go
@@ -15,15 +15,15 @@
 
 	"clementineramp/configurer"
 	"clementineramp/gossiper"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 const patience = 30 * time.Second
 
 // process is one member of a test fleet with its own connections.
 type process struct {
-	host   platform.Host
+	host   subscriber.Host
 	holder *configurer.Holder
 	d      *gossiper.Distributor
 	stop   func()
@@ -54,7 +54,7 @@
 	platforms []*standin.Platform
 	addresses []string
 	processes []*process
-	hosts     []platform.Host
+	hosts     []subscriber.Host
 	// fallback is never by default, since fallback reads would blur the count of reads per change.
 	fallback func(int, float64) time.Duration
 	config   gossiper.Config
@@ -84,9 +84,9 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(f.t, err)
 		listeners[i] = l
-		f.hosts = append(f.hosts, platform.Host{
+		f.hosts = append(f.hosts, subscriber.Host{
 			Name: fmt.Sprintf("host-%03d", first+i), Address: "127.0.0.1:1", Control: l.Addr().String(),
-			Domain: fmt.Sprintf("d%d", i%domains), Role: platform.RoleRouter, State: platform.StateLive,
+			Domain: fmt.Sprintf("d%d", i%domains), Role: subscriber.RoleRouter, State: subscriber.StateLive,
 		})
 	}
 	for _, p := range f.platforms {
@@ -97,7 +97,7 @@
 	}
 }
 
-func (f *testFleet) run(l net.Listener, host platform.Host, platformAddress string) *process {
+func (f *testFleet) run(l net.Listener, host subscriber.Host, platformAddress string) *process {
 	p := &process{host: host, holder: configurer.NewHolder()}
 	cfg := f.config
 	cfg.Name, cfg.Control = host.Name, host.Control
@@ -106,11 +106,11 @@
 	cfg.Key = key
 	g, err := gossiper.New(cfg)
 	require.NoError(f.t, err)
-	hosts := append([]platform.Host(nil), f.hosts...)
+	hosts := append([]subscriber.Host(nil), f.hosts...)
 	p.d = gossiper.NewDistributor(gossiper.DistributorConfig{
 		Name: host.Name, Domain: host.Domain, Holder: p.holder, Gossip: g,
-		Platform: platform.New(platform.Config{Addresses: []string{platformAddress}, Timeout: time.Second}),
-		Hosts:    func() []platform.Host { return hosts },
+		Platform: subscriber.New(subscriber.Config{Addresses: []string{platformAddress}, Timeout: time.Second}),
+		Hosts:    func() []subscriber.Host { return hosts },
 		Fallback: f.fallback, Adopted: p.take, Seed: uint64(len(f.processes) + 1),
 		Alarm: func(configurer.Conflict) { p.mu.Lock(); p.alarms++; p.mu.Unlock() },
 	})
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"clementineramp/configurer"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // parallelParts is the number of parts that are fetched at once, so that a first start does not pay one round trip per part.
@@ -24,7 +24,7 @@
 }
 
 // takeManifest offers the platform's manifest and fetches what it lists.
-func (d *Distributor) takeManifest(ctx context.Context, v platform.Value) (configurer.Pair, bool) {
+func (d *Distributor) takeManifest(ctx context.Context, v subscriber.Value) (configurer.Pair, bool) {
 	m, err := configurer.DecodeManifest(v.Data)
 	if err != nil {
 		d.setRevision(v.Revision)
--- a/gossiper/rules.go
+++ b/gossiper/rules.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -38,14 +38,14 @@
 )
 
 // Watchers returns the names of the processes of a failure domain that watch the platform: the live hosts of lowest rendezvous rank.
-func Watchers(hosts []platform.Host, domain string) []string {
+func Watchers(hosts []subscriber.Host, domain string) []string {
 	type position struct {
 		name string
 		hash uint64
 	}
 	var all []position
 	for _, h := range hosts {
-		if h.Domain == domain && h.State == platform.StateLive && h.Control != "" {
+		if h.Domain == domain && h.State == subscriber.StateLive && h.Control != "" {
 			all = append(all, position{h.Name, xxhash.Sum64String("watch\x00" + h.Name)})
 		}
 	}
@@ -74,7 +74,7 @@
 }
 
 // partRate returns the part reads per second that one process may send to the platform.
-func partRate(hosts []platform.Host, watcher bool) float64 {
+func partRate(hosts []subscriber.Host, watcher bool) float64 {
 	if !watcher {
 		return otherPartReads / float64(max(1, len(hosts)))
 	}
--- a/gossiper/rules_test.go
+++ b/gossiper/rules_test.go
@@ -9,15 +9,15 @@
 	"github.com/stretchr/testify/require"
 
 	"clementineramp/gossiper"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
-func fleet(n, domains int) []platform.Host {
-	var out []platform.Host
+func fleet(n, domains int) []subscriber.Host {
+	var out []subscriber.Host
 	for i := range n {
-		out = append(out, platform.Host{
+		out = append(out, subscriber.Host{
 			Name: fmt.Sprintf("host-%04d", i), Control: "127.0.0.1:1", Domain: fmt.Sprintf("d%d", i%domains),
-			Role: platform.RoleAgent, State: platform.StateLive,
+			Role: subscriber.RoleAgent, State: subscriber.StateLive,
 		})
 	}
 	return out
@@ -33,7 +33,7 @@
 	// When one watcher leaves, the others stay, so that the platform does not see a wave of new watches.
 	for i := range hosts {
 		if hosts[i].Name == first[0] {
-			hosts[i].State = platform.StateLeaving
+			hosts[i].State = subscriber.StateLeaving
 		}
 	}
 	next := gossiper.Watchers(hosts, "d3")
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,8 +23,8 @@
 	"clementineramp/limiter"
 	"clementineramp/loader"
 	"clementineramp/operator"
-	"clementineramp/platform"
 	"clementineramp/router"
+	"clementineramp/subscriber"
 	"clementineramp/watcher"
 )
 
@@ -173,11 +173,11 @@
 		return trace.Wrap(err)
 	}
 	wcfg := watcher.Config{
-		Self: platform.Host{
+		Self: subscriber.Host{
 			Name: p.cfg.Name, Address: p.Address(), Control: p.ControlAddress(),
-			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: platform.StateLive,
+			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: subscriber.StateLive,
 		},
-		Platform: platform.New(platform.Config{
+		Platform: subscriber.New(subscriber.Config{
 			Addresses: texts(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
 			Count: func(sent, received int) { p.watcher.CountControl(sent, received) },
 		}),
--- a/measurer/config.go
+++ b/measurer/config.go
@@ -19,8 +19,8 @@
 	"clementineramp/demonstrator"
 	"clementineramp/gossiper"
 	"clementineramp/launcher"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -304,7 +304,7 @@
 		return nil, trace.Wrap(err)
 	}
 	ctx, p.cancel = context.WithCancel(ctx)
-	client := platform.New(platform.Config{
+	client := subscriber.New(subscriber.Config{
 		Addresses: []string{p.server.Address()}, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}},
 	})
 	for i := range n {
@@ -317,7 +317,7 @@
 	p.platform.SetValue(configurer.ManifestKey, fmt.Appendf(nil, "%d", version))
 }
 
-func (p *pollers) poll(ctx context.Context, client *platform.Client, i int, phase time.Duration) {
+func (p *pollers) poll(ctx context.Context, client *subscriber.Client, i int, phase time.Duration) {
 	wait := phase
 	for {
 		select {
--- a/measurer/slopes_parts.go
+++ b/measurer/slopes_parts.go
@@ -19,8 +19,8 @@
 	"clementineramp/configurer"
 	"clementineramp/encoder"
 	"clementineramp/gossiper"
-	"clementineramp/platform"
 	"clementineramp/recorder"
+	"clementineramp/subscriber"
 	"clementineramp/ticketer"
 	"clementineramp/tracker"
 )
@@ -82,15 +82,15 @@
 	return list
 }
 
-func hostsOf(n int) []platform.Host {
-	list := make([]platform.Host, n)
+func hostsOf(n int) []subscriber.Host {
+	list := make([]subscriber.Host, n)
 	for i := range list {
-		h := platform.Host{
+		h := subscriber.Host{
 			Name: upstreamName(i), Address: fmt.Sprintf("10.20.%d.%d:8001", i/250, i%250), Control: fmt.Sprintf("10.20.%d.%d:8002", i/250, i%250),
-			Domain: fmt.Sprintf("domain-%d", i%10), Role: platform.RoleAgent, Upstream: slopePool, State: platform.StateLive,
+			Domain: fmt.Sprintf("domain-%d", i%10), Role: subscriber.RoleAgent, Upstream: slopePool, State: subscriber.StateLive,
 		}
 		if i%17 >= 10 {
-			h.Role, h.Upstream = platform.RoleRouter, ""
+			h.Role, h.Upstream = subscriber.RoleRouter, ""
 		}
 		list[i] = h
 	}
@@ -326,12 +326,12 @@
 	size := series{name: "bytes of the host list", per: "hosts", unit: "B"}
 	decode := series{name: "decoding of the host list", per: "hosts", unit: "ns"}
 	for _, n := range hostSizes {
-		data, err := json.Marshal(platform.HostList{Revision: 1, Hosts: hostsOf(n)})
+		data, err := json.Marshal(subscriber.HostList{Revision: 1, Hosts: hostsOf(n)})
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
 		size.points = append(size.points, point{float64(n), float64(len(data))})
-		decode.points = append(decode.points, point{float64(n), timed(spread, func() { _, err = platform.DecodeHostList(data) })})
+		decode.points = append(decode.points, point{float64(n), timed(spread, func() { _, err = subscriber.DecodeHostList(data) })})
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -17,8 +17,8 @@
 	"clementineramp/demonstrator"
 	"clementineramp/encoder"
 	"clementineramp/judge"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // The workload keeps about 20 requests in each engine, fewer than the 50 or so at the target size, because the machine
@@ -163,7 +163,7 @@
 	}
 	list := func(state string) func(e *standin.Engine) error {
 		return func(e *standin.Engine) error {
-			a.meter.setUp(e.Name(), state == platform.StateLive)
+			a.meter.setUp(e.Name(), state == subscriber.StateLive)
 			a.fleet.SetState(e.Name(), state)
 			return nil
 		}
@@ -174,11 +174,11 @@
 		do     func(e *standin.Engine) error
 	}{
 		{0, joins, down},
-		{1800 * time.Millisecond, leaves, list(platform.StateLeaving)},
+		{1800 * time.Millisecond, leaves, list(subscriber.StateLeaving)},
 		{2400 * time.Millisecond, joins, up},
 		{3000 * time.Millisecond, flaps, down},
 		{3200 * time.Millisecond, flaps, up},
-		{3900 * time.Millisecond, leaves, list(platform.StateLive)},
+		{3900 * time.Millisecond, leaves, list(subscriber.StateLive)},
 		{4500 * time.Millisecond, flaps, down},
 		{4700 * time.Millisecond, flaps, up},
 	} {
--- a/prover/fault.go
+++ b/prover/fault.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"clementineramp/demonstrator"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // Fault is something that fails.
@@ -208,8 +208,8 @@
 	}
 }
 
-func without(hosts []platform.Host, name string) []platform.Host {
-	var kept []platform.Host
+func without(hosts []subscriber.Host, name string) []subscriber.Host {
+	var kept []subscriber.Host
 	for _, h := range hosts {
 		if h.Name != name {
 			kept = append(kept, h)
@@ -218,10 +218,10 @@
 	return kept
 }
 
-func leaving(hosts []platform.Host, name string) []platform.Host {
+func leaving(hosts []subscriber.Host, name string) []subscriber.Host {
 	for i := range hosts {
 		if hosts[i].Name == name {
-			hosts[i].State = platform.StateLeaving
+			hosts[i].State = subscriber.StateLeaving
 		}
 	}
 	return hosts
--- a/scenarist/fleet.go
+++ b/scenarist/fleet.go
@@ -16,7 +16,7 @@
 	"clementineramp/compiler"
 	"clementineramp/configurer"
 	"clementineramp/loader"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -39,7 +39,7 @@
 	dir, ip   string
 	port      int
 	processes []*process
-	hosts     []platform.Host
+	hosts     []subscriber.Host
 	left      map[string]time.Time
 	mu        sync.Mutex
 	// versions are the model versions that were published, and models the models by pool.
@@ -151,9 +151,9 @@
 
 // daemon adds a host and returns its process.
 func (f *fleet) daemon(name, role, pool, domain string) *process {
-	h := platform.Host{
+	h := subscriber.Host{
 		Name: name, Address: f.newAddress(), Control: f.newAddress(), Domain: domain, Role: role, Upstream: pool,
-		State: platform.StateLive,
+		State: subscriber.StateLive,
 	}
 	f.hosts = append(f.hosts, h)
 	return &process{
@@ -169,7 +169,7 @@
 	}
 }
 
-func (f *fleet) writeSettings(common map[string]any, h platform.Host, slots int) error {
+func (f *fleet) writeSettings(common map[string]any, h subscriber.Host, slots int) error {
 	s := map[string]any{}
 	for name, value := range common {
 		s[name] = value
@@ -192,8 +192,8 @@
 
 func (f *fleet) writeHosts() error {
 	return f.writeJSON(hostsFile, struct {
-		Revision int             `json:"revision"`
-		Hosts    []platform.Host `json:"hosts"`
+		Revision int               `json:"revision"`
+		Hosts    []subscriber.Host `json:"hosts"`
 	}{1, f.hosts})
 }
 
@@ -297,7 +297,7 @@
 	found := false
 	for i := range f.hosts {
 		if f.hosts[i].Name == name {
-			f.hosts[i].State, found = platform.StateLeaving, true
+			f.hosts[i].State, found = subscriber.StateLeaving, true
 		}
 	}
 	if !found {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // platformWatchLimit is the time after which the platform answers a watch with the unchanged value.
@@ -85,15 +85,15 @@
 }
 
 // SetHosts publishes a list of hosts.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []subscriber.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
 	if hosts == nil {
-		hosts = []platform.Host{}
+		hosts = []subscriber.Host{}
 	}
 	// A list of plain strings always encodes.
-	data, _ := json.Marshal(platform.HostList{Revision: p.revision, Hosts: hosts})
+	data, _ := json.Marshal(subscriber.HostList{Revision: p.revision, Hosts: hosts})
 	p.data.hosts = platformValue{revision: p.revision, data: data}
 	p.wake()
 }
@@ -205,7 +205,7 @@
 // writeUnchanged ends a watch without a change: a list of hosts is not sent again, since it is large.
 func (p *Platform) writeUnchanged(w http.ResponseWriter, r *http.Request, v platformValue, found bool) {
 	if found && r.URL.Path == "/v1/hosts" {
-		w.Header().Set(platform.RevisionHeader, strconv.FormatUint(v.revision, 10))
+		w.Header().Set(subscriber.RevisionHeader, strconv.FormatUint(v.revision, 10))
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
@@ -218,7 +218,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set(platform.RevisionHeader, strconv.FormatUint(v.revision, 10))
+	w.Header().Set(subscriber.RevisionHeader, strconv.FormatUint(v.revision, 10))
 	_, _ = w.Write(v.data)
 }
 
--- a/platform/client.go
+++ b/subscriber/client.go
@@ -1,4 +1,4 @@
-package platform
+package subscriber
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/subscriber/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package subscriber_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 func serve(t *testing.T, p *standin.Platform) string {
@@ -25,14 +25,14 @@
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
-var host = platform.Host{
+var host = subscriber.Host{
 	Name: "h1", Address: "127.0.0.1:1", Control: "127.0.0.1:2", Domain: "d1",
-	Role: platform.RoleAgent, Upstream: "vavrad", State: platform.StateLive,
+	Role: subscriber.RoleAgent, Upstream: "vavrad", State: subscriber.StateLive,
 }
 
 func TestReads(t *testing.T) {
 	p := standin.NewPlatform()
-	c := platform.New(platform.Config{Addresses: []string{serve(t, p)}})
+	c := subscriber.New(subscriber.Config{Addresses: []string{serve(t, p)}})
 	ctx := context.Background()
 
 	_, err := c.Value(ctx, "config/manifest")
@@ -42,10 +42,10 @@
 	require.NoError(t, err)
 	require.Equal(t, "one", string(v.Data))
 
-	p.SetHosts([]platform.Host{host})
+	p.SetHosts([]subscriber.Host{host})
 	l, err := c.Hosts(ctx)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Host{host}, l.Hosts)
+	require.Equal(t, []subscriber.Host{host}, l.Hosts)
 	require.Greater(t, l.Revision, v.Revision)
 	require.Equal(t, 3, p.Reads())
 }
@@ -54,7 +54,7 @@
 func TestWatch(t *testing.T) {
 	p := standin.NewPlatform()
 	p.WatchLimit = 50 * time.Millisecond
-	c := platform.New(platform.Config{Addresses: []string{serve(t, p)}})
+	c := subscriber.New(subscriber.Config{Addresses: []string{serve(t, p)}})
 	ctx := context.Background()
 	p.SetValue("k", []byte("one"))
 	first, err := c.WatchValue(ctx, "k", 0)
@@ -64,7 +64,7 @@
 	require.Equal(t, first, unchanged)
 
 	p.WatchLimit = time.Minute
-	done := make(chan platform.Value, 1)
+	done := make(chan subscriber.Value, 1)
 	go func() {
 		v, _ := c.WatchValue(ctx, "k", first.Revision)
 		done <- v
@@ -80,7 +80,7 @@
 
 func TestFaults(t *testing.T) {
 	p := standin.NewPlatform()
-	c := platform.New(platform.Config{Addresses: []string{serve(t, p)}})
+	c := subscriber.New(subscriber.Config{Addresses: []string{serve(t, p)}})
 	ctx := context.Background()
 	p.SetValue("k", []byte("old"))
 
@@ -113,7 +113,7 @@
 	dead := httptest.NewServer(http.NotFoundHandler())
 	deadAddress := strings.TrimPrefix(dead.URL, "http://")
 	dead.Close()
-	c := platform.New(platform.Config{Addresses: []string{deadAddress, serve(t, p)}})
+	c := subscriber.New(subscriber.Config{Addresses: []string{deadAddress, serve(t, p)}})
 	v, err := c.Value(context.Background(), "k")
 	require.NoError(t, err)
 	require.Equal(t, "x", string(v.Data))
@@ -121,8 +121,8 @@
 
 func TestValueTooLarge(t *testing.T) {
 	p := standin.NewPlatform()
-	p.SetValue("k", make([]byte, platform.MaxValueBytes+1))
-	c := platform.New(platform.Config{Addresses: []string{serve(t, p)}})
+	p.SetValue("k", make([]byte, subscriber.MaxValueBytes+1))
+	c := subscriber.New(subscriber.Config{Addresses: []string{serve(t, p)}})
 	_, err := c.Value(context.Background(), "k")
 	require.ErrorContains(t, err, "larger than")
 }
@@ -163,7 +163,7 @@
 	srv.Listener = l
 	srv.Start()
 	var counted atomic.Int64
-	c := platform.New(platform.Config{
+	c := subscriber.New(subscriber.Config{
 		Addresses: []string{strings.TrimPrefix(srv.URL, "http://")},
 		Count:     func(sent, received int) { counted.Add(int64(sent + received)) },
 	})
@@ -192,7 +192,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := platform.DecodeHostList([]byte(`{"hosts":[` + tt.json + `]}`))
+			_, err := subscriber.DecodeHostList([]byte(`{"hosts":[` + tt.json + `]}`))
 			if tt.err == "" {
 				require.NoError(t, err)
 				return
@@ -206,7 +206,7 @@
 	f.Add([]byte(`{"revision":1,"hosts":[{"name":"a","address":"10.0.0.1:80","control":"10.0.0.1:81","domain":"d","role":"router","state":"live"}]}`))
 	f.Add([]byte(`{"hosts":[null,{}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		l, err := platform.DecodeHostList(data)
+		l, err := subscriber.DecodeHostList(data)
 		if err != nil {
 			return
 		}
--- a/platform/unchanged_test.go
+++ b/subscriber/unchanged_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package subscriber_test
 
 import (
 	"net/http"
@@ -8,19 +8,19 @@
 
 	"github.com/stretchr/testify/require"
 
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 )
 
 // Guards against each watch that ends without a change bringing the whole list of hosts again.
 func TestUnchangedHostsAreNotSentAgain(t *testing.T) {
 	p := standin.NewPlatform()
 	p.WatchLimit = 10 * time.Millisecond
-	p.SetHosts([]platform.Host{{Name: "a", Address: "127.0.0.1:1", Domain: "d", Role: platform.RoleRouter, State: platform.StateLive}})
+	p.SetHosts([]subscriber.Host{{Name: "a", Address: "127.0.0.1:1", Domain: "d", Role: subscriber.RoleRouter, State: subscriber.StateLive}})
 	s := httptest.NewServer(p.Handler())
 	defer s.Close()
 	received := 0
-	c := platform.New(platform.Config{
+	c := subscriber.New(subscriber.Config{
 		Addresses: []string{s.Listener.Addr().String()}, HTTP: &http.Client{},
 		Count: func(_, n int) { received += n },
 	})
@@ -28,6 +28,6 @@
 	require.NoError(t, err)
 	whole := received
 	_, err = c.WatchHosts(t.Context(), list.Revision)
-	require.ErrorIs(t, err, platform.ErrUnchanged)
+	require.ErrorIs(t, err, subscriber.ErrUnchanged)
 	require.Less(t, received-whole, whole)
 }
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -14,7 +14,7 @@
 	"clementineramp/encoder"
 	"clementineramp/gossiper"
 	"clementineramp/limiter"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 const (
@@ -97,15 +97,15 @@
 }
 
 // peers returns the hosts to gossip with: those of the list, or the peers of the settings while no list is known.
-func (w *Watcher) peers() []platform.Host {
+func (w *Watcher) peers() []subscriber.Host {
 	if hosts := w.Hosts(); len(hosts) > 0 || len(w.cfg.Peers) == 0 {
 		return hosts
 	}
 	// The process itself is among them, so that it watches the platform until it knows the list.
-	hosts := []platform.Host{w.cfg.Self}
+	hosts := []subscriber.Host{w.cfg.Self}
 	for _, p := range w.cfg.Peers {
 		if p != w.cfg.Self.Control {
-			hosts = append(hosts, platform.Host{Name: p, Control: p})
+			hosts = append(hosts, subscriber.Host{Name: p, Control: p})
 		}
 	}
 	return hosts
--- a/watcher/control_test.go
+++ b/watcher/control_test.go
@@ -12,8 +12,8 @@
 
 	"clementineramp/encoder"
 	"clementineramp/limiter"
-	"clementineramp/platform"
 	"clementineramp/standin"
+	"clementineramp/subscriber"
 	"clementineramp/watcher"
 )
 
@@ -24,15 +24,15 @@
 	require.NoError(t, err)
 	registry := metrics.NewRegistry()
 	p := standin.NewPlatform()
-	p.SetHosts([]platform.Host{{
-		Name: "engine-1", Address: "127.0.0.1:1", Domain: "d", Role: platform.RoleAgent, Upstream: "pool", State: platform.StateLive,
+	p.SetHosts([]subscriber.Host{{
+		Name: "engine-1", Address: "127.0.0.1:1", Domain: "d", Role: subscriber.RoleAgent, Upstream: "pool", State: subscriber.StateLive,
 	}})
 	server, err := standin.Start("", p.Handler())
 	require.NoError(t, err)
 	defer server.Kill()
 	w, err := watcher.New(watcher.Config{
-		Self: platform.Host{Name: "router-1"}, SharedKey: "0123456789abcdef",
-		Platform: platform.New(platform.Config{Addresses: []string{server.Address()}}),
+		Self: subscriber.Host{Name: "router-1"}, SharedKey: "0123456789abcdef",
+		Platform: subscriber.New(subscriber.Config{Addresses: []string{server.Address()}}),
 		Budget:   budget, Metrics: registry, Log: hclog.NewNullLogger(), Now: func() time.Time { return now },
 	})
 	require.NoError(t, err)
--- a/watcher/history_test.go
+++ b/watcher/history_test.go
@@ -10,14 +10,14 @@
 	"github.com/stretchr/testify/require"
 
 	"clementineramp/encoder"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 	"clementineramp/watcher"
 )
 
 func newWatcher(t *testing.T, name string) *watcher.Watcher {
 	w, err := watcher.New(watcher.Config{
-		Self: platform.Host{Name: name, Domain: "d", Role: platform.RoleAgent}, SharedKey: "a-key-for-the-tests",
-		Platform: platform.New(platform.Config{Addresses: []string{(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}).String()}}),
+		Self: subscriber.Host{Name: name, Domain: "d", Role: subscriber.RoleAgent}, SharedKey: "a-key-for-the-tests",
+		Platform: subscriber.New(subscriber.Config{Addresses: []string{(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}).String()}}),
 		Log:      hclog.NewNullLogger(),
 	})
 	require.NoError(t, err)
--- a/watcher/hosts.go
+++ b/watcher/hosts.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 )
 
 // setList keeps a list of the platform for peers.
-func (w *Watcher) setList(list platform.HostList) {
+func (w *Watcher) setList(list subscriber.HostList) {
 	data, err := json.Marshal(list)
 	if err != nil {
 		return
@@ -37,7 +37,7 @@
 			w.cfg.Log.Debug("hosts_not_had", "peer", p.Control, "error", err)
 			continue
 		}
-		list, err := platform.DecodeHostList(data)
+		list, err := subscriber.DecodeHostList(data)
 		if err != nil {
 			w.cfg.Log.Warn("hosts_refused", "peer", p.Control, "error", err)
 			continue
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -19,7 +19,7 @@
 	"clementineramp/encoder"
 	"clementineramp/gossiper"
 	"clementineramp/limiter"
-	"clementineramp/platform"
+	"clementineramp/subscriber"
 	"clementineramp/tracker"
 )
 
@@ -42,8 +42,8 @@
 // Config says where a process finds its view of the fleet.
 type Config struct {
 	// Self is the process's own entry, as the platform should list it.
-	Self     platform.Host
-	Platform *platform.Client
+	Self     subscriber.Host
+	Platform *subscriber.Client
 	Tracker  tracker.Config
 	// Peers lists gossip addresses to ask while no host list is known.
 	Peers []string
@@ -82,8 +82,8 @@
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
-	hosts   []platform.Host
-	byName  map[string]platform.Host
+	hosts   []subscriber.Host
+	byName  map[string]subscriber.Host
 	// list is the encoded list of the platform, for peers that start while the platform is down.
 	list   []byte
 	alarms []string
@@ -103,7 +103,7 @@
 	}
 	w := &Watcher{
 		cfg: cfg, holder: configurer.NewHolder(), history: newHistory(cfg.Now()),
-		tracker: tracker.New(cfg.Tracker), byName: map[string]platform.Host{},
+		tracker: tracker.New(cfg.Tracker), byName: map[string]subscriber.Host{},
 	}
 	w.registerControl()
 	return w, trace.Wrap(w.connect())
@@ -177,7 +177,7 @@
 }
 
 // Hosts returns the platform's list as it was last read.
-func (w *Watcher) Hosts() []platform.Host {
+func (w *Watcher) Hosts() []subscriber.Host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.hosts
@@ -267,7 +267,7 @@
 	revision := uint64(0)
 	return w.follow(ctx, "hosts", func() error {
 		list, err := w.readHosts(ctx, revision)
-		if errors.Is(err, platform.ErrUnchanged) {
+		if errors.Is(err, subscriber.ErrUnchanged) {
 			return nil
 		}
 		if err != nil {
@@ -288,7 +288,7 @@
 }
 
 // readHosts reads the list, or waits for one after a revision.
-func (w *Watcher) readHosts(ctx context.Context, revision uint64) (platform.HostList, error) {
+func (w *Watcher) readHosts(ctx context.Context, revision uint64) (subscriber.HostList, error) {
 	if revision == 0 {
 		return w.cfg.Platform.Hosts(ctx)
 	}
@@ -328,21 +328,21 @@
 	return nil
 }
 
-func (w *Watcher) takeHosts(hosts []platform.Host) {
+func (w *Watcher) takeHosts(hosts []subscriber.Host) {
 	list := make([]tracker.Host, 0, len(hosts))
-	byName := make(map[string]platform.Host, len(hosts))
+	byName := make(map[string]subscriber.Host, len(hosts))
 	selfLeaving := false
 	for _, h := range hosts {
 		byName[h.Name] = h
 		if h.Name == w.cfg.Self.Name {
-			selfLeaving = h.State == platform.StateLeaving
+			selfLeaving = h.State == subscriber.StateLeaving
 		}
-		if h.Role != platform.RoleAgent {
+		if h.Role != subscriber.RoleAgent {
 			continue
 		}
 		list = append(list, tracker.Host{
 			Name: h.Name, Address: h.Address, Pool: h.Upstream, Domain: h.Domain,
-			Leaving: h.State == platform.StateLeaving,
+			Leaving: h.State == subscriber.StateLeaving,
 		})
 	}
 	w.mu.Lock()
