--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -10,9 +11,13 @@
 
 	"github.com/urfave/cli/v3"
 
+	"clementineramp/gatekeeper"
 	"clementineramp/launcher"
 )
 
+// settingsVariable names the variable that holds the path of a gateway's settings file.
+const settingsVariable = "CLEMENTINERAMP_NODE_FILE"
+
 func main() {
 	os.Exit(run())
 }
@@ -26,13 +31,17 @@
 Example:
   clementined --settings examples/vassmattan/settings/router-1.json`,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments"},
 		},
 		HideHelpCommand: true,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if !cmd.IsSet("settings") {
+				return errors.New("--settings is missing")
+			}
 			return launcher.RunFile(ctx, cmd.String("settings"), os.Stderr)
 		},
 	}
+	cmd.Commands = []*cli.Command{gatewayCommand()}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := cmd.Run(ctx, os.Args); err != nil {
@@ -41,3 +50,25 @@
 	}
 	return 0
 }
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a gateway, the router that calls upstreams directly on the platform",
+		Description: `SIGTERM begins a planned stop, SIGHUP reads the settings again. Logs go to standard output.
+
+Example:
+  clementined gateway --settings gateway.json`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "settings `FILE`, JSON with comments", Sources: cli.EnvVars(settingsVariable), Required: true,
+			},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			return gatekeeper.RunFile(ctx, cmd.String("settings"), reload, os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,217 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"clementineramp/mapper"
+	"clementineramp/platform"
+	"clementineramp/proxier"
+	"clementineramp/registrar"
+)
+
+const (
+	// DefaultWait is the time that a watch waits: a connection that has gone silent is found after it, and a change
+	// must be in force within two seconds.
+	DefaultWait = time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call; the store must be found again within two seconds.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+)
+
+// Store is the part of the platform's store that a Follower uses.
+type Store struct {
+	ReadAll func(ctx context.Context) (platform.Changes, error)
+	Watch   func(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error)
+}
+
+// Config sets up a Follower.
+type Config struct {
+	Store    Store
+	Registry *registrar.Registry
+	// Wait is the time that a watch waits; zero means DefaultWait.
+	Wait time.Duration
+	// Decode reads a configuration.
+	Decode func(data []byte) (*mapper.Table, error)
+	Log    hclog.Logger
+}
+
+// Follower is safe for concurrent use.
+type Follower struct {
+	cfg    Config
+	belief atomic.Pointer[proxier.Belief]
+
+	mu       sync.Mutex
+	document platform.Document
+	// reached says that the last call of the store succeeded.
+	reached bool
+	lostAt  time.Time
+}
+
+// New returns a follower that knows nothing.
+func New(cfg Config) *Follower {
+	if cfg.Wait == 0 {
+		cfg.Wait = DefaultWait
+	}
+	f := &Follower{cfg: cfg}
+	f.belief.Store(&proxier.Belief{})
+	return f
+}
+
+// Belief returns the configuration in force and when it was last confirmed.
+func (f *Follower) Belief() proxier.Belief {
+	return *f.belief.Load()
+}
+
+// Ready reports whether a configuration and a list of upstreams are known.
+func (f *Follower) Ready() bool {
+	return f.Belief().Table != nil && f.cfg.Registry.Known()
+}
+
+// Reached reports whether the last call of the store succeeded.
+func (f *Follower) Reached() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached
+}
+
+// Document returns the configuration as it was published; its revision is zero before the first is known.
+func (f *Follower) Document() platform.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.document
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var revision uint64
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		started := time.Now()
+		changes, err := f.call(ctx, revision)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.lost(err)
+			revision = 0
+			if errors.Is(err, platform.ErrCompacted) {
+				continue
+			}
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		f.back(started)
+		f.take(changes, revision, started)
+		revision = changes.Revision
+	}
+}
+
+func (f *Follower) call(ctx context.Context, revision uint64) (platform.Changes, error) {
+	if revision == 0 {
+		return f.cfg.Store.ReadAll(ctx)
+	}
+	return f.cfg.Store.Watch(ctx, revision, f.cfg.Wait)
+}
+
+// take brings what the store told into force; revision is that of the watch, or zero after a complete read.
+func (f *Follower) take(c platform.Changes, revision uint64, started time.Time) {
+	now := time.Now()
+	for _, key := range c.Unreadable {
+		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
+	}
+	if revision == 0 {
+		f.cfg.Registry.MergeList(c.Upstreams, c.Revision, now)
+	} else {
+		f.cfg.Registry.MergeChanges(c.Upstreams, revision, c.Revision, now)
+	}
+	if c.Configuration != nil {
+		f.Adopt(*c.Configuration, started, "store")
+	}
+	f.Confirm(started)
+}
+
+// Confirm notes that at a time nothing newer than the configuration in force existed.
+func (f *Follower) Confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := *f.belief.Load()
+	if b.Table != nil && at.After(b.Confirmed) {
+		b.Confirmed = at
+		f.belief.Store(&b)
+	}
+}
+
+// Adopt takes a configuration from any source and reports whether it is newer than the one in force.
+func (f *Follower) Adopt(d platform.Document, at time.Time, source string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.Revision <= f.document.Revision {
+		return false
+	}
+	table, err := f.cfg.Decode(d.Data)
+	if err != nil {
+		f.cfg.Log.Error("configuration_refused", "revision", d.Revision, "source", source, "error", err.Error())
+		return false
+	}
+	old := f.belief.Load()
+	if old.Table != nil && table.Version <= old.Table.Version {
+		f.cfg.Log.Warn("configuration_older", "version", table.Version, "in_force", old.Table.Version, "source", source)
+		return false
+	}
+	f.document = d
+	f.belief.Store(&proxier.Belief{Table: table, Confirmed: at})
+	f.cfg.Log.Info("configuration_adopted", "version", table.Version, "revision", d.Revision, "source", source,
+		"routes", len(table.Routes), "services", len(table.Services), "keys", len(table.Organisations))
+	return true
+}
+
+// lost notes a failed call.
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reached || f.lostAt.IsZero() {
+		f.lostAt = time.Now()
+		f.cfg.Log.Warn("store_lost", "error", err.Error(), "configuration_revision", f.document.Revision)
+	}
+	f.reached = false
+	if !errors.Is(err, platform.ErrCompacted) {
+		f.cfg.Registry.StoreLost()
+	}
+}
+
+// back notes a call that succeeded.
+func (f *Follower) back(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reached {
+		return
+	}
+	f.reached = true
+	f.cfg.Registry.StoreBack(at)
+	f.cfg.Log.Info("store_reached", "away_ms", f.away(at).Milliseconds())
+}
+
+func (f *Follower) away(at time.Time) time.Duration {
+	if f.lostAt.IsZero() {
+		return 0
+	}
+	return at.Sub(f.lostAt)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gatekeeper/gatekeeper.go
@@ -0,0 +1,358 @@
+package gatekeeper
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/appraiser"
+	"clementineramp/connector"
+	"clementineramp/convictor"
+	"clementineramp/follower"
+	"clementineramp/limiter"
+	"clementineramp/loader"
+	"clementineramp/logger"
+	"clementineramp/placer"
+	"clementineramp/platform"
+	"clementineramp/proxier"
+	"clementineramp/registrar"
+	"clementineramp/relayer"
+)
+
+const (
+	// budgetMargin is the part of the fleet's retry budget that the gateways use: they count in buckets of a tenth of
+	// the window, and for a moment more gateways may share the allowance than each one knows of.
+	budgetMargin = 0.75
+	// fewestGateways is the number that shares the allowance at least, because a gateway that has just started, or is
+	// cut off, does not know the others.
+	fewestGateways = 4
+	// bodyShare is the part of the memory that request bodies may take.
+	bodyShare = 0.25
+	// heapShare is the part of the memory up to which the garbage collector lets the heap grow; stacks and buffers of
+	// the kernel count too.
+	heapShare = 0.6
+	// tidyInterval is the pause between the closing of idle connections and the like.
+	tidyInterval = 250 * time.Millisecond
+	// maxHeaderBytes bounds the header of a request; the configuration may bound it further.
+	maxHeaderBytes = 64 << 10
+	// headerTime bounds the reading of a header.
+	headerTime = 10 * time.Second
+	// idleSlack is the time that callers have beyond the idle time of the configuration, since a request may be on
+	// its way when the time ends.
+	idleSlack = time.Second
+	// readyPath is the path of the readiness check.
+	readyPath = "/api/readiness"
+	metricsAt = "/metrics"
+)
+
+// Config sets up a gateway.
+type Config struct {
+	Settings *loader.Gateway
+	Log      hclog.Logger
+	// Listen and Dial open connections; nil means those of the system.
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Gateway is one process that carries requests of callers to upstreams.
+type Gateway struct {
+	cfg      Config
+	settings atomic.Pointer[loader.Gateway]
+	log      hclog.Logger
+	registry metrics.Registry
+
+	upstreams *registrar.Registry
+	health    *appraiser.Appraiser
+	placer    *placer.Placer
+	crashes   *convictor.Convictor
+	pool      *connector.Pool
+	follower  *follower.Follower
+	relayer   *relayer.Relayer
+	proxier   *proxier.Proxier
+	callers   *callerConns
+
+	mu      sync.Mutex
+	budgets map[string]*limiter.RetryBudget
+
+	stopping atomic.Bool
+	refusing atomic.Bool
+}
+
+// New returns a gateway; nothing runs until Run.
+func New(cfg Config) *Gateway {
+	if cfg.Listen == nil {
+		lc := &net.ListenConfig{KeepAliveConfig: connector.KeepAlive}
+		cfg.Listen = func(network, address string) (net.Listener, error) {
+			return lc.Listen(context.Background(), network, address)
+		}
+	}
+	g := &Gateway{
+		cfg: cfg, log: cfg.Log, registry: metrics.NewRegistry(), crashes: convictor.New(),
+		budgets: make(map[string]*limiter.RetryBudget),
+	}
+	g.settings.Store(cfg.Settings)
+	g.assemble()
+	return g
+}
+
+func (g *Gateway) assemble() {
+	s := g.cfg.Settings
+	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream})
+	g.health = appraiser.New(appraiser.Config{OnChange: g.logGrade})
+	g.placer = placer.New(placer.Config{
+		FailureDomain: s.FailureDomain, View: g.upstreams.View, Grade: g.health.Grade,
+	})
+	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
+	g.follower = follower.New(follower.Config{
+		Store:    follower.Store{ReadAll: store.ReadAll, Watch: store.Watch},
+		Registry: g.upstreams, Decode: platform.DecodeConfiguration, Log: g.log.Named("follower"),
+	})
+	var seeds []string
+	for _, a := range s.Peers {
+		seeds = append(seeds, a.String())
+	}
+	g.relayer = relayer.New(relayer.Config{
+		Address: s.PeerListen.String(), Seeds: seeds, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
+		Know: relayer.Knowledge{
+			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Belief().Confirmed },
+			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
+			Registry: g.upstreams, Crashes: g.crashes,
+		},
+	})
+	g.proxier = proxier.New(proxier.Config{
+		Codec: proxier.Codec{
+			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
+			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
+		},
+		Placer: g.placer, Health: g.health, Crashes: g.crashes, Pool: g.pool, Belief: g.follower.Belief,
+		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
+		First:   func(service string) { g.budget(service).First(time.Now()) },
+		Routers: g.gateways, Stopping: g.stopping.Load, Refusing: g.refusing.Load,
+		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
+		Log: g.log.Named("proxier"), Metrics: g.registry,
+	})
+	g.callers = newCallerConns(s.Connections)
+}
+
+// gateways returns the number of gateways that share what upstreams and budgets allow.
+func (g *Gateway) gateways() int {
+	return max(g.relayer.Gateways(), fewestGateways)
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(service string) *limiter.RetryBudget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		r := g.settings.Load().Retries
+		var err error
+		b, err = limiter.NewRetryBudget(limiter.RetryConfig{Ratio: budgetMargin * r.Ratio, Window: r.Window, Floor: -1})
+		if err != nil {
+			// The settings were checked; a ratio of zero leaves the extra tries only.
+			b, _ = limiter.NewRetryBudget(limiter.RetryConfig{Floor: -1})
+		}
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// shareBudgets divides the fleet's allowance of second tries.
+func (g *Gateway) shareBudgets() {
+	share := budgetMargin * float64(g.settings.Load().Retries.Extra) / float64(g.gateways())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.budgets {
+		b.SetExtra(share)
+	}
+}
+
+// Run serves until ctx ends and the planned stop is done.
+func (g *Gateway) Run(ctx context.Context) error {
+	s := g.cfg.Settings
+	started := time.Now()
+	front := &http.Server{
+		Handler: g.proxier, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: g.callers.note, ErrorLog: g.log.Named("callers").StandardLogger(nil),
+	}
+	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTime}
+	metered := &http.Server{Handler: g.metrics(), ReadHeaderTimeout: headerTime}
+	var listeners []net.Listener
+	for _, address := range []string{s.Listen.String(), s.ReadyListen.String(), s.PeerListen.String(), s.MetricsListen.String()} {
+		l, err := g.cfg.Listen("tcp", address)
+		if err != nil {
+			for _, earlier := range listeners {
+				_ = earlier.Close()
+			}
+			return trace.Wrap(err, "listen on %s", address)
+		}
+		listeners = append(listeners, l)
+	}
+	g.log.Info("started", "name", s.Name, "failure_domain", s.FailureDomain, "listen", s.Listen.String(), "store", s.Store.String(),
+		"peers", len(s.Peers))
+
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return serve(front, listeners[0]) })
+	group.Go(func() error { return serve(ready, listeners[1]) })
+	group.Go(func() error { return g.relayer.Serve(listeners[2]) })
+	group.Go(func() error { return serve(metered, listeners[3]) })
+	group.Go(func() error { g.follower.Run(run); return nil })
+	group.Go(func() error { g.relayer.Run(run); return nil })
+	group.Go(func() error { g.tidy(run); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.stop(run, front)
+		case <-run.Done():
+		}
+		cancel()
+		_ = front.Close()
+		_ = ready.Close()
+		_ = metered.Close()
+		_ = listeners[2].Close()
+		return nil
+	})
+	err := group.Wait()
+	g.log.Info("stopped", "after_ms", time.Since(started).Milliseconds())
+	return trace.Wrap(err)
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// tidy does the periodic work until ctx ends.
+func (g *Gateway) tidy(ctx context.Context) {
+	t := time.NewTicker(tidyInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			g.tidyOnce(now)
+		}
+	}
+}
+
+func (g *Gateway) tidyOnce(now time.Time) {
+	g.upstreams.Refresh(now)
+	g.shareBudgets()
+	live, incarnations := make(map[string]bool), make(map[string]bool)
+	for _, list := range g.upstreams.View().ByService {
+		for _, u := range list {
+			live[u.ID] = true
+			incarnations[proxier.Incarnation(u)] = true
+		}
+	}
+	g.pool.Sweep(func(name string) bool { return incarnations[name] })
+	g.health.Forget(func(id string) bool { return live[id] })
+	g.placer.Forget(func(id string) bool { return live[id] })
+	if table := g.follower.Belief().Table; table != nil && table.Limits.IdleTime > 0 {
+		g.callers.closeIdle(now, table.Limits.IdleTime+idleSlack)
+	}
+	gauge := func(name string, n int) { metrics.GetOrRegisterGauge(name, g.registry).Update(int64(n)) }
+	gauge("requests_running", g.proxier.Running())
+	gauge("upstream_connections", g.pool.Open())
+	gauge("caller_connections", g.callers.open())
+	gauge("gateways", g.relayer.Gateways())
+	gauge("upstreams", len(live))
+	gauge("configuration_age_ms", int(now.Sub(g.follower.Belief().Confirmed).Milliseconds()))
+}
+
+// Reload takes new settings; those that bind an address need a restart.
+func (g *Gateway) Reload(s *loader.Gateway) {
+	g.settings.Store(s)
+	g.mu.Lock()
+	clear(g.budgets)
+	g.mu.Unlock()
+	g.log.Info("reloaded", "propagation_ms", s.Propagation.Milliseconds(), "retry_ratio", s.Retries.Ratio,
+		"retry_extra", s.Retries.Extra, "grace_ms", s.Grace.Milliseconds())
+}
+
+func (g *Gateway) readiness() http.Handler {
+	e := echo.New()
+	e.GET(readyPath, func(c echo.Context) error {
+		if !g.follower.Ready() || g.stopping.Load() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func (g *Gateway) metrics() http.Handler {
+	e := echo.New()
+	e.GET(metricsAt, func(c echo.Context) error {
+		c.Response().Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(g.registry, c.Response())
+		return nil
+	})
+	return e
+}
+
+func (g *Gateway) countCall(call string, took time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.GetOrRegisterCounter("store_calls."+call+"."+outcome, g.registry).Inc(1)
+	if err != nil {
+		g.log.Debug("store_call_failed", "call", call, "took_ms", took.Milliseconds(), "error", err.Error())
+	}
+}
+
+func (g *Gateway) countDial(upstream string, took time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.GetOrRegisterCounter("dials."+outcome, g.registry).Inc(1)
+	if err != nil {
+		g.log.Info("dial_failed", "upstream", upstream, "took_ms", took.Milliseconds(), "error", err.Error())
+	}
+}
+
+func (g *Gateway) logUpstream(e registrar.Event) {
+	u := e.Record.Upstream
+	g.log.Info("upstream_"+e.Change, "upstream", e.Record.ID, "service", u.Service, "address", u.Address,
+		"revision", e.Record.Revision, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born)
+}
+
+func (g *Gateway) logGrade(c appraiser.Change) {
+	g.log.Info("upstream_grade", "upstream", c.Upstream, "from", c.From.String(), "to", c.To.String(),
+		"outcome", c.Outcome.String(), "failures", c.Failures, "rest_ms", c.Rest.Milliseconds())
+}
+
+// RunFile runs the gateway of a settings file until ctx ends; each value of reload reads the file again.
+func RunFile(ctx context.Context, file string, reload <-chan os.Signal, out io.Writer) error {
+	settings, err := loader.LoadGateway(file)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	limitMemory(settings)
+	writer := logger.NewAsync(out)
+	defer writer.Close()
+	log := logger.New(logger.Config{Level: settings.LogLevel, Output: writer})
+	g := New(Config{Settings: settings, Log: log})
+	go g.watchFile(ctx, file, reload)
+	return g.Run(ctx)
+}
--- /dev/null
+++ b/gatekeeper/stop.go
@@ -0,0 +1,93 @@
+package gatekeeper
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"clementineramp/loader"
+)
+
+const (
+	// leaveTime is the time after the request to stop until the balancer has taken the process out: it asks each
+	// second and needs two misses.
+	leaveTime = 2500 * time.Millisecond
+	// acceptShare is the part of the grace after which new requests are refused, since they might not end in time.
+	acceptShare = 0.6
+	// endMargin is the time before the end of the grace at which the process ends in any case.
+	endMargin = 300 * time.Millisecond
+	// drainPoll is the pause between looks at the requests in progress.
+	drainPoll = 25 * time.Millisecond
+	// fileInterval is the pause between looks at the settings file, which may change without a signal.
+	fileInterval = 2 * time.Second
+)
+
+// stop carries out a planned stop: it reports not ready, goes on serving until the balancer knows, and then until
+// the last request has ended or the grace is over.
+func (g *Gateway) stop(ctx context.Context, front *http.Server) {
+	started := time.Now()
+	grace := g.settings.Load().Grace
+	g.stopping.Store(true)
+	g.log.Info("stopping", "running", g.proxier.Running(), "grace_ms", grace.Milliseconds())
+	end := started.Add(grace - endMargin)
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	leave := min(leaveTime, grace/2)
+	for now := started; now.Before(end); now = <-t.C {
+		since := now.Sub(started)
+		if since >= time.Duration(acceptShare*float64(grace)) {
+			g.refusing.Store(true)
+		}
+		if since >= leave {
+			g.callers.closeIdle(now, 0)
+			if g.proxier.Running() == 0 && g.callers.fresh() == 0 {
+				break
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	_ = front.Close()
+	g.log.Info("drained", "running", g.proxier.Running(), "after_ms", time.Since(started).Milliseconds())
+}
+
+// watchFile reads the settings again on a signal, and when the file has changed.
+func (g *Gateway) watchFile(ctx context.Context, file string, reload <-chan os.Signal) {
+	t := time.NewTicker(fileInterval)
+	defer t.Stop()
+	seen := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		case <-t.C:
+			if m := modified(file); m.Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(file)
+		settings, err := loader.LoadGateway(file)
+		if err != nil {
+			g.log.Error("reload_refused", "file", file, "error", err.Error())
+			continue
+		}
+		g.Reload(settings)
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{} // The file is read when it is there again.
+	}
+	return info.ModTime()
+}
+
+// limitMemory keeps the heap within the process's memory.
+func limitMemory(s *loader.Gateway) {
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory)))
+}
--- a/limiter/retry.go
+++ b/limiter/retry.go
@@ -42,7 +42,9 @@
 	floor float64
 	step  time.Duration
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// extra is granted beside the ratio.
+	extra   float64
 	started bool
 	// head is the start of the newest bucket, which is at index at.
 	head    time.Time
@@ -84,7 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.slide(now)
-	if float64(sum(b.retries)+1) > max(b.floor, b.ratio*float64(sum(b.first))) {
+	if float64(sum(b.retries)+1) > b.extra+max(b.floor, b.ratio*float64(sum(b.first))) {
 		b.totals.Refused++
 		return false
 	}
@@ -93,6 +95,14 @@
 	return true
 }
 
+// SetExtra sets the number of retries in a window that are granted beside the ratio, such as this process's part of
+// an allowance of the whole fleet.
+func (b *RetryBudget) SetExtra(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.extra = n
+}
+
 // Totals returns the counts since the start.
 func (b *RetryBudget) Totals() RetryTotals {
 	b.mu.Lock()
--- a/loader/check.go
+++ b/loader/check.go
@@ -45,19 +45,23 @@
 	address netip.AddrPort
 }
 
-// listeners returns the valid addresses that the process listens on.
+// listeners returns the addresses that the process listens on.
 func (d *decoder) listeners(s *Settings) []listener {
-	all := []listener{
+	return []listener{
 		{"listen", s.Listen},
 		{"control_listen", s.ControlListen},
 		{"operator_listen", s.OperatorListen},
 	}
-	return slices.DeleteFunc(all, func(l listener) bool { return !d.set(l.path) })
 }
 
 // checkListen refuses an address that two listeners share.
 func (d *decoder) checkListen(s *Settings) {
-	all := d.listeners(s)
+	d.checkDistinct(d.listeners(s))
+}
+
+// checkDistinct refuses an address that two valid listeners share.
+func (d *decoder) checkDistinct(all []listener) {
+	all = slices.DeleteFunc(all, func(l listener) bool { return !d.set(l.path) })
 	for i, l := range all {
 		for _, earlier := range all[:i] {
 			if l.address == earlier.address {
--- a/loader/decode.go
+++ b/loader/decode.go
@@ -13,6 +13,8 @@
 
 // decoder fills settings from a syntax tree and collects the faults.
 type decoder struct {
+	// root is the type of the settings.
+	root reflect.Type
 	file     string
 	data     []byte
 	problems Problems
@@ -157,7 +159,7 @@
 		names = append(names, nameOf(f))
 	}
 	hint := fmt.Sprintf("did you mean %s?", join(path, nearest(name, names)))
-	if elsewhere := pathsOf(name); len(elsewhere) > 0 {
+	if elsewhere := d.pathsOf(name); len(elsewhere) > 0 {
 		hint = fmt.Sprintf("it belongs at %s", strings.Join(elsewhere, " or "))
 	}
 	sort.Strings(names)
@@ -183,9 +185,9 @@
 }
 
 // pathsOf returns the paths of all known fields with a name.
-func pathsOf(name string) []string {
+func (d *decoder) pathsOf(name string) []string {
 	var paths []string
-	walk("", reflect.TypeFor[Settings](), func(path string, f reflect.StructField) {
+	walk("", d.root, func(path string, f reflect.StructField) {
 		if nameOf(f) == name {
 			paths = append(paths, path)
 		}
--- a/loader/load.go
+++ b/loader/load.go
@@ -62,31 +62,42 @@
 
 // parse decodes settings; with a nil env the shared key is not looked up.
 func parse(file string, data []byte, env Env) (*Settings, error) {
+	s := &Settings{}
+	if err := decode(file, data, s, func(d *decoder) { d.check(s, env) }); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// decode fills settings of any type from their text; check records the faults that lie between fields.
+func decode[T any](file string, data []byte, s *T, check func(d *decoder)) error {
 	if len(data) > maxFileBytes {
-		return nil, Problems{{
+		return Problems{{
 			File: file, Line: 1, Column: 1, Message: "the file is too large",
 			Allowed: fmt.Sprintf("at most %d bytes", maxFileBytes),
 		}}
 	}
 	root, err := hujson.Parse(data)
 	if err != nil {
-		return nil, Problems{syntaxProblem(file, err)}
+		return Problems{syntaxProblem(file, err)}
 	}
-	s := &Settings{}
 	out := reflect.ValueOf(s).Elem()
 	applyDefaults(out)
-	d := &decoder{file: file, data: data, at: map[string]int{"": root.StartOffset}, bad: map[string]bool{}}
+	d := &decoder{
+		root: reflect.TypeFor[T](), file: file, data: data,
+		at: map[string]int{"": root.StartOffset}, bad: map[string]bool{},
+	}
 	d.object("", root, out)
 	if !d.bad[""] {
-		d.check(s, env)
+		check(d)
 	}
 	if len(d.problems) > 0 {
 		slices.SortStableFunc(d.problems, func(a, b Problem) int {
 			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 		})
-		return nil, d.problems
+		return d.problems
 	}
-	return s, nil
+	return nil
 }
 
 // syntaxProblem takes the place out of an error of the parser, whose text begins with it.
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,260 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementineramp/appraiser"
+	"clementineramp/registrar"
+)
+
+const (
+	// DefaultBound is the multiple of the mean load up to which an upstream takes the chats that it has cached.
+	DefaultBound = 1.25
+	// DefaultSlack is added to the bound, because with few requests the mean is a fraction of one.
+	DefaultSlack = 2
+	// reportTime is the time for which a load that an upstream reported counts; streams last one to three seconds.
+	reportTime = 1500 * time.Millisecond
+)
+
+// Load is what an upstream reported of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Request is what bears on the choice for one request.
+type Request struct {
+	Service string
+	// Chat identifies the cached part of the prompt; it is empty for requests without one.
+	Chat string
+	// Repeatable requests may serve as trials of suspect upstreams.
+	Repeatable bool
+	// Tried holds the upstreams that had the request before.
+	Tried []string
+}
+
+// Choice is a chosen upstream and what decided.
+type Choice struct {
+	Upstream registrar.Upstream
+	Grade    appraiser.Grade
+	// Load is the estimated number of requests at the upstream before this one, Mean that of the candidates.
+	Load, Mean float64
+	// Place is the upstream's place in the chat's order; 0 is the home of the chat.
+	Place      int
+	Candidates int
+	// ReportAge is the age of the upstream's own report, or -1.
+	ReportAge time.Duration
+}
+
+// Config sets up a Placer; zero fields take the defaults.
+type Config struct {
+	Bound float64
+	Slack float64
+	// FailureDomain is that of this process; upstreams in it win ties.
+	FailureDomain string
+	// View returns the upstreams in use.
+	View func() *registrar.View
+	// Grade returns the health of an upstream.
+	Grade func(upstream string, now time.Time) appraiser.Grade
+	// Random returns a number below n; nil means that of math/rand.
+	Random func(n int) int
+}
+
+// Placer is safe for concurrent use.
+type Placer struct {
+	cfg Config
+
+	mu   sync.Mutex
+	work map[string]*work
+}
+
+// work is what one upstream has to do.
+type work struct {
+	// own is the number of requests that this process has there.
+	own int
+	// reported is the upstream's load at reportedAt, when own was ownThen.
+	reported   int
+	ownThen    int
+	reportedAt time.Time
+}
+
+// estimate returns the number of requests at the upstream.
+func (w *work) estimate(now time.Time) float64 {
+	if w.reportedAt.IsZero() || now.Sub(w.reportedAt) > reportTime {
+		return float64(w.own)
+	}
+	return float64(max(w.own, w.reported+w.own-w.ownThen))
+}
+
+// New returns a placer without knowledge of any load.
+func New(cfg Config) *Placer {
+	if cfg.Bound == 0 {
+		cfg.Bound = DefaultBound
+	}
+	if cfg.Slack == 0 {
+		cfg.Slack = DefaultSlack
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.IntN
+	}
+	return &Placer{cfg: cfg, work: make(map[string]*work)}
+}
+
+// candidate is an upstream with its load and health.
+type candidate struct {
+	registrar.Upstream
+	grade appraiser.Grade
+	load  float64
+	score uint64
+}
+
+// Choose returns the upstream for a request and counts the request there until Done.
+func (p *Placer) Choose(r Request, now time.Time) (Choice, bool) {
+	listed := p.cfg.View().ByService[r.Service]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := p.usable(listed, r, now)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	mean := 0.0
+	for _, c := range usable {
+		mean += c.load / float64(len(usable))
+	}
+	at, place := p.pick(usable, r, mean)
+	c := usable[at]
+	choice := Choice{
+		Upstream: c.Upstream, Grade: c.grade, Load: c.load, Mean: mean, Place: place, Candidates: len(usable), ReportAge: -1,
+	}
+	w := p.at(c.ID)
+	if !w.reportedAt.IsZero() {
+		choice.ReportAge = now.Sub(w.reportedAt)
+	}
+	w.own++
+	return choice, true
+}
+
+// usable returns the upstreams that may take the request: good ones and trials, or all that can be reached if
+// fewer than half are good.
+func (p *Placer) usable(listed []registrar.Upstream, r Request, now time.Time) []candidate {
+	var best, reachable, rest []candidate
+	for _, u := range listed {
+		if contains(r.Tried, u.ID) {
+			continue
+		}
+		c := candidate{Upstream: u, grade: p.cfg.Grade(u.ID, now)}
+		if w := p.work[u.ID]; w != nil {
+			c.load = w.estimate(now)
+		}
+		switch {
+		case c.grade == appraiser.Good || c.grade == appraiser.Trial && r.Repeatable:
+			best = append(best, c)
+		case c.grade == appraiser.Unreachable:
+			rest = append(rest, c)
+			continue
+		}
+		reachable = append(reachable, c)
+	}
+	switch {
+	case 2*len(best) >= len(listed)-len(r.Tried) && len(best) > 0:
+		return best
+	case len(reachable) > 0:
+		return reachable
+	}
+	return rest
+}
+
+// pick returns the index of the choice and its place in the order of the chat.
+func (p *Placer) pick(usable []candidate, r Request, mean float64) (at, place int) {
+	for i := range usable {
+		if usable[i].grade == appraiser.Trial {
+			return i, 0 // One request decides whether the upstream is well again.
+		}
+	}
+	if r.Chat == "" {
+		return p.leastLoaded(usable), 0
+	}
+	for i := range usable {
+		usable[i].score = xxhash.Sum64String(r.Chat + "\x00" + usable[i].ID)
+	}
+	bound := p.cfg.Bound*mean + p.cfg.Slack
+	at = -1
+	for i, c := range usable {
+		if c.load < bound && (at < 0 || c.score > usable[at].score) {
+			at = i
+		}
+	}
+	if at < 0 {
+		return p.leastLoaded(usable), len(usable)
+	}
+	for _, c := range usable {
+		if c.score > usable[at].score {
+			place++
+		}
+	}
+	return at, place
+}
+
+// leastLoaded prefers upstreams of the own failure domain among equals, and then any.
+func (p *Placer) leastLoaded(usable []candidate) int {
+	start := p.cfg.Random(len(usable))
+	best := start
+	for i := range usable {
+		j := (start + i) % len(usable)
+		c, b := usable[j], usable[best]
+		near := c.FailureDomain == p.cfg.FailureDomain && b.FailureDomain != p.cfg.FailureDomain
+		if c.load < b.load || c.load == b.load && near {
+			best = j
+		}
+	}
+	return best
+}
+
+func (p *Placer) at(upstream string) *work {
+	w := p.work[upstream]
+	if w == nil {
+		w = &work{}
+		p.work[upstream] = w
+	}
+	return w
+}
+
+// Done ends a request that Choose counted.
+func (p *Placer) Done(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.work[upstream]; w != nil {
+		w.own--
+	}
+}
+
+// Report takes the load that an upstream told with an answer; the request that was answered may still run.
+func (p *Placer) Report(upstream string, l Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.at(upstream)
+	w.reported, w.ownThen, w.reportedAt = l.Running+l.Waiting, w.own, now
+}
+
+// Forget drops the upstreams without requests for which keep is false.
+func (p *Placer) Forget(keep func(upstream string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, w := range p.work {
+		if w.own <= 0 && !keep(name) {
+			delete(p.work, name)
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/proxier/record.go
@@ -0,0 +1,105 @@
+package proxier
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"clementineramp/judge"
+	"clementineramp/placer"
+)
+
+// successSample is the share of plain successes that are logged: one in this many. Refusals, failures and second
+// tries are always logged.
+const successSample = 16
+
+// histogramSize and histogramAlpha are the usual values for an exponentially decaying sample.
+const (
+	histogramSize  = 1028
+	histogramAlpha = 0.015
+)
+
+// meters are the counters of a Proxier.
+type meters struct {
+	registry       metrics.Registry
+	retries        metrics.Counter
+	budgetRefused  metrics.Counter
+	upstreamBroken metrics.Counter
+	writeErrors    metrics.Counter
+	latency        map[string]metrics.Histogram
+}
+
+func newMeters(r metrics.Registry) *meters {
+	m := &meters{
+		registry:       r,
+		retries:        metrics.GetOrRegisterCounter("second_tries", r),
+		budgetRefused:  metrics.GetOrRegisterCounter("second_tries_refused_by_budget", r),
+		upstreamBroken: metrics.GetOrRegisterCounter("upstream_answers_broken", r),
+		writeErrors:    metrics.GetOrRegisterCounter("caller_write_errors", r),
+		latency:        make(map[string]metrics.Histogram),
+	}
+	for _, kind := range []string{"stream", "idempotent", "non_idempotent"} {
+		m.latency[kind] = metrics.GetOrRegisterHistogram("first_byte_ms."+kind, r,
+			metrics.NewExpDecaySample(histogramSize, histogramAlpha))
+	}
+	return m
+}
+
+// ended counts and logs the final answer; status 0 means that the connection was closed instead.
+func (j *job) ended(status int, reason judge.Reason, text string) {
+	took := time.Since(j.started)
+	kind, route := "none", ""
+	if j.route != nil {
+		kind, route = j.route.Kind.String(), j.route.Name
+	}
+	outcome := "served"
+	switch {
+	case status == 0:
+		outcome = "cut"
+	case reason != "" && promisesNotRun(status):
+		outcome = "refused"
+	case status >= 400:
+		outcome = "failed"
+	}
+	m := j.p.meters
+	metrics.GetOrRegisterCounter("requests."+kind+"."+outcome, m.registry).Inc(1)
+	if reason != "" {
+		metrics.GetOrRegisterCounter("reasons."+string(reason), m.registry).Inc(1)
+	}
+	if h := m.latency[kind]; h != nil && outcome == "served" {
+		h.Update(j.firstEvent.Milliseconds())
+	}
+	if outcome == "served" && len(j.tried) == 0 && j.p.sample.Add(1)%successSample != 0 {
+		return
+	}
+	var version uint64
+	if j.belief.Table != nil {
+		version = j.belief.Table.Version
+	}
+	j.p.cfg.Log.Info("request_ended",
+		"request", j.ID, "route", route, "kind", kind, "rank", j.rank, "service", j.service,
+		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
+		"upstream", j.choice.Upstream.ID, "grade", j.choice.Grade.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
+		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Place, "candidates", j.choice.Candidates,
+		"arrivals", j.arrivals, "runs", j.runs, "events", j.stream.events, "last_event", j.stream.lastEvent,
+		"configuration", version, "configuration_age_ms", time.Since(j.belief.Confirmed).Milliseconds(),
+		"first_byte_ms", j.firstEvent.Milliseconds(), "took_ms", took.Milliseconds(),
+		"deadline_ms", j.deadline.Sub(j.started).Milliseconds())
+}
+
+// logAttempt logs an attempt that gave the caller no answer, and whether another follows.
+func (j *job) logAttempt(c placer.Choice, v verdict, err error, again bool) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	j.p.cfg.Log.Info("attempt_failed",
+		"request", j.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "grade", c.Grade.String(),
+		"load", c.Load, "mean_load", c.Mean, "report_age_ms", c.ReportAge.Milliseconds(), "place", c.Place,
+		"verdict", verdictNames[v], "error", text, "arrivals", j.arrivals, "runs", j.runs, "again", again,
+		"after_ms", time.Since(j.started).Milliseconds())
+}
+
+var verdictNames = [...]string{
+	done: "done", notSent: "not_sent", turnedAway: "turned_away", inDoubt: "may_have_run", failed: "failed",
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,271 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LapseGrace is the time after an outage of the store in which removed upstreams stay in use.
+// Entries that lapsed during the outage are written again within two seconds of its end; the rest is one poll.
+const LapseGrace = 2300 * time.Millisecond
+
+// tombstoneTime is the time for which a removal is remembered, so that a peer's older record cannot undo it.
+const tombstoneTime = 5 * time.Minute
+
+// Upstream is one worker of a service.
+type Upstream struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	// Slots is the number of requests that it runs at a time; zero means unknown.
+	Slots int
+	// Leaving upstreams take no new requests.
+	Leaving bool
+	// Born tells incarnations with the same ID apart; it is the start in Unix milliseconds, zero if unknown.
+	Born int64
+	// ColdUntil is the time until which the upstream is slow after its start; zero means that it is warm.
+	ColdUntil time.Time
+}
+
+// Record is what the store said of one upstream at a revision.
+type Record struct {
+	ID       string
+	Revision uint64
+	Removed  bool
+	Upstream Upstream
+}
+
+// entry is a record with the local times that bear on its use.
+type entry struct {
+	Record
+	// lapseUntil is the end of the grace of a removal that may be a lapse.
+	lapseUntil time.Time
+	removedAt  time.Time
+}
+
+// Event tells of an upstream that joined, changed or left.
+type Event struct {
+	Record Record
+	// Change is joined, leaving, changed, removed or lapsed.
+	Change string
+}
+
+// Config sets up a Registry.
+type Config struct {
+	// OnEvent is told each change while the registry is locked; nil means no one is.
+	OnEvent func(Event)
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	cfg Config
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// outageEnd is the time at which the store last came back.
+	outageEnd time.Time
+	inOutage  bool
+	// complete is the revision up to which all records are known.
+	complete uint64
+	view   atomic.Pointer[View]
+}
+
+// View is an immutable list of the upstreams in use by service.
+type View struct {
+	ByService map[string][]Upstream
+	Revision  uint64
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	r := &Registry{cfg: cfg, entries: make(map[string]*entry)}
+	r.view.Store(&View{ByService: map[string][]Upstream{}})
+	return r
+}
+
+// View returns the upstreams in use at the last Refresh or merge.
+func (r *Registry) View() *View {
+	return r.view.Load()
+}
+
+// Known reports whether a complete list was ever merged.
+func (r *Registry) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.complete > 0
+}
+
+// StoreLost notes the start of an outage of the store.
+func (r *Registry) StoreLost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inOutage = true
+}
+
+// StoreBack notes the end of an outage of the store.
+func (r *Registry) StoreBack(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inOutage {
+		r.inOutage = false
+		r.outageEnd = now
+	}
+}
+
+// Merge takes records from any source and reports whether the upstreams in use changed.
+func (r *Registry) Merge(records []Record, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, rec := range records {
+		changed = r.merge(rec, now) || changed
+	}
+	if changed {
+		r.rebuild(now)
+	}
+	return changed
+}
+
+// MergeList takes a complete list, read at a revision: upstreams that it lacks were removed by then.
+func (r *Registry) MergeList(records []Record, revision uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	listed := make(map[string]bool, len(records))
+	for _, rec := range records {
+		listed[rec.ID] = true
+		changed = r.merge(rec, now) || changed
+	}
+	for id, e := range r.entries {
+		if !listed[id] && !e.Removed && e.Revision <= revision {
+			changed = r.merge(Record{ID: id, Revision: revision, Removed: true}, now) || changed
+		}
+	}
+	r.complete = max(r.complete, revision)
+	if changed {
+		r.rebuild(now)
+	}
+	return changed
+}
+
+// MergeChanges takes all records between a revision that is known completely and a later one.
+func (r *Registry) MergeChanges(records []Record, since, revision uint64, now time.Time) bool {
+	changed := r.Merge(records, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since <= r.complete {
+		r.complete = max(r.complete, revision)
+	}
+	return changed
+}
+
+func (r *Registry) merge(rec Record, now time.Time) bool {
+	old := r.entries[rec.ID]
+	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && rec.Removed == old.Removed) {
+		return false
+	}
+	e := &entry{Record: rec}
+	change := "changed"
+	switch {
+	case rec.Removed:
+		change = "removed"
+		e.removedAt = now
+		if old == nil {
+			break
+		}
+		e.Upstream = old.Upstream
+		if old.Removed {
+			e.lapseUntil = old.lapseUntil
+			break
+		}
+		if until := r.graceEnd(now); now.Before(until) && !old.Upstream.Leaving {
+			change = "lapsed"
+			e.lapseUntil = until
+		}
+	case old == nil || old.Removed:
+		change = "joined"
+	case rec.Upstream.Leaving && !old.Upstream.Leaving:
+		change = "leaving"
+	}
+	r.entries[rec.ID] = e
+	if old != nil && !old.Removed && !rec.Removed && old.Upstream == rec.Upstream {
+		return false
+	}
+	if r.cfg.OnEvent != nil && (old != nil || !rec.Removed) {
+		r.cfg.OnEvent(Event{Record: e.Record, Change: change})
+	}
+	return true
+}
+
+// graceEnd returns the time until which a removal may be the lapse of an entry that could not be renewed.
+func (r *Registry) graceEnd(now time.Time) time.Time {
+	if r.inOutage {
+		return now.Add(LapseGrace)
+	}
+	if r.outageEnd.IsZero() {
+		return time.Time{}
+	}
+	return r.outageEnd.Add(LapseGrace)
+}
+
+// Refresh ends graces that have passed and forgets old removals; it reports whether the upstreams in use changed.
+func (r *Registry) Refresh(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for id, e := range r.entries {
+		if !e.Removed {
+			continue
+		}
+		if !e.lapseUntil.IsZero() && !now.Before(e.lapseUntil) {
+			e.lapseUntil = time.Time{}
+			changed = true
+		}
+		if now.Sub(e.removedAt) > tombstoneTime {
+			delete(r.entries, id)
+		}
+	}
+	if changed {
+		r.rebuild(now)
+	}
+	return changed
+}
+
+// Complete returns the revision up to which all records are known.
+func (r *Registry) Complete() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.complete
+}
+
+// Since returns the records after a revision, removals included, and the revision up to which they are complete.
+func (r *Registry) Since(revision uint64) (records []Record, complete uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.Revision > revision {
+			records = append(records, e.Record)
+		}
+	}
+	return records, r.complete
+}
+
+func (r *Registry) rebuild(now time.Time) {
+	v := &View{ByService: make(map[string][]Upstream)}
+	for _, e := range r.entries {
+		v.Revision = max(v.Revision, e.Revision)
+		lapsed := e.Removed && now.Before(e.lapseUntil)
+		if e.Removed && !lapsed || e.Upstream.Leaving {
+			continue
+		}
+		v.ByService[e.Upstream.Service] = append(v.ByService[e.Upstream.Service], e.Upstream)
+	}
+	for _, list := range v.ByService {
+		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	r.view.Store(v)
+}
