placer: move short chats first, ramp the share of new upstreams

A step of an engine is only 1.5% longer for each request beside. Change: the bound is 1.8 times the mean for chats of 4,000 tokens and more, and 0.65 of that for the shortest; rendezvous weights grow with an upstream's age.

--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -9,49 +10,132 @@
 
 // callerConns follows the connections of callers, to close those that are idle for too long.
 //
-// http.Server has an idle timeout of its own, but reads it without a lock, so that it cannot follow the configuration.
+// http.Server has an idle timeout of its own, but reads it without a lock, so that it cannot follow the configuration,
+// and it may close a connection of which it has just read the next request.
 type callerConns struct {
 	most int
 
 	mu  sync.Mutex
-	all map[net.Conn]connState
+	all map[*callerConn]struct{}
 }
 
-type connState struct {
-	state http.ConnState
-	since time.Time
+func newCallerConns(most int) *callerConns {
+	return &callerConns{most: most, all: make(map[*callerConn]struct{})}
 }
 
-func newCallerConns(most int) *callerConns {
-	return &callerConns{most: most, all: make(map[net.Conn]connState)}
+// listen returns a listener whose connections are followed.
+func (c *callerConns) listen(l net.Listener) net.Listener {
+	return &callerListener{Listener: l, conns: c}
 }
 
-// note takes a change of a connection's state.
-func (c *callerConns) note(conn net.Conn, state http.ConnState) {
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept waits for the next connection.
+func (l *callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: nc, since: time.Now()}
+	l.conns.add(c)
+	return c, nil
+}
+
+// callerConn is a connection that is closed while it is idle only if nothing of a next request was read from it.
+type callerConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// taken means that a request was read, at least in part, and its answer has not ended.
+	taken bool
+	// served means that the connection has carried a request.
+	served  bool
+	retired bool
+	since   time.Time
+}
+
+// Read reads from the caller; a retired connection gives nothing any more.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return 0, io.EOF
+	}
+	if n > 0 {
+		c.taken = true
+	}
+	return n, err
+}
+
+// release notes that the answer has ended.
+func (c *callerConn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.taken, c.served, c.since = false, true, time.Now()
+}
+
+// retire closes the connection unless a request was taken from it.
+func (c *callerConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken {
+		return false
+	}
+	c.retired = true
+	_ = c.Conn.Close()
+	return true
+}
+
+// idle returns the time since the last answer ended, or since the start; it is zero while a request is served.
+func (c *callerConn) idle(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
+// note takes a change of a connection's state.
+func (c *callerConns) note(nc net.Conn, state http.ConnState) {
+	conn, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
 	switch state {
+	case http.StateIdle:
+		conn.release()
 	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		delete(c.all, conn)
-		return
-	case http.StateNew:
-		if len(c.all) >= c.most {
-			c.closeOldest()
-		}
 	}
-	c.all[conn] = connState{state: state, since: time.Now()}
 }
 
-// closeOldest closes the connection that was idle for longest, to make room for a new one.
-func (c *callerConns) closeOldest() {
-	var oldest net.Conn
-	for conn, s := range c.all {
-		if s.state == http.StateIdle && (oldest == nil || s.since.Before(c.all[oldest].since)) {
-			oldest = conn
+// add follows a new connection; beyond the limit the one that was idle for longest makes room.
+func (c *callerConns) add(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.all) >= c.most {
+		c.retireOldest()
+	}
+	c.all[conn] = struct{}{}
+}
+
+func (c *callerConns) retireOldest() {
+	var oldest *callerConn
+	var longest time.Duration
+	now := time.Now()
+	for conn := range c.all {
+		if d := conn.idle(now); d > longest {
+			oldest, longest = conn, d
 		}
 	}
-	if oldest != nil {
-		_ = oldest.Close()
+	if oldest != nil && oldest.retire() {
 		delete(c.all, oldest)
 	}
 }
@@ -60,21 +144,21 @@
 func (c *callerConns) closeIdle(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, s := range c.all {
-		if s.state == http.StateIdle && now.Sub(s.since) > limit {
-			_ = conn.Close()
+	for conn := range c.all {
+		if conn.idle(now) > limit && conn.retire() {
 			delete(c.all, conn)
 		}
 	}
 }
 
-// fresh returns the number of connections that have not sent a whole header yet or are being served.
-func (c *callerConns) fresh() int {
+// busy returns the number of connections of which a request was read that is not answered yet.
+func (c *callerConns) busy() int {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, s := range c.all {
-		if s.state == http.StateActive {
+	for conn := range c.all {
+		if conn.idle(now) == 0 {
 			n++
 		}
 	}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -87,7 +87,8 @@
 	budgets map[string]*limiter.RetryBudget
 
 	stopping atomic.Bool
-	refusing atomic.Bool
+	// refusing holds a proxier.Refusal.
+	refusing atomic.Int32
 }
 
 // New returns a gateway; nothing runs until Run.
@@ -140,7 +141,7 @@
 		Placer: g.placer, Health: g.health, Crashes: g.crashes, Pool: g.pool, Belief: g.follower.Belief,
 		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
 		First:   func(service string) { g.budget(service).First(time.Now()) },
-		Routers: g.gateways, Stopping: g.stopping.Load, Refusing: g.refusing.Load,
+		Routers: g.gateways, Stopping: g.stopping.Load, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
 		Log: g.log.Named("proxier"), Metrics: g.registry,
 	})
@@ -207,7 +208,7 @@
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, run := errgroup.WithContext(run)
-	group.Go(func() error { return serve(front, listeners[0]) })
+	group.Go(func() error { return serve(front, g.callers.listen(listeners[0])) })
 	group.Go(func() error { return serve(ready, listeners[1]) })
 	group.Go(func() error { return g.relayer.Serve(listeners[2]) })
 	group.Go(func() error { return serve(metered, listeners[3]) })
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -8,14 +8,18 @@
 	"time"
 
 	"clementineramp/loader"
+	"clementineramp/proxier"
 )
 
 const (
 	// leaveTime is the time after the request to stop until the balancer has taken the process out: it asks each
 	// second and needs two misses.
 	leaveTime = 2500 * time.Millisecond
-	// acceptShare is the part of the grace after which new requests are refused, since they might not end in time.
-	acceptShare = 0.6
+	// streamTime is the time after the request to stop up to which streams are taken: what is taken later may not end
+	// within the grace.
+	streamTime = 2900 * time.Millisecond
+	// shortMargin is the time before the end at which other requests are refused, too.
+	shortMargin = 1500 * time.Millisecond
 	// endMargin is the time before the end of the grace at which the process ends in any case.
 	endMargin = 300 * time.Millisecond
 	// drainPoll is the pause between looks at the requests in progress.
@@ -37,12 +41,15 @@
 	leave := min(leaveTime, grace/2)
 	for now := started; now.Before(end); now = <-t.C {
 		since := now.Sub(started)
-		if since >= time.Duration(acceptShare*float64(grace)) {
-			g.refusing.Store(true)
+		if since >= min(streamTime, grace/2) {
+			g.refusing.Store(int32(proxier.RefuseStreams))
+		}
+		if now.After(end.Add(-shortMargin)) {
+			g.refusing.Store(int32(proxier.RefuseAll))
 		}
 		if since >= leave {
 			g.callers.closeIdle(now, 0)
-			if g.proxier.Running() == 0 && g.callers.fresh() == 0 {
+			if g.proxier.Running() == 0 && g.callers.busy() == 0 {
 				break
 			}
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,10 +13,21 @@
 )
 
 const (
-	// DefaultBound is the multiple of the mean load up to which an upstream takes the chats that it has cached.
-	DefaultBound = 1.25
+	// DefaultBound is the multiple of the mean load up to which an upstream takes the longest chats that it has cached.
+	// A step of an engine takes 1.5% longer for each request beside, while a chat that moves has its prompt read again.
+	DefaultBound = 1.8
 	// DefaultSlack is added to the bound, because with few requests the mean is a fraction of one.
-	DefaultSlack = 2
+	DefaultSlack = 2.5
+	// shortShare is the part of the bound that holds for the shortest chats: they leave a loaded upstream first, since
+	// they free as much of its time and cost less to read again. So the same chats move each time, too.
+	shortShare = 0.65
+	// longChat is the number of cached tokens from which a chat counts as long; an engine reads them in about 40 ms.
+	longChat = 4000
+	// DefaultRamp is the time over which the share of chats that an upstream takes grows after its start. Each chat
+	// that it takes from another upstream is read again.
+	DefaultRamp = time.Minute
+	// minAge bounds the share of an upstream that has just started from below.
+	minAge = time.Second
 	// reportTime is the time for which a load that an upstream reported counts; streams last one to three seconds.
 	reportTime = 1500 * time.Millisecond
 )
@@ -30,6 +42,8 @@
 	Service string
 	// Chat identifies the cached part of the prompt; it is empty for requests without one.
 	Chat string
+	// ChatTokens is the length of the cached part.
+	ChatTokens int
 	// Repeatable requests may serve as trials of suspect upstreams.
 	Repeatable bool
 	// Tried holds the upstreams that had the request before.
@@ -53,6 +67,7 @@
 type Config struct {
 	Bound float64
 	Slack float64
+	Ramp  time.Duration
 	// FailureDomain is that of this process; upstreams in it win ties.
 	FailureDomain string
 	// View returns the upstreams in use.
@@ -97,6 +112,9 @@
 	if cfg.Slack == 0 {
 		cfg.Slack = DefaultSlack
 	}
+	if cfg.Ramp == 0 {
+		cfg.Ramp = DefaultRamp
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
@@ -108,7 +126,8 @@
 	registrar.Upstream
 	grade appraiser.Grade
 	load  float64
-	score uint64
+	// score is the place in the order of the chat; the highest is its home.
+	score float64
 }
 
 // Choose returns the upstream for a request and counts the request there until Done.
@@ -124,7 +143,7 @@
 	for _, c := range usable {
 		mean += c.load / float64(len(usable))
 	}
-	at, place := p.pick(usable, r, mean)
+	at, place := p.pick(usable, r, mean, now)
 	c := usable[at]
 	choice := Choice{
 		Upstream: c.Upstream, Grade: c.grade, Load: c.load, Mean: mean, Place: place, Candidates: len(usable), ReportAge: -1,
@@ -168,7 +187,7 @@
 }
 
 // pick returns the index of the choice and its place in the order of the chat.
-func (p *Placer) pick(usable []candidate, r Request, mean float64) (at, place int) {
+func (p *Placer) pick(usable []candidate, r Request, mean float64, now time.Time) (at, place int) {
 	for i := range usable {
 		if usable[i].grade == appraiser.Trial {
 			return i, 0 // One request decides whether the upstream is well again.
@@ -178,9 +197,10 @@
 		return p.leastLoaded(usable), 0
 	}
 	for i := range usable {
-		usable[i].score = xxhash.Sum64String(r.Chat + "\x00" + usable[i].ID)
+		usable[i].score = p.score(r.Chat, usable[i].Upstream, now)
 	}
-	bound := p.cfg.Bound*mean + p.cfg.Slack
+	length := min(float64(r.ChatTokens)/longChat, 1)
+	bound := (p.cfg.Bound*mean + p.cfg.Slack) * (shortShare + (1-shortShare)*length)
 	at = -1
 	for i, c := range usable {
 		if c.load < bound && (at < 0 || c.score > usable[at].score) {
@@ -198,6 +218,18 @@
 	return at, place
 }
 
+// score returns the rendezvous score of an upstream for a chat, weighted by the time since the upstream's start.
+func (p *Placer) score(chat string, u registrar.Upstream, now time.Time) float64 {
+	const bits = 53 // of a float64's mantissa
+	h := float64(xxhash.Sum64String(chat+"\x00"+u.ID)>>(64-bits)+1) / (1<<bits + 1)
+	weight := 1.0
+	if u.Born > 0 {
+		age := min(max(now.Sub(time.UnixMilli(u.Born)), minAge), p.cfg.Ramp)
+		weight = age.Seconds() / p.cfg.Ramp.Seconds()
+	}
+	return -weight / math.Log(h)
+}
+
 // leastLoaded prefers upstreams of the own failure domain among equals, and then any.
 func (p *Placer) leastLoaded(usable []candidate) int {
 	start := p.cfg.Random(len(usable))
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -58,7 +58,7 @@
 	var kept *keptAnswer
 	for {
 		choice, ok := j.p.cfg.Placer.Choose(placer.Request{
-			Service: j.service, Chat: j.Chat(), Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: j.tried,
+			Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(), Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: j.tried,
 		}, time.Now())
 		if !ok {
 			break
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -33,6 +33,18 @@
 	maxBackoff = 600 * time.Millisecond
 )
 
+// Refusal says which requests a process that is about to end no longer takes.
+type Refusal int32
+
+const (
+	// RefuseNone takes all requests; it is the zero value.
+	RefuseNone Refusal = iota
+	// RefuseStreams takes requests that end soon.
+	RefuseStreams
+	// RefuseAll takes none.
+	RefuseAll
+)
+
 // Belief is a configuration and how sure the router is that it is the newest.
 type Belief struct {
 	Table *mapper.Table
@@ -56,8 +68,8 @@
 	Routers func() int
 	// Stopping reports whether a planned stop is in progress; answers then close their connections.
 	Stopping func() bool
-	// Refusing reports whether new requests are refused because the process is about to end.
-	Refusing func() bool
+	// Refusing says which new requests are refused because the process is about to end.
+	Refusing func() Refusal
 	// MaxBodyBytes bounds the bodies that are held at the same time.
 	MaxBodyBytes int64
 	// StaleAfter is the age of a belief from which an unknown route or key may be a newer one.
@@ -147,12 +159,12 @@
 	if t == nil {
 		return refusal(http.StatusServiceUnavailable, judge.ReasonNotReady, "no configuration is known yet")
 	}
-	if j.p.cfg.Refusing() {
-		return refusal(http.StatusServiceUnavailable, judge.ReasonLeaving, "this router is stopping")
-	}
 	if err := j.authorise(t); err != nil {
 		return err
 	}
+	if n := j.p.cfg.Refusing(); n == RefuseAll || n == RefuseStreams && j.route.Kind == mapper.Stream {
+		return refusal(http.StatusServiceUnavailable, judge.ReasonLeaving, "this router is stopping")
+	}
 	j.setDeadline()
 	if err := j.readBody(t.Limits); err != nil {
 		return err
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// ChatTokens returns the length of the prompt up to the end of the part that Chat identifies.
+func (r *Request) ChatTokens() int {
+	n := 0
+	for i, part := range r.Prompt {
+		if i == 0 || i < len(r.Prompt)-1 {
+			n += part.Tokens
+		}
+	}
+	return n
+}
+
 // Attempt is what one upstream is told beside the request.
 type Attempt struct {
 	// Upstream is the only one that may run the request.
