Let four gateways read the store for all, and share loads among peers

Change: the four gateways that come first in the order of hashed addresses read the store; the others follow them by exchanges each 0.3 s that also carry loads, at once when something changes, with the configuration compressed; a gateway that nobody confirms tries the store itself.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,6 +23,15 @@
 	// minBackoff and maxBackoff bound the pause after a failed call; the store must be found again within two seconds.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// patience is the age of the configuration's last confirmation from which a process that does not read the store
+	// tries it: a watch, its slack and an exchange between peers.
+	patience = 1700 * time.Millisecond
+	// tryInterval is the mean pause between such tries of the whole fleet.
+	tryInterval = 200 * time.Millisecond
+	// helpTime is the time for which a process reads the store after such a try.
+	helpTime = 3 * time.Second
+	// lookInterval is the pause between looks at whether the store is to be read.
+	lookInterval = 50 * time.Millisecond
 )
 
 // Store is the part of the platform's store that a Follower uses.
@@ -37,6 +46,12 @@
 	Registry *registrar.Registry
 	// Wait is the time that a watch waits; zero means DefaultWait.
 	Wait time.Duration
+	// Reader reports whether this process reads the store for the others; nil means always.
+	Reader func() bool
+	// Gateways returns the number of processes; nil means one.
+	Gateways func() int
+	// OnNews is told when the store had something new; nil means no one is.
+	OnNews func()
 	// Decode reads a configuration.
 	Decode func(data []byte) (*mapper.Table, error)
 	Log    hclog.Logger
@@ -47,6 +62,11 @@
 	cfg    Config
 	belief atomic.Pointer[proxier.Belief]
 
+	// tryAt is the time of the next try of the store by a process that does not read it, helpUntil the end of the time
+	// for which it reads after one; both belong to Run.
+	tryAt     time.Time
+	helpUntil time.Time
+
 	mu       sync.Mutex
 	document platform.Document
 	// reached says that the last call of the store succeeded.
@@ -59,6 +79,9 @@
 	if cfg.Wait == 0 {
 		cfg.Wait = DefaultWait
 	}
+	if cfg.Gateways == nil {
+		cfg.Gateways = func() int { return 1 }
+	}
 	f := &Follower{cfg: cfg}
 	f.belief.Store(&proxier.Belief{})
 	return f
@@ -93,6 +116,11 @@
 	var revision uint64
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if !f.reads(time.Now()) {
+			revision = f.cfg.Registry.Complete()
+			pause(ctx, lookInterval)
+			continue
+		}
 		started := time.Now()
 		changes, err := f.call(ctx, revision)
 		if ctx.Err() != nil {
@@ -122,19 +150,48 @@
 	return f.cfg.Store.Watch(ctx, revision, f.cfg.Wait)
 }
 
+// reads reports whether this process calls the store now: if it reads for the others, if nobody has confirmed the
+// configuration for too long, or if it did so a moment ago for that reason.
+func (f *Follower) reads(now time.Time) bool {
+	if f.cfg.Reader == nil || f.cfg.Reader() {
+		return true
+	}
+	if now.Sub(f.Belief().Confirmed) < patience {
+		f.tryAt = time.Time{}
+		return now.Before(f.helpUntil)
+	}
+	if f.Belief().Table == nil {
+		return true
+	}
+	if f.tryAt.IsZero() {
+		f.tryAt = now.Add(rand.N(time.Duration(f.cfg.Gateways()) * tryInterval))
+	}
+	if now.Before(f.tryAt) {
+		return false
+	}
+	f.tryAt = time.Time{}
+	f.helpUntil = now.Add(helpTime)
+	return true
+}
+
 // take brings what the store told into force; revision is that of the watch, or zero after a complete read.
 func (f *Follower) take(c platform.Changes, revision uint64, started time.Time) {
 	now := time.Now()
 	for _, key := range c.Unreadable {
 		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
 	}
+	// The configuration comes first: the list's revision tells peers that nothing before it is missing.
+	news := false
+	if c.Configuration != nil {
+		news = f.Adopt(*c.Configuration, started, "store")
+	}
 	if revision == 0 {
-		f.cfg.Registry.MergeList(c.Upstreams, c.Revision, now)
+		news = f.cfg.Registry.MergeList(c.Upstreams, c.Revision, now) || news
 	} else {
-		f.cfg.Registry.MergeChanges(c.Upstreams, revision, c.Revision, now)
+		news = f.cfg.Registry.MergeChanges(c.Upstreams, revision, c.Revision, now) || news
 	}
-	if c.Configuration != nil {
-		f.Adopt(*c.Configuration, started, "store")
+	if news && f.cfg.OnNews != nil {
+		f.cfg.OnNews()
 	}
 	f.Confirm(started)
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -38,6 +38,9 @@
 	// fewestGateways is the number that shares the allowance at least, because a gateway that has just started, or is
 	// cut off, does not know the others.
 	fewestGateways = 4
+	// readers is the number of gateways that read the store for all: with four, the store may turn away a third of the
+	// hosts and one gateway in a hundred such cases has to notice that nobody reads for it.
+	readers = 4
 	// bodyShare is the part of the memory that request bodies may take.
 	bodyShare = 0.25
 	// heapShare is the part of the memory up to which the garbage collector lets the heap grow; stacks and buffers of
@@ -118,7 +121,9 @@
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
 	g.follower = follower.New(follower.Config{
-		Store:    follower.Store{ReadAll: store.ReadAll, Watch: store.Watch},
+		Store:  follower.Store{ReadAll: store.ReadAll, Watch: store.Watch},
+		Reader: func() bool { return g.relayer.Reader() }, Gateways: func() int { return g.relayer.Gateways() },
+		OnNews:   func() { g.relayer.Spread() },
 		Registry: g.upstreams, Decode: platform.DecodeConfiguration, Log: g.log.Named("follower"),
 	})
 	var seeds []string
@@ -126,11 +131,11 @@
 		seeds = append(seeds, a.String())
 	}
 	g.relayer = relayer.New(relayer.Config{
-		Address: s.PeerListen.String(), Seeds: seeds, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
+		Address: s.PeerListen.String(), Seeds: seeds, Readers: readers, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
 		Know: relayer.Knowledge{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Belief().Confirmed },
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
-			Registry: g.upstreams, Crashes: g.crashes,
+			Registry: g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge,
 		},
 	})
 	g.proxier = proxier.New(proxier.Config{
--- a/loader/decode.go
+++ b/loader/decode.go
@@ -14,7 +14,7 @@
 // decoder fills settings from a syntax tree and collects the faults.
 type decoder struct {
 	// root is the type of the settings.
-	root reflect.Type
+	root     reflect.Type
 	file     string
 	data     []byte
 	problems Problems
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -291,6 +291,39 @@
 	w.reported, w.ownThen, w.reportedAt = l.Running+l.Waiting, w.own, now
 }
 
+// Report is a load that an upstream told some gateway.
+type Report struct {
+	Upstream string
+	// Load is the number of requests that ran or waited there.
+	Load int
+	Age  time.Duration
+}
+
+// Reports returns the loads that are new enough to count, for the other gateways.
+func (p *Placer) Reports(now time.Time) []Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Report, 0, len(p.work))
+	for name, w := range p.work {
+		if age := now.Sub(w.reportedAt); age < reportTime {
+			all = append(all, Report{Upstream: name, Load: w.reported, Age: age})
+		}
+	}
+	return all
+}
+
+// Merge takes the loads that another gateway knows, if they are newer.
+func (p *Placer) Merge(reports []Report, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range reports {
+		w := p.at(r.Upstream)
+		if at := now.Add(-r.Age); r.Age >= 0 && at.After(w.reportedAt) {
+			w.reported, w.ownThen, w.reportedAt = r.Load, w.own, at
+		}
+	}
+}
+
 // Forget drops the upstreams without requests for which keep is false.
 func (p *Placer) Forget(keep func(upstream string) bool) {
 	p.mu.Lock()
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -30,7 +30,7 @@
 	connectionShare = 0.9
 	// freshConnection bounds the unused time of a connection that carries a request which must not be repeated:
 	// what is sent just as the upstream closes the connection may or may not have run.
-	freshConnection = time.Second
+	freshConnection = 4 * time.Second
 )
 
 // errSilent ends an attempt at an upstream that shows no sign of life.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -71,7 +71,7 @@
 	inOutage  bool
 	// complete is the revision up to which all records are known.
 	complete uint64
-	view   atomic.Pointer[View]
+	view     atomic.Pointer[View]
 }
 
 // View is an immutable list of the upstreams in use by service.
@@ -116,6 +116,28 @@
 	}
 }
 
+// OutageEnded notes that a peer saw an outage of the store end at a time.
+func (r *Registry) OutageEnded(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.outageEnd) {
+		r.outageEnd = at
+	}
+}
+
+// OutageAge returns the time since the end of the last outage, zero during one, and a negative time without any.
+func (r *Registry) OutageAge(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.inOutage:
+		return 0
+	case r.outageEnd.IsZero():
+		return -1
+	}
+	return max(now.Sub(r.outageEnd), 0)
+}
+
 // Merge takes records from any source and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
@@ -242,6 +264,11 @@
 	return r.complete
 }
 
+// Newest returns the revision of the newest change of an upstream.
+func (r *Registry) Newest() uint64 {
+	return r.View().Revision
+}
+
 // Since returns the records after a revision, removals included, and the revision up to which they are complete.
 func (r *Registry) Since(revision uint64) (records []Record, complete uint64) {
 	r.mu.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -1,8 +1,12 @@
 package relayer
 
 import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -10,20 +14,29 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"clementineramp/convictor"
+	"clementineramp/placer"
 	"clementineramp/platform"
 	"clementineramp/registrar"
 )
 
 const (
-	// calmInterval is the pause between exchanges while the store answers; crashes and members travel by them.
-	calmInterval = time.Second
-	// urgentInterval is the pause while it does not: a change must then arrive through peers.
-	urgentInterval = 250 * time.Millisecond
-	// callTime bounds an exchange, which takes milliseconds.
-	callTime = 600 * time.Millisecond
+	// interval is the pause between exchanges: a change reaches the gateways that do not read the store by them, and
+	// the loads of upstreams, which change within a few hundred milliseconds.
+	interval = 300 * time.Millisecond
+	// readerShare is the share of exchanges, one in this many, that go to any peer rather than to one that reads the
+	// store: they carry loads, members and crashes.
+	anyShare = 2
+	// callTime bounds an exchange. It takes milliseconds, or up to 0.3 s with a configuration of 1,200 routes over a
+	// link of 10 Mbit/s.
+	callTime = time.Second
+	// spread is the number of peers that a gateway turns to at once when it has learned something new.
+	spread = 2
+	// queuedWakes bounds the peers that wait to be turned to.
+	queuedWakes = 8
 	// peerTime is the time after which a peer that nobody has heard of is no longer counted.
 	peerTime = 8 * time.Second
 	// maxTold bounds the peers that an exchange names.
@@ -43,21 +56,33 @@
 	// Configuration and Upstreams are the revisions that it has.
 	Configuration uint64
 	Upstreams     uint64
-	Peers         []Peer
-	Crashes       []convictor.Crash
+	// Newest is the revision of the newest change of an upstream that it knows.
+	Newest  uint64
+	Peers   []Peer
+	Crashes []convictor.Crash
+	Loads   []placer.Report
+}
+
+// Packed is a configuration as it was published, compressed.
+type Packed struct {
+	Revision uint64
+	Data     []byte
 }
 
 // Reply is what is newer at the peer.
 type Reply struct {
-	Configuration *platform.Document
+	Configuration *Packed
 	Records       []registrar.Record
 	// Complete is the revision up to which the peer knows all upstreams.
 	Complete uint64
 	// Reached says that the peer reaches the store, ConfirmedAge how long ago it last confirmed the configuration.
 	Reached      bool
 	ConfirmedAge time.Duration
-	Peers        []Peer
-	Crashes      []convictor.Crash
+	// OutageAge is the time since the end of the store's last outage as the peer knows it; it is negative for none.
+	OutageAge time.Duration
+	Peers     []Peer
+	Crashes   []convictor.Crash
+	Loads     []placer.Report
 }
 
 // Knowledge is the part of a gateway that is exchanged.
@@ -73,6 +98,9 @@
 
 	Registry *registrar.Registry
 	Crashes  *convictor.Convictor
+	// Loads returns the newest loads of upstreams, and MergeLoads takes those of a peer.
+	Loads      func(now time.Time) []placer.Report
+	MergeLoads func(loads []placer.Report, now time.Time)
 }
 
 // Config sets up a Relayer.
@@ -81,15 +109,23 @@
 	Address string
 	// Seeds are addresses of gateways, which may be stale.
 	Seeds []string
-	Know  Knowledge
-	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
-	Log   hclog.Logger
+	// Readers is the number of gateways that read the store for all.
+	Readers int
+	Know    Knowledge
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Log     hclog.Logger
 }
 
 // Relayer is safe for concurrent use.
 type Relayer struct {
 	cfg Config
 
+	// wake holds the peers to turn to at once.
+	wake chan string
+
+	packMu sync.Mutex
+	packed Packed
+
 	mu      sync.Mutex
 	heard   map[string]time.Time
 	clients map[string]*rpc.Client
@@ -104,7 +140,7 @@
 		cfg.Dial = d.DialContext
 	}
 	return &Relayer{
-		cfg: cfg, heard: make(map[string]time.Time), clients: make(map[string]*rpc.Client), lost: make(map[string]bool),
+		cfg: cfg, wake: make(chan string, queuedWakes), heard: make(map[string]time.Time), clients: make(map[string]*rpc.Client), lost: make(map[string]bool),
 	}
 }
 
@@ -119,16 +155,80 @@
 	g.r.hear(q.From, q.Peers, now)
 	k := g.r.cfg.Know
 	k.Crashes.Merge(q.Crashes, now)
-	if d := k.Document(); d.Revision > q.Configuration {
-		reply.Configuration = &d
-	}
+	reply.Loads = k.Loads(now)
+	k.MergeLoads(q.Loads, now)
+	// The configuration comes last, so that it is never older than the revision up to which the list is complete.
 	reply.Records, reply.Complete = k.Registry.Since(q.Upstreams)
+	own := k.Document()
+	if own.Revision > q.Configuration {
+		packed, err := g.r.pack(own)
+		if err != nil {
+			return err
+		}
+		reply.Configuration = &packed
+	}
+	if q.Configuration > own.Revision || q.Newest > k.Registry.Newest() {
+		g.r.wakeFor(q.From)
+	}
+	reply.OutageAge = k.Registry.OutageAge(now)
 	reply.Reached, reply.ConfirmedAge = k.Reached(), now.Sub(k.Confirmed())
 	reply.Crashes = k.Crashes.Crashes(now)
 	reply.Peers = g.r.peers(now)
 	return nil
 }
 
+// pack compresses a configuration, once for all peers.
+func (r *Relayer) pack(d platform.Document) (Packed, error) {
+	r.packMu.Lock()
+	defer r.packMu.Unlock()
+	if r.packed.Revision == d.Revision {
+		return r.packed, nil
+	}
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return Packed{}, err
+	}
+	if _, err := w.Write(d.Data); err != nil {
+		return Packed{}, err
+	}
+	if err := w.Close(); err != nil {
+		return Packed{}, err
+	}
+	r.packed = Packed{Revision: d.Revision, Data: b.Bytes()}
+	return r.packed, nil
+}
+
+// maxDocument bounds a configuration: the store holds values of up to 1 MB.
+const maxDocument = 4 << 20
+
+func (p *Packed) unpack() (platform.Document, error) {
+	z, err := gzip.NewReader(bytes.NewReader(p.Data))
+	if err != nil {
+		return platform.Document{}, err
+	}
+	data, err := io.ReadAll(io.LimitReader(z, maxDocument))
+	if err != nil {
+		return platform.Document{}, err
+	}
+	return platform.Document{Revision: p.Revision, Data: data}, nil
+}
+
+// wakeFor makes Run turn to a peer at once, or to any if peer is empty; it never blocks.
+func (r *Relayer) wakeFor(peer string) {
+	select {
+	case r.wake <- peer:
+	default:
+	}
+}
+
+// Spread tells some peers at once that this gateway knows something new.
+func (r *Relayer) Spread() {
+	for range spread {
+		r.wakeFor("")
+	}
+}
+
 // Serve answers peers until the listener is closed.
 func (r *Relayer) Serve(l net.Listener) error {
 	s := rpc.NewServer()
@@ -149,18 +249,20 @@
 
 // Run asks peers until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
+	peer := ""
 	for ctx.Err() == nil {
-		interval := calmInterval
-		if !r.cfg.Know.Reached() {
-			interval = urgentInterval
+		if peer == "" {
+			peer, _ = r.next(time.Now())
 		}
-		if peer, ok := r.next(time.Now()); ok {
+		if peer != "" {
 			r.ask(ctx, peer)
 		}
+		peer = ""
 		t := time.NewTimer(interval/2 + rand.N(interval))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
+		case peer = <-r.wake:
 		}
 		t.Stop()
 	}
@@ -183,6 +285,9 @@
 		}
 	}
 	slices.Sort(known)
+	if readers := r.readers(known); len(readers) > 0 && rand.IntN(anyShare) != 0 {
+		return readers[rand.IntN(len(readers))], true
+	}
 	seeds := slices.DeleteFunc(slices.Clone(r.cfg.Seeds), func(a string) bool { return a == r.cfg.Address })
 	const seedShare = 8 // One exchange in this many goes to a seed.
 	if len(seeds) > 0 && (len(known) == 0 || rand.IntN(seedShare) == 0) {
@@ -194,13 +299,38 @@
 	return known[rand.IntN(len(known))], true
 }
 
+// readers returns the peers among known that should read the store.
+func (r *Relayer) readers(known []string) []string {
+	all := append(slices.Clone(known), r.cfg.Address)
+	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	if len(all) > r.cfg.Readers {
+		all = all[:r.cfg.Readers]
+	}
+	return slices.DeleteFunc(all, func(a string) bool { return a == r.cfg.Address })
+}
+
+// Reader reports whether this gateway should read the store for the others.
+func (r *Relayer) Reader() bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := 0
+	own := xxhash.Sum64String(r.cfg.Address)
+	for a, at := range r.heard {
+		if now.Sub(at) < peerTime && xxhash.Sum64String(a) < own {
+			before++
+		}
+	}
+	return before < r.cfg.Readers
+}
+
 // ask exchanges knowledge with one peer.
 func (r *Relayer) ask(ctx context.Context, peer string) {
 	k := r.cfg.Know
 	now := time.Now()
 	q := Question{
-		From: r.cfg.Address, Configuration: k.Document().Revision, Upstreams: k.Registry.Complete(),
-		Peers: r.peers(now), Crashes: k.Crashes.Crashes(now),
+		From: r.cfg.Address, Configuration: k.Document().Revision, Upstreams: k.Registry.Complete(), Newest: k.Registry.Newest(),
+		Peers: r.peers(now), Crashes: k.Crashes.Crashes(now), Loads: k.Loads(now),
 	}
 	var reply Reply
 	if err := r.call(ctx, peer, q, &reply); err != nil {
@@ -208,13 +338,26 @@
 		return
 	}
 	r.answered(peer)
+	news := false
 	if reply.Configuration != nil {
-		k.Adopt(*reply.Configuration, now.Add(-reply.ConfirmedAge), "peer "+peer)
+		d, err := reply.Configuration.unpack()
+		if err != nil {
+			r.cfg.Log.Error("peer_configuration_unreadable", "peer", peer, "revision", reply.Configuration.Revision, "error", err.Error())
+			return
+		}
+		news = k.Adopt(d, now.Add(-reply.ConfirmedAge), "peer "+peer)
 	}
 	if reply.Reached {
 		k.Confirm(now.Add(-reply.ConfirmedAge))
 	}
-	k.Registry.MergeChanges(reply.Records, q.Upstreams, reply.Complete, time.Now())
+	if reply.OutageAge >= 0 {
+		k.Registry.OutageEnded(now.Add(-reply.OutageAge))
+	}
+	k.MergeLoads(reply.Loads, time.Now())
+	news = k.Registry.MergeChanges(reply.Records, q.Upstreams, reply.Complete, time.Now()) || news
+	if news {
+		r.Spread()
+	}
 	k.Crashes.Merge(reply.Crashes, time.Now())
 	r.hear(peer, reply.Peers, now)
 }
