placer: let reported loads decay; no trial at a loaded upstream

Change: a reported load decays over the length of a stream; trials need a load under the mean; bound 1.7 and 2, short chats at 0.75.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,12 +15,13 @@
 const (
 	// DefaultBound is the multiple of the mean load up to which an upstream takes the longest chats that it has cached.
 	// A step of an engine takes 1.5% longer for each request beside, while a chat that moves has its prompt read again.
-	DefaultBound = 1.8
+	// Loads are known with a delay of some 0.2 s, in which they grow beyond the bound by a fifth.
+	DefaultBound = 1.7
 	// DefaultSlack is added to the bound, because with few requests the mean is a fraction of one.
-	DefaultSlack = 2.5
+	DefaultSlack = 2
 	// shortShare is the part of the bound that holds for the shortest chats: they leave a loaded upstream first, since
 	// they free as much of its time and cost less to read again. So the same chats move each time, too.
-	shortShare = 0.65
+	shortShare = 0.75
 	// longChat is the number of cached tokens from which a chat counts as long; an engine reads them in about 40 ms.
 	longChat = 4000
 	// DefaultRamp is the time over which the share of chats that an upstream takes grows after its start. Each chat
@@ -28,8 +29,11 @@
 	DefaultRamp = time.Minute
 	// minAge bounds the share of an upstream that has just started from below.
 	minAge = time.Second
-	// reportTime is the time for which a load that an upstream reported counts; streams last one to three seconds.
-	reportTime = 1500 * time.Millisecond
+	// decay is the time in which a reported load falls to 1/e if nothing is added: streams last one to two seconds,
+	// and an upstream that gets no requests sends no reports.
+	decay = 1500 * time.Millisecond
+	// reportTime is the time for which a reported load is passed on to other gateways.
+	reportTime = 2 * decay
 )
 
 // Load is what an upstream reported of itself.
@@ -98,12 +102,14 @@
 	reportedAt time.Time
 }
 
-// estimate returns the number of requests at the upstream.
+// estimate returns the number of requests at the upstream: the own ones, and those of others at the last report
+// less what has ended since.
 func (w *work) estimate(now time.Time) float64 {
-	if w.reportedAt.IsZero() || now.Sub(w.reportedAt) > reportTime {
+	others := float64(max(w.reported-w.ownThen, 0))
+	if others == 0 {
 		return float64(w.own)
 	}
-	return float64(max(w.own, w.reported+w.own-w.ownThen))
+	return float64(w.own) + others*math.Exp(-now.Sub(w.reportedAt).Seconds()/decay.Seconds())
 }
 
 // New returns a placer without knowledge of any load.
@@ -194,7 +200,7 @@
 // pick returns the index of the choice and its place in the order of the chat.
 func (p *Placer) pick(usable []candidate, r Request, mean float64, now time.Time) (at, place int) {
 	for i := range usable {
-		if usable[i].grade == appraiser.Trial {
+		if usable[i].grade == appraiser.Trial && usable[i].load <= mean {
 			return i, 0 // One request decides whether the upstream is well again.
 		}
 	}
