--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,6 +23,9 @@
 	// minBackoff and maxBackoff bound the pause after a failed call; the store must be found again within two seconds.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// shortestOutage is the time without an answer of the store to anyone after which entries may have lapsed: they
+	// last for three heartbeats of 1.2 s, the first of which may have been missed before.
+	shortestOutage = 2200 * time.Millisecond
 	// patience is the age of the configuration's last confirmation from which a process that does not read the store
 	// tries it: a watch, its slack and an exchange between peers.
 	patience = 1700 * time.Millisecond
@@ -180,6 +183,7 @@
 	for _, key := range c.Unreadable {
 		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
 	}
+	f.Contact(started)
 	// The configuration comes first: the list's revision tells peers that nothing before it is missing.
 	news := false
 	if c.Configuration != nil {
@@ -196,6 +200,16 @@
 	f.Confirm(started)
 }
 
+// Contact notes that the store answered some process at a time. If it answered none for long enough, entries of
+// upstreams that live may have lapsed; a call that fails for one process alone is no outage.
+func (f *Follower) Contact(at time.Time) {
+	last := f.Belief().Confirmed
+	if !last.IsZero() && at.Sub(last) > shortestOutage {
+		f.cfg.Log.Info("store_outage_ended", "lasted_ms", at.Sub(last).Milliseconds())
+		f.cfg.Registry.OutageEnded(at)
+	}
+}
+
 // Confirm notes that at a time nothing newer than the configuration in force existed.
 func (f *Follower) Confirm(at time.Time) {
 	f.mu.Lock()
@@ -240,9 +254,6 @@
 		f.cfg.Log.Warn("store_lost", "error", err.Error(), "configuration_revision", f.document.Revision)
 	}
 	f.reached = false
-	if !errors.Is(err, platform.ErrCompacted) {
-		f.cfg.Registry.StoreLost()
-	}
 }
 
 // back notes a call that succeeded.
@@ -253,7 +264,6 @@
 		return
 	}
 	f.reached = true
-	f.cfg.Registry.StoreBack(at)
 	f.cfg.Log.Info("store_reached", "away_ms", f.away(at).Milliseconds())
 }
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -134,7 +134,7 @@
 		Address: s.PeerListen.String(), Seeds: seeds, Readers: readers, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
 		Know: relayer.Knowledge{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Belief().Confirmed },
-			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
+			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm, Contact: g.follower.Contact,
 			Registry: g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge,
 		},
 	})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -68,7 +68,6 @@
 	entries map[string]*entry
 	// outageEnd is the time at which the store last came back.
 	outageEnd time.Time
-	inOutage  bool
 	// complete is the revision up to which all records are known.
 	complete uint64
 	view     atomic.Pointer[View]
@@ -99,24 +98,7 @@
 	return r.complete > 0
 }
 
-// StoreLost notes the start of an outage of the store.
-func (r *Registry) StoreLost() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inOutage = true
-}
-
-// StoreBack notes the end of an outage of the store.
-func (r *Registry) StoreBack(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.inOutage {
-		r.inOutage = false
-		r.outageEnd = now
-	}
-}
-
-// OutageEnded notes that a peer saw an outage of the store end at a time.
+// OutageEnded notes that an outage of the store, in which entries may have lapsed, ended at a time.
 func (r *Registry) OutageEnded(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -125,19 +107,6 @@
 	}
 }
 
-// OutageAge returns the time since the end of the last outage, zero during one, and a negative time without any.
-func (r *Registry) OutageAge(now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case r.inOutage:
-		return 0
-	case r.outageEnd.IsZero():
-		return -1
-	}
-	return max(now.Sub(r.outageEnd), 0)
-}
-
 // Merge takes records from any source and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
@@ -225,9 +194,6 @@
 
 // graceEnd returns the time until which a removal may be the lapse of an entry that could not be renewed.
 func (r *Registry) graceEnd(now time.Time) time.Time {
-	if r.inOutage {
-		return now.Add(LapseGrace)
-	}
 	if r.outageEnd.IsZero() {
 		return time.Time{}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -78,11 +78,9 @@
 	// Reached says that the peer reaches the store, ConfirmedAge how long ago it last confirmed the configuration.
 	Reached      bool
 	ConfirmedAge time.Duration
-	// OutageAge is the time since the end of the store's last outage as the peer knows it; it is negative for none.
-	OutageAge time.Duration
-	Peers     []Peer
-	Crashes   []convictor.Crash
-	Loads     []placer.Report
+	Peers        []Peer
+	Crashes      []convictor.Crash
+	Loads        []placer.Report
 }
 
 // Knowledge is the part of a gateway that is exchanged.
@@ -95,6 +93,8 @@
 	Reached func() bool
 	Adopt   func(d platform.Document, at time.Time, source string) bool
 	Confirm func(at time.Time)
+	// Contact notes, before records are merged, that the store answered a gateway at a time.
+	Contact func(at time.Time)
 
 	Registry *registrar.Registry
 	Crashes  *convictor.Convictor
@@ -170,7 +170,6 @@
 	if q.Configuration > own.Revision || q.Newest > k.Registry.Newest() {
 		g.r.wakeFor(q.From)
 	}
-	reply.OutageAge = k.Registry.OutageAge(now)
 	reply.Reached, reply.ConfirmedAge = k.Reached(), now.Sub(k.Confirmed())
 	reply.Crashes = k.Crashes.Crashes(now)
 	reply.Peers = g.r.peers(now)
@@ -338,6 +337,9 @@
 		return
 	}
 	r.answered(peer)
+	if reply.Reached {
+		k.Contact(now.Add(-reply.ConfirmedAge))
+	}
 	news := false
 	if reply.Configuration != nil {
 		d, err := reply.Configuration.unpack()
@@ -350,9 +352,6 @@
 	if reply.Reached {
 		k.Confirm(now.Add(-reply.ConfirmedAge))
 	}
-	if reply.OutageAge >= 0 {
-		k.Registry.OutageEnded(now.Add(-reply.OutageAge))
-	}
 	k.MergeLoads(reply.Loads, time.Now())
 	news = k.Registry.MergeChanges(reply.Records, q.Upstreams, reply.Complete, time.Now()) || news
 	if news {
