Tests of the whole path, of a planned stop and of the way from an id to its cause

Change: gatekeeper is tested before an imitated store and upstreams; the follower of callers' connections is exported for its test.

--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -8,29 +8,30 @@
 	"time"
 )
 
-// callerConns follows the connections of callers, to close those that are idle for too long.
+// CallerConns follows the connections of callers, to close those that are idle for too long.
 //
 // http.Server has an idle timeout of its own, but reads it without a lock, so that it cannot follow the configuration,
 // and it may close a connection of which it has just read the next request.
-type callerConns struct {
+type CallerConns struct {
 	most int
 
 	mu  sync.Mutex
 	all map[*callerConn]struct{}
 }
 
-func newCallerConns(most int) *callerConns {
-	return &callerConns{most: most, all: make(map[*callerConn]struct{})}
+// NewCallerConns returns the follower of at most that many connections.
+func NewCallerConns(most int) *CallerConns {
+	return &CallerConns{most: most, all: make(map[*callerConn]struct{})}
 }
 
-// listen returns a listener whose connections are followed.
-func (c *callerConns) listen(l net.Listener) net.Listener {
+// Listen returns a listener whose connections are followed.
+func (c *CallerConns) Listen(l net.Listener) net.Listener {
 	return &callerListener{Listener: l, conns: c}
 }
 
 type callerListener struct {
 	net.Listener
-	conns *callerConns
+	conns *CallerConns
 }
 
 // Accept waits for the next connection.
@@ -100,8 +101,8 @@
 	return now.Sub(c.since)
 }
 
-// note takes a change of a connection's state.
-func (c *callerConns) note(nc net.Conn, state http.ConnState) {
+// Note takes a change of a connection's state.
+func (c *CallerConns) Note(nc net.Conn, state http.ConnState) {
 	conn, ok := nc.(*callerConn)
 	if !ok {
 		return
@@ -117,7 +118,7 @@
 }
 
 // add follows a new connection; beyond the limit the one that was idle for longest makes room.
-func (c *callerConns) add(conn *callerConn) {
+func (c *CallerConns) add(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.all) >= c.most {
@@ -126,7 +127,7 @@
 	c.all[conn] = struct{}{}
 }
 
-func (c *callerConns) retireOldest() {
+func (c *CallerConns) retireOldest() {
 	var oldest *callerConn
 	var longest time.Duration
 	now := time.Now()
@@ -140,8 +141,8 @@
 	}
 }
 
-// closeIdle closes the connections that were idle for longer than limit.
-func (c *callerConns) closeIdle(now time.Time, limit time.Duration) {
+// CloseIdle closes the connections that were idle for longer than limit.
+func (c *CallerConns) CloseIdle(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.all {
@@ -151,8 +152,8 @@
 	}
 }
 
-// busy returns the number of connections of which a request was read that is not answered yet.
-func (c *callerConns) busy() int {
+// Busy returns the number of connections of which a request was read that is not answered yet.
+func (c *CallerConns) Busy() int {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,7 +166,8 @@
 	return n
 }
 
-func (c *callerConns) open() int {
+// Open returns the number of connections.
+func (c *CallerConns) Open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.all)
--- /dev/null
+++ b/gatekeeper/conns_test.go
@@ -0,0 +1,69 @@
+package gatekeeper_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/gatekeeper"
+)
+
+// TestIdleConnectionIsNotClosedUnderARequest answers a fault in which an idle connection was closed when the next
+// request had just been read from it.
+func TestIdleConnectionIsNotClosedUnderARequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(10)
+	entered, release := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: conns.Note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-release
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for range 3 {
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		<-entered
+		require.Equal(t, 1, conns.Busy())
+		conns.CloseIdle(time.Now().Add(time.Hour), 0)
+		release <- struct{}{}
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, "the connection was closed under a request")
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+	require.Eventually(t, func() bool { return conns.Busy() == 0 }, patience, time.Millisecond)
+	conns.CloseIdle(time.Now().Add(time.Hour), 0)
+	_, err = br.ReadByte()
+	require.Error(t, err)
+}
+
+func TestOldestIdleConnectionMakesRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(2)
+	server := &http.Server{ConnState: conns.Note, Handler: http.NotFoundHandler()}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return conns.Busy() == 0 }, patience, time.Millisecond)
+		require.LessOrEqual(t, conns.Open(), 2)
+	}
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -84,7 +84,7 @@
 	follower  *follower.Follower
 	relayer   *relayer.Relayer
 	proxier   *proxier.Proxier
-	callers   *callerConns
+	callers   *CallerConns
 
 	mu      sync.Mutex
 	budgets map[string]*limiter.RetryBudget
@@ -150,7 +150,7 @@
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
 		Log: g.log.Named("proxier"), Metrics: g.registry,
 	})
-	g.callers = newCallerConns(s.Connections)
+	g.callers = NewCallerConns(s.Connections)
 }
 
 // gateways returns the number of gateways that share what upstreams and budgets allow.
@@ -192,7 +192,7 @@
 	started := time.Now()
 	front := &http.Server{
 		Handler: g.proxier, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.callers.note, ErrorLog: g.log.Named("callers").StandardLogger(nil),
+		ConnState: g.callers.Note, ErrorLog: g.log.Named("callers").StandardLogger(nil),
 	}
 	ready := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTime}
 	metered := &http.Server{Handler: g.metrics(), ReadHeaderTimeout: headerTime}
@@ -213,7 +213,7 @@
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, run := errgroup.WithContext(run)
-	group.Go(func() error { return serve(front, g.callers.listen(listeners[0])) })
+	group.Go(func() error { return serve(front, g.callers.Listen(listeners[0])) })
 	group.Go(func() error { return serve(ready, listeners[1]) })
 	group.Go(func() error { return g.relayer.Serve(listeners[2]) })
 	group.Go(func() error { return serve(metered, listeners[3]) })
@@ -273,12 +273,12 @@
 	g.health.Forget(func(id string) bool { return live[id] })
 	g.placer.Forget(func(id string) bool { return live[id] })
 	if table := g.follower.Belief().Table; table != nil && table.Limits.IdleTime > 0 {
-		g.callers.closeIdle(now, table.Limits.IdleTime+idleSlack)
+		g.callers.CloseIdle(now, table.Limits.IdleTime+idleSlack)
 	}
 	gauge := func(name string, n int) { metrics.GetOrRegisterGauge(name, g.registry).Update(int64(n)) }
 	gauge("requests_running", g.proxier.Running())
 	gauge("upstream_connections", g.pool.Open())
-	gauge("caller_connections", g.callers.open())
+	gauge("caller_connections", g.callers.Open())
 	gauge("gateways", g.relayer.Gateways())
 	gauge("upstreams", len(live))
 	gauge("configuration_age_ms", int(now.Sub(g.follower.Belief().Confirmed).Milliseconds()))
--- /dev/null
+++ b/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,228 @@
+package gatekeeper_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/gatekeeper"
+	"clementineramp/loader"
+	"clementineramp/logger"
+	"clementineramp/platform/imitator"
+)
+
+// patience bounds the wait for what must happen.
+const patience = 30 * time.Second
+
+// lockedBuffer is a buffer that a logger and a test share.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds a line.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// String returns the lines so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// fleet is an imitated platform with one gateway.
+type fleet struct {
+	t        *testing.T
+	store    *imitator.Store
+	settings *loader.Gateway
+	gateway  *gatekeeper.Gateway
+	log      *lockedBuffer
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: &imitator.Store{}, log: &lockedBuffer{}, done: make(chan error, 1)}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.settings = &loader.Gateway{
+		Name: "gateway-1", Region: "r", FailureDomain: "domain-1", Listen: freeAddress(t), ReadyListen: freeAddress(t),
+		PeerListen: freeAddress(t), MetricsListen: freeAddress(t), Memory: 256e6, Connections: 100,
+		Store: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Propagation: 2 * time.Second, Grace: 3 * time.Second,
+		Retries: loader.Retries{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
+	}
+	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log})})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.done <- f.gateway.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-f.done
+	})
+	return f
+}
+
+func (f *fleet) configure(version int, paths ...string) {
+	var routes []map[string]any
+	for _, p := range paths {
+		routes = append(routes, map[string]any{
+			"Name": p, "Host": "h", "PathPrefix": p, "Kind": "non_idempotent", "TimeoutMs": 20000, "Service": "s", "MaxAttempts": 1,
+		})
+	}
+	f.store.PutJSON("op/config", map[string]any{"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "s"}},
+		"Tenants": []map[string]any{{"Name": "o", "ApiKeys": []string{"key"}}}})
+}
+
+func (f *fleet) upstream(id string, handle http.HandlerFunc) *imitator.Upstream {
+	u := &imitator.Upstream{ID: id, Service: "s", Handle: handle}
+	u.Start()
+	f.t.Cleanup(u.Close)
+	f.store.PutJSON(u.Key(), u.Entry("ready"))
+	return u
+}
+
+func (f *fleet) get(client *http.Client, address netip.AddrPort, path string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address.String()+path, nil)
+	require.NoError(f.t, err)
+	req.Host = "h"
+	req.Header.Set("Key", "key")
+	req.Header.Set("Attempt-Id", "attempt-1")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+func (f *fleet) status(path string) int {
+	status, _, err := f.get(http.DefaultClient, f.settings.Listen, path)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, ok, patience, 20*time.Millisecond, what)
+}
+
+func TestWholePath(t *testing.T) {
+	f := newFleet(t)
+	f.eventually("the gateway does not listen", func() bool { return f.status("/a/") == 503 })
+	ready := func() int { status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness"); return status }
+	require.Equal(t, 503, ready(), "ready without a configuration")
+
+	f.configure(1, "/a/")
+	u := f.upstream("u1", nil)
+	f.eventually("not ready", func() bool { return ready() == 200 })
+	f.eventually("no request is served", func() bool { return f.status("/a/1") == 200 })
+	require.Equal(t, 404, f.status("/b/1"))
+
+	f.configure(2, "/b/")
+	f.eventually("a new route is not in force", func() bool { return f.status("/b/1") == 200 })
+	require.Equal(t, 404, f.status("/a/1"))
+
+	f.upstream("u2", nil)
+	f.store.PutJSON(u.Key(), u.Entry("draining"))
+	f.eventually("a leave is not known", func() bool { return strings.Contains(f.log.String(), "upstream_leaving") })
+	before := len(u.Runs())
+	for range 10 {
+		require.Equal(t, 200, f.status("/b/1"))
+	}
+	require.Len(t, u.Runs(), before, "a leaving upstream gets requests")
+
+	f.store.SetMode(imitator.Silent)
+	for range 10 {
+		require.Equal(t, 200, f.status("/b/1"), "requests fail while the store is down")
+	}
+	_, body, err := f.get(http.DefaultClient, f.settings.MetricsListen, "/metrics")
+	require.NoError(t, err)
+	require.Contains(t, body, "requests.non_idempotent.served")
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	release := make(chan struct{})
+	f.configure(1, "/a/")
+	u := f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		imitator.Plain("late")(w, r)
+	})
+	f.eventually("not ready", func() bool {
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		return status == 200
+	})
+	answered := make(chan int, 1)
+	go func() { answered <- f.status("/a/1") }()
+	f.eventually("the request does not run", func() bool { return len(u.Runs()) == 1 })
+	f.stop()
+	f.eventually("still ready", func() bool {
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		return status == 503
+	})
+	close(release)
+	require.Equal(t, 200, <-answered)
+	f.eventually("the gateway does not stop", func() bool { return strings.Contains(f.log.String(), "event=stopped") })
+}
+
+// TestFromIDToCause goes from the id of a failed request to its cause with the log alone, for three kinds of failure.
+func TestFromIDToCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		handle http.HandlerFunc
+		want   []string
+	}{
+		"refused": {imitator.Shed, []string{"event=attempt_failed request=attempt-1 upstream=u1", "verdict=turned_away", "outcome=refused", "status=503", "reason=no_upstream"}},
+		"failed":  {imitator.Status(500), []string{"event=request_ended request=attempt-1", "outcome=failed", "status=500", "upstream=u1"}},
+		"cut":     {imitator.Break, []string{"event=attempt_failed request=attempt-1 upstream=u1", "verdict=may_have_run", "status=502", "reason=connection_broken"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(1, "/a/")
+			f.upstream("u1", c.handle)
+			f.eventually("the request has no final answer", func() bool {
+				s := f.status("/a/1")
+				return s != 0 && s != 503 || strings.Contains(f.log.String(), "event=attempt_failed")
+			})
+			for _, w := range c.want {
+				f.eventually(fmt.Sprintf("no %q in %s", w, f.log.String()), func() bool { return strings.Contains(f.log.String(), w) })
+			}
+		})
+	}
+}
+
+func TestBusyAddressIsReported(t *testing.T) {
+	f := newFleet(t)
+	f.eventually("the gateway does not listen", func() bool { return f.status("/a/") == 503 })
+	other := gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: io.Discard})})
+	require.ErrorContains(t, other.Run(context.Background()), f.settings.Listen.String())
+}
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -48,8 +48,8 @@
 			g.refusing.Store(int32(proxier.RefuseAll))
 		}
 		if since >= leave {
-			g.callers.closeIdle(now, 0)
-			if g.proxier.Running() == 0 && g.callers.busy() == 0 {
+			g.callers.CloseIdle(now, 0)
+			if g.proxier.Running() == 0 && g.callers.Busy() == 0 {
 				break
 			}
 		}
