--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -45,6 +45,13 @@
 	RefuseAll
 )
 
+// minStart and maxStart bound the time after which a caller should return to a router that knows no configuration
+// yet: with the store away, too, it takes a second or so until one arrives.
+const (
+	minStart = 700 * time.Millisecond
+	maxStart = 1500 * time.Millisecond
+)
+
 // Belief is a configuration and how sure the router is that it is the newest.
 type Belief struct {
 	Table *mapper.Table
@@ -157,7 +164,10 @@
 	}
 	t := j.belief.Table
 	if t == nil {
-		return refusal(http.StatusServiceUnavailable, judge.ReasonNotReady, "no configuration is known yet")
+		return &answer{
+			status: http.StatusServiceUnavailable, reason: judge.ReasonNotReady, text: "no configuration is known yet",
+			retryAfter: minStart + rand.N(maxStart-minStart),
+		}
 	}
 	if err := j.authorise(t); err != nil {
 		return err
