Mend what the linter found; a test of the connector waits for the request

Cause: the test of a cancelled exchange cancelled as soon as the connection was accepted, at times before the request was sent, and then waited for ever for an upstream that had read none (once in some ten runs). Change: it cancels when the upstream has read the request. Linter findings.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -55,9 +55,7 @@
 }
 
 const (
-	// memory is the number of outcomes that a judgement is based on.
-	memory = 8
-	// limit is the number of failures among them that makes an upstream suspect: 3 of 8 are rarer than once in
+	// limit is the number of failures among the last eight outcomes that makes an upstream suspect: 3 are rarer than once in
 	// a hundred requests at the 4% of errors that a sound plain service gives.
 	limit = 3
 	// firstRest and longestRest bound the time without requests, which doubles with each failed trial.
@@ -74,7 +72,7 @@
 
 // health is what is known of one upstream.
 type health struct {
-	// fails holds the newest outcomes, one bit each, the newest lowest; a set bit is a failure.
+	// fails holds the eight newest outcomes, one bit each, the newest lowest; a set bit is a failure.
 	fails  uint8
 	grade  Grade
 	rest   time.Duration
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -199,7 +199,7 @@
 
 func (c *closing) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return n, err
 }
 
@@ -225,18 +225,19 @@
 }
 
 func TestEndOfContextClosesTheConnection(t *testing.T) {
-	closed := make(chan error, 1)
+	read, closed := make(chan struct{}), make(chan error, 1)
 	u := serve(t, func(_ int, c net.Conn) {
 		br := bufio.NewReader(c)
 		if _, err := http.ReadRequest(br); err != nil {
 			return
 		}
+		close(read)
 		_, err := io.Copy(io.Discard, br)
 		closed <- err
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		<-u.accepted
+		<-read
 		cancel()
 	}()
 	_, err := connector.New(connector.Config{}).Do(ctx, u.target(), request("1"), owns("1"))
@@ -255,7 +256,7 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
 		if n == 0 {
 			<-rest
-			_, err = io.Copy(io.Discard, br)
+			_, _ = io.Copy(io.Discard, br)
 		}
 	})
 	p := connector.New(connector.Config{})
@@ -265,7 +266,7 @@
 	require.NoError(t, err)
 	_, err = io.ReadAll(e)
 	require.NoError(t, err)
-	require.NoError(t, e.Close())
+	e.Close()
 	close(rest)
 	_, err = exchange(t, p, u.target(), "2")
 	require.NoError(t, err)
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -111,7 +111,7 @@
 	if err := c.send(req); err != nil {
 		return nil, fail(MayBeSent, err)
 	}
-	resp, err := c.receive(req.Method, own)
+	resp, err := c.receive(req.Method, own) //nolint:bodyclose // Exchange.Close ends the connection
 	if err != nil {
 		return nil, fail(MayBeSent, err)
 	}
@@ -177,9 +177,10 @@
 // Read reads the body; io.EOF means that the answer is complete.
 func (e *Exchange) Read(b []byte) (int, error) {
 	n, err := e.Body.Read(b)
-	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+	switch {
+	case err == io.EOF:
 		e.ended = true
-	} else if err != nil {
+	case err != nil:
 		e.broken = true
 	}
 	return n, err
@@ -201,9 +202,9 @@
 }
 
 // Close ends the exchange; the connection is used again only after a complete answer with nothing behind it.
-func (e *Exchange) Close() error {
+func (e *Exchange) Close() {
 	if e.conn == nil {
-		return nil
+		return
 	}
 	c := e.conn
 	e.conn = nil
@@ -217,5 +218,4 @@
 		}
 	}
 	e.pool.release(c, keep)
-	return nil
 }
--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	c.retired = true
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return true
 }
 
@@ -108,6 +108,7 @@
 		return
 	}
 	switch state {
+	case http.StateNew, http.StateActive: // Read sees the first byte of a request.
 	case http.StateIdle:
 		conn.release()
 	case http.StateClosed, http.StateHijacked:
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -96,8 +96,10 @@
 			"Name": p, "Host": "h", "PathPrefix": p, "Kind": "non_idempotent", "TimeoutMs": 20000, "Service": "s", "MaxAttempts": 1,
 		})
 	}
-	f.store.PutJSON("op/config", map[string]any{"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "s"}},
-		"Tenants": []map[string]any{{"Name": "o", "ApiKeys": []string{"key"}}}})
+	f.store.PutJSON("op/config", map[string]any{
+		"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "s"}},
+		"Tenants": []map[string]any{{"Name": "o", "ApiKeys": []string{"key"}}},
+	})
 }
 
 func (f *fleet) upstream(id string, handle http.HandlerFunc) *imitator.Upstream {
@@ -139,7 +141,10 @@
 func TestWholePath(t *testing.T) {
 	f := newFleet(t)
 	f.eventually("the gateway does not listen", func() bool { return f.status("/a/") == 503 })
-	ready := func() int { status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness"); return status }
+	ready := func() int {
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		return status
+	}
 	require.Equal(t, 503, ready(), "ready without a configuration")
 
 	f.configure(1, "/a/")
--- a/logger/async.go
+++ b/logger/async.go
@@ -80,7 +80,7 @@
 const closeTime = 200 * time.Millisecond
 
 // Close writes what is queued, unless the reader takes too long; Write must not be called afterwards.
-func (a *Async) Close() error {
+func (a *Async) Close() {
 	a.close.Do(func() { close(a.lines) })
 	t := time.NewTimer(closeTime)
 	defer t.Stop()
@@ -88,5 +88,4 @@
 	case <-a.done:
 	case <-t.C:
 	}
-	return nil
 }
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -90,6 +90,8 @@
 		return false
 	}
 	switch v {
+	case done:
+		return false
 	case notSent:
 		return len(j.tried) < maxTurnedAway+j.route.Attempts
 	case turnedAway:
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -183,8 +183,10 @@
 	j.print = convictor.Of(j.r.Method, j.r.RequestURI, j.Key, j.body)
 	if left := j.p.cfg.Crashes.Convicted(j.print, time.Now()); left > 0 {
 		j.p.bodies.Add(-int64(len(j.body)))
-		return &answer{status: http.StatusServiceUnavailable, reason: judge.ReasonConvicted, retryAfter: left,
-			text: "this request crashes the upstreams that run it"}
+		return &answer{
+			status: http.StatusServiceUnavailable, reason: judge.ReasonConvicted, retryAfter: left,
+			text: "this request crashes the upstreams that run it",
+		}
 	}
 	j.header = j.p.cfg.Codec.ForwardHeaders(j.r.Header)
 	return nil
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -322,7 +322,7 @@
 		close(ended)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	req, err := http.NewRequestWithContext(ctx, "POST", f.server.URL+"/order/", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/order/", nil)
 	require.NoError(t, err)
 	req.Host = "h"
 	req.Header.Set("Key", "key")
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -173,7 +173,7 @@
 			e.lapseUntil = old.lapseUntil
 			break
 		}
-		if until := r.graceEnd(now); now.Before(until) && !old.Upstream.Leaving {
+		if until := r.graceEnd(); now.Before(until) && !old.Upstream.Leaving {
 			change = "lapsed"
 			e.lapseUntil = until
 		}
@@ -193,7 +193,7 @@
 }
 
 // graceEnd returns the time until which a removal may be the lapse of an entry that could not be renewed.
-func (r *Registry) graceEnd(now time.Time) time.Time {
+func (r *Registry) graceEnd() time.Time {
 	if r.outageEnd.IsZero() {
 		return time.Time{}
 	}
