--- a/commander/root.go
+++ b/commander/root.go
@@ -36,6 +36,7 @@
 		statusCommand(),
 		drainCommand(),
 		standinCommand(),
+		storyCommand(),
 	}
 }
 
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -30,9 +30,11 @@
 Examples:
   clementinectl settings check router.json
   clementinectl settings check --effective router.json
-  clementinectl settings check --json router.json`,
+  clementinectl settings check --json router.json
+  clementinectl settings check --gateway gateway.json`,
 		Flags: []cli.Flag{
 			jsonFlag(),
+			&cli.BoolFlag{Name: "gateway", Usage: "check the settings of a gateway"},
 			&cli.BoolFlag{Name: "effective", Usage: "print the settings in force, defaults included, without secrets"},
 		},
 		Action: checkSettings,
@@ -53,13 +55,13 @@
 	if err != nil {
 		return err
 	}
-	settings, err := loader.Check(file)
+	effective, summary, err := loadSettings(file, cmd.Bool("gateway"))
 	var problems loader.Problems
 	if err != nil && !errors.As(err, &problems) {
 		return err
 	}
 	if cmd.Bool("json") {
-		return printSettingsReport(cmd, file, settings, problems)
+		return printSettingsReport(cmd, file, effective, problems)
 	}
 	out := cmd.Root().Writer
 	if err != nil {
@@ -67,18 +69,34 @@
 		return errShown
 	}
 	if cmd.Bool("effective") {
-		fmt.Fprintln(out, settings.Effective())
+		fmt.Fprintln(out, effective)
 		return nil
 	}
-	fmt.Fprintf(out, "%s: ok, %s %s\n", file, settings.Role, settings.Name)
+	fmt.Fprintf(out, "%s: ok, %s\n", file, summary)
 	return nil
 }
 
-func printSettingsReport(cmd *cli.Command, file string, settings *loader.Settings, problems loader.Problems) error {
+// loadSettings returns the settings in force as JSON, and the role and name of the process.
+func loadSettings(file string, gateway bool) (effective, summary string, err error) {
+	if gateway {
+		s, err := loader.LoadGateway(file)
+		if err != nil {
+			return "", "", err
+		}
+		return s.Effective(), "gateway " + s.Name, nil
+	}
+	s, err := loader.Check(file)
+	if err != nil {
+		return "", "", err
+	}
+	return s.Effective(), string(s.Role) + " " + s.Name, nil
+}
+
+func printSettingsReport(cmd *cli.Command, file string, effective string, problems loader.Problems) error {
 	report := settingsReport{File: file, OK: len(problems) == 0, Problems: problems}
 	if report.OK {
 		report.Problems = loader.Problems{}
-		report.Settings = json.RawMessage(settings.Effective())
+		report.Settings = json.RawMessage(effective)
 	}
 	if err := printJSON(cmd, report); err != nil {
 		return err
--- /dev/null
+++ b/commander/story.go
@@ -0,0 +1,108 @@
+package commander
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// maxLogLine bounds a line of a log; the logger writes shorter ones.
+const maxLogLine = 64 << 10
+
+func storyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "story",
+		Usage:     "print what logs say of one request, in order of time",
+		ArgsUsage: "REQUEST [FILE...]",
+		Description: `Reads the logs of any number of processes, or standard input without files, and prints the lines that carry
+the request's id, each with the file that it comes from. Clocks of hosts differ, so that lines of two files can
+swap; lines of one file keep their order. Exit code 1 if no line was found: plain successes are sampled.
+
+Examples:
+  clementinectl story 9c41d07be2a35f68 gateway-1.log gateway-2.log
+  clementinectl story 9c41d07be2a35f68 < all.log`,
+		Action: printStory,
+	}
+}
+
+// logLine is one line of a log.
+type logLine struct {
+	file string
+	// time is that of the line, or of the line before it if that is later.
+	time time.Time
+	text string
+}
+
+func printStory(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) == 0 {
+		return wrongUsage(cmd, "want a request's id and any number of files")
+	}
+	var story []logLine
+	if len(args) == 1 {
+		lines, err := linesOf(args[0], "-", os.Stdin)
+		if err != nil {
+			return err
+		}
+		story = lines
+	}
+	for _, name := range args[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		lines, err := linesOf(args[0], name, f)
+		_ = f.Close() // It was only read.
+		if err != nil {
+			return err
+		}
+		story = append(story, lines...)
+	}
+	if len(story) == 0 {
+		return fmt.Errorf("no line about request %s; plain successes are logged one in some", args[0])
+	}
+	slices.SortStableFunc(story, func(a, b logLine) int {
+		return a.time.Compare(b.time)
+	})
+	for _, l := range story {
+		fmt.Fprintf(cmd.Root().Writer, "%s: %s\n", l.file, l.text)
+	}
+	return nil
+}
+
+// linesOf returns the lines of a log whose request field is id.
+func linesOf(id, file string, r io.Reader) ([]logLine, error) {
+	// The field is at a word's start outside quotes: a quoted value has its quotes escaped.
+	field := regexp.MustCompile(`^(?:[^"]|"(?:\\.|[^"\\])*")* request="?` + regexp.QuoteMeta(id) + `"?(?: |$)`)
+	var lines []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if !field.MatchString(s.Text()) {
+			continue
+		}
+		line := logLine{file: file, text: s.Text()}
+		if _, rest, ok := strings.Cut(line.text, "time="); ok {
+			stamp, _, _ := strings.Cut(rest, " ")
+			if t, err := time.Parse(time.RFC3339Nano, stamp); err == nil {
+				line.time = t
+			}
+			if n := len(lines); n > 0 && line.time.Before(lines[n-1].time) {
+				line.time = lines[n-1].time // A file keeps its order also when its clock was set back.
+			}
+		}
+		lines = append(lines, line)
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return lines, nil
+}
--- a/loader/effective.go
+++ b/loader/effective.go
@@ -17,7 +17,17 @@
 	if shown.SharedKeyEnv != "" {
 		shown.SharedKey = ""
 	}
-	v := hujson.Value{Value: effectiveObject(reflect.ValueOf(shown))}
+	return effective(shown)
+}
+
+// Effective returns the settings in force, defaults included, as indented JSON.
+func (s *Gateway) Effective() string {
+	return effective(*s)
+}
+
+// effective renders a struct of settings.
+func effective(settings any) string {
+	v := hujson.Value{Value: effectiveObject(reflect.ValueOf(settings))}
 	var b bytes.Buffer
 	if err := json.Indent(&b, v.Pack(), "", "  "); err != nil {
 		// The tree is built from values that JSON can express.
