--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -289,7 +289,7 @@
 
 // Guards against an example of the operators' page that a daemon would refuse.
 func TestDocumentedExamples(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	require.NoError(t, err)
 	blocks := strings.Split(string(page), "```")
 	require.GreaterOrEqual(t, len(blocks), 4)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,7 +27,7 @@
 	// interval is the pause between exchanges: a change reaches the gateways that do not read the store by them, and
 	// the loads of upstreams, which change within a few hundred milliseconds.
 	interval = 300 * time.Millisecond
-	// readerShare is the share of exchanges, one in this many, that go to any peer rather than to one that reads the
+	// anyShare is the share of exchanges, one in this many, that go to any peer rather than to one that reads the
 	// store: they carry loads, members and crashes.
 	anyShare = 2
 	// callTime bounds an exchange. It takes milliseconds, or up to 0.3 s with a configuration of 1,200 routes over a
