Remove what no decision uses; wire names of tests into the imitator

Cause: reading the change as a newcomer: fields of requests, services and upstreams that nothing reads, and paths and headers of the platform in other packages. An upstream that was still cold changed its record with each heartbeat only because of such a field.

--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -13,11 +13,9 @@
 
 	"clementineramp/gatekeeper"
 	"clementineramp/launcher"
+	"clementineramp/platform"
 )
 
-// settingsVariable names the variable that holds the path of a gateway's settings file.
-const settingsVariable = "CLEMENTINERAMP_NODE_FILE"
-
 func main() {
 	os.Exit(run())
 }
@@ -61,7 +59,7 @@
   clementined gateway --settings gateway.json`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{
-				Name: "settings", Usage: "settings `FILE`, JSON with comments", Sources: cli.EnvVars(settingsVariable), Required: true,
+				Name: "settings", Usage: "settings `FILE`, JSON with comments", Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
 			},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -191,11 +191,6 @@
 	return e.ContentLength >= 0 || len(e.TransferEncoding) > 0
 }
 
-// Reused reports whether the connection had carried other exchanges.
-func (e *Exchange) Reused() bool {
-	return e.conn.reused
-}
-
 // SetIdleTimeout says after which time the upstream closes the connection when it is unused.
 func (e *Exchange) SetIdleTimeout(d time.Duration) {
 	e.conn.idleTimeout = d
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -55,9 +55,8 @@
 	// idleSlack is the time that callers have beyond the idle time of the configuration, since a request may be on
 	// its way when the time ends.
 	idleSlack = time.Second
-	// readyPath is the path of the readiness check.
-	readyPath = "/api/readiness"
-	metricsAt = "/metrics"
+	// metricsPath is the path of the metrics.
+	metricsPath = "/metrics"
 )
 
 // Config sets up a gateway.
@@ -296,7 +295,7 @@
 
 func (g *Gateway) readiness() http.Handler {
 	e := echo.New()
-	e.GET(readyPath, func(c echo.Context) error {
+	e.GET(platform.ReadyPath, func(c echo.Context) error {
 		if !g.follower.Ready() || g.stopping.Load() {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -307,7 +306,7 @@
 
 func (g *Gateway) metrics() http.Handler {
 	e := echo.New()
-	e.GET(metricsAt, func(c echo.Context) error {
+	e.GET(metricsPath, func(c echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; charset=utf-8")
 		metrics.WriteOnce(g.registry, c.Response())
 		return nil
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -19,6 +19,7 @@
 	"clementineramp/gatekeeper"
 	"clementineramp/loader"
 	"clementineramp/logger"
+	"clementineramp/platform"
 	"clementineramp/platform/imitator"
 )
 
@@ -114,8 +115,8 @@
 	req, err := http.NewRequest(http.MethodGet, "http://"+address.String()+path, nil)
 	require.NoError(f.t, err)
 	req.Host = "h"
-	req.Header.Set("Key", "key")
-	req.Header.Set("Attempt-Id", "attempt-1")
+	req.Header.Set(imitator.HeaderKey, "key")
+	req.Header.Set(imitator.HeaderAttempt, "attempt-1")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -142,7 +143,7 @@
 	f := newFleet(t)
 	f.eventually("the gateway does not listen", func() bool { return f.status("/a/") == 503 })
 	ready := func() int {
-		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, platform.ReadyPath)
 		return status
 	}
 	require.Equal(t, 503, ready(), "ready without a configuration")
@@ -184,7 +185,7 @@
 		imitator.Plain("late")(w, r)
 	})
 	f.eventually("not ready", func() bool {
-		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, platform.ReadyPath)
 		return status == 200
 	})
 	answered := make(chan int, 1)
@@ -192,7 +193,7 @@
 	f.eventually("the request does not run", func() bool { return len(u.Runs()) == 1 })
 	f.stop()
 	f.eventually("still ready", func() bool {
-		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, "/api/readiness")
+		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, platform.ReadyPath)
 		return status == 503
 	})
 	close(release)
--- a/mapper/table.go
+++ b/mapper/table.go
@@ -106,8 +106,6 @@
 	Connections int
 	// Engine says that the upstreams are model engines.
 	Engine bool
-	// CacheTokens is the memory of one engine in tokens; zero means unknown.
-	CacheTokens int
 }
 
 // Organisation is the owner of keys.
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -123,8 +123,8 @@
 	req, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	req.Host = "h"
-	req.Header.Set("Attempt-Id", "attempt-1")
-	req.Header.Set("Key", "key")
+	req.Header.Set(imitator.HeaderAttempt, "attempt-1")
+	req.Header.Set(imitator.HeaderKey, "key")
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
@@ -146,20 +146,20 @@
 
 func TestRequestReachesOneUpstreamUnchanged(t *testing.T) {
 	f := newFixture(t, nil)
-	r := f.do("POST", "/order/a%2Fb?q=1", "body", "Tenant-Name", "forged", "Deadline-Remaining-Ms", "5000", "X-Other", "1")
+	r := f.do("POST", "/order/a%2Fb?q=1", "body", imitator.HeaderTenant, "forged", imitator.HeaderRemaining, "5000", "X-Other", "1")
 	require.Equal(t, 200, r.status)
 	require.Equal(t, "ok", r.body)
-	require.Equal(t, "signed", r.header.Get("Server-Signature"))
-	require.Equal(t, "attempt-1", r.header.Get("Attempt-Id"))
+	require.Equal(t, "signed", r.header.Get(imitator.HeaderSignature))
+	require.Equal(t, "attempt-1", r.header.Get(imitator.HeaderAttempt))
 	run := f.upstreams[0].Runs()[0]
 	require.Equal(t, "/order/a%2Fb?q=1", run.Target)
 	require.Equal(t, "body", run.Body)
-	require.Equal(t, "o", run.Header.Get("Tenant-Name"))
-	require.Equal(t, "u0", run.Header.Get("Expected-Instance"))
+	require.Equal(t, "o", run.Header.Get(imitator.HeaderTenant))
+	require.Equal(t, "u0", run.Header.Get(imitator.HeaderInstance))
 	require.Equal(t, "1", run.Header.Get("X-Other"))
-	require.Empty(t, run.Header.Get("Key"))
+	require.Empty(t, run.Header.Get(imitator.HeaderKey))
 	var left int
-	_, err := fmt.Sscan(run.Header.Get("Deadline-Remaining-Ms"), &left)
+	_, err := fmt.Sscan(run.Header.Get(imitator.HeaderRemaining), &left)
 	require.NoError(t, err)
 	require.LessOrEqual(t, left, 5000)
 }
@@ -199,7 +199,7 @@
 			require.Equal(t, c.status, r.status, "%s; %s", c.why, f.log())
 			require.Equal(t, c.runs, f.runs(), c.why)
 			if r.status == 502 || r.status == 504 {
-				require.Empty(t, r.header.Get("Server-Signature"), "a failure of our own bears a signature")
+				require.Empty(t, r.header.Get(imitator.HeaderSignature), "a failure of our own bears a signature")
 			}
 			if r.status == 503 {
 				require.NotEmpty(t, r.header.Get("Retry-After"))
@@ -233,7 +233,7 @@
 		fmt.Fprintf(&want, "id: %d\ndata: token-%d\n\n", i, i)
 	}
 	require.Equal(t, want.String(), r.body)
-	require.Equal(t, "4", f.upstreams[1].Runs()[0].Header.Get("Last-Event-Id"))
+	require.Equal(t, "4", f.upstreams[1].Runs()[0].Header.Get(imitator.HeaderLastEvent))
 }
 
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
@@ -256,12 +256,12 @@
 		want       int
 	}{
 		{"known key", "/order/", nil, false, 200},
-		{"unknown key", "/order/", []string{"Key", "other"}, false, 401},
-		{"unknown key, old configuration", "/order/", []string{"Key", "other"}, true, 503},
-		{"no key needed", "/open/", []string{"Key", "other"}, false, 200},
+		{"unknown key", "/order/", []string{imitator.HeaderKey, "other"}, false, 401},
+		{"unknown key, old configuration", "/order/", []string{imitator.HeaderKey, "other"}, true, 503},
+		{"no key needed", "/open/", []string{imitator.HeaderKey, "other"}, false, 200},
 		{"unknown route", "/none/", nil, false, 404},
 		{"unknown route, old configuration", "/none/", nil, true, 503},
-		{"bad time", "/order/", []string{"Deadline-Remaining-Ms", "soon"}, false, 400},
+		{"bad time", "/order/", []string{imitator.HeaderRemaining, "soon"}, false, 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, nil)
@@ -325,7 +325,7 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/order/", nil)
 	require.NoError(t, err)
 	req.Host = "h"
-	req.Header.Set("Key", "key")
+	req.Header.Set(imitator.HeaderKey, "key")
 	go func() {
 		for f.runs() == 0 {
 			time.Sleep(time.Millisecond)
@@ -354,7 +354,7 @@
 
 func TestForgedIDCannotForgeALogLine(t *testing.T) {
 	f := newFixture(t, imitator.Shed)
-	f.do("POST", "/order/", "", "Attempt-Id", `x" event=forged outcome="served`)
+	f.do("POST", "/order/", "", imitator.HeaderAttempt, `x" event=forged outcome="served`)
 	quoted := regexp.MustCompile(`"(\\.|[^"\\])*"`)
 	for line := range strings.Lines(f.log()) {
 		line = quoted.ReplaceAllString(line, "quoted")
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -21,12 +21,8 @@
 	// Remaining is the time that the caller still waits, if HasRemaining is set.
 	Remaining    time.Duration
 	HasRemaining bool
-	Model        string
 	// Prompt holds the parts of the prompt in order; the last one belongs to this request alone.
-	Prompt       []Part
-	PromptTokens int
-	// OutputTokens is the most tokens that the answer may have.
-	OutputTokens int
+	Prompt []Part
 	// LastEvent is the last event that the caller has of a stream that it resumes.
 	LastEvent string
 }
@@ -95,9 +91,8 @@
 	ForwardHeaders func(http.Header) http.Header
 	SetAttempt     func(http.Header, Attempt)
 	DecodeReply    func(status int, h http.Header) Reply
-	// StripSignature takes from an answer what marks it as the upstream's own.
-	StripSignature func(http.Header)
-	SetRequestID   func(h http.Header, id string)
+	// SetRequestID marks an answer of the router's own with the request that it belongs to.
+	SetRequestID func(h http.Header, id string)
 }
 
 // hopByHop are the headers that concern one connection only.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,8 +27,6 @@
 	Leaving bool
 	// Born tells incarnations with the same ID apart; it is the start in Unix milliseconds, zero if unknown.
 	Born int64
-	// ColdUntil is the time until which the upstream is slow after its start; zero means that it is warm.
-	ColdUntil time.Time
 }
 
 // Record is what the store said of one upstream at a revision.
