logger: lines after the end are dropped; reload keeps budgets; race in a test

Reading the change: a goroutine that logs after Close would have panicked on a closed channel, and each reload forgot the retries of the last 10 s. Change: the state has a lock; Async drops late lines; budgets are renewed only if their settings changed.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,18 +17,38 @@
 	"clementineramp/registrar"
 )
 
-// fakeStore answers calls from fields that a test changes between them.
+// fakeStore answers calls from a state that a test changes between them.
 type fakeStore struct {
+	mu sync.Mutex
+	state
+}
+
+type state struct {
 	err      error
 	revision uint64
 	all      platform.Changes
 	next     []platform.Changes
-	reads    int
-	watches  int
+	calls    int
+}
+
+// set changes the state.
+func (s *fakeStore) set(change func(*state)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.state)
+}
+
+// count returns the number of calls so far.
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
 }
 
 func (s *fakeStore) readAll(context.Context) (platform.Changes, error) {
-	s.reads++
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
 	if s.err != nil {
 		return platform.Changes{}, s.err
 	}
@@ -36,24 +57,31 @@
 	return c, nil
 }
 
-func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
-	s.watches++
+// answer returns what a watch tells at once, if there is anything.
+func (s *fakeStore) answer(after uint64) (c platform.Changes, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err != nil {
-		return platform.Changes{}, s.err
+		return c, false, s.err
 	}
 	if len(s.next) > 0 {
-		c := s.next[0]
-		s.next = s.next[1:]
-		return c, nil
+		c, s.next = s.next[0], s.next[1:]
+		return c, true, nil
+	}
+	return platform.Changes{Revision: max(after, s.revision)}, false, nil
+}
+
+func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
+	s.set(func(s *state) { s.calls++ })
+	if c, ok, err := s.answer(after); ok || err != nil {
+		return c, err
 	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	if s.err != nil {
-		return platform.Changes{}, s.err
-	}
-	return platform.Changes{Revision: max(after, s.revision)}, nil
+	c, _, err := s.answer(after)
+	return c, err
 }
 
 func decode(data []byte) (*mapper.Table, error) {
@@ -90,11 +118,11 @@
 }
 
 func TestChangesComeIntoForce(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}}
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
 		require.True(t, f.Ready())
 		require.EqualValues(t, 1, f.Belief().Table.Version)
-		s.next = []platform.Changes{{Revision: 9, Configuration: document(8, 2), Upstreams: []registrar.Record{{ID: "a", Revision: 9, Removed: true}}}}
+		s.set(func(s *state) { s.next = []platform.Changes{{Revision: 9, Configuration: document(8, 2), Upstreams: []registrar.Record{{ID: "a", Revision: 9, Removed: true}}}} })
 		time.Sleep(1100 * time.Millisecond)
 		require.EqualValues(t, 2, f.Belief().Table.Version)
 		require.Empty(t, r.View().ByService["s"])
@@ -102,7 +130,7 @@
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(5, 4)}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(5, 4)}}}
 	run(t, s, nil, func(f *follower.Follower, _ *registrar.Registry) {
 		require.False(t, f.Adopt(*document(4, 9), time.Now(), "peer"), "an older revision")
 		require.False(t, f.Adopt(*document(6, 4), time.Now(), "peer"), "the same version")
@@ -113,41 +141,41 @@
 }
 
 func TestCompactedHistoryIsReadAgain(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}}
 	run(t, s, nil, func(f *follower.Follower, _ *registrar.Registry) {
-		s.err = platform.ErrCompacted
+		s.set(func(s *state) { s.err = platform.ErrCompacted })
 		time.Sleep(1050 * time.Millisecond)
-		s.err = nil
-		s.revision, s.all = 30, platform.Changes{Configuration: document(29, 7)}
+		s.set(func(s *state) { s.err = nil })
+		s.set(func(s *state) { s.revision, s.all = 30, platform.Changes{Configuration: document(29, 7)} })
 		time.Sleep(1100 * time.Millisecond)
 		require.EqualValues(t, 7, f.Belief().Table.Version)
 	})
 }
 
 func TestStoreThatIsDownIsFoundAgain(t *testing.T) {
-	s := &fakeStore{err: errors.New("down")}
+	s := &fakeStore{state: state{err: errors.New("down")}}
 	run(t, s, nil, func(f *follower.Follower, _ *registrar.Registry) {
 		require.False(t, f.Ready())
 		time.Sleep(10 * time.Second)
-		calls := s.reads
+		calls := s.count()
 		require.Less(t, calls, 60, "the store is called too often while it is down")
-		s.err = nil
-		s.revision, s.all = 5, platform.Changes{Configuration: document(3, 1)}
+		s.set(func(s *state) { s.err = nil })
+		s.set(func(s *state) { s.revision, s.all = 5, platform.Changes{Configuration: document(3, 1)} })
 		time.Sleep(800 * time.Millisecond)
 		require.True(t, f.Ready())
 	})
 }
 
 func TestEntriesLapsedDuringAnOutageStayInUse(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4), joined("b", 4)}}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4), joined("b", 4)}}}}
 	run(t, s, nil, func(_ *follower.Follower, r *registrar.Registry) {
-		s.err = errors.New("down")
+		s.set(func(s *state) { s.err = errors.New("down") })
 		time.Sleep(6 * time.Second)
-		s.err = nil
-		s.revision, s.all.Upstreams = 20, nil
+		s.set(func(s *state) { s.err = nil })
+		s.set(func(s *state) { s.revision, s.all.Upstreams = 20, nil })
 		time.Sleep(time.Second)
 		require.Len(t, r.View().ByService["s"], 2)
-		s.next = []platform.Changes{{Revision: 25, Upstreams: []registrar.Record{joined("a", 24)}}}
+		s.set(func(s *state) { s.next = []platform.Changes{{Revision: 25, Upstreams: []registrar.Record{joined("a", 24)}}} })
 		time.Sleep(3 * time.Second)
 		r.Refresh(time.Now())
 		require.Len(t, r.View().ByService["s"], 1)
@@ -157,9 +185,9 @@
 // TestFailedCallIsNoOutage answers a fault in which a refused call of one process made the leaving of an upstream
 // look like a lapse.
 func TestFailedCallIsNoOutage(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}}
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
-		s.err = platform.ErrRefused
+		s.set(func(s *state) { s.err = platform.ErrRefused })
 		for range 50 { // Peers that the store serves confirm the configuration meanwhile.
 			time.Sleep(100 * time.Millisecond)
 			f.Contact(time.Now())
@@ -171,17 +199,17 @@
 }
 
 func TestOneReadsForAll(t *testing.T) {
-	s := &fakeStore{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}}
 	run(t, s, func() bool { return false }, func(f *follower.Follower, _ *registrar.Registry) {
 		require.True(t, f.Ready(), "a process that knows nothing reads the store")
-		before := s.reads + s.watches
+		before := s.count()
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			f.Confirm(time.Now())
 		}
-		require.LessOrEqual(t, s.reads+s.watches, before+5, "the store is read although a peer confirms")
-		before = s.reads + s.watches
+		require.LessOrEqual(t, s.count(), before+5, "the store is read although a peer confirms")
+		before = s.count()
 		time.Sleep(4 * time.Second)
-		require.Greater(t, s.reads+s.watches, before, "nobody reads the store")
+		require.Greater(t, s.count(), before, "nobody reads the store")
 	})
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -285,10 +285,12 @@
 
 // Reload takes new settings; those that bind an address need a restart.
 func (g *Gateway) Reload(s *loader.Gateway) {
-	g.settings.Store(s)
-	g.mu.Lock()
-	clear(g.budgets)
-	g.mu.Unlock()
+	old := g.settings.Swap(s)
+	if s.Retries != old.Retries { // A new budget forgets what was spent.
+		g.mu.Lock()
+		clear(g.budgets)
+		g.mu.Unlock()
+	}
 	g.log.Info("reloaded", "propagation_ms", s.Propagation.Milliseconds(), "retry_ratio", s.Retries.Ratio,
 		"retry_extra", s.Retries.Extra, "grace_ms", s.Grace.Milliseconds())
 }
--- a/logger/async.go
+++ b/logger/async.go
@@ -22,11 +22,12 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	close   sync.Once
 
 	mu     sync.Mutex
 	second int64
 	count  int
+	// closed says that lines is closed.
+	closed bool
 }
 
 // NewAsync returns a writer to out, which receives each line in one call; it must be closed.
@@ -38,7 +39,9 @@
 
 // Write queues a copy of a line; it never fails.
 func (a *Async) Write(line []byte) (int, error) {
-	if !a.allow(time.Now().Unix()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || !a.allow(time.Now().Unix()) {
 		a.dropped.Add(1)
 		return len(line), nil
 	}
@@ -50,10 +53,8 @@
 	return len(line), nil
 }
 
-// allow counts a line in the current second and reports whether it is within the rate.
+// allow counts a line in the current second and reports whether it is within the rate; the lock is held.
 func (a *Async) allow(second int64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if second != a.second {
 		a.second, a.count = second, 0
 	}
@@ -79,9 +80,14 @@
 // closeTime bounds the wait for a reader that has stopped reading.
 const closeTime = 200 * time.Millisecond
 
-// Close writes what is queued, unless the reader takes too long; Write must not be called afterwards.
+// Close writes what is queued, unless the reader takes too long; lines that are written later are dropped.
 func (a *Async) Close() {
-	a.close.Do(func() { close(a.lines) })
+	a.mu.Lock()
+	if !a.closed {
+		a.closed = true
+		close(a.lines)
+	}
+	a.mu.Unlock()
 	t := time.NewTimer(closeTime)
 	defer t.Stop()
 	select {
--- a/logger/async_test.go
+++ b/logger/async_test.go
@@ -22,6 +22,9 @@
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	require.Len(t, lines, 50)
 	require.Equal(t, "line 49", lines[49])
+	_, err := a.Write([]byte("late\n"))
+	require.NoError(t, err, "a line after the end of the log")
+	a.Close()
 }
 
 // TestFullPipeBlocksNobody answers a reader of the log that has stopped reading.
