--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -122,7 +122,9 @@
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
 		require.True(t, f.Ready())
 		require.EqualValues(t, 1, f.Belief().Table.Version)
-		s.set(func(s *state) { s.next = []platform.Changes{{Revision: 9, Configuration: document(8, 2), Upstreams: []registrar.Record{{ID: "a", Revision: 9, Removed: true}}}} })
+		s.set(func(s *state) {
+			s.next = []platform.Changes{{Revision: 9, Configuration: document(8, 2), Upstreams: []registrar.Record{{ID: "a", Revision: 9, Removed: true}}}}
+		})
 		time.Sleep(1100 * time.Millisecond)
 		require.EqualValues(t, 2, f.Belief().Table.Version)
 		require.Empty(t, r.View().ByService["s"])
@@ -175,7 +177,9 @@
 		s.set(func(s *state) { s.revision, s.all.Upstreams = 20, nil })
 		time.Sleep(time.Second)
 		require.Len(t, r.View().ByService["s"], 2)
-		s.set(func(s *state) { s.next = []platform.Changes{{Revision: 25, Upstreams: []registrar.Record{joined("a", 24)}}} })
+		s.set(func(s *state) {
+			s.next = []platform.Changes{{Revision: 25, Upstreams: []registrar.Record{joined("a", 24)}}}
+		})
 		time.Sleep(3 * time.Second)
 		r.Refresh(time.Now())
 		require.Len(t, r.View().ByService["s"], 1)
