follower: peers that were not heard are no outage of the store

Change: an outage needs failed calls of the own, or a peer that saw one, and in both cases that nobody confirmed the configuration meanwhile.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -26,6 +26,9 @@
 	// shortestOutage is the time without an answer of the store to anyone after which entries may have lapsed: they
 	// last for three heartbeats of 1.2 s, the first of which may have been missed before.
 	shortestOutage = 2200 * time.Millisecond
+	// shortestFailure is the least time for which the own calls failed in an outage: a silent store is noticed up to
+	// 1.5 s late.
+	shortestFailure = 500 * time.Millisecond
 	// patience is the age of the configuration's last confirmation from which a process that does not read the store
 	// tries it: a watch, its slack and an exchange between peers.
 	patience = 1700 * time.Millisecond
@@ -141,8 +144,8 @@
 			continue
 		}
 		backoff = minBackoff
-		f.back(started)
 		f.take(changes, revision, started)
+		f.back(started)
 		revision = changes.Revision
 	}
 }
@@ -184,7 +187,7 @@
 	for _, key := range c.Unreadable {
 		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
 	}
-	f.Contact(started)
+	f.storeAnswered(started)
 	// The configuration comes first: the list's revision tells peers that nothing before it is missing.
 	news := false
 	if c.Configuration != nil {
@@ -201,16 +204,39 @@
 	f.Confirm(started)
 }
 
-// Contact notes that the store answered some process at a time. If it answered none for long enough, entries of
-// upstreams that live may have lapsed; a call that fails for one process alone is no outage.
-func (f *Follower) Contact(at time.Time) {
+// silentFor returns the time up to at in which no process that this one heard of had an answer of the store.
+func (f *Follower) silentFor(at time.Time) time.Duration {
 	last := f.Belief().Confirmed
-	if !last.IsZero() && at.Sub(last) > shortestOutage {
-		f.cfg.Log.Info("store_outage_ended", "lasted_ms", at.Sub(last).Milliseconds())
-		f.cfg.Registry.OutageEnded(at)
+	if last.IsZero() {
+		return 0
+	}
+	return at.Sub(last)
+}
+
+// storeAnswered looks for the end of an outage when the store answers this process: its own calls failed, and no
+// peer confirmed the configuration meanwhile. A call that fails for one process alone is no outage.
+func (f *Follower) storeAnswered(at time.Time) {
+	f.mu.Lock()
+	failing := !f.reached && !f.lostAt.IsZero() && at.Sub(f.lostAt) > shortestFailure
+	f.mu.Unlock()
+	if failing && f.silentFor(at) > shortestOutage {
+		f.outageEnded(at, at)
+	}
+}
+
+// Contact notes that the store answered a peer at a time. An outage that the peer knows of counts only if nobody
+// confirmed the configuration to this process either; peers that were merely not heard are no sign of one.
+func (f *Follower) Contact(at time.Time, outageAge time.Duration) {
+	if outageAge >= 0 && f.silentFor(at) > shortestOutage {
+		f.outageEnded(at, time.Now().Add(-outageAge))
 	}
 }
 
+func (f *Follower) outageEnded(at, end time.Time) {
+	f.cfg.Log.Info("store_outage_ended", "lasted_ms", f.silentFor(at).Milliseconds())
+	f.cfg.Registry.OutageEnded(end)
+}
+
 // Confirm notes that at a time nothing newer than the configuration in force existed.
 func (f *Follower) Confirm(at time.Time) {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -194,7 +194,7 @@
 		s.set(func(s *state) { s.err = platform.ErrRefused })
 		for range 50 { // Peers that the store serves confirm the configuration meanwhile.
 			time.Sleep(100 * time.Millisecond)
-			f.Contact(time.Now())
+			f.Contact(time.Now(), -1)
 			f.Confirm(time.Now())
 		}
 		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
@@ -202,6 +202,32 @@
 	})
 }
 
+// TestPeersThatAreNotHeardAreNoOutage answers a fault in which a process that had not heard a reader for 2.2 s took
+// that for an outage, and the leaving of an upstream for a lapse.
+func TestPeersThatAreNotHeardAreNoOutage(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}}
+	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
+		s.set(func(s *state) { s.err = platform.ErrRefused })
+		time.Sleep(4 * time.Second)
+		f.Contact(time.Now(), -1)
+		f.Confirm(time.Now())
+		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
+		require.Empty(t, r.View().ByService["s"])
+	})
+}
+
+func TestOutageThatAPeerSawCounts(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{joined("a", 4)}}}}
+	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
+		s.set(func(s *state) { s.err = errors.New("down") })
+		time.Sleep(4 * time.Second)
+		f.Contact(time.Now(), 100*time.Millisecond)
+		f.Confirm(time.Now())
+		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
+		require.Len(t, r.View().ByService["s"], 1)
+	})
+}
+
 func TestOneReadsForAll(t *testing.T) {
 	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}}
 	run(t, s, func() bool { return false }, func(f *follower.Follower, _ *registrar.Registry) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// OutageAge returns the time since the end of the last outage; it is negative if none is known.
+func (r *Registry) OutageAge(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outageEnd.IsZero() {
+		return -1
+	}
+	return max(now.Sub(r.outageEnd), 0)
+}
+
 // Merge takes records from any source and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -78,9 +78,11 @@
 	// Reached says that the peer reaches the store, ConfirmedAge how long ago it last confirmed the configuration.
 	Reached      bool
 	ConfirmedAge time.Duration
-	Peers        []Peer
-	Crashes      []convictor.Crash
-	Loads        []placer.Report
+	// OutageAge is the time since the end of the last outage of the store that the peer knows; it is negative for none.
+	OutageAge time.Duration
+	Peers     []Peer
+	Crashes   []convictor.Crash
+	Loads     []placer.Report
 }
 
 // Knowledge is the part of a gateway that is exchanged.
@@ -93,8 +95,9 @@
 	Reached func() bool
 	Adopt   func(d platform.Document, at time.Time, source string) bool
 	Confirm func(at time.Time)
-	// Contact notes, before records are merged, that the store answered a gateway at a time.
-	Contact func(at time.Time)
+	// Contact notes, before records are merged, that the store answered a peer at a time, and the age of the last
+	// outage that the peer knows.
+	Contact func(at time.Time, outageAge time.Duration)
 
 	Registry *registrar.Registry
 	Crashes  *convictor.Convictor
@@ -171,6 +174,7 @@
 		g.r.wakeFor(q.From)
 	}
 	reply.Reached, reply.ConfirmedAge = k.Reached(), now.Sub(k.Confirmed())
+	reply.OutageAge = k.Registry.OutageAge(now)
 	reply.Crashes = k.Crashes.Crashes(now)
 	reply.Peers = g.r.peers(now)
 	return nil
@@ -338,7 +342,7 @@
 	}
 	r.answered(peer)
 	if reply.Reached {
-		k.Contact(now.Add(-reply.ConfirmedAge))
+		k.Contact(now.Add(-reply.ConfirmedAge), reply.OutageAge)
 	}
 	news := false
 	if reply.Configuration != nil {
