mapper: rank requests by organisation, then by route

Cause: in the users' configurations every organisation has a rank of its own, which replaced that of the route, so that engines saw one priority for urgent questions and long drafts alike; in a flood all of them were late. Change: the priority is the place among the pairs of organisation's and route's rank; organisations still go first.

--- a/mapper/mapper_test.go
+++ b/mapper/mapper_test.go
@@ -45,11 +45,42 @@
 	require.Zero(t, counts["none"])
 }
 
-func TestRankOf(t *testing.T) {
-	r := &mapper.Route{Rank: 2}
-	require.Equal(t, 2, mapper.RankOf(r, nil))
-	require.Equal(t, 2, mapper.RankOf(r, &mapper.Organisation{Rank: 0}))
-	require.Equal(t, 0, mapper.RankOf(r, &mapper.Organisation{Rank: 0, HasRank: true}))
+// TestUrgencyInAFloodOfOneOrganisation answers days on which all organisations had one rank, so that their quick
+// questions waited behind their own long drafts.
+func TestUrgencyInAFloodOfOneOrganisation(t *testing.T) {
+	question, tag, draft := mapper.Route{Name: "question", Rank: 0}, mapper.Route{Name: "tag", Rank: 1}, mapper.Route{Name: "draft", Rank: 2}
+	first := &mapper.Organisation{Name: "first", Rank: 0, HasRank: true}
+	second := &mapper.Organisation{Name: "second", Rank: 1, HasRank: true}
+	plain := &mapper.Organisation{Name: "plain"}
+	for _, c := range []struct {
+		name          string
+		organisations []*mapper.Organisation
+		// order holds route and organisation, the most urgent first.
+		order []mapper.Route
+		owner []*mapper.Organisation
+		want  []int
+	}{
+		{
+			"organisations decide, then routes", []*mapper.Organisation{first, second},
+			[]mapper.Route{question, tag, draft, question, tag, draft},
+			[]*mapper.Organisation{first, first, first, second, second, second}, []int{0, 1, 2, 3, 4, 5},
+		},
+		{
+			"without ranks of organisations", []*mapper.Organisation{plain},
+			[]mapper.Route{question, question, tag, draft}, []*mapper.Organisation{nil, plain, plain, plain}, []int{0, 0, 1, 2},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := &mapper.Table{Routes: []mapper.Route{draft, question, tag}, Organisations: map[string]*mapper.Organisation{}}
+			for _, o := range c.organisations {
+				table.Organisations["key of "+o.Name] = o
+			}
+			table.Build()
+			for i := range c.order {
+				require.Equal(t, c.want[i], table.Urgency(&c.order[i], c.owner[i]), "%s of %+v", c.order[i].Name, c.owner[i])
+			}
+		})
+	}
 }
 
 func TestRepeatable(t *testing.T) {
--- a/mapper/table.go
+++ b/mapper/table.go
@@ -1,6 +1,7 @@
 package mapper
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net"
 	"slices"
@@ -111,7 +112,7 @@
 // Organisation is the owner of keys.
 type Organisation struct {
 	Name string
-	// Rank replaces the rank of the route if HasRank is set.
+	// Rank goes before the rank of the route if HasRank is set.
 	Rank    int
 	HasRank bool
 }
@@ -135,6 +136,25 @@
 
 	// byHost holds the routes of each host, those with the longest prefix first.
 	byHost map[string][]*Route
+	// ranks holds the ranks that requests may have, the most urgent first.
+	ranks []rank
+}
+
+// rank orders requests: that of the organisation decides, and among organisations of one rank that of the route.
+type rank struct {
+	organisation, route int
+}
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.organisation, b.organisation), cmp.Compare(a.route, b.route))
+}
+
+// rankOf returns the rank of a request; organisations without a rank of their own take that of the route.
+func rankOf(r *Route, o *Organisation) rank {
+	if o != nil && o.HasRank {
+		return rank{organisation: o.Rank, route: r.Rank}
+	}
+	return rank{organisation: r.Rank, route: r.Rank}
 }
 
 // Build makes the indexes that Match needs.
@@ -149,9 +169,39 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.ranks = t.allRanks()
 	return t
 }
 
+// allRanks returns the ranks of all routes for all organisations, in order.
+func (t *Table) allRanks() []rank {
+	routes := make(map[int]*Route)
+	for i := range t.Routes {
+		routes[t.Routes[i].Rank] = &t.Routes[i]
+	}
+	organisations := map[int]*Organisation{}
+	for _, o := range t.Organisations {
+		if o.HasRank {
+			organisations[o.Rank] = o
+		}
+	}
+	var all []rank
+	for _, r := range routes {
+		all = append(all, rankOf(r, nil))
+		for _, o := range organisations {
+			all = append(all, rankOf(r, o))
+		}
+	}
+	slices.SortFunc(all, compareRanks)
+	return slices.Compact(all)
+}
+
+// Urgency returns the place of a request among the ranks of the configuration; 0 is the most urgent.
+func (t *Table) Urgency(r *Route, o *Organisation) int {
+	i, _ := slices.BinarySearchFunc(t.ranks, rankOf(r, o), compareRanks)
+	return i
+}
+
 // Match returns the route with the longest prefix of path among those of host, which may have a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -170,11 +220,3 @@
 	o, ok := t.Organisations[key]
 	return o, ok
 }
-
-// RankOf returns the rank of a request; that of its organisation goes before that of its route.
-func RankOf(r *Route, o *Organisation) int {
-	if o != nil && o.HasRank {
-		return o.Rank
-	}
-	return r.Rank
-}
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -156,7 +156,7 @@
 
 	header := j.header.Clone()
 	a := Attempt{
-		Upstream: u.ID, Rank: j.rank, HasRemaining: j.HasRemaining || j.route.Timeout > 0,
+		Upstream: u.ID, Urgency: j.urgency, HasRemaining: j.HasRemaining || j.route.Timeout > 0,
 		Remaining: time.Until(j.deadline), LastEvent: j.stream.lastEvent,
 	}
 	if service := j.belief.Table.Services[j.service]; service.Engine && j.stream.lastEvent == "" {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -117,7 +117,7 @@
 	belief   Belief
 	route    *mapper.Route
 	owner    *mapper.Organisation
-	rank     int
+	urgency  int
 	service  string
 	body     []byte
 	print    convictor.Fingerprint
@@ -201,14 +201,14 @@
 	}
 	j.route = route
 	if t.Organisations == nil || route.Anonymous {
-		j.rank = route.Rank
+		j.urgency = t.Urgency(route, nil)
 		return nil
 	}
 	owner, ok := t.Owner(j.Key)
 	if !ok {
 		return j.unknown(http.StatusUnauthorized, judge.ReasonUnauthorised, "the key is unknown")
 	}
-	j.owner, j.rank = owner, mapper.RankOf(route, owner)
+	j.owner, j.urgency = owner, t.Urgency(route, owner)
 	return nil
 }
 
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -77,7 +77,7 @@
 		version = j.belief.Table.Version
 	}
 	j.p.cfg.Log.Info("request_ended",
-		"request", j.ID, "route", route, "kind", kind, "rank", j.rank, "service", j.service,
+		"request", j.ID, "route", route, "kind", kind, "urgency", j.urgency, "service", j.service,
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Grade.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Place, "candidates", j.choice.Candidates,
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -55,7 +55,8 @@
 	// Upstream is the only one that may run the request.
 	Upstream     string
 	Organisation string
-	Rank         int
+	// Urgency is the place among the ranks of the configuration; 0 is the most urgent.
+	Urgency      int
 	Remaining    time.Duration
 	HasRemaining bool
 	// LastEvent is the event after which a stream goes on; it is empty at the start of one.
