shedder: refuse at once what an overloaded service cannot serve in time

Change: from three quarters of a service's places on, a growing share of its requests gets 503 at once, the least urgent first, then those of the organisations that ask for most; callers are told to return after about as long as the overload has lasted. Chats leave engines whose places are nearly taken.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -29,6 +29,7 @@
 	"clementineramp/proxier"
 	"clementineramp/registrar"
 	"clementineramp/relayer"
+	"clementineramp/shedder"
 )
 
 const (
@@ -142,7 +143,7 @@
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
 			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
 		},
-		Placer: g.placer, Health: g.health, Crashes: g.crashes, Pool: g.pool, Belief: g.follower.Belief,
+		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{}, Pool: g.pool, Belief: g.follower.Belief,
 		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
 		First:   func(service string) { g.budget(service).First(time.Now()) },
 		Routers: g.gateways, Stopping: g.stopping.Load, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -57,6 +57,7 @@
 	ReasonBound         Reason = "load_bound"
 	ReasonElsewhere     Reason = "cached_elsewhere"
 	ReasonQueueFull     Reason = "queue_full"
+	ReasonOverload      Reason = "overload"
 	ReasonDeadline      Reason = "deadline"
 	ReasonLeaving       Reason = "leaving"
 	ReasonNotReady      Reason = "not_ready"
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,6 +24,9 @@
 	shortShare = 0.75
 	// longChat is the number of cached tokens from which a chat counts as long; an engine reads them in about 40 ms.
 	longChat = 4000
+	// fullShare is the part of an upstream's places from which its chats go elsewhere, as long as others have room: the
+	// rest is for what other gateways send meanwhile.
+	fullShare = 0.9
 	// DefaultRamp is the time over which the share of chats that an upstream takes grows after its start. Each chat
 	// that it takes from another upstream is read again.
 	DefaultRamp = time.Minute
@@ -138,6 +141,14 @@
 	score float64
 }
 
+// most returns the load up to which an upstream takes chats: beyond its places they would wait.
+func (c *candidate) most(bound float64) float64 {
+	if c.Slots > 0 {
+		return min(bound, fullShare*float64(c.Slots))
+	}
+	return bound
+}
+
 // Choose returns the upstream for a request and counts the request there until Done.
 func (p *Placer) Choose(r Request, now time.Time) (Choice, bool) {
 	listed := p.cfg.View().ByService[r.Service]
@@ -167,6 +178,26 @@
 	return choice, true
 }
 
+// Occupancy returns the requests at the upstreams of a service as a share of their places. It is false while no
+// upstream has told its load.
+func (p *Placer) Occupancy(service string, now time.Time) (share float64, known bool) {
+	listed := p.cfg.View().ByService[service]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load, places := 0.0, 0
+	for _, c := range p.usable(listed, Request{}, now) {
+		load += c.load
+		places += c.Slots
+		if w := p.work[c.ID]; w != nil && !w.reportedAt.IsZero() {
+			known = true
+		}
+	}
+	if places == 0 {
+		return 0, false
+	}
+	return load / float64(places), known
+}
+
 // usable returns the upstreams that may take the request: good ones and trials, or all that can be reached if
 // fewer than half are good.
 func (p *Placer) usable(listed []registrar.Upstream, r Request, now time.Time) []candidate {
@@ -214,7 +245,7 @@
 	bound := (p.cfg.Bound*mean + p.cfg.Slack) * (shortShare + (1-shortShare)*length)
 	at = -1
 	for i, c := range usable {
-		if c.load < bound && (at < 0 || c.score > usable[at].score) {
+		if c.load < c.most(bound) && (at < 0 || c.score > usable[at].score) {
 			at = i
 		}
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -219,3 +219,29 @@
 		p.Done(c.Upstream.ID)
 	}
 }
+
+// TestFloodLeavesNoUpstreamFull answers a flood in which chats stayed at engines without a free place, because the bound
+// over the mean load was above the number of places.
+func TestFloodLeavesNoUpstreamFull(t *testing.T) {
+	view := engines(4)
+	p := placer.New(placer.Config{
+		View: func() *registrar.View { return view }, Grade: func(string, time.Time) appraiser.Grade { return appraiser.Good },
+		Random: func(int) int { return 0 },
+	})
+	now := start
+	_, known := p.Occupancy("pool", now)
+	require.False(t, known, "no upstream has told its load")
+	at := map[string]int{}
+	for range 150 {
+		c, ok := p.Choose(placer.Request{Service: "pool", Chat: "hot", ChatTokens: 8000}, now)
+		require.True(t, ok)
+		at[c.Upstream.ID]++
+	}
+	for id, n := range at {
+		require.LessOrEqual(t, n, 44, id)
+	}
+	p.Report("engine-00", placer.Load{Running: 48, Waiting: 6, Slots: 48}, now)
+	share, known := p.Occupancy("pool", now)
+	require.True(t, known)
+	require.Greater(t, share, 0.75)
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -20,6 +21,7 @@
 	"clementineramp/judge"
 	"clementineramp/mapper"
 	"clementineramp/placer"
+	"clementineramp/shedder"
 )
 
 const (
@@ -65,6 +67,7 @@
 	Placer  *placer.Placer
 	Health  *appraiser.Appraiser
 	Crashes *convictor.Convictor
+	Shedder *shedder.Shedder
 	Pool    *connector.Pool
 	// Belief returns the configuration in force; its table is nil before the first one is known.
 	Belief func() Belief
@@ -132,6 +135,10 @@
 	// firstEvent is the time to the first byte of the answer.
 	firstEvent time.Duration
 	choice     placer.Choice
+	// occupancy is the share of the service's places that were taken when the request came, and excess the share of
+	// the requests that were refused then.
+	occupancy float64
+	excess    float64
 }
 
 // ServeHTTP carries one request.
@@ -188,10 +195,37 @@
 			text: "this request crashes the upstreams that run it",
 		}
 	}
+	if err := j.shed(); err != nil {
+		j.p.bodies.Add(-int64(len(j.body)))
+		return err
+	}
 	j.header = j.p.cfg.Codec.ForwardHeaders(j.r.Header)
 	return nil
 }
 
+// shed refuses the request if its service is overloaded and others go before it.
+func (j *job) shed() error {
+	now := time.Now()
+	occupancy, known := j.p.cfg.Placer.Occupancy(j.service, now)
+	if !known {
+		return nil
+	}
+	j.occupancy = occupancy
+	r := shedder.Request{Service: j.service, Urgency: j.urgency, Remaining: j.deadline.Sub(now)}
+	if j.owner != nil {
+		r.Organisation = j.owner.Name
+	}
+	d := j.p.cfg.Shedder.Decide(r, occupancy, now)
+	j.excess = d.Excess
+	if !d.Refused {
+		return nil
+	}
+	return &answer{
+		status: http.StatusServiceUnavailable, reason: judge.ReasonOverload, retryAfter: d.RetryAfter,
+		text: fmt.Sprintf("the service is overloaded: %.2f of the requests are refused, and %.2f go before this one", d.Excess, d.Position),
+	}
+}
+
 // authorise finds the route and the organisation.
 func (j *job) authorise(t *mapper.Table) error {
 	path, _, _ := strings.Cut(j.r.RequestURI, "?")
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 	"clementineramp/platform/imitator"
 	"clementineramp/proxier"
 	"clementineramp/registrar"
+	"clementineramp/shedder"
 )
 
 // fixture is a proxier before imitated upstreams.
@@ -77,7 +79,7 @@
 		Placer: placer.New(placer.Config{
 			View: func() *registrar.View { return &f.view }, Grade: f.health.Grade, Random: func(int) int { return 0 },
 		}),
-		Health: f.health, Crashes: f.crashes, Pool: connector.New(connector.Config{}),
+		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{}),
 		Belief: func() proxier.Belief { return proxier.Belief{Table: f.table, Confirmed: f.confirmed} },
 		Retry: func(string) bool {
 			f.budget--
@@ -320,6 +322,21 @@
 	<-ended
 }
 
+func TestOverloadedServiceRefusesAtOnce(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(imitator.HeaderLoad, "12,8,8")
+		imitator.Plain("ok")(w, r)
+	})
+	require.Equal(t, 200, f.do("POST", "/order/", "").status)
+	r := f.do("POST", "/order/", "", imitator.HeaderRemaining, "600")
+	require.Equal(t, 503, r.status)
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.LessOrEqual(t, after, 0.2, "the caller would not wait for longer than a third of its time")
+	require.Equal(t, 1, f.runs())
+	require.Contains(t, f.log.String(), "reason=overload")
+}
+
 func TestSmuggledRequest(t *testing.T) {
 	f := newFixture(t, nil)
 	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -81,7 +81,7 @@
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Grade.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Place, "candidates", j.choice.Candidates,
-		"arrivals", j.arrivals, "runs", j.runs, "events", j.stream.events, "last_event", j.stream.lastEvent,
+		"occupancy", j.occupancy, "excess", j.excess, "arrivals", j.arrivals, "runs", j.runs, "events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.belief.Confirmed).Milliseconds(),
 		"first_byte_ms", j.firstEvent.Milliseconds(), "took_ms", took.Milliseconds(),
 		"deadline_ms", j.deadline.Sub(j.started).Milliseconds())
--- /dev/null
+++ b/shedder/shedder.go
@@ -0,0 +1,156 @@
+package shedder
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// leastLoad and greatestLoad are the loads, as shares of all places, at which the least and the most urgent
+	// requests are refused. An engine with a batch of three quarters makes nine tenths of the tokens of a full one, and
+	// each of them sooner. The most urgent requests pass by those that wait, so they are taken beyond a full batch.
+	leastLoad    = 0.75
+	greatestLoad = 1.2
+	// recent is the number of requests that are remembered for each service, and recentTime the time for which they
+	// count: about the length of a stream.
+	recent     = 512
+	recentTime = 3 * time.Second
+	// calmTime is the time without refusals after which the next one begins a new overload.
+	calmTime = 2 * time.Second
+	// shortestReturn and longestReturn bound the time after which a refused caller should come back. Callers wait at
+	// most a third of the time that they have.
+	shortestReturn = 500 * time.Millisecond
+	longestReturn  = 5 * time.Second
+	patienceShare  = 1.0 / 3
+	// returnSpread is the part of that time by which it varies, so that callers do not return together.
+	returnSpread = 0.3
+)
+
+// Request is what bears on whether a request is taken.
+type Request struct {
+	Service      string
+	Organisation string
+	// Urgency is the place among the ranks; 0 is the most urgent.
+	Urgency int
+	// Remaining is the time that the caller still waits.
+	Remaining time.Duration
+}
+
+// Decision says whether a request is taken, and what decided.
+type Decision struct {
+	Refused bool
+	// Excess is the share of the requests that are refused at this load.
+	Excess float64
+	// Position is the share of the recent requests that go before this one; those of the greatest positions are refused.
+	Position float64
+	// RetryAfter is the time after which the caller should come back.
+	RetryAfter time.Duration
+}
+
+// arrival is a request that came.
+type arrival struct {
+	at           time.Time
+	organisation string
+	urgency      int
+}
+
+// service remembers the requests for one service.
+type service struct {
+	arrivals [recent]arrival
+	next     int
+	// since is the start of the overload, and refusedAt the time of its last refusal; both are zero before the first.
+	since, refusedAt time.Time
+}
+
+// Shedder is safe for concurrent use; its zero value has seen no request.
+type Shedder struct {
+	// Random returns a number from 0 to 1; nil means that of math/rand.
+	Random func() float64
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// Decide takes a request or refuses it; load is the work of the service's upstreams as a share of their places.
+//
+// Requests go before others that are less urgent, among equally urgent ones those of organisations that ask for less,
+// and those of one organisation in random order.
+func (s *Shedder) Decide(r Request, load float64, now time.Time) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.at(r.Service)
+	v.arrivals[v.next] = arrival{at: now, organisation: r.Organisation, urgency: r.Urgency}
+	v.next = (v.next + 1) % recent
+	if load <= leastLoad {
+		return Decision{}
+	}
+	d := Decision{Excess: min((load-leastLoad)/(greatestLoad-leastLoad), 1)}
+	d.Position = v.before(r, now, s.random())
+	if d.Position > 1-d.Excess {
+		d.Refused = true
+		d.RetryAfter = s.comeBack(v, r, now)
+	}
+	return d
+}
+
+func (s *Shedder) at(name string) *service {
+	if s.services == nil {
+		s.services = make(map[string]*service)
+	}
+	v := s.services[name]
+	if v == nil {
+		v = &service{}
+		s.services[name] = v
+	}
+	return v
+}
+
+func (s *Shedder) random() float64 {
+	if s.Random != nil {
+		return s.Random()
+	}
+	return rand.Float64()
+}
+
+// before returns the share of the recent requests that go before a request; part is that of the requests of its own
+// organisation and urgency that do.
+func (v *service) before(r Request, now time.Time, part float64) float64 {
+	total, before := 0, 0
+	equals := make(map[string]int)
+	for i := range v.arrivals {
+		a := &v.arrivals[i]
+		if a.at.IsZero() || now.Sub(a.at) > recentTime {
+			continue
+		}
+		total++
+		switch {
+		case a.urgency < r.Urgency:
+			before++
+		case a.urgency == r.Urgency:
+			equals[a.organisation]++
+		}
+	}
+	own := equals[r.Organisation]
+	for _, n := range equals {
+		if n < own {
+			before += n
+		}
+	}
+	return (float64(before) + part*float64(own)) / float64(max(total, 1))
+}
+
+// comeBack returns the time until a refused caller should return: overloads last, on average, as long again as they
+// have lasted.
+func (s *Shedder) comeBack(v *service, r Request, now time.Time) time.Duration {
+	if v.refusedAt.IsZero() || now.Sub(v.refusedAt) > calmTime {
+		v.since = now
+	}
+	v.refusedAt = now
+	wait := min(max(now.Sub(v.since), shortestReturn), longestReturn)
+	wait = time.Duration(float64(wait) * (1 + returnSpread*(2*s.random()-1)))
+	if r.Remaining > 0 {
+		wait = min(wait, time.Duration(patienceShare*float64(r.Remaining)))
+	}
+	return wait
+}
--- /dev/null
+++ b/shedder/shedder_test.go
@@ -0,0 +1,219 @@
+package shedder_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/shedder"
+)
+
+// flow is a stream of requests with random gaps.
+type flow struct {
+	organisation string
+	urgency      int
+	perSecond    float64
+	// from and to are the seconds between which the requests come.
+	from, to float64
+	// hold is the time that a request takes once it has a place.
+	hold time.Duration
+}
+
+// target is the time within which a request must get a place to be in time.
+const target = 400 * time.Millisecond
+
+// result counts the requests of one flow.
+type result struct {
+	came, refused, inTime, late int
+	returns                     []time.Duration
+}
+
+// share returns the part of the requests that were in time.
+func (r result) share() float64 {
+	return float64(r.inTime) / float64(r.came)
+}
+
+// waiting is a request without a place.
+type waiting struct {
+	flow, urgency int
+	at            time.Time
+}
+
+// queue orders requests like an engine: the more urgent first, then the older.
+type queue []waiting
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].urgency != q[j].urgency {
+		return q[i].urgency < q[j].urgency
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(waiting)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simulate runs flows for some seconds against places that work like one large engine. The load is known with a delay,
+// but for what this router, one of four, has sent since.
+func simulate(places int, seconds float64, shed bool, flows []flow) []result {
+	const step = time.Millisecond
+	const delay = 150 // steps
+	const routers = 4
+	random := rand.New(rand.NewPCG(1, 2))
+	s := &shedder.Shedder{Random: random.Float64}
+	start := time.Unix(0, 0)
+	results := make([]result, len(flows))
+	var q queue
+	var ends []time.Time
+	history := make([]float64, delay)
+	taken := make([]int, delay)
+	sent := 0
+	for n := range int(seconds / step.Seconds()) {
+		now := start.Add(time.Duration(n) * step)
+		running := ends[:0]
+		for _, end := range ends {
+			if end.After(now) {
+				running = append(running, end)
+			}
+		}
+		ends = running
+		sent -= taken[n%delay]
+		taken[n%delay] = 0
+		load := history[n%delay] + float64(sent)/float64(routers*places)
+		history[n%delay] = float64(len(ends)+q.Len()) / float64(places)
+		for i, f := range flows {
+			at := float64(n) * step.Seconds()
+			if at < f.from || at >= f.to || random.Float64() >= f.perSecond*step.Seconds() {
+				continue
+			}
+			results[i].came++
+			r := shedder.Request{Service: "s", Organisation: f.organisation, Urgency: f.urgency, Remaining: 12 * time.Second}
+			if d := s.Decide(r, load, now); shed && d.Refused {
+				results[i].refused++
+				results[i].returns = append(results[i].returns, d.RetryAfter)
+				continue
+			}
+			sent++
+			taken[n%delay]++
+			heap.Push(&q, waiting{flow: i, urgency: f.urgency, at: now})
+		}
+		for len(ends) < places && q.Len() > 0 {
+			w := heap.Pop(&q).(waiting)
+			ends = append(ends, now.Add(flows[w.flow].hold))
+			if now.Sub(w.at) <= target {
+				results[w.flow].inTime++
+			} else {
+				results[w.flow].late++
+			}
+		}
+	}
+	return results
+}
+
+const places = 200
+
+// TestFloodOfTheLeastUrgentWork: what is urgent is served as if there were no flood, and the flood takes the rest.
+func TestFloodOfTheLeastUrgentWork(t *testing.T) {
+	flows := []flow{
+		{organisation: "a", urgency: 0, perSecond: 60, to: 20, hold: time.Second},
+		{organisation: "b", urgency: 5, perSecond: 400, from: 5, to: 15, hold: time.Second},
+	}
+	r := simulate(places, 25, true, flows)
+	require.GreaterOrEqual(t, r[0].share(), 0.98)
+	taken := r[1].inTime + r[1].late
+	require.GreaterOrEqual(t, float64(taken), 0.7*10*(places-60), "the flood does not use what is free")
+	require.GreaterOrEqual(t, float64(r[1].inTime), 0.95*float64(taken), "what is taken waits")
+}
+
+// TestFloodOfTheMostUrgentWork: with more urgent work than places, what is taken is in time, where without refusals
+// nearly all is late.
+func TestFloodOfTheMostUrgentWork(t *testing.T) {
+	flows := []flow{
+		{organisation: "a", urgency: 0, perSecond: 400, from: 1, to: 11, hold: time.Second},
+		{organisation: "b", urgency: 3, perSecond: 40, to: 12, hold: time.Second},
+	}
+	before, after := simulate(places, 30, false, flows), simulate(places, 30, true, flows)
+	require.Less(t, before[0].share(), 0.3)
+	require.GreaterOrEqual(t, float64(after[0].inTime), 0.75*10*places)
+	require.LessOrEqual(t, float64(after[0].late), 0.1*float64(after[0].inTime))
+}
+
+// TestOneOrganisationAtTenTimesItsShare: among equally urgent requests those of the flooding organisation go first.
+func TestOneOrganisationAtTenTimesItsShare(t *testing.T) {
+	flows := []flow{{organisation: "large", perSecond: 400, from: 2, to: 12, hold: time.Second}}
+	for i := range 8 {
+		flows = append(flows, flow{organisation: fmt.Sprint("small ", i), perSecond: 10, to: 14, hold: time.Second})
+	}
+	r := simulate(places, 20, true, flows)
+	for i := 1; i < len(r); i++ {
+		require.GreaterOrEqual(t, r[i].share(), 0.9, "small organisation %d: %+v", i, r[i].refused)
+	}
+	require.GreaterOrEqual(t, float64(r[0].inTime+r[0].late), 0.5*10*(places-80), "the large organisation is starved")
+}
+
+// TestHalfOfTheUpstreamsGoneAndBack: the load of what is left decides, and refusals end when the others are back.
+func TestHalfOfTheUpstreamsGoneAndBack(t *testing.T) {
+	s := shedder.Shedder{Random: func() float64 { return 0.5 }}
+	now := time.Unix(0, 0)
+	refused := func(load float64, urgency int) bool {
+		now = now.Add(10 * time.Millisecond)
+		return s.Decide(shedder.Request{Service: "s", Urgency: urgency}, load, now).Refused
+	}
+	for range 100 {
+		require.False(t, refused(0.5, 0))
+		require.False(t, refused(0.5, 1))
+	}
+	require.False(t, refused(0.95, 0))
+	require.True(t, refused(1, 1))
+	require.False(t, refused(0.5, 1))
+}
+
+// TestIdlePlacesAreNeverRefused: nothing is refused up to three quarters of the places, whoever floods.
+func TestIdlePlacesAreNeverRefused(t *testing.T) {
+	var s shedder.Shedder
+	now := time.Unix(0, 0)
+	for i := range 2000 {
+		now = now.Add(time.Millisecond)
+		r := shedder.Request{Service: "s", Organisation: fmt.Sprint(i % 3), Urgency: i % 7}
+		require.False(t, s.Decide(r, 0.75, now).Refused)
+	}
+}
+
+// TestReturnsAreSpread: refused callers come back neither together nor later than they can wait.
+func TestReturnsAreSpread(t *testing.T) {
+	s := shedder.Shedder{Random: rand.New(rand.NewPCG(3, 4)).Float64}
+	now := time.Unix(0, 0)
+	var first, last []time.Duration
+	for i := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		d := s.Decide(shedder.Request{Service: "s", Remaining: 15 * time.Second}, 1.5, now)
+		require.True(t, d.Refused)
+		require.LessOrEqual(t, d.RetryAfter, 5*time.Second)
+		if i < 20 {
+			first = append(first, d.RetryAfter)
+		} else if i >= 380 {
+			last = append(last, d.RetryAfter)
+		}
+	}
+	require.Greater(t, spread(first), 100*time.Millisecond)
+	require.Greater(t, spread(last), time.Second)
+	require.Greater(t, last[0], first[0], "a long overload keeps callers away for longer")
+	short := s.Decide(shedder.Request{Service: "s", Remaining: 900 * time.Millisecond}, 1.5, now)
+	require.LessOrEqual(t, short.RetryAfter, 300*time.Millisecond)
+}
+
+func spread(list []time.Duration) time.Duration {
+	low, high := list[0], list[0]
+	for _, d := range list {
+		low, high = min(low, d), max(high, d)
+	}
+	return high - low
+}
