--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -131,7 +131,7 @@
 		seeds = append(seeds, a.String())
 	}
 	g.relayer = relayer.New(relayer.Config{
-		Address: s.PeerListen.String(), Seeds: seeds, Readers: readers, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
+		Address: s.PeerListen.String(), Seeds: seeds, Link: s.Link, Readers: readers, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
 		Know: relayer.Knowledge{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Belief().Confirmed },
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm, Contact: g.follower.Contact,
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -29,6 +29,9 @@
 	LogLevel string `json:"log_level" oneof:"trace,debug,info,warn,error" default:"info"`
 	// Memory is what the process may use in all. Default: 256MB.
 	Memory Size `json:"memory" default:"256MB" min:"64MB" max:"64GB"`
+	// Link is the speed of the host's link in Mbit/s; gateways with fast links read the store for the others. Zero means
+	// unknown. Default: 0.
+	Link float64 `json:"link" default:"0" min:"0" max:"1000000"`
 	// Connections bounds the connections of callers. Default: 3000.
 	Connections int `json:"connections" default:"3000" min:"10" max:"1000000"`
 	// Propagation is the time within which a change of the configuration or of the upstreams is in force. Default: 2s.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -48,11 +48,15 @@
 	Address string
 	// Age is the time since some gateway last heard from it.
 	Age time.Duration
+	// Link is the speed of its host's link in Mbit/s; zero means unknown.
+	Link float64
 }
 
 // Question is what a gateway asks a peer.
 type Question struct {
 	From string
+	// Link is the speed of the link of the gateway that asks, in Mbit/s.
+	Link float64
 	// Configuration and Upstreams are the revisions that it has.
 	Configuration uint64
 	Upstreams     uint64
@@ -112,6 +116,8 @@
 	Address string
 	// Seeds are addresses of gateways, which may be stale.
 	Seeds []string
+	// Link is the speed of the own host's link in Mbit/s; zero means unknown.
+	Link float64
 	// Readers is the number of gateways that read the store for all.
 	Readers int
 	Know    Knowledge
@@ -130,12 +136,18 @@
 	packed Packed
 
 	mu      sync.Mutex
-	heard   map[string]time.Time
+	heard   map[string]member
 	clients map[string]*rpc.Client
 	// lost marks the peers whose last exchange failed.
 	lost map[string]bool
 }
 
+// member is what is known of a peer.
+type member struct {
+	at   time.Time
+	link float64
+}
+
 // New returns a relayer.
 func New(cfg Config) *Relayer {
 	if cfg.Dial == nil {
@@ -143,7 +155,7 @@
 		cfg.Dial = d.DialContext
 	}
 	return &Relayer{
-		cfg: cfg, wake: make(chan string, queuedWakes), heard: make(map[string]time.Time), clients: make(map[string]*rpc.Client), lost: make(map[string]bool),
+		cfg: cfg, wake: make(chan string, queuedWakes), heard: make(map[string]member), clients: make(map[string]*rpc.Client), lost: make(map[string]bool),
 	}
 }
 
@@ -155,7 +167,7 @@
 // Exchange answers a peer.
 func (g *Gateways) Exchange(q Question, reply *Reply) error {
 	now := time.Now()
-	g.r.hear(q.From, q.Peers, now)
+	g.r.hear(Peer{Address: q.From, Link: q.Link}, q.Peers, now)
 	k := g.r.cfg.Know
 	k.Crashes.Merge(q.Crashes, now)
 	reply.Loads = k.Loads(now)
@@ -282,13 +294,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var known []string
-	for a, at := range r.heard {
-		if now.Sub(at) < peerTime {
+	for a, m := range r.heard {
+		if now.Sub(m.at) < peerTime {
 			known = append(known, a)
 		}
 	}
 	slices.Sort(known)
-	if readers := r.readers(known); len(readers) > 0 && rand.IntN(anyShare) != 0 {
+	readers := slices.DeleteFunc(Readers(r.members(now), r.cfg.Readers), func(a string) bool { return a == r.cfg.Address })
+	if len(readers) > 0 && rand.IntN(anyShare) != 0 {
 		return readers[rand.IntN(len(readers))], true
 	}
 	seeds := slices.DeleteFunc(slices.Clone(r.cfg.Seeds), func(a string) bool { return a == r.cfg.Address })
@@ -302,29 +315,36 @@
 	return known[rand.IntN(len(known))], true
 }
 
-// readers returns the peers among known that should read the store.
-func (r *Relayer) readers(known []string) []string {
-	all := append(slices.Clone(known), r.cfg.Address)
-	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	if len(all) > r.cfg.Readers {
-		all = all[:r.cfg.Readers]
+// members returns the gateways that live, this one included; the lock is held.
+func (r *Relayer) members(now time.Time) []Peer {
+	all := []Peer{{Address: r.cfg.Address, Link: r.cfg.Link}}
+	for a, m := range r.heard {
+		if age := now.Sub(m.at); age < peerTime {
+			all = append(all, Peer{Address: a, Age: age, Link: m.link})
+		}
 	}
-	return slices.DeleteFunc(all, func(a string) bool { return a == r.cfg.Address })
+	return all
+}
+
+// Readers returns the addresses of the n gateways that should read the store for all: those with the fastest links,
+// because each change of a large configuration comes whole, and among equals any that all agree on.
+func Readers(members []Peer, n int) []string {
+	all := slices.Clone(members)
+	slices.SortFunc(all, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
+	})
+	readers := make([]string, 0, n)
+	for _, p := range all[:min(n, len(all))] {
+		readers = append(readers, p.Address)
+	}
+	return readers
 }
 
 // Reader reports whether this gateway should read the store for the others.
 func (r *Relayer) Reader() bool {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := 0
-	own := xxhash.Sum64String(r.cfg.Address)
-	for a, at := range r.heard {
-		if now.Sub(at) < peerTime && xxhash.Sum64String(a) < own {
-			before++
-		}
-	}
-	return before < r.cfg.Readers
+	return slices.Contains(Readers(r.members(time.Now()), r.cfg.Readers), r.cfg.Address)
 }
 
 // ask exchanges knowledge with one peer.
@@ -332,7 +352,7 @@
 	k := r.cfg.Know
 	now := time.Now()
 	q := Question{
-		From: r.cfg.Address, Configuration: k.Document().Revision, Upstreams: k.Registry.Complete(), Newest: k.Registry.Newest(),
+		From: r.cfg.Address, Link: r.cfg.Link, Configuration: k.Document().Revision, Upstreams: k.Registry.Complete(), Newest: k.Registry.Newest(),
 		Peers: r.peers(now), Crashes: k.Crashes.Crashes(now), Loads: k.Loads(now),
 	}
 	var reply Reply
@@ -362,7 +382,7 @@
 		r.Spread()
 	}
 	k.Crashes.Merge(reply.Crashes, time.Now())
-	r.hear(peer, reply.Peers, now)
+	r.hear(Peer{Address: peer}, reply.Peers, now)
 }
 
 func (r *Relayer) call(ctx context.Context, peer string, q Question, reply *Reply) error {
@@ -414,50 +434,43 @@
 }
 
 // hear notes that a peer lives, and what it knows of others.
-func (r *Relayer) hear(from string, others []Peer, now time.Time) {
+func (r *Relayer) hear(from Peer, others []Peer, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.note(from, now)
 	for _, p := range others {
 		if p.Age >= 0 && p.Age < peerTime {
-			r.note(p.Address, now.Add(-p.Age))
+			r.note(p, now.Add(-p.Age))
 		}
 	}
-	for a, at := range r.heard {
-		if now.Sub(at) >= peerTime {
+	for a, m := range r.heard {
+		if now.Sub(m.at) >= peerTime {
 			delete(r.heard, a)
 		}
 	}
 }
 
-func (r *Relayer) note(address string, at time.Time) {
-	if address != "" && address != r.cfg.Address && at.After(r.heard[address]) {
-		r.heard[address] = at
+func (r *Relayer) note(p Peer, at time.Time) {
+	old := r.heard[p.Address]
+	if p.Address == "" || p.Address == r.cfg.Address || !at.After(old.at) {
+		return
+	}
+	if p.Link == 0 {
+		p.Link = old.link // Who told of the peer does not know its link yet.
 	}
+	r.heard[p.Address] = member{at: at, link: p.Link}
 }
 
 func (r *Relayer) peers(now time.Time) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []Peer
-	for a, at := range r.heard {
-		if len(all) < maxTold {
-			all = append(all, Peer{Address: a, Age: now.Sub(at)})
-		}
-	}
-	return all
+	all := r.members(now)[1:]
+	return all[:min(len(all), maxTold)]
 }
 
 // Gateways returns the number of gateways that live, this one included.
 func (r *Relayer) Gateways() int {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 1
-	for _, at := range r.heard {
-		if now.Sub(at) < peerTime {
-			n++
-		}
-	}
-	return n
+	return len(r.members(time.Now()))
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -121,3 +121,21 @@
 		return len(b.placer.Reports(time.Now())) == 1
 	})
 }
+
+func TestHostsWithFastLinksRead(t *testing.T) {
+	peer := func(address string, link float64) relayer.Peer { return relayer.Peer{Address: address, Link: link} }
+	for _, c := range []struct {
+		name    string
+		members []relayer.Peer
+		want    []string
+	}{
+		{"alone", []relayer.Peer{peer("a", 10)}, []string{"a"}},
+		{"fast ones first", []relayer.Peer{peer("a", 10), peer("b", 200), peer("c", 10), peer("d", 200)}, []string{"b", "d"}},
+		{"one fast", []relayer.Peer{peer("a", 10), peer("b", 0), peer("c", 200)}, []string{"c", "a"}},
+	} {
+		require.ElementsMatch(t, c.want, relayer.Readers(c.members, 2), c.name)
+	}
+	equal := []relayer.Peer{peer("a", 10), peer("b", 10), peer("c", 10)}
+	turned := []relayer.Peer{equal[2], equal[0], equal[1]}
+	require.Equal(t, relayer.Readers(equal, 2), relayer.Readers(turned, 2), "the gateways do not agree")
+}
