--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -21,6 +21,12 @@
 }
 
 func run() int {
+	// Signals are taken first: until then they end the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	cmd := &cli.Command{
 		Name:  "clementined",
 		Usage: "run a router or an agent of a clementineramp fleet",
@@ -39,9 +45,7 @@
 			return launcher.RunFile(ctx, cmd.String("settings"), os.Stderr)
 		},
 	}
-	cmd.Commands = []*cli.Command{gatewayCommand()}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	cmd.Commands = []*cli.Command{gatewayCommand(reload)}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "clementined:", err)
 		return 1
@@ -49,7 +53,7 @@
 	return 0
 }
 
-func gatewayCommand() *cli.Command {
+func gatewayCommand(reload <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
 		Usage: "run a gateway, the router that calls upstreams directly on the platform",
@@ -63,9 +67,6 @@
 			},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			reload := make(chan os.Signal, 1)
-			signal.Notify(reload, syscall.SIGHUP)
-			defer signal.Stop(reload)
 			return gatekeeper.RunFile(ctx, cmd.String("settings"), reload, os.Stdout)
 		},
 	}
--- a/commander/root.go
+++ b/commander/root.go
@@ -37,6 +37,7 @@
 		drainCommand(),
 		standinCommand(),
 		storyCommand(),
+		soakCommand(),
 	}
 }
 
--- /dev/null
+++ b/commander/soak.go
@@ -0,0 +1,96 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"clementineramp/soaker"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run gateways as separate processes under random faults and check what callers and upstreams see",
+		Description: `Each seed starts a fleet of its own on loopback, with stand-ins of the store and of upstreams. Settings, and after a
+violation logs, are written to a directory for each seed. Exit code 1 if a promise was broken.
+
+Examples:
+  clementinectl soak --gateway ./clementined --from 1 --to 50
+  clementinectl soak --gateway ./clementined --from 17 --to 17 --gateways 24 --callers 200`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "gateway", Usage: "`PROGRAM` that runs a gateway, clementined", Required: true},
+			&cli.Uint64Flag{Name: "from", Usage: "first seed; 0 takes the time of day"},
+			&cli.Uint64Flag{Name: "to", Usage: "last seed, the first one by default"},
+			&cli.IntFlag{Name: "parallel", Usage: "soaks at the same time", Value: 2},
+			&cli.IntFlag{Name: "gateways", Usage: "gateways of a fleet", Value: 4},
+			&cli.IntFlag{Name: "upstreams", Usage: "upstreams of each of the two services", Value: 3},
+			&cli.IntFlag{Name: "callers", Usage: "callers of a fleet", Value: 16},
+			&cli.IntFlag{Name: "faults", Usage: "faults of a soak", Value: 20},
+			&cli.DurationFlag{Name: "duration", Usage: "time in which faults begin", Value: 12 * time.Second},
+			&cli.BoolFlag{Name: "timed", Usage: "check promises with a time bound, too", Value: true},
+			&cli.StringFlag{Name: "dir", Usage: "`DIRECTORY` for settings and logs, a temporary one by default"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, cmd *cli.Command) error {
+	first, last := cmd.Uint64("from"), cmd.Uint64("to")
+	if first == 0 {
+		first = uint64(time.Now().Unix())
+	}
+	if last == 0 {
+		last = first
+	}
+	if last < first || cmd.Int("parallel") < 1 {
+		return wrongUsage(cmd, "want a last seed that is not below the first one, and at least one soak at a time")
+	}
+	program, err := filepath.Abs(cmd.String("gateway"))
+	if err != nil {
+		return err
+	}
+	dir := cmd.String("dir")
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return err
+		}
+	}
+	var broken atomic.Int32
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(cmd.Int("parallel"))
+	for seed := first; seed <= last; seed++ {
+		group.Go(func() error {
+			own := filepath.Join(dir, fmt.Sprint(seed))
+			if err := os.MkdirAll(own, 0o700); err != nil {
+				return err
+			}
+			report, err := soaker.Run(ctx, soaker.Config{
+				Seed: seed, Command: []string{program, "gateway"}, Dir: own, Gateways: cmd.Int("gateways"),
+				Upstreams: cmd.Int("upstreams"), Callers: cmd.Int("callers"), Faults: cmd.Int("faults"),
+				Duration: cmd.Duration("duration"), Timed: cmd.Bool("timed"),
+			})
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			if len(report.Violations) > 0 {
+				broken.Add(1)
+			}
+			_, err = fmt.Fprintln(cmd.Root().Writer, report)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if n := broken.Load(); n > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise; logs are in %s", n, last-first+1, dir)
+	}
+	return nil
+}
--- a/scenarist/fleet.go
+++ b/scenarist/fleet.go
@@ -16,6 +16,7 @@
 	"clementineramp/compiler"
 	"clementineramp/configurer"
 	"clementineramp/loader"
+	"clementineramp/spawner"
 	"clementineramp/subscriber"
 )
 
@@ -144,8 +145,11 @@
 func (f *fleet) addAgent(name, pool, domain, kind string, args ...string) {
 	address := f.newAddress()
 	f.processes = append(f.processes, &process{
-		name: name + ".upstream", role: roleUpstream, pool: pool, address: address,
-		command: append([]string{"clementinectl", "standin", kind, "--listen", address, "--name", name}, args...),
+		Process: spawner.Process{
+			Name:    name + ".upstream",
+			Command: append([]string{"clementinectl", "standin", kind, "--listen", address, "--name", name}, args...),
+		},
+		role: roleUpstream, pool: pool, address: address,
 	}, f.daemon(name, roleAgent, pool, domain))
 }
 
@@ -157,15 +161,18 @@
 	}
 	f.hosts = append(f.hosts, h)
 	return &process{
-		name: name, role: role, pool: pool, address: h.Address, operators: f.newAddress(),
-		command: []string{"clementined", "--settings", f.path(name + ".json")},
+		Process: spawner.Process{Name: name, Command: []string{"clementined", "--settings", f.path(name + ".json")}},
+		role:    role, pool: pool, address: h.Address, operators: f.newAddress(),
 	}
 }
 
 func (f *fleet) platform(address string, args ...string) *process {
 	return &process{
-		name: "platform", role: rolePlatform, address: address,
-		command: append([]string{"clementinectl", "standin", "platform", "--listen", address, "--hosts", f.path(hostsFile)}, args...),
+		Process: spawner.Process{
+			Name:    "platform",
+			Command: append([]string{"clementinectl", "standin", "platform", "--listen", address, "--hosts", f.path(hostsFile)}, args...),
+		},
+		role: rolePlatform, address: address,
 	}
 }
 
@@ -185,7 +192,7 @@
 		if err != nil {
 			return err
 		}
-		s["upstream"] = map[string]any{"kind": up.command[2], "name": h.Upstream, "address": up.address, "slots": slots}
+		s["upstream"] = map[string]any{"kind": up.Command[2], "name": h.Upstream, "address": up.address, "slots": slots}
 	}
 	return f.writeJSON(h.Name+".json", s)
 }
@@ -277,7 +284,7 @@
 // reread makes the platform read its files and waits until it serves a manifest.
 func (f *fleet) reread(manifest []byte) error {
 	p, err := f.process("platform")
-	if err != nil || !p.running() {
+	if err != nil || !p.Running() {
 		return err
 	}
 	if err := p.signal(syscall.SIGHUP); err != nil {
@@ -340,7 +347,8 @@
 		return err
 	}
 	f.processes = append(f.processes, &process{
-		name: "platform", role: rolePlatform, command: []string{"clementinectl", "standin", "all", f.dir}, limit: waitLimit,
+		Process: spawner.Process{Name: "platform", Command: []string{"clementinectl", "standin", "all", f.dir}},
+		role:    rolePlatform, limit: waitLimit,
 	})
 	files, err := filepath.Glob(f.path("settings/*.json"))
 	if err != nil {
@@ -361,14 +369,16 @@
 		return err
 	}
 	p := &process{
-		name: s.Name, role: string(s.Role), address: s.Listen.String(), operators: s.OperatorListen.String(),
-		command: []string{"clementined", "--settings", file}, env: []string{s.SharedKeyEnv + "=" + sharedKey},
+		Process: spawner.Process{
+			Name: s.Name, Command: []string{"clementined", "--settings", file}, Env: []string{s.SharedKeyEnv + "=" + sharedKey},
+		},
+		role: string(s.Role), address: s.Listen.String(), operators: s.OperatorListen.String(),
 		limit: waitLimit,
 	}
 	if s.Upstream != nil {
 		p.pool = s.Upstream.Name
 		f.processes = append(f.processes, &process{
-			name: s.Name + ".upstream", role: roleUpstream, pool: p.pool, address: s.Upstream.Address.String(),
+			Process: spawner.Process{Name: s.Name + ".upstream"}, role: roleUpstream, pool: p.pool, address: s.Upstream.Address.String(),
 		})
 	}
 	f.processes = append(f.processes, p)
@@ -378,7 +388,7 @@
 // process returns the process with a name.
 func (f *fleet) process(name string) (*process, error) {
 	for _, p := range f.processes {
-		if p.name == name {
+		if p.Name == name {
 			return p, nil
 		}
 	}
@@ -390,7 +400,7 @@
 	var list []*process
 	for _, p := range f.processes {
 		daemon := p.role == roleRouter || p.role == roleAgent
-		if p.name == word || word == "all" && daemon || word == p.role+"s" || word == p.pool && p.role == roleAgent {
+		if p.Name == word || word == "all" && daemon || word == p.role+"s" || word == p.pool && p.role == roleAgent {
 			list = append(list, p)
 		}
 	}
@@ -417,7 +427,7 @@
 func (f *fleet) upstreams(pool string) ([]*process, error) {
 	var list []*process
 	for _, p := range f.processes {
-		if p.role == roleUpstream && (p.pool == pool || strings.TrimSuffix(p.name, ".upstream") == pool) {
+		if p.role == roleUpstream && (p.pool == pool || strings.TrimSuffix(p.Name, ".upstream") == pool) {
 			list = append(list, p)
 		}
 	}
@@ -431,6 +441,6 @@
 func (f *fleet) keepLogs() {
 	_ = os.MkdirAll(f.path("logs"), 0o755)
 	for _, p := range f.processes {
-		_ = os.WriteFile(filepath.Join(f.path("logs"), p.name+".log"), []byte(p.log.String()), 0o600)
+		_ = os.WriteFile(filepath.Join(f.path("logs"), p.Name+".log"), []byte(p.Log.String()), 0o600)
 	}
 }
--- a/scenarist/look.go
+++ b/scenarist/look.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	return s.each(word, expression, func(p *process) error {
-		if !re.MatchString(p.log.String()) {
+		if !re.MatchString(p.Log.String()) {
 			return errors.New("no such line in the log")
 		}
 		return nil
@@ -94,7 +94,7 @@
 	}
 	return await(func() error {
 		for _, p := range list {
-			if re.MatchString(p.log.String()) {
+			if re.MatchString(p.Log.String()) {
 				return nil
 			}
 		}
@@ -129,7 +129,7 @@
 			if err != nil {
 				return err
 			}
-			values[v] = p.name
+			values[v] = p.Name
 		}
 		if len(values) != 1 {
 			return fmt.Errorf("%s differs: %v", path, values)
--- a/scenarist/scenario.go
+++ b/scenarist/scenario.go
@@ -48,7 +48,7 @@
 		l.stop()
 	}
 	for _, p := range s.fleet.processes {
-		p.kill()
+		p.Kill()
 	}
 	for _, l := range s.loads {
 		l.wg.Wait()
@@ -182,7 +182,7 @@
 		return err
 	}
 	for _, p := range list {
-		if err := p.begin(); err != nil {
+		if err := p.Start(); err != nil {
 			return err
 		}
 	}
@@ -243,7 +243,7 @@
 		if err := p.exited(); err != nil {
 			return err
 		}
-		if err := s.start([]string{p.name}, true); err != nil {
+		if err := s.start([]string{p.Name}, true); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/soaker/caller.go
@@ -0,0 +1,169 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"clementineramp/platform/imitator"
+)
+
+const (
+	// callerPatience is the time that a caller waits for the end of an answer.
+	callerPatience = 3 * time.Second
+	// thinkTime is the mean pause of a caller between two requests.
+	thinkTime = 60 * time.Millisecond
+	// leaveShare is the share of requests whose caller leaves early, one in this many.
+	leaveShare = 25
+	// streamLength is the number of events of a stream.
+	streamLength = 12
+)
+
+// kind is a kind of request.
+type kind struct {
+	path    string
+	service string
+	// once requests run at most once.
+	once bool
+	// events is the number of events of the answer; zero means a plain answer.
+	events int
+}
+
+var kinds = []kind{
+	{path: "/order/", service: plainService, once: true},
+	{path: "/read/", service: plainService},
+	{path: "/chat/", service: engineService, events: streamLength},
+	{path: "/draft/", service: engineService, once: true, events: streamLength},
+}
+
+// attempt is one request of a caller and what came of it.
+type attempt struct {
+	kind
+	id, target, body string
+	gateway          int
+	sent, ended      time.Time
+	// status is zero if no answer began.
+	status int
+	header http.Header
+	answer string
+	err    error
+	// left means that the caller left on purpose.
+	left bool
+}
+
+// served reports whether the caller has the whole answer of an upstream.
+func (a *attempt) served() bool {
+	return a.err == nil && a.status == http.StatusOK
+}
+
+// caller sends requests one after the other and keeps its connection for as long as it can.
+type caller struct {
+	s       *soak
+	n       int
+	random  *rand.Rand
+	conn    net.Conn
+	br      *bufio.Reader
+	gateway int
+	sent    int
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.hangUp()
+	for ctx.Err() == nil {
+		a := c.attempt()
+		if c.conn == nil && !c.connect() {
+			pause(ctx, thinkTime)
+			continue
+		}
+		c.exchange(a)
+		c.s.note(a)
+		if retry, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err == nil {
+			pause(ctx, time.Duration(retry*float64(time.Second)))
+			continue
+		}
+		pause(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime)))
+	}
+}
+
+func (c *caller) attempt() *attempt {
+	c.sent++
+	id := fmt.Sprintf("seed%d-caller%d-%d", c.s.cfg.Seed, c.n, c.sent)
+	k := kinds[c.random.IntN(len(kinds))]
+	return &attempt{
+		kind: k, id: id, target: k.path + strconv.Itoa(c.sent) + "?caller=" + strconv.Itoa(c.n),
+		body: "body of " + id, left: c.random.IntN(leaveShare) == 0,
+	}
+}
+
+// connect opens a connection to a gateway that is ready, as the balancer of the platform would.
+func (c *caller) connect() bool {
+	g, ok := c.s.balance(c.random)
+	if !ok {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", g.front.address(), time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.br, c.gateway = conn, bufio.NewReader(conn), g.n
+	return true
+}
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// exchange sends a request and reads its answer; the connection is kept if both are whole.
+func (c *caller) exchange(a *attempt) {
+	a.gateway, a.sent = c.gateway, time.Now()
+	keep := false
+	defer func() {
+		a.ended = time.Now()
+		if !keep {
+			c.hangUp()
+		}
+	}()
+	patience := callerPatience
+	if a.left {
+		patience = time.Duration(c.random.Int64N(int64(callerPatience / 20)))
+	}
+	_ = c.conn.SetDeadline(a.sent.Add(patience)) // A closed connection shows when it is written to.
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n", a.target, host,
+		imitator.HeaderAttempt, a.id, imitator.HeaderKey, key, imitator.HeaderRemaining, callerPatience.Milliseconds(), len(a.body))
+	if a.events > 0 {
+		fmt.Fprintf(&b, "%s: %d\r\nPrompt-Prefix-Hash: 1:100,chat%d:50,%d:10\r\n", lengthHeader, a.events, c.n%4, c.sent)
+	}
+	if _, a.err = io.WriteString(c.conn, b.String()+"\r\n"+a.body); a.err != nil {
+		return
+	}
+	var resp *http.Response
+	if resp, a.err = http.ReadResponse(c.br, nil); a.err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	a.status, a.header = resp.StatusCode, resp.Header
+	var answer []byte
+	answer, a.err = io.ReadAll(resp.Body)
+	a.answer = string(answer)
+	keep = a.err == nil && !resp.Close
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/soaker/gateway.go
@@ -0,0 +1,132 @@
+package soaker
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"clementineramp/platform"
+	"clementineramp/spawner"
+)
+
+// portBase is the first port of gateways; it lies below those that systems give to outgoing connections.
+const portBase = 12000
+
+var nextPort atomic.Int32
+
+// newAddress returns an address whose port nobody listens on.
+func newAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", portBase+int(nextPort.Add(1))%18000)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+}
+
+// gateway is a gateway's process with its links to callers and to the store.
+type gateway struct {
+	n       int
+	process spawner.Process
+	file    string
+	listen  string
+	ready   string
+	peer    string
+	front   *link
+	store   *link
+
+	// struck is held while a fault strikes the process.
+	struck   sync.Mutex
+	settings map[string]any
+
+	mu sync.Mutex
+	// up is the last answer to the question whether the gateway is ready.
+	up bool
+}
+
+func (s *soak) newGateway(n int) (*gateway, error) {
+	g := &gateway{n: n, listen: newAddress(), ready: newAddress(), peer: newAddress()}
+	g.file = filepath.Join(s.cfg.Dir, fmt.Sprintf("gateway-%d.json", n))
+	g.process = spawner.Process{
+		Name: fmt.Sprintf("gateway-%d", n), Command: append(append([]string{}, s.cfg.Command...), "--settings", g.file), Env: s.cfg.Env,
+	}
+	var err error
+	if g.front, err = newLink(g.listen); err != nil {
+		return nil, err
+	}
+	if g.store, err = newLink(s.storeAddress); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// write writes the settings file; retries is the fleet's allowance of second tries.
+func (g *gateway) write(seeds []string, retries int) error {
+	g.settings = map[string]any{
+		"name": g.process.Name, "region": "r", "failure_domain": fmt.Sprintf("domain-%d", g.n%3), "listen": g.listen,
+		"ready_listen": g.ready, "peer_listen": g.peer, "metrics_listen": newAddress(), "store": g.store.address(), "peers": seeds,
+		"propagation": "2s", "grace": grace.String(),
+		"retries": map[string]any{"ratio": retryRatio, "window": retryWindow.String(), "extra": retries},
+	}
+	return g.rewrite(nil)
+}
+
+// rewrite changes the settings file; data replaces the settings if it is not nil.
+func (g *gateway) rewrite(data []byte) error {
+	if data == nil {
+		var err error
+		if data, err = json.Marshal(g.settings); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(g.file, data, 0o600)
+}
+
+func (g *gateway) isUp() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.up
+}
+
+// ask asks whether the gateway is ready.
+func (g *gateway) ask(client *http.Client) {
+	resp, err := client.Get("http://" + g.ready + platform.ReadyPath)
+	up := err == nil && resp.StatusCode == http.StatusOK
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.up = up
+}
+
+// begun reports whether the process has begun to serve; before that, signals end it like any program.
+func (g *gateway) begun() bool {
+	return strings.Count(g.process.Log.String(), "event=started") == g.process.Starts
+}
+
+// restart ends the process by a signal, which may begin a planned stop, and starts it again.
+func (g *gateway) restart(sig syscall.Signal) error {
+	if err := g.process.Signal(sig); err != nil {
+		return err
+	}
+	select {
+	case <-g.process.Done():
+	case <-time.After(grace + time.Second):
+		g.process.Kill()
+		return fmt.Errorf("%s did not end within its grace", g.process.Name)
+	}
+	if err := g.process.Err(); sig == syscall.SIGTERM && g.begun() && err != nil {
+		return fmt.Errorf("%s ended with %w", g.process.Name, err)
+	}
+	return g.process.Start()
+}
--- /dev/null
+++ b/soaker/soak.go
@@ -0,0 +1,348 @@
+package soaker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"clementineramp/platform/imitator"
+)
+
+// The promises of the platform's pages that a soak checks, as a gateway is told them by its settings.
+const (
+	leaveTime   = 2 * time.Second
+	contactTime = 3 * time.Second
+	grace       = 3 * time.Second
+	retryRatio  = 0.2
+	retryWindow = 10 * time.Second
+	retryExtra  = 40
+	recoverTime = 12 * time.Second
+)
+
+const (
+	host          = "fleet.example"
+	key           = "key-of-the-organisation"
+	organisation  = "weavers"
+	plainService  = "orders"
+	engineService = "engines"
+	// maxAttempts is the number of upstreams that may run a repeatable request.
+	maxAttempts = 2
+	// readyInterval is the pause between questions whether the gateways are ready.
+	readyInterval = 300 * time.Millisecond
+	// startTime bounds the start of the fleet, and settleTime the wait until all gateways are ready at the end.
+	startTime  = 30 * time.Second
+	settleTime = 30 * time.Second
+	// finalTime is the time for which callers go on after the recovery.
+	finalTime = 2 * time.Second
+)
+
+// Config sets up a soak; zero fields but Command and Dir take defaults.
+type Config struct {
+	// Seed chooses the faults and the requests.
+	Seed uint64
+	// Command starts a gateway; --settings and a file are added. Env is added to the environment.
+	Command []string
+	Env     []string
+	// Dir takes settings and, after a violation, logs.
+	Dir string
+	// Gateways, Upstreams of each service and Callers are the size of the fleet.
+	Gateways, Upstreams, Callers int
+	// Duration is the time in which faults begin, and Faults their number.
+	Duration time.Duration
+	Faults   int
+	// Timed checks promises with a time bound, too. They hold only on a machine that is not overloaded.
+	Timed bool
+}
+
+// Report is what a soak found.
+type Report struct {
+	Seed                       uint64
+	Faults                     []string
+	Requests, Served, Refused  int
+	Failed, Left, Runs, Repeat int
+	Violations                 []string
+}
+
+// String gives one line, and one for each violation.
+func (r *Report) String() string {
+	line := fmt.Sprintf("seed %d: %d requests, %d served, %d refused, %d failed, %d left, %d runs, %d repeated, %d faults, %d violations",
+		r.Seed, r.Requests, r.Served, r.Refused, r.Failed, r.Left, r.Runs, r.Repeat, len(r.Faults), len(r.Violations))
+	return strings.Join(append([]string{line}, r.Violations...), "\n  ")
+}
+
+// disturbance is a time in which a fault strikes; who is empty for the whole fleet.
+type disturbance struct {
+	who        string
+	start, end time.Time
+}
+
+// soak is a soak in progress.
+type soak struct {
+	cfg          Config
+	store        *imitator.Store
+	server       *httptest.Server
+	storeAddress string
+	gateways     []*gateway
+	started      time.Time
+
+	mu         sync.Mutex
+	upstreams  []*upstream
+	all        []*upstream
+	born       int
+	version    int
+	extra      string
+	attempts   []*attempt
+	disturbed  []disturbance
+	planned    []disturbance
+	faults     []string
+	violations []string
+}
+
+// Run runs a soak; an error means that it could not be run.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	s := &soak{cfg: cfg, store: &imitator.Store{}}
+	s.defaults()
+	defer s.end()
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	callers, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	for n := range s.cfg.Callers {
+		c := &caller{s: s, n: n, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+1))}
+		group.Go(func() { c.run(callers) })
+	}
+	s.inject(ctx)
+	err := s.settle(ctx)
+	if err == nil && s.cfg.Timed {
+		pause(ctx, recoverTime)
+	}
+	final := time.Now()
+	if err == nil {
+		pause(ctx, finalTime)
+	}
+	stop()
+	group.Wait()
+	if err != nil {
+		s.violate("%v", err)
+	}
+	r := s.check(final)
+	if len(r.Violations) > 0 {
+		s.keepLogs()
+	}
+	return r, ctx.Err()
+}
+
+func (s *soak) defaults() {
+	c := &s.cfg
+	for _, d := range []struct {
+		field *int
+		value int
+	}{{&c.Gateways, 4}, {&c.Upstreams, 3}, {&c.Callers, 16}, {&c.Faults, 20}} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	if c.Duration == 0 {
+		c.Duration = 12 * time.Second
+	}
+}
+
+// start starts the store, upstreams and gateways, and waits until all gateways are ready.
+func (s *soak) start(ctx context.Context) error {
+	s.server = httptest.NewServer(s.store)
+	s.storeAddress = strings.TrimPrefix(s.server.URL, "http://")
+	for range s.cfg.Upstreams {
+		for _, service := range []string{plainService, engineService} {
+			if _, err := s.join(service); err != nil {
+				return err
+			}
+		}
+	}
+	s.configure()
+	var seeds []string
+	for n := range s.cfg.Gateways {
+		g, err := s.newGateway(n)
+		if err != nil {
+			return err
+		}
+		s.gateways = append(s.gateways, g)
+		if n < 3 {
+			seeds = append(seeds, g.peer)
+		}
+	}
+	for _, g := range s.gateways {
+		if err := errors.Join(g.write(seeds, retryExtra), g.process.Start()); err != nil {
+			return err
+		}
+	}
+	s.started = time.Now()
+	go s.watch(ctx)
+	return s.awaitReady(ctx, startTime)
+}
+
+// watch asks the gateways whether they are ready, like the balancer, until the store is gone.
+func (s *soak) watch(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		for _, g := range s.gateways {
+			go g.ask(client)
+		}
+		pause(ctx, readyInterval)
+	}
+}
+
+func (s *soak) awaitReady(ctx context.Context, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); pause(ctx, readyInterval) {
+		ready := 0
+		for _, g := range s.gateways {
+			if g.isUp() {
+				ready++
+			}
+		}
+		if ready == len(s.gateways) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("not all gateways are ready within %v", limit)
+}
+
+// balance picks a gateway for a new connection, any of them if none is ready.
+func (s *soak) balance(random *rand.Rand) (*gateway, bool) {
+	var ready []*gateway
+	for _, g := range s.gateways {
+		if g.isUp() {
+			ready = append(ready, g)
+		}
+	}
+	if len(ready) == 0 {
+		ready = s.gateways
+	}
+	return ready[random.IntN(len(ready))], true
+}
+
+// join adds an upstream.
+func (s *soak) join(service string) (*upstream, error) {
+	s.mu.Lock()
+	s.born++
+	id := fmt.Sprintf("%s-%d", service, s.born)
+	s.mu.Unlock()
+	u, err := newUpstream(id, service)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.upstreams, s.all = append(s.upstreams, u), append(s.all, u)
+	s.mu.Unlock()
+	s.store.PutJSON(u.Key(), u.Entry("ready"))
+	return u, nil
+}
+
+// take takes an upstream out of those that faults strike, if another one of its service is left.
+func (s *soak) take(random *rand.Rand) (*upstream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := random.IntN(len(s.upstreams))
+	u := s.upstreams[at]
+	for i, other := range s.upstreams {
+		if i != at && other.Service == u.Service {
+			s.upstreams = append(s.upstreams[:at:at], s.upstreams[at+1:]...)
+			return u, true
+		}
+	}
+	return nil, false
+}
+
+// any returns an upstream that is in use.
+func (s *soak) any(random *rand.Rand) *upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upstreams[random.IntN(len(s.upstreams))]
+}
+
+// configure publishes the next version of the configuration, with one route that no other version has.
+func (s *soak) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 1 + s.version%3
+	s.extra = fmt.Sprintf("/extra-%d/", s.version)
+	var routes []map[string]any
+	for _, k := range append(kinds, kind{path: s.extra, service: plainService, once: true}) {
+		r := map[string]any{
+			"Name": k.path, "Host": host, "PathPrefix": k.path, "Kind": "idempotent", "TimeoutMs": callerPatience.Milliseconds(),
+			"Service": k.service, "MaxAttempts": maxAttempts, "TargetLatencyMs": 100, "GapTargetMs": 100,
+		}
+		switch {
+		case k.events > 0:
+			r["Kind"], r["StreamResumption"], r["SessionAffinity"] = "streaming", !k.once, true
+		case k.once:
+			r["Kind"] = "non_idempotent"
+		}
+		routes = append(routes, r)
+	}
+	s.store.PutJSON("op/config", map[string]any{
+		"Version": s.version, "Routes": routes,
+		"Services": []map[string]any{{"Name": plainService}, {"Name": engineService, "InferenceEngine": map[string]any{}}},
+		"Tenants":  []map[string]any{{"Name": organisation, "ApiKeys": []string{key}}},
+	})
+}
+
+// note keeps an attempt of a caller.
+func (s *soak) note(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts = append(s.attempts, a)
+}
+
+func (s *soak) violate(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+// settle ends what is left of the faults, and waits until all gateways are ready.
+func (s *soak) settle(ctx context.Context) error {
+	s.store.SetMode(imitator.Up)
+	s.disturb("", time.Now(), time.Now())
+	return s.awaitReady(ctx, settleTime)
+}
+
+// end ends all processes and stand-ins.
+func (s *soak) end() {
+	for _, g := range s.gateways {
+		if g.process.Running() {
+			_ = g.process.Signal(syscall.SIGCONT) // It may be stopped.
+			g.process.Kill()
+		}
+		g.front.close()
+		g.store.close()
+	}
+	for _, u := range s.all {
+		u.end()
+	}
+	if s.server != nil {
+		s.store.SetMode(imitator.Busy) // Watches end.
+		s.server.CloseClientConnections()
+		s.server.Close()
+	}
+}
+
+// keepLogs writes the logs of the gateways and the faults beside the settings.
+func (s *soak) keepLogs() {
+	for _, g := range s.gateways {
+		_ = os.WriteFile(filepath.Join(s.cfg.Dir, g.process.Name+".log"), []byte(g.process.Log.String()), 0o600)
+	}
+	_ = os.WriteFile(filepath.Join(s.cfg.Dir, "faults.txt"), []byte(strings.Join(s.faults, "\n")+"\n"), 0o600)
+}
--- /dev/null
+++ b/soaker/upstream.go
@@ -0,0 +1,178 @@
+package soaker
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clementineramp/platform/imitator"
+)
+
+// Manner is how an upstream treats requests.
+type Manner int32
+
+const (
+	// Sound upstreams answer; it is the zero value.
+	Sound Manner = iota
+	// Failing upstreams answer every second request with 500.
+	Failing
+	// Hanging upstreams leave every second request without an answer.
+	Hanging
+	// Breaking upstreams reset the connection of every second request.
+	Breaking
+	// Shedding upstreams turn every second request away.
+	Shedding
+	// Chattering upstreams answer twice.
+	Chattering
+	manners
+)
+
+const (
+	// lingerTime is the time for which an upstream serves after it has said that it leaves.
+	lingerTime = leaveTime + 1500*time.Millisecond
+	// eventGap is the pause between the events of a stream.
+	eventGap = 15 * time.Millisecond
+	// workTime is the time that a plain request takes.
+	workTime = 10 * time.Millisecond
+)
+
+// lengthHeader tells an upstream how many events a stream has.
+const lengthHeader = "X-Events"
+
+// run is a request that an upstream ran.
+type run struct {
+	imitator.Run
+	upstream, service string
+	// left is the time at which the upstream had said that it leaves; zero before.
+	left time.Time
+}
+
+// upstream is one life of an upstream behind its own link.
+type upstream struct {
+	imitator.Upstream
+	link   *link
+	manner atomic.Int32
+	count  atomic.Int64
+
+	mu   sync.Mutex
+	left time.Time
+	gone bool
+}
+
+func newUpstream(id, service string) (*upstream, error) {
+	u := &upstream{Upstream: imitator.Upstream{ID: id, Service: service}}
+	u.Handle = u.handle
+	u.TurnAway = func(*http.Request) bool {
+		return Manner(u.manner.Load()) == Shedding && u.count.Add(1)%2 == 0
+	}
+	u.Start()
+	l, err := newLink(u.Address())
+	if err != nil {
+		u.Close()
+		return nil, err
+	}
+	u.link = l
+	u.Advertised, u.Born = l.address(), time.Now().UnixMilli()
+	return u, nil
+}
+
+// leave notes that the upstream has said that it leaves.
+func (u *upstream) leave(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.left.IsZero() {
+		u.left = now
+	}
+}
+
+// end ends the upstream once; its connections break.
+func (u *upstream) end() {
+	u.mu.Lock()
+	gone := u.gone
+	u.gone = true
+	u.mu.Unlock()
+	if !gone {
+		u.link.close()
+		u.Close()
+	}
+}
+
+// runs returns what the upstream ran.
+func (u *upstream) runs() []run {
+	u.mu.Lock()
+	left := u.left
+	u.mu.Unlock()
+	var all []run
+	for _, r := range u.Runs() {
+		all = append(all, run{Run: r, upstream: u.ID, service: u.Service, left: left})
+	}
+	return all
+}
+
+func (u *upstream) handle(w http.ResponseWriter, r *http.Request) {
+	second := u.count.Add(1)%2 == 0
+	switch m := Manner(u.manner.Load()); {
+	case m == Failing && second:
+		imitator.Status(http.StatusInternalServerError)(w, r)
+	case m == Hanging && second:
+		imitator.Hang(w, r)
+	case m == Breaking && second:
+		imitator.Break(w, r)
+	case m == Chattering && r.Header.Get(lengthHeader) == "":
+		chatter(w, r)
+	case r.Header.Get(lengthHeader) != "":
+		stream(w, r)
+	default:
+		time.Sleep(workTime)
+		imitator.Plain(body(r.Header.Get(imitator.HeaderAttempt)))(w, r)
+	}
+}
+
+// body is the answer to a plain request.
+func body(id string) string {
+	return "answer to " + id
+}
+
+// event is one event of a stream.
+func event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n)
+}
+
+// stream answers with events after the one that the caller has.
+func stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(imitator.HeaderAttempt)
+	last, _ := strconv.Atoi(r.Header.Get(imitator.HeaderLastEvent)) // No event yet without the header.
+	length, err := strconv.Atoi(r.Header.Get(lengthHeader))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(imitator.HeaderSignature, "signed")
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for n := last + 1; n <= length; n++ {
+		if _, err := io.WriteString(w, event(id, n)); err != nil || rc.Flush() != nil {
+			return
+		}
+		time.Sleep(eventGap)
+	}
+}
+
+// chatter answers, and sends an answer to an earlier request behind it.
+func chatter(w http.ResponseWriter, r *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	for _, id := range []string{r.Header.Get(imitator.HeaderAttempt), "another"} {
+		text := body(id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed\r\nContent-Length: %d\r\n\r\n%s",
+			imitator.HeaderAttempt, id, imitator.HeaderSignature, len(text), text)
+	}
+	time.Sleep(workTime)
+}
--- /dev/null
+++ b/spawner/doc.go
@@ -0,0 +1,2 @@
+// Package spawner runs the programs of a fleet as separate processes and sends them signals by their ids.
+package spawner
