gatekeeper: never drop a request that was read from an idle connection

A caller used a connection again after 16.1 s without requests, when the gateway closed it: it had read the request, and dropped it because the close came before the reader had the lock. Change: the reader decides. The close only wakes it up by a deadline, and what has arrived by then is served.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -87,7 +87,7 @@
 		if c == nil {
 			break
 		}
-		if c.quiet() {
+		if Quiet(c.nc) {
 			c.reused = true
 			return c, nil
 		}
@@ -200,9 +200,10 @@
 	return n
 }
 
-// quiet reports whether the upstream has neither closed the unused connection nor sent anything on it.
-func (c *conn) quiet() bool {
-	sc, ok := c.nc.(syscall.Conn)
+// Quiet reports whether the other side of an unused connection has neither closed it nor sent anything on it that was
+// not read.
+func Quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -211,11 +212,10 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errno == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -1,11 +1,15 @@
 package gatekeeper
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"clementineramp/connector"
 )
 
 // CallerConns follows the connections of callers, to close those that are idle for too long.
@@ -45,50 +49,63 @@
 	return c, nil
 }
 
-// callerConn is a connection that is closed while it is idle only if nothing of a next request was read from it.
+// callerConn is a connection that is closed while it is idle only if nothing of a next request has arrived.
 type callerConn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// taken means that a request was read, at least in part, and its answer has not ended.
 	taken bool
-	// served means that the connection has carried a request.
-	served  bool
-	retired bool
-	since   time.Time
+	// retiring means that the reader is to give up the connection unless a request has arrived.
+	retiring bool
+	since    time.Time
 }
 
-// Read reads from the caller; a retired connection gives nothing any more.
+// Read reads from the caller. It decides whether a connection that was to be retired ends: what has arrived by then is
+// read and served.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	for {
+		n, err := c.Conn.Read(b)
+		if again, err := c.judge(n, err); !again {
+			return n, err
+		}
+	}
+}
+
+func (c *callerConn) judge(n int, err error) (again bool, _ error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired {
-		return 0, io.EOF
-	}
 	if n > 0 {
 		c.taken = true
 	}
-	return n, err
+	if !c.retiring || n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, err
+	}
+	if n == 0 && connector.Quiet(c.Conn) {
+		return false, io.EOF
+	}
+	c.retiring = false
+	return n == 0, c.Conn.SetReadDeadline(time.Time{})
 }
 
 // release notes that the answer has ended.
 func (c *callerConn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.taken, c.served, c.since = false, true, time.Now()
+	c.taken, c.since = false, time.Now()
 }
 
-// retire closes the connection unless a request was taken from it.
-func (c *callerConn) retire() bool {
+// retire makes the reader close the connection unless a request has arrived.
+func (c *callerConn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.taken {
-		return false
+		return
 	}
-	c.retired = true
-	_ = c.Close()
-	return true
+	c.retiring = true
+	// The server sets deadlines of its own when an answer ends; the next call repeats this one. A connection that is
+	// closed already refuses it.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // idle returns the time since the last answer ended, or since the start; it is zero while a request is served.
@@ -137,8 +154,8 @@
 			oldest, longest = conn, d
 		}
 	}
-	if oldest != nil && oldest.retire() {
-		delete(c.all, oldest)
+	if oldest != nil {
+		oldest.retire()
 	}
 }
 
@@ -147,8 +164,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.all {
-		if conn.idle(now) > limit && conn.retire() {
-			delete(c.all, conn)
+		if conn.idle(now) > limit {
+			conn.retire()
 		}
 	}
 }
--- a/gatekeeper/conns_test.go
+++ b/gatekeeper/conns_test.go
@@ -48,6 +48,60 @@
 	require.Error(t, err)
 }
 
+// held is a connection that holds back what it has read until it is let go.
+type held struct {
+	net.Conn
+	read, letGo chan struct{}
+}
+
+func (h *held) Read(b []byte) (int, error) {
+	n, err := h.Conn.Read(b)
+	if n > 0 {
+		h.read <- struct{}{}
+		<-h.letGo
+	}
+	return n, err
+}
+
+type heldListener struct {
+	net.Listener
+	read, letGo chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &held{Conn: c, read: l.read, letGo: l.letGo}, err
+}
+
+// TestRequestThatWasReadIsServed answers a fault in which a request was dropped that had been read at the moment when its
+// idle connection was closed (LOST, vassmattan-drift-grown quiet-1 --seed 779441093030).
+func TestRequestThatWasReadIsServed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(10)
+	server := &http.Server{ConnState: conns.Note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	slow := &heldListener{Listener: l, read: make(chan struct{}), letGo: make(chan struct{})}
+	go func() { _ = server.Serve(conns.Listen(slow)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for range 2 {
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		<-slow.read
+		conns.CloseIdle(time.Now().Add(time.Hour), 0)
+		slow.letGo <- struct{}{}
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, "a request that was read got no answer")
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+		require.Eventually(t, func() bool { return conns.Busy() == 0 }, patience, time.Millisecond)
+	}
+}
+
 func TestOldestIdleConnectionMakesRoom(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
