proxier: take an answer without id and signature for a broken one

Change: an answer that neither names the request nor is signed may be anybody's: the request may have run.

--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -86,7 +86,7 @@
 			return f.budget >= 0
 		},
 		First: func(string) {}, Routers: func() int { return 1 },
-		Stopping: func() bool { return false }, Refusing: func() proxier.Refusal { return f.refusing },
+		Closing: func() bool { return false }, Refusing: func() proxier.Refusal { return f.refusing },
 		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
 		Log: logger.New(logger.Config{Output: &f.log}), Metrics: metrics.NewRegistry(),
 	})
@@ -153,6 +153,10 @@
 func TestFinalAnswers(t *testing.T) {
 	ok, shed, fail, broke := http.HandlerFunc(nil), imitator.Shed, imitator.Status(500), http.HandlerFunc(imitator.Break)
 	unsigned := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "no signature") }
+	stranger := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del(imitator.HeaderAttempt)
+		w.WriteHeader(http.StatusNotFound)
+	}
 	for _, c := range []struct {
 		name, path string
 		handlers   []http.HandlerFunc
@@ -167,6 +171,8 @@
 		{"order with a false promise", "/order/", []http.HandlerFunc{imitator.Status(503), ok}, 502, 1, "503 without the mark may have run"},
 		{"order answered 429 by the upstream", "/order/", []http.HandlerFunc{imitator.Status(429), ok}, 502, 1, "429 would promise that it has not run"},
 		{"order without signature", "/order/", []http.HandlerFunc{unsigned, ok}, 502, 1, "a success needs a signature"},
+		{"order answered by another server", "/order/", []http.HandlerFunc{stranger, ok}, 502, 1, "an upstream would name the request"},
+		{"read answered by another server", "/read/", []http.HandlerFunc{stranger, ok}, 200, 2, "an upstream would name the request"},
 		{"read broken off", "/read/", []http.HandlerFunc{broke, ok}, 200, 2, "it may run again"},
 		{"read failed", "/read/", []http.HandlerFunc{fail, ok}, 200, 2, "it may run again"},
 		{"read failed everywhere", "/read/", []http.HandlerFunc{fail, fail, ok}, 500, 2, "two attempts are allowed"},
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -55,6 +55,11 @@
 	switch {
 	case reply.NotRun:
 		return j.turnedAway(u, e, reply)
+	case !reply.Signed && reply.RequestID == "":
+		// Upstreams repeat the id of the request; another server may have the address by now.
+		j.runs++
+		j.broke(u, now)
+		return inDoubt, nil, errors.New("the answer does not say that it belongs to the request")
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		j.runs++
 		j.broke(u, now)
