gatekeeper: a strained gateway is not ready, and closes its kept connections

Cause: a host that ran eight to ten times slower went on to count as ready, and answers took a second there. Change: a probe measures how long runnable work waits for the processor. While the mean is over 60 ms, and most other gateways are at ease, the gateway says that it is not ready and lets callers go with their next answer. A probe that a timer woke saw no lag: such a goroutine goes before the waiting ones.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -53,9 +53,9 @@
 	maxHeaderBytes = 64 << 10
 	// headerTime bounds the reading of a header.
 	headerTime = 10 * time.Second
-	// idleSlack is the time that callers have beyond the idle time of the configuration, since a request may be on
-	// its way when the time ends.
-	idleSlack = time.Second
+	// idleFactor is the multiple of the configuration's idle time after which connections of callers are closed: a
+	// request may be on its way when the time ends, and callers measure it in their own way.
+	idleFactor = 1.5
 	// metricsPath is the path of the metrics.
 	metricsPath = "/metrics"
 )
@@ -85,6 +85,7 @@
 	relayer   *relayer.Relayer
 	proxier   *proxier.Proxier
 	callers   *CallerConns
+	strain    Strain
 
 	mu      sync.Mutex
 	budgets map[string]*limiter.RetryBudget
@@ -132,6 +133,7 @@
 	}
 	g.relayer = relayer.New(relayer.Config{
 		Address: s.PeerListen.String(), Seeds: seeds, Link: s.Link, Readers: readers, Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
+		Strained: func() bool { strained, _ := g.strain.Strained(); return strained },
 		Know: relayer.Knowledge{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Belief().Confirmed },
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm, Contact: g.follower.Contact,
@@ -146,7 +148,7 @@
 		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{}, Pool: g.pool, Belief: g.follower.Belief,
 		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
 		First:   func(service string) { g.budget(service).First(time.Now()) },
-		Routers: g.gateways, Stopping: g.stopping.Load, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
+		Routers: g.gateways, Closing: func() bool { return g.stopping.Load() || g.yields() }, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
 		Log: g.log.Named("proxier"), Metrics: g.registry,
 	})
@@ -220,6 +222,7 @@
 	group.Go(func() error { g.follower.Run(run); return nil })
 	group.Go(func() error { g.relayer.Run(run); return nil })
 	group.Go(func() error { g.tidy(run); return nil })
+	group.Go(func() error { g.probe(run); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -273,7 +276,7 @@
 	g.health.Forget(func(id string) bool { return live[id] })
 	g.placer.Forget(func(id string) bool { return live[id] })
 	if table := g.follower.Belief().Table; table != nil && table.Limits.IdleTime > 0 {
-		g.callers.CloseIdle(now, table.Limits.IdleTime+idleSlack)
+		g.callers.CloseIdle(now, time.Duration(idleFactor*float64(table.Limits.IdleTime)))
 	}
 	gauge := func(name string, n int) { metrics.GetOrRegisterGauge(name, g.registry).Update(int64(n)) }
 	gauge("requests_running", g.proxier.Running())
@@ -281,6 +284,8 @@
 	gauge("caller_connections", g.callers.Open())
 	gauge("gateways", g.relayer.Gateways())
 	gauge("upstreams", len(live))
+	_, lag := g.strain.Strained()
+	gauge("wake_up_lag_ms", int(lag.Milliseconds()))
 	gauge("configuration_age_ms", int(now.Sub(g.follower.Belief().Confirmed).Milliseconds()))
 }
 
@@ -299,7 +304,7 @@
 func (g *Gateway) readiness() http.Handler {
 	e := echo.New()
 	e.GET(platform.ReadyPath, func(c echo.Context) error {
-		if !g.follower.Ready() || g.stopping.Load() {
+		if !g.follower.Ready() || g.stopping.Load() || g.yields() {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		return c.NoContent(http.StatusOK)
--- /dev/null
+++ b/gatekeeper/strain_test.go
@@ -0,0 +1,50 @@
+package gatekeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/gatekeeper"
+)
+
+// TestStrainOfASlowHost answers days on which one host ran eight times slower while the others restarted in turn: it
+// went on to count as ready, and nearly all answers were late.
+func TestStrainOfASlowHost(t *testing.T) {
+	const ms = time.Millisecond
+	repeat := func(lag time.Duration, n int) []time.Duration {
+		list := make([]time.Duration, n)
+		for i := range list {
+			list[i] = lag
+		}
+		return list
+	}
+	// turns is a host whose share is used up in each tenth of a second.
+	var turns []time.Duration
+	for range 40 {
+		turns = append(turns, 1*ms, 70*ms)
+	}
+	for _, c := range []struct {
+		name string
+		lags []time.Duration
+		want bool
+	}{
+		{"at ease", repeat(3*ms, 100), false},
+		{"slow", repeat(150*ms, 20), true},
+		{"stood still once", append(append(repeat(2*ms, 10), 4*time.Second), repeat(2*ms, 10)...), false},
+		{"slow to a crawl", repeat(900*ms, 2), true},
+		{"a share in turns", turns, false},
+		{"slow and well again", append(repeat(200*ms, 40), repeat(2*ms, 40)...), false},
+		{"slow, a little better", append(repeat(200*ms, 40), repeat(40*ms, 40)...), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s gatekeeper.Strain
+			for _, lag := range c.lags {
+				s.Note(lag)
+			}
+			strained, _ := s.Strained()
+			require.Equal(t, c.want, strained)
+		})
+	}
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -76,8 +76,8 @@
 	First func(service string)
 	// Routers returns the number of routers that share the connections to an upstream.
 	Routers func() int
-	// Stopping reports whether a planned stop is in progress; answers then close their connections.
-	Stopping func() bool
+	// Closing reports whether answers close their connections, so that callers go to other routers.
+	Closing func() bool
 	// Refusing says which new requests are refused because the process is about to end.
 	Refusing func() Refusal
 	// MaxBodyBytes bounds the bodies that are held at the same time.
@@ -146,7 +146,7 @@
 	p.running.Add(1)
 	defer p.running.Add(-1)
 	j := &job{p: p, w: w, r: r, started: time.Now(), belief: p.cfg.Belief()}
-	if p.cfg.Stopping() {
+	if p.cfg.Closing() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := j.admit(); err != nil {
