Hold requests that come right after the start for the first configuration; tests hold their listeners

Change: such a request waits up to 0.25 s for the first configuration before it is refused. The test TestFromIDToCause failed once: addresses were chosen before gateways listened on them, and another process could take one in between.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,6 +36,8 @@
 	tryInterval = 200 * time.Millisecond
 	// helpTime is the time for which a process reads the store after such a try.
 	helpTime = 3 * time.Second
+	// readyInterval is the pause between looks at whether a configuration has come, for requests that wait for it.
+	readyInterval = 10 * time.Millisecond
 	// lookInterval is the pause between looks at whether the store is to be read.
 	lookInterval = 50 * time.Millisecond
 )
@@ -103,6 +105,17 @@
 	return f.Belief().Table != nil && f.cfg.Registry.Known()
 }
 
+// AwaitReady waits until a configuration and a list of upstreams are known, or ctx ends, and reports which.
+func (f *Follower) AwaitReady(ctx context.Context) bool {
+	for !f.Ready() {
+		if ctx.Err() != nil {
+			return false
+		}
+		pause(ctx, readyInterval)
+	}
+	return true
+}
+
 // Reached reports whether the last call of the store succeeded.
 func (f *Follower) Reached() bool {
 	f.mu.Lock()
--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -85,7 +85,7 @@
 		return false, io.EOF
 	}
 	c.retiring = false
-	return n == 0, c.Conn.SetReadDeadline(time.Time{})
+	return n == 0, c.SetReadDeadline(time.Time{})
 }
 
 // release notes that the answer has ended.
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -145,7 +145,7 @@
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
 			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
 		},
-		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{}, Pool: g.pool, Belief: g.follower.Belief,
+		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{}, Pool: g.pool, Belief: g.follower.Belief, AwaitReady: g.follower.AwaitReady,
 		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
 		First:   func(service string) { g.budget(service).First(time.Now()) },
 		Routers: g.gateways, Closing: func() bool { return g.stopping.Load() || g.yields() }, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -35,12 +35,22 @@
 	done     chan error
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+// listeners holds open listeners by their addresses: an address that is only chosen may be taken by others before a
+// gateway listens on it.
+type listeners map[string]net.Listener
+
+func (l listeners) open(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { _ = opened.Close() })
+	l[opened.Addr().String()] = opened
+	return netip.MustParseAddrPort(opened.Addr().String())
+}
+
+// listen hands an open listener over.
+func (l listeners) listen(_, address string) (net.Listener, error) {
+	return l[address], nil
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -51,19 +61,23 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	open := make(listeners)
 	f.settings = &loader.Gateway{
-		Name: "gateway-1", Region: "r", FailureDomain: "domain-1", Listen: freeAddress(t), ReadyListen: freeAddress(t),
-		PeerListen: freeAddress(t), MetricsListen: freeAddress(t), Memory: 256e6, Connections: 100,
+		Name: "gateway-1", Region: "r", FailureDomain: "domain-1", Listen: open.open(t), ReadyListen: open.open(t),
+		PeerListen: open.open(t), MetricsListen: open.open(t), Memory: 256e6, Connections: 100,
 		Store: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Propagation: 2 * time.Second, Grace: 3 * time.Second,
 		Retries: loader.Retries{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 	}
-	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log})})
+	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: open.listen})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- f.gateway.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-f.done
+		if t.Failed() {
+			t.Log(f.log.String())
+		}
 	})
 	return f
 }
--- a/mapper/mapper_test.go
+++ b/mapper/mapper_test.go
@@ -61,13 +61,18 @@
 		want  []int
 	}{
 		{
-			"organisations decide, then routes", []*mapper.Organisation{first, second},
+			"organisations decide, then routes",
+			[]*mapper.Organisation{first, second},
 			[]mapper.Route{question, tag, draft, question, tag, draft},
-			[]*mapper.Organisation{first, first, first, second, second, second}, []int{0, 1, 2, 3, 4, 5},
+			[]*mapper.Organisation{first, first, first, second, second, second},
+			[]int{0, 1, 2, 3, 4, 5},
 		},
 		{
-			"without ranks of organisations", []*mapper.Organisation{plain},
-			[]mapper.Route{question, question, tag, draft}, []*mapper.Organisation{nil, plain, plain, plain}, []int{0, 0, 1, 2},
+			"without ranks of organisations",
+			[]*mapper.Organisation{plain},
+			[]mapper.Route{question, question, tag, draft},
+			[]*mapper.Organisation{nil, plain, plain, plain},
+			[]int{0, 0, 1, 2},
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -47,9 +47,12 @@
 	RefuseAll
 )
 
-// minStart and maxStart bound the time after which a caller should return to a router that knows no configuration
-// yet: with the store away, too, it takes a second or so until one arrives.
 const (
+	// startPatience is the time for which a request waits for the first configuration: reading it from the store takes a
+	// tenth of a second after the start.
+	startPatience = 250 * time.Millisecond
+	// minStart and maxStart bound the time after which a caller should return to a router that knows no configuration
+	// then: with the store away, too, it takes a second or so until one arrives.
 	minStart = 700 * time.Millisecond
 	maxStart = 1500 * time.Millisecond
 )
@@ -71,6 +74,8 @@
 	Pool    *connector.Pool
 	// Belief returns the configuration in force; its table is nil before the first one is known.
 	Belief func() Belief
+	// AwaitReady waits until a configuration and upstreams are known, or ctx ends, and reports which.
+	AwaitReady func(ctx context.Context) bool
 	// Retry takes one second try from a service's budget, and First counts a request for it.
 	Retry func(service string) bool
 	First func(service string)
@@ -169,7 +174,7 @@
 	if err != nil {
 		return refusal(http.StatusBadRequest, judge.ReasonInvalid, err.Error())
 	}
-	t := j.belief.Table
+	t := j.awaitTable()
 	if t == nil {
 		return &answer{
 			status: http.StatusServiceUnavailable, reason: judge.ReasonNotReady, text: "no configuration is known yet",
@@ -226,6 +231,18 @@
 	}
 }
 
+// awaitTable returns the configuration, for which a request that comes right after the start waits a moment.
+func (j *job) awaitTable() *mapper.Table {
+	if j.belief.Table == nil {
+		ctx, cancel := context.WithTimeout(j.r.Context(), startPatience)
+		defer cancel()
+		if j.p.cfg.AwaitReady(ctx) {
+			j.belief = j.p.cfg.Belief()
+		}
+	}
+	return j.belief.Table
+}
+
 // authorise finds the route and the organisation.
 func (j *job) authorise(t *mapper.Table) error {
 	path, _, _ := strings.Cut(j.r.RequestURI, "?")
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -32,9 +32,11 @@
 
 // fixture is a proxier before imitated upstreams.
 type fixture struct {
-	t         *testing.T
-	server    *httptest.Server
-	table     *mapper.Table
+	t      *testing.T
+	server *httptest.Server
+	table  *mapper.Table
+	// coming is the configuration that arrives while a request waits for the first one.
+	coming    *mapper.Table
 	confirmed time.Time
 	budget    int
 	refusing  proxier.Refusal
@@ -81,6 +83,13 @@
 		}),
 		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{}),
 		Belief: func() proxier.Belief { return proxier.Belief{Table: f.table, Confirmed: f.confirmed} },
+		AwaitReady: func(ctx context.Context) bool {
+			if f.table == nil && f.coming != nil {
+				f.table = f.coming
+				return true
+			}
+			return f.table != nil
+		},
 		Retry: func(string) bool {
 			f.budget--
 			return f.budget >= 0
@@ -275,6 +284,14 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 }
 
+// TestEverythingRestartedAtOnce: what comes in the tenth of a second before the first configuration is served, not
+// sent away for a second.
+func TestEverythingRestartedAtOnce(t *testing.T) {
+	f := newFixture(t, nil)
+	f.table, f.coming = nil, f.table
+	require.Equal(t, 200, f.do("POST", "/order/", "body").status)
+}
+
 func TestStoppingRouterRefusesWhatMayNotEnd(t *testing.T) {
 	f := newFixture(t, imitator.Events(2, 0))
 	f.refusing = proxier.RefuseStreams
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -26,6 +26,9 @@
 // target is the time within which a request must get a place to be in time.
 const target = 400 * time.Millisecond
 
+// places is the number of requests that the upstreams run at a time.
+const places = 200
+
 // result counts the requests of one flow.
 type result struct {
 	came, refused, inTime, late int
@@ -63,7 +66,7 @@
 
 // simulate runs flows for some seconds against places that work like one large engine. The load is known with a delay,
 // but for what this router, one of four, has sent since.
-func simulate(places int, seconds float64, shed bool, flows []flow) []result {
+func simulate(seconds float64, shed bool, flows []flow) []result {
 	const step = time.Millisecond
 	const delay = 150 // steps
 	const routers = 4
@@ -118,15 +121,13 @@
 	return results
 }
 
-const places = 200
-
 // TestFloodOfTheLeastUrgentWork: what is urgent is served as if there were no flood, and the flood takes the rest.
 func TestFloodOfTheLeastUrgentWork(t *testing.T) {
 	flows := []flow{
 		{organisation: "a", urgency: 0, perSecond: 60, to: 20, hold: time.Second},
 		{organisation: "b", urgency: 5, perSecond: 400, from: 5, to: 15, hold: time.Second},
 	}
-	r := simulate(places, 25, true, flows)
+	r := simulate(25, true, flows)
 	require.GreaterOrEqual(t, r[0].share(), 0.98)
 	taken := r[1].inTime + r[1].late
 	require.GreaterOrEqual(t, float64(taken), 0.7*10*(places-60), "the flood does not use what is free")
@@ -140,7 +141,7 @@
 		{organisation: "a", urgency: 0, perSecond: 400, from: 1, to: 11, hold: time.Second},
 		{organisation: "b", urgency: 3, perSecond: 40, to: 12, hold: time.Second},
 	}
-	before, after := simulate(places, 30, false, flows), simulate(places, 30, true, flows)
+	before, after := simulate(30, false, flows), simulate(30, true, flows)
 	require.Less(t, before[0].share(), 0.3)
 	require.GreaterOrEqual(t, float64(after[0].inTime), 0.75*10*places)
 	require.LessOrEqual(t, float64(after[0].late), 0.1*float64(after[0].inTime))
@@ -152,7 +153,7 @@
 	for i := range 8 {
 		flows = append(flows, flow{organisation: fmt.Sprint("small ", i), perSecond: 10, to: 14, hold: time.Second})
 	}
-	r := simulate(places, 20, true, flows)
+	r := simulate(20, true, flows)
 	for i := 1; i < len(r); i++ {
 		require.GreaterOrEqual(t, r[i].share(), 0.9, "small organisation %d: %+v", i, r[i].refused)
 	}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -20,10 +20,26 @@
 
 // faults are all kinds of faults; each seed draws from them.
 var faults = []fault{
-	{"kill", kill}, {"term", term}, {"term", term}, {"pause", stopAndGo}, {"hup", hup},
-	{"store", storeFault}, {"compact", compact}, {"store_link", storeLink}, {"front_link", frontLink},
-	{"upstream_link", upstreamLink}, {"manner", manner}, {"manner", manner}, {"crash", crash}, {"crash", crash},
-	{"leave", leave}, {"leave", leave}, {"vanish", vanish}, {"reuse", reuse}, {"configuration", change}, {"configuration", change},
+	{"kill", kill},
+	{"term", term},
+	{"term", term},
+	{"pause", stopAndGo},
+	{"hup", hup},
+	{"store", storeFault},
+	{"compact", compact},
+	{"store_link", storeLink},
+	{"front_link", frontLink},
+	{"upstream_link", upstreamLink},
+	{"manner", manner},
+	{"manner", manner},
+	{"crash", crash},
+	{"crash", crash},
+	{"leave", leave},
+	{"leave", leave},
+	{"vanish", vanish},
+	{"reuse", reuse},
+	{"configuration", change},
+	{"configuration", change},
 	{"unreadable", unreadable},
 }
 
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	for _, id := range []string{r.Header.Get(imitator.HeaderAttempt), "another"} {
 		text := body(id)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed\r\nContent-Length: %d\r\n\r\n%s",
