--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -284,6 +285,11 @@
 	gauge("caller_connections", g.callers.Open())
 	gauge("gateways", g.relayer.Gateways())
 	gauge("upstreams", len(live))
+	g.mu.Lock()
+	for service, b := range g.budgets {
+		gauge("second_tries_left."+service, b.Left(now))
+	}
+	g.mu.Unlock()
 	_, lag := g.strain.Strained()
 	gauge("wake_up_lag_ms", int(lag.Milliseconds()))
 	gauge("configuration_age_ms", int(now.Sub(g.follower.Belief().Confirmed).Milliseconds()))
@@ -316,6 +322,9 @@
 	e := echo.New()
 	e.GET(metricsPath, func(c echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; charset=utf-8")
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory) // It stops the process for a moment, so it is done only when someone asks.
+		metrics.GetOrRegisterGauge("memory_bytes", g.registry).Update(int64(memory.Sys - memory.HeapReleased))
 		metrics.WriteOnce(g.registry, c.Response())
 		return nil
 	})
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -166,3 +166,18 @@
 		}
 	}
 }
+
+func TestRetriesLeft(t *testing.T) {
+	b, err := limiter.NewRetryBudget(limiter.RetryConfig{Ratio: 0.5, Floor: -1})
+	require.NoError(t, err)
+	now := time.Unix(1000, 0)
+	require.Zero(t, b.Left(now))
+	for range 8 {
+		b.First(now)
+	}
+	b.SetExtra(2)
+	require.Equal(t, 6, b.Left(now))
+	require.True(t, b.Retry(now))
+	require.Equal(t, 5, b.Left(now))
+	require.Equal(t, 2, b.Left(now.Add(time.Minute)))
+}
--- a/limiter/retry.go
+++ b/limiter/retry.go
@@ -86,7 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.slide(now)
-	if float64(sum(b.retries)+1) > b.extra+max(b.floor, b.ratio*float64(sum(b.first))) {
+	if float64(sum(b.retries)+1) > b.allowed() {
 		b.totals.Refused++
 		return false
 	}
@@ -103,6 +103,19 @@
 	b.extra = n
 }
 
+// Left returns the number of retries that would be granted now.
+func (b *RetryBudget) Left(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slide(now)
+	return max(int(b.allowed())-sum(b.retries), 0)
+}
+
+// allowed returns the number of retries in a window.
+func (b *RetryBudget) allowed() float64 {
+	return b.extra + max(b.floor, b.ratio*float64(sum(b.first)))
+}
+
 // Totals returns the counts since the start.
 func (b *RetryBudget) Totals() RetryTotals {
 	b.mu.Lock()
