Log when an overload begins and ends; a planned stop leaves idle connections time to end

Connections that are idle at the end of a planned stop are given up by their readers, like those that were idle for too long; the process waits up to half a second for that.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -146,7 +146,7 @@
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
 			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
 		},
-		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{}, Pool: g.pool, Belief: g.follower.Belief, AwaitReady: g.follower.AwaitReady,
+		Placer: g.placer, Health: g.health, Crashes: g.crashes, Shedder: &shedder.Shedder{OnChange: g.logOverload}, Pool: g.pool, Belief: g.follower.Belief, AwaitReady: g.follower.AwaitReady,
 		Retry:   func(service string) bool { return g.budget(service).Retry(time.Now()) },
 		First:   func(service string) { g.budget(service).First(time.Now()) },
 		Routers: g.gateways, Closing: func() bool { return g.stopping.Load() || g.yields() }, Refusing: func() proxier.Refusal { return proxier.Refusal(g.refusing.Load()) },
@@ -359,6 +359,14 @@
 		"revision", e.Record.Revision, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born)
 }
 
+func (g *Gateway) logOverload(o shedder.Overload) {
+	event := "overload_ended"
+	if o.Began {
+		event = "overload_began"
+	}
+	g.log.Warn(event, "service", o.Service, "occupancy", o.Load, "lasted_ms", o.Lasted.Milliseconds())
+}
+
 func (g *Gateway) logGrade(c appraiser.Change) {
 	g.log.Info("upstream_grade", "upstream", c.Upstream, "from", c.From.String(), "to", c.To.String(),
 		"outcome", c.Outcome.String(), "failures", c.Failures, "rest_ms", c.Rest.Milliseconds())
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -22,6 +22,8 @@
 	shortMargin = 1500 * time.Millisecond
 	// endMargin is the time before the end of the grace at which the process ends in any case.
 	endMargin = 300 * time.Millisecond
+	// closeTime is the time that idle connections have to end at their readers, which serve what has just arrived.
+	closeTime = 500 * time.Millisecond
 	// drainPoll is the pause between looks at the requests in progress.
 	drainPoll = 25 * time.Millisecond
 	// fileInterval is the pause between looks at the settings file, which may change without a signal.
@@ -49,7 +51,8 @@
 		}
 		if since >= leave {
 			g.callers.CloseIdle(now, 0)
-			if g.proxier.Running() == 0 && g.callers.Busy() == 0 {
+			closed := g.callers.Open() == 0 || since >= leave+closeTime
+			if closed && g.proxier.Running() == 0 && g.callers.Busy() == 0 {
 				break
 			}
 		}
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -59,12 +59,23 @@
 type service struct {
 	arrivals [recent]arrival
 	next     int
-	// since is the start of the overload, and refusedAt the time of its last refusal; both are zero before the first.
+	// since is the start of the overload, zero while there is none, and refusedAt the time of its last refusal.
 	since, refusedAt time.Time
 }
 
+// Overload is the begin or the end of a time in which requests of a service are refused.
+type Overload struct {
+	Service string
+	Began   bool
+	// Load is that of the request which showed the change, Lasted the time up to the last refusal.
+	Load   float64
+	Lasted time.Duration
+}
+
 // Shedder is safe for concurrent use; its zero value has seen no request.
 type Shedder struct {
+	// OnChange is told when an overload begins or has ended, while a lock is held; nil means no one is.
+	OnChange func(Overload)
 	// Random returns a number from 0 to 1; nil means that of math/rand.
 	Random func() float64
 
@@ -82,18 +93,33 @@
 	v := s.at(r.Service)
 	v.arrivals[v.next] = arrival{at: now, organisation: r.Organisation, urgency: r.Urgency}
 	v.next = (v.next + 1) % recent
+	if !v.since.IsZero() && now.Sub(v.refusedAt) > calmTime {
+		s.tell(Overload{Service: r.Service, Load: load, Lasted: v.refusedAt.Sub(v.since)})
+		v.since = time.Time{}
+	}
 	if load <= leastLoad {
 		return Decision{}
 	}
 	d := Decision{Excess: min((load-leastLoad)/(greatestLoad-leastLoad), 1)}
 	d.Position = v.before(r, now, s.random())
-	if d.Position > 1-d.Excess {
-		d.Refused = true
-		d.RetryAfter = s.comeBack(v, r, now)
+	if d.Position <= 1-d.Excess {
+		return d
 	}
+	if v.since.IsZero() {
+		v.since = now
+		s.tell(Overload{Service: r.Service, Began: true, Load: load})
+	}
+	v.refusedAt = now
+	d.Refused, d.RetryAfter = true, s.comeBack(r, now.Sub(v.since))
 	return d
 }
 
+func (s *Shedder) tell(o Overload) {
+	if s.OnChange != nil {
+		s.OnChange(o)
+	}
+}
+
 func (s *Shedder) at(name string) *service {
 	if s.services == nil {
 		s.services = make(map[string]*service)
@@ -142,12 +168,8 @@
 
 // comeBack returns the time until a refused caller should return: overloads last, on average, as long again as they
 // have lasted.
-func (s *Shedder) comeBack(v *service, r Request, now time.Time) time.Duration {
-	if v.refusedAt.IsZero() || now.Sub(v.refusedAt) > calmTime {
-		v.since = now
-	}
-	v.refusedAt = now
-	wait := min(max(now.Sub(v.since), shortestReturn), longestReturn)
+func (s *Shedder) comeBack(r Request, lasted time.Duration) time.Duration {
+	wait := min(max(lasted, shortestReturn), longestReturn)
 	wait = time.Duration(float64(wait) * (1 + returnSpread*(2*s.random()-1)))
 	if r.Remaining > 0 {
 		wait = min(wait, time.Duration(patienceShare*float64(r.Remaining)))
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -172,9 +172,17 @@
 		require.False(t, refused(0.5, 0))
 		require.False(t, refused(0.5, 1))
 	}
+	var changes []shedder.Overload
+	s.OnChange = func(o shedder.Overload) { changes = append(changes, o) }
 	require.False(t, refused(0.95, 0))
 	require.True(t, refused(1, 1))
+	require.True(t, refused(1, 1))
+	require.False(t, refused(0.5, 1))
+	now = now.Add(3 * time.Second)
 	require.False(t, refused(0.5, 1))
+	require.Equal(t, []shedder.Overload{
+		{Service: "s", Began: true, Load: 1}, {Service: "s", Load: 0.5, Lasted: 10 * time.Millisecond},
+	}, changes)
 }
 
 // TestIdlePlacesAreNeverRefused: nothing is refused up to three quarters of the places, whoever floods.
