--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -14,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"clementineramp/convictor"
@@ -149,13 +147,6 @@
 	lost map[string]bool
 }
 
-// member is what is known of a peer.
-type member struct {
-	at        time.Time
-	link      float64
-	saturated bool
-}
-
 // New returns a relayer.
 func New(cfg Config) *Relayer {
 	if cfg.Dial == nil {
@@ -324,38 +315,6 @@
 	return known[rand.IntN(len(known))], true
 }
 
-// members returns the gateways that live, this one included; the lock is held.
-func (r *Relayer) members(now time.Time) []Peer {
-	all := []Peer{{Address: r.cfg.Address, Link: r.cfg.Link, Saturated: r.saturated()}}
-	for a, m := range r.heard {
-		if age := now.Sub(m.at); age < peerTime {
-			all = append(all, Peer{Address: a, Age: age, Link: m.link, Saturated: m.saturated})
-		}
-	}
-	return all
-}
-
-// Readers returns the addresses of the n gateways that should read the store for all: those with the fastest links,
-// because each change of a large configuration comes whole, and among equals any that all agree on.
-func Readers(members []Peer, n int) []string {
-	all := slices.Clone(members)
-	slices.SortFunc(all, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
-	})
-	readers := make([]string, 0, n)
-	for _, p := range all[:min(n, len(all))] {
-		readers = append(readers, p.Address)
-	}
-	return readers
-}
-
-// Reader reports whether this gateway should read the store for the others.
-func (r *Relayer) Reader() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Contains(Readers(r.members(time.Now()), r.cfg.Readers), r.cfg.Address)
-}
-
 // ask exchanges knowledge with one peer.
 func (r *Relayer) ask(ctx context.Context, peer string) {
 	k := r.cfg.Know
@@ -441,62 +400,3 @@
 		r.cfg.Log.Info("peer_reached", "peer", peer)
 	}
 }
-
-// hear notes that a peer lives, and what it knows of others.
-func (r *Relayer) hear(from Peer, others []Peer, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.note(from, now)
-	for _, p := range others {
-		if p.Age >= 0 && p.Age < peerTime {
-			r.note(p, now.Add(-p.Age))
-		}
-	}
-	for a, m := range r.heard {
-		if now.Sub(m.at) >= peerTime {
-			delete(r.heard, a)
-		}
-	}
-}
-
-func (r *Relayer) note(p Peer, at time.Time) {
-	old := r.heard[p.Address]
-	if p.Address == "" || p.Address == r.cfg.Address || !at.After(old.at) {
-		return
-	}
-	if p.Link == 0 {
-		p.Link = old.link // Who told of the peer does not know its link yet.
-	}
-	r.heard[p.Address] = member{at: at, link: p.Link, saturated: p.Saturated}
-}
-
-func (r *Relayer) peers(now time.Time) []Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all := r.members(now)[1:]
-	return all[:min(len(all), maxTold)]
-}
-
-func (r *Relayer) saturated() bool {
-	return r.cfg.Saturated != nil && r.cfg.Saturated()
-}
-
-// Unsaturated returns the number of other gateways that live and are not saturated.
-func (r *Relayer) Unsaturated() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := 0
-	for _, p := range r.members(time.Now())[1:] {
-		if !p.Saturated {
-			n++
-		}
-	}
-	return n
-}
-
-// Gateways returns the number of gateways that live, this one included.
-func (r *Relayer) Gateways() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.members(time.Now()))
-}
