soaker: configurations and calls of the store through the imitator

Cause: the soak wrote the platform's names of routes, headers and calls itself; they belong in platform/. Change: the imitator publishes a mapper.Table and names the header and the call.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -142,7 +142,7 @@
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n", a.target, host,
 		imitator.HeaderAttempt, a.id, imitator.HeaderKey, key, imitator.HeaderRemaining, callerPatience.Milliseconds(), len(a.body))
 	if a.events > 0 {
-		fmt.Fprintf(&b, "%s: %d\r\nPrompt-Prefix-Hash: 1:100,chat%d:50,%d:10\r\n", lengthHeader, a.events, c.n%4, c.sent)
+		fmt.Fprintf(&b, "%s: %d\r\n%s: 1:100,chat%d:50,%d:10\r\n", lengthHeader, a.events, imitator.HeaderPrompt, c.n%4, c.sent)
 	}
 	if _, a.err = io.WriteString(c.conn, b.String()+"\r\n"+a.body); a.err != nil {
 		return
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -304,7 +304,7 @@
 
 // unreadable writes entries that name no upstream.
 func unreadable(_ context.Context, s *soak, random *rand.Rand) string {
-	id := fmt.Sprintf("servers/strange-%d", random.IntN(1000))
+	id := fmt.Sprintf("%sstrange-%d", imitator.UpstreamPrefix, random.IntN(1000))
 	switch random.IntN(3) {
 	case 0:
 		s.store.Put(id, []byte("no JSON"))
--- a/soaker/naive_test.go
+++ b/soaker/naive_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"clementineramp/platform/imitator"
 )
 
 // naiveRetries is the number of upstreams that the naive gateway sends a request to.
@@ -53,7 +55,7 @@
 
 // upstreams returns the addresses of a service's upstreams.
 func (g *naive) upstreams(service string) []string {
-	resp, err := g.client.Get("http://" + g.store + "/api/kv-range?PathPrefix=servers/")
+	resp, err := g.client.Get("http://" + g.store + imitator.ListTarget)
 	if err != nil {
 		return nil
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"clementineramp/mapper"
 	"clementineramp/platform/imitator"
 )
 
@@ -36,6 +37,8 @@
 	engineService = "engines"
 	// maxAttempts is the number of upstreams that may run a repeatable request.
 	maxAttempts = 2
+	// routeTarget is the objective of all routes, and the longest good pause between events.
+	routeTarget = 100 * time.Millisecond
 	// readyInterval is the pause between questions whether the gateways are ready.
 	readyInterval = 300 * time.Millisecond
 	// startTime bounds the start of the fleet, and settleTime the wait until all gateways are ready at the end.
@@ -278,25 +281,25 @@
 	defer s.mu.Unlock()
 	s.version += 1 + s.version%3
 	s.extra = fmt.Sprintf("/extra-%d/", s.version)
-	var routes []map[string]any
+	table := &mapper.Table{
+		Version:       uint64(s.version),
+		Services:      map[string]mapper.Service{plainService: {}, engineService: {Engine: true}},
+		Organisations: map[string]*mapper.Organisation{key: {Name: organisation}},
+	}
 	for _, k := range append(kinds, kind{path: s.extra, service: plainService, once: true}) {
-		r := map[string]any{
-			"Name": k.path, "Host": host, "PathPrefix": k.path, "Kind": "idempotent", "TimeoutMs": callerPatience.Milliseconds(),
-			"Service": k.service, "MaxAttempts": maxAttempts, "TargetLatencyMs": 100, "GapTargetMs": 100,
+		r := mapper.Route{
+			Name: k.path, Host: host, Prefix: k.path, Kind: mapper.Idempotent, Timeout: callerPatience, Attempts: maxAttempts,
+			Target: routeTarget, Gap: routeTarget, Shares: []mapper.Share{{Service: k.service}},
 		}
 		switch {
 		case k.events > 0:
-			r["Kind"], r["StreamResumption"], r["SessionAffinity"] = "streaming", !k.once, true
+			r.Kind, r.Resumable, r.Chat = mapper.Stream, !k.once, true
 		case k.once:
-			r["Kind"] = "non_idempotent"
+			r.Kind = mapper.NonIdempotent
 		}
-		routes = append(routes, r)
+		table.Routes = append(table.Routes, r)
 	}
-	s.store.PutJSON("op/config", map[string]any{
-		"Version": s.version, "Routes": routes,
-		"Services": []map[string]any{{"Name": plainService}, {"Name": engineService, "InferenceEngine": map[string]any{}}},
-		"Tenants":  []map[string]any{{"Name": organisation, "ApiKeys": []string{key}}},
-	})
+	s.store.Configure(table)
 }
 
 // note keeps an attempt of a caller.
