--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -17,6 +17,7 @@
 	"clementineramp/gatekeeper"
 	"clementineramp/loader"
 	"clementineramp/logger"
+	"clementineramp/mapper"
 	"clementineramp/platform"
 	"clementineramp/platform/imitator"
 )
@@ -83,16 +84,17 @@
 }
 
 func (f *fleet) configure(version int, paths ...string) {
-	var routes []map[string]any
+	table := &mapper.Table{
+		Version: uint64(version), Services: map[string]mapper.Service{"s": {}},
+		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
+	}
 	for _, p := range paths {
-		routes = append(routes, map[string]any{
-			"Name": p, "Host": "h", "PathPrefix": p, "Kind": "non_idempotent", "TimeoutMs": 20000, "Service": "s", "MaxAttempts": 1,
+		table.Routes = append(table.Routes, mapper.Route{
+			Name: p, Host: "h", Prefix: p, Kind: mapper.NonIdempotent, Timeout: 20 * time.Second, Attempts: 1,
+			Shares: []mapper.Share{{Service: "s"}},
 		})
 	}
-	f.store.PutJSON("op/config", map[string]any{
-		"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "s"}},
-		"Tenants": []map[string]any{{"Name": "o", "ApiKeys": []string{"key"}}},
-	})
+	f.store.Configure(table)
 }
 
 func (f *fleet) upstream(id string, handle http.HandlerFunc) *imitator.Upstream {
