--- a/agent/order.go
+++ b/agent/order.go
@@ -227,7 +227,10 @@
 	// Once sent, the call continues after the router has disconnected, so that its outcome is known for a retry.
 	ctx, cancel := context.WithTimeout(a.lifetime, callTimeout)
 	defer cancel()
-	response, err := a.service.Call(ctx, service.Request{Method: c.method, Path: c.path, Header: c.header, Body: c.body})
+	response, err := a.service.Call(ctx, service.Request{
+		Method: c.method, Path: c.path, Header: c.header, Body: c.body,
+		OnSent: func() { a.cfg.Log.Info("call_sent", "request", c.env.RequestID) },
+	})
 	if err != nil {
 		var judged *judge.Error
 		if errors.As(err, &judged) {
--- a/service/service.go
+++ b/service/service.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"clementineramp/encoder"
@@ -38,6 +40,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// OnSent is called when the start of the request has been written to the connection; nil means no call.
+	OnSent func()
 }
 
 // Idempotent reports whether the call is GET or HEAD and can therefore be sent again without a further effect.
@@ -68,6 +72,14 @@
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = defaultMaxBytes
 	}
+	dial := cfg.Dial
+	cfg.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &notifyingConn{Conn: conn}, nil
+	}
 	return &Client{
 		cfg:    cfg,
 		pooled: newHTTPClient(&http.Transport{DialContext: cfg.Dial, DisableCompression: true, IdleConnTimeout: 30 * time.Second}),
@@ -75,6 +87,24 @@
 	}
 }
 
+// notifyingConn calls a function once after its next successful write. The trace hook WroteRequest of net/http does not
+// serve: it is called before the buffer of the connection is flushed.
+type notifyingConn struct {
+	net.Conn
+	onWrite atomic.Pointer[func()]
+}
+
+// Write writes to the connection and then calls the function, if there is one.
+func (c *notifyingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err == nil {
+		if f := c.onWrite.Swap(nil); f != nil {
+			(*f)()
+		}
+	}
+	return n, err
+}
+
 // newHTTPClient returns an HTTP client that does not follow redirects.
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{Transport: t, CheckRedirect: encoder.NoRedirect}
@@ -120,6 +150,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.OnSent != nil {
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(info httptrace.GotConnInfo) {
+				if conn, ok := info.Conn.(*notifyingConn); ok {
+					conn.onWrite.Store(&r.OnSent)
+				}
+			},
+		}))
+	}
 	req.ContentLength = int64(len(r.Body))
 	req.Header = encoder.EndToEnd(r.Header)
 	return req, nil
