prover: engines that load a model are not in service

One run of TestMatrix/placement in six failed with load_bound (34 tokens, mean at most 11). Trace of placement/decide/platform_stale: engine-2 loads the next version until 4.5 s, engine-1 from 6.0 s; at 6.2 s both routers have only engine-3 left, which admits both chats. The agent's mean is right: the two others accept no request. The check divided by all three engines.

--- a/prover/check.go
+++ b/prover/check.go
@@ -120,7 +120,8 @@
 }
 
 // largestMean returns an upper limit of the mean load in tokens between from and to: the largest demand in that time,
-// divided by the smallest number of engines in service in that time.
+// divided by the smallest number of engines in service in that time. An engine that loads a model at any point in that
+// time is not in service, because an agent may still have the report that the engine is not ready.
 func (k *checker) largestMean(from, to time.Time) float64 {
 	j := k.journal
 	times := []time.Time{from, to}
@@ -134,7 +135,7 @@
 	for _, t := range times {
 		if !t.Before(from) && !t.After(to) {
 			largest = max(largest, k.demand(t))
-			least = min(least, k.inService(t))
+			least = min(least, k.inService(t, from, to))
 		}
 	}
 	return largest / float64(max(least, 1))
@@ -160,8 +161,9 @@
 	return work
 }
 
-// inService returns the number of engines that at time t are neither hit by a fault nor leaving.
-func (k *checker) inService(t time.Time) int {
+// inService returns the number of engines that at time t are neither hit by a fault nor leaving, and that load no model
+// between from and to.
+func (k *checker) inService(t, from, to time.Time) int {
 	n := 0
 	for i := range k.journal.Engines {
 		name := demonstrator.EngineName(i)
@@ -169,6 +171,9 @@
 		for _, l := range k.journal.Leaving {
 			unavailable = unavailable || l.Process == name && l.covers(t)
 		}
+		for _, l := range k.journal.Loading {
+			unavailable = unavailable || l.Process == name && l.overlaps(from, to)
+		}
 		if !unavailable {
 			n++
 		}
--- a/prover/journal.go
+++ b/prover/journal.go
@@ -110,7 +110,9 @@
 	// Faults, Leaving and Stops are the times during which a fault hit a process, an upstream was leaving, and a
 	// process was shutting down gracefully.
 	Faults, Leaving, Stops []Interval
-	Samples                []Sample
+	// Loading holds the times during which an engine loaded a model and accepted no requests.
+	Loading []Interval
+	Samples []Sample
 	// Published is when the newest configuration was published, or zero if none was; Version is its version.
 	Published time.Time
 	Version   uint64
--- a/prover/run.go
+++ b/prover/run.go
@@ -534,6 +534,9 @@
 	}
 	for _, e := range c.fleet.Engines {
 		j.Runs = append(j.Runs, e.Runs()...)
+		for _, l := range e.Loads() {
+			j.Loading = append(j.Loading, Interval{Process: e.Name(), From: l.From, To: l.To})
+		}
 	}
 	for _, s := range c.fleet.Workers {
 		j.Executions = append(j.Executions, s.Executions()...)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -74,6 +75,12 @@
 	Crashed bool `json:"crashed,omitempty"`
 }
 
+// Load is one load of a model: the time from From to To during which the engine accepts no requests. A zero To means
+// that it has not ended.
+type Load struct {
+	From, To time.Time
+}
+
 // Engine is a stand-in model engine with batching, a prefix cache and deterministic answers.
 type Engine struct {
 	cfg    EngineConfig
@@ -87,6 +94,7 @@
 	controller  string
 	cache       *prefixCache
 	running     map[string]context.CancelFunc
+	loads       []Load
 	work        float64
 	maxWork     float64
 	waiting     []*waiter
@@ -164,6 +172,13 @@
 	return runs
 }
 
+// Loads returns the loads of models since the engine was created, in order.
+func (e *Engine) Loads() []Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loads)
+}
+
 // CachedTokens returns the number of prompt tokens in the engine's cache, without marking them as recently used.
 func (e *Engine) CachedTokens(messages []encoder.Message) int {
 	e.mu.Lock()
@@ -254,10 +269,13 @@
 	e.ready = false
 	e.controller = o.Controller
 	e.cache.clear()
+	n := len(e.loads)
+	e.loads = append(e.loads, Load{From: time.Now()})
 	e.mu.Unlock()
 	time.Sleep(e.cfg.LoadTime)
 	e.mu.Lock()
 	e.model, e.version, e.ready = o.Model, o.Version, true
+	e.loads[n].To = time.Now()
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
