--- a/agent/agent.go
+++ b/agent/agent.go
@@ -136,6 +136,8 @@
 	running          atomic.Int64
 	// lastOrderAt is the arrival time of the latest ticket request or order; nil before the first.
 	lastOrderAt atomic.Pointer[time.Time]
+	// listedSince is when settling first saw a host list; nil before.
+	listedSince atomic.Pointer[time.Time]
 }
 
 // New returns an agent, or an error if a part of it cannot be set up. Run must be called for it to become ready, and
--- a/agent/redirect_test.go
+++ b/agent/redirect_test.go
@@ -16,6 +16,7 @@
 	"clementineramp/configurer"
 	"clementineramp/encoder"
 	"clementineramp/forwarder"
+	"clementineramp/judge"
 	"clementineramp/standin"
 	"clementineramp/tracker"
 )
@@ -117,3 +118,39 @@
 	require.Equal(t, "engine-1", h.sendTurn(1, false, nil))
 	require.NotEqual(t, "engine-1", h.sendTurn(1, true, nil), "the engine with the prefix is above its load limit while it runs 400 tokens")
 }
+
+// Guards against an agent that takes its own load for the mean of its pool: right after a restart it has neither a host
+// list nor a report of a peer, while its engine may still run requests of its predecessor.
+func TestUnsettledAgentRunsOneRequestAtATime(t *testing.T) {
+	for name, c := range map[string]struct {
+		view    []chooser.Upstream
+		refused bool
+	}{
+		"no host list":                {nil, true},
+		"peers without known load":    {make([]chooser.Upstream, 3), true},
+		"the only engine of its pool": {make([]chooser.Upstream, 1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newTestAgent(t, tracker.Load{}, c.view)
+			ctx, cancel := context.WithCancel(context.Background())
+			running, done := make(chan struct{}), make(chan struct{})
+			body := encoder.ChatRequest{Model: "m", MaxTokens: 400, RequestID: "first", Messages: []encoder.Message{{Role: "user", Content: "q"}}}
+			go func() {
+				defer close(done)
+				_ = h.client.Chat(ctx, h.address, encoder.Envelope{RequestID: "first", Organisation: "o", ChatKey: 1, DeadlineMS: 5000}, body,
+					func(http.Header) { close(running) }, func(encoder.Event) error { return nil })
+			}()
+			<-running
+			body.RequestID = "second"
+			err := h.client.Chat(ctx, h.address, encoder.Envelope{RequestID: "second", Organisation: "o", ChatKey: 2, DeadlineMS: 5000}, body,
+				func(http.Header) {}, func(encoder.Event) error { return context.Canceled })
+			if c.refused {
+				require.Equal(t, judge.ReasonLoadBound, judge.ReasonOf(err))
+			} else {
+				require.ErrorIs(t, err, context.Canceled)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
