loader: gateways start with any number that the platform fills in

Values that the platform fills in may now have fractions and exponents; those out of range are brought to the nearest usable value with one log line, setting_adjusted. Wrong types and missing fields are refused as before, and settings check stays strict.

--- a/commander/settings.go
+++ b/commander/settings.go
@@ -79,7 +79,7 @@
 // loadSettings returns the effective settings as JSON, and the role and name of the process.
 func loadSettings(file string, gateway bool) (effective, summary string, err error) {
 	if gateway {
-		s, err := loader.LoadGateway(file)
+		s, err := loader.CheckGateway(file)
 		if err != nil {
 			return "", "", err
 		}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -188,7 +188,7 @@
 
 // shareBudgets sets this gateway's share of the extra retries that the settings allow the whole fleet.
 func (g *Gateway) shareBudgets() {
-	share := budgetMargin * float64(g.settings.Load().Retries.Extra) / float64(g.gateways())
+	share := budgetMargin * g.settings.Load().Retries.Extra / float64(g.gateways())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.budgets {
@@ -386,7 +386,7 @@
 // RunFile runs the gateway of a settings file until ctx ends, and logs to out. It reloads the file at each value
 // received from reload.
 func RunFile(ctx context.Context, file string, reload <-chan os.Signal, out io.Writer) error {
-	settings, err := loader.LoadGateway(file)
+	settings, adjustments, err := loader.LoadGateway(file)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -394,7 +394,14 @@
 	writer := logger.NewAsync(out)
 	defer writer.Close()
 	log := logger.New(logger.Config{Level: settings.LogLevel, Output: writer})
+	logAdjustments(log, adjustments)
 	g := New(Config{Settings: settings, Log: log})
 	go g.watchFile(ctx, file, reload)
 	return g.Run(ctx)
 }
+
+func logAdjustments(log hclog.Logger, adjustments []loader.Adjustment) {
+	for _, a := range adjustments {
+		log.Warn("setting_adjusted", "problem", a.Problem.String(), "used", a.Used)
+	}
+}
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -81,11 +81,12 @@
 			}
 		}
 		lastModTime = modTime(file)
-		settings, err := loader.LoadGateway(file)
+		settings, adjustments, err := loader.LoadGateway(file)
 		if err != nil {
 			g.log.Error("reload_refused", "file", file, "error", err.Error())
 			continue
 		}
+		logAdjustments(g.log, adjustments)
 		g.Reload(settings)
 	}
 }
--- a/loader/decode.go
+++ b/loader/decode.go
@@ -22,6 +22,9 @@
 	offsets map[string]int
 	// invalid holds the paths of fields with a problem, so that no later check relies on their values.
 	invalid map[string]bool
+	// strict makes values out of range problems; otherwise adjustments holds those that were brought into range.
+	strict      bool
+	adjustments []Adjustment
 }
 
 // addProblem records a problem of a field at its position, or at that of the nearest enclosing object in the file.
@@ -32,15 +35,19 @@
 
 // addProblemAt records a problem at a byte offset of the file and does not mark the field as invalid.
 func (d *decoder) addProblemAt(offset int, path, message, allowed string) {
+	d.problems = append(d.problems, d.problemAt(offset, path, message, allowed))
+}
+
+func (d *decoder) problemAt(offset int, path, message, allowed string) Problem {
 	before := d.data[:offset]
-	d.problems = append(d.problems, Problem{
+	return Problem{
 		File:    d.file,
 		Line:    1 + bytes.Count(before, []byte("\n")),
 		Column:  offset - bytes.LastIndexByte(before, '\n'),
 		Field:   path,
 		Message: message,
 		Allowed: allowed,
-	})
+	}
 }
 
 // offsetOf returns the offset of a field, or of the nearest enclosing object in the file.
@@ -109,9 +116,26 @@
 		d.addProblem(path, "is "+kindName(node.Value.Kind()), allowed(t, tag))
 		return
 	}
-	if err := parseScalar(lit, tag, out); err != nil {
+	if tag.Get("adjust") == "" {
+		if err := parseScalar(lit, tag, out); err != nil {
+			d.addProblem(path, err.Error(), allowed(t, tag))
+		}
+		return
+	}
+	adjusted, err := parseAdjustable(lit, tag, out)
+	if err != nil {
 		d.addProblem(path, err.Error(), allowed(t, tag))
 	}
+	if !adjusted {
+		return
+	}
+	message := truncate(lit.String()) + " is out of range"
+	if d.strict {
+		d.addProblem(path, message, allowed(t, tag))
+		return
+	}
+	problem := d.problemAt(d.offsetOf(path), path, message, allowed(t, tag))
+	d.adjustments = append(d.adjustments, Adjustment{Problem: problem, Used: fmt.Sprint(out.Interface())})
 }
 
 // decodeList decodes a list, whose elements must be distinct.
--- a/loader/load.go
+++ b/loader/load.go
@@ -66,14 +66,15 @@
 // parse decodes settings as Parse does, but with a nil env it looks up no variable and reports no problem for it.
 func parse(file string, data []byte, env Env) (*Settings, error) {
 	s := &Settings{}
-	if err := decode(file, data, s, func(d *decoder) { d.checkSettings(s, env) }); err != nil {
+	if err := decode(file, data, s, true, func(d *decoder) { d.checkSettings(s, env) }); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// decode fills settings of any type from their text; check records the problems that concern more than one field.
-func decode[T any](file string, data []byte, s *T, check func(d *decoder)) error {
+// decode fills settings of any type from their text; check records the problems that concern more than one field. If
+// strict is true, values that could be adjusted are problems.
+func decode[T any](file string, data []byte, s *T, strict bool, check func(d *decoder)) error {
 	if len(data) > maxFileBytes {
 		return Problems{{
 			File: file, Line: 1, Column: 1, Message: "the file is too large",
@@ -87,7 +88,7 @@
 	out := reflect.ValueOf(s).Elem()
 	applyDefaults(out)
 	d := &decoder{
-		settingsType: reflect.TypeFor[T](), file: file, data: data,
+		settingsType: reflect.TypeFor[T](), file: file, data: data, strict: strict,
 		offsets: map[string]int{"": root.StartOffset}, invalid: map[string]bool{},
 	}
 	d.decodeObject("", root, out)
