connector, proxier: bounds on what an upstream sends in place of a response

An upstream that sent a head without end took the memory of a gateway (over 1 GB in 8 s), because only the deadline of the caller bounded it; interim responses were skipped without limit, each byte of a stream counted as progress, and the body of a refusal was read to the end of the request. Heads now have 64 KiB and 2 s from their first byte, interim responses a limit of 8, bytes of a stream that complete no event 64 KiB, a response without a declared length 4 MiB, and a body that is read only to keep its connection 64 KiB and 2 s. Past a bound the connection is closed and the upstream counts as broken. The timer of a stream waits for events with an ID.

A stream that was resumed at an upstream which answers with something else got that body in the middle of it and then looked complete (TestResumptionWithAnotherKindOfResponse, seen to fail); it now breaks off or goes to a third upstream.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -17,14 +17,27 @@
 	// maxInlineBody is the size up to which a body is written before the response is read; larger ones are written
 	// concurrently with it, because an upstream may respond before it has read a long body.
 	maxInlineBody = 4 << 10
-	// maxStaleBytes bounds the body of a response to an earlier request that is discarded.
-	maxStaleBytes = 256 << 10
+	// maxHeadBytes bounds the heads received in one exchange, those of interim responses and of responses to earlier
+	// requests included.
+	maxHeadBytes = 64 << 10
+	// maxDrainBytes bounds the body of a response that is read only to reuse the connection.
+	maxDrainBytes = 64 << 10
+	// maxInterimResponses bounds the interim responses (1xx) in one exchange.
+	maxInterimResponses = 8
 	// maxStaleResponses bounds the responses to earlier requests that are discarded before the exchange fails.
 	maxStaleResponses = 3
 	// readBuffer is the size of the read buffer, which holds the header of a response and a few events.
 	readBuffer = 4 << 10
 )
 
+var (
+	errHeadTooLong   = errors.New("the head of the response is too long")
+	errTooManyHeads  = errors.New("too many interim responses")
+	errStale         = errors.New("connection carries responses to other requests")
+	errDrainTooLong  = errors.New("the rest of the response is too long to be discarded")
+	errUnframedDrain = errors.New("the end of the response is unknown")
+)
+
 // Request is one request to an upstream.
 type Request struct {
 	Method string
@@ -82,7 +95,12 @@
 	upstream string
 	nc       net.Conn
 	br       *bufio.Reader
-	reused   bool
+	// headBytes is the number of bytes that may still be read as part of a head; it is negative while a body is read,
+	// whose readers have their own bounds.
+	headBytes int
+	// headTimeout bounds the time from the first byte of a head to its last, and that to discard a body.
+	headTimeout time.Duration
+	reused      bool
 	// receivedStale means that a response to another request was received; the connection is then not reused.
 	receivedStale bool
 	idleTimeout   time.Duration
@@ -93,8 +111,26 @@
 	bodyWritten chan struct{}
 }
 
-func newConn(upstream string, nc net.Conn) *conn {
-	return &conn{upstream: upstream, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}
+func newConn(upstream string, nc net.Conn, headTimeout time.Duration) *conn {
+	c := &conn{upstream: upstream, nc: nc, headTimeout: headTimeout}
+	c.br = bufio.NewReaderSize((*connReader)(c), readBuffer)
+	return c
+}
+
+// connReader reads from the connection of a conn within its bound for heads.
+type connReader conn
+
+// Read reads from the connection, or fails if the bytes left for a head have been used up.
+func (r *connReader) Read(b []byte) (int, error) {
+	if r.headBytes < 0 {
+		return r.nc.Read(b)
+	}
+	if r.headBytes == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.nc.Read(b[:min(len(b), r.headBytes)])
+	r.headBytes -= n
+	return n, err
 }
 
 // Do sends a request and returns the first response for which match is true; responses to earlier requests are
@@ -155,29 +191,76 @@
 
 // receive reads responses up to the one for which match is true.
 func (c *conn) receive(method string, match func(status int, h http.Header) bool) (*http.Response, error) {
-	for stale := 0; ; {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	c.headBytes = maxHeadBytes
+	left := c.headBytes
+	for interim, stale := 0, 0; ; {
+		c.headBytes = left
+		resp, err := c.readHead(method)
 		if err != nil {
 			return nil, err
 		}
+		left, c.headBytes = c.headBytes, -1
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			if interim++; interim > maxInterimResponses {
+				return nil, errTooManyHeads
+			}
 			continue
 		}
 		if match(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		c.receivedStale = true
-		stale++
-		if stale > maxStaleResponses || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, errors.New("connection carries responses to other requests")
+		if stale++; stale > maxStaleResponses {
+			return nil, errStale
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes))
-		if err != nil || n == maxStaleBytes {
-			return nil, errors.New("connection carries an unreadable response to another request")
+		if err := c.drain(resp, resp.Body); err != nil {
+			return nil, fmt.Errorf("discarding a response to another request: %w", err)
 		}
 	}
 }
 
+// readHead reads the head of a response. It waits for the first byte as long as the connection is open, and then for at
+// most headTimeout.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, c.nc.SetReadDeadline(time.Time{})
+}
+
+// drain discards a body of at most maxDrainBytes within headTimeout.
+func (c *conn) drain(resp *http.Response, body io.Reader) error {
+	if !framed(resp) {
+		return errUnframedDrain
+	}
+	if resp.ContentLength > maxDrainBytes {
+		return errDrainTooLong
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDrainBytes+1))
+	if err != nil {
+		return err
+	}
+	if n > maxDrainBytes {
+		return errDrainTooLong
+	}
+	return c.nc.SetReadDeadline(time.Time{})
+}
+
+// framed reports whether a response has a content length or chunked encoding, rather than ending with its connection.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // Read reads the body; io.EOF means that the response is complete, or, if Framed is false, that the connection was closed.
 func (e *Exchange) Read(b []byte) (int, error) {
 	n, err := e.Body.Read(b)
@@ -192,9 +275,24 @@
 
 // Framed reports whether the response has a content length or chunked encoding, rather than ending with its connection.
 func (e *Exchange) Framed() bool {
-	return e.ContentLength >= 0 || len(e.TransferEncoding) > 0
+	return framed(e.Response)
+}
+
+// Drain discards a short body so that the connection can be reused, and fails if the body is long or late.
+func (e *Exchange) Drain() error {
+	err := e.conn.drain(e.Response, readerFunc(e.Read))
+	if err != nil {
+		e.broken = true
+	}
+	return err
 }
 
+// readerFunc is an io.Reader that calls a function.
+type readerFunc func([]byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
 // SetIdleTimeout sets the time after which the upstream closes the connection if it is idle; zero means unknown, and
 // the idle timeout of the pool applies.
 func (e *Exchange) SetIdleTimeout(d time.Duration) {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -14,6 +14,9 @@
 	DefaultDialTimeout = 300 * time.Millisecond
 	// DefaultIdleTimeout is the time for which an idle connection is kept if the upstream announces no timeout.
 	DefaultIdleTimeout = 2 * time.Second
+	// DefaultHeadTimeout bounds the time from the first byte of a response's head to its last. A head has a few hundred
+	// bytes; a lost packet is sent again within a second.
+	DefaultHeadTimeout = 2 * time.Second
 	// idleMargin is subtracted from the upstream's own idle timeout, so that a connection is not reused at the moment
 	// at which the upstream closes it.
 	idleMargin = 800 * time.Millisecond
@@ -30,6 +33,8 @@
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
+	// HeadTimeout bounds the time to receive the head of a response from its first byte on, and to discard a body.
+	HeadTimeout time.Duration
 	// OnDial, if not nil, is called after each dial with its duration and error.
 	OnDial func(upstream string, took time.Duration, err error)
 }
@@ -69,6 +74,9 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
+	if cfg.HeadTimeout == 0 {
+		cfg.HeadTimeout = DefaultHeadTimeout
+	}
 	if cfg.Dial == nil {
 		d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: KeepAlive}
 		cfg.Dial = d.DialContext
@@ -108,7 +116,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return newConn(t.Upstream, nc), nil
+	return newConn(t.Upstream, nc, p.cfg.HeadTimeout), nil
 }
 
 // takeIdle returns the most recently used idle connection. If there is none, it returns nil and counts a new connection
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 	// nextTable is the configuration that becomes available while a request waits for the first one.
 	nextTable *mapper.Table
 	confirmed time.Time
-	budget    int
+	budget    atomic.Int64
 	refusing  proxier.RefusalMode
 	upstreams []*imitator.Upstream
 	view      registrar.View
@@ -50,7 +51,8 @@
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
 func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
-	f := &fixture{t: t, confirmed: time.Now(), budget: 100, crashes: blocker.New(), health: appraiser.New(appraiser.Config{})}
+	f := &fixture{t: t, confirmed: time.Now(), crashes: blocker.New(), health: appraiser.New(appraiser.Config{})}
+	f.budget.Store(100)
 	f.view.ByService = map[string][]registrar.Upstream{}
 	for i, h := range handlers {
 		u := &imitator.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Handle: h}
@@ -90,10 +92,7 @@
 			}
 			return f.table != nil
 		},
-		AllowRetry: func(string) bool {
-			f.budget--
-			return f.budget >= 0
-		},
+		AllowRetry:   func(string) bool { return f.budget.Add(-1) >= 0 },
 		CountRequest: func(string) {}, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() proxier.RefusalMode { return f.refusing },
 		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
@@ -210,7 +209,7 @@
 
 func TestRetryBudgetBoundsRetries(t *testing.T) {
 	f := newFixture(t, imitator.ResetConnection, nil)
-	f.budget = 0
+	f.budget.Store(0)
 	require.Equal(t, 502, f.do("GET", "/read/", "").status)
 	require.Equal(t, 1, f.runs())
 }
@@ -218,7 +217,7 @@
 func TestUnreachableUpstreamCostsNoRetry(t *testing.T) {
 	f := newFixture(t, nil, nil)
 	f.upstreams[0].Close()
-	f.budget = 0
+	f.budget.Store(0)
 	r := f.do("POST", "/order/", "body")
 	require.Equal(t, 200, r.status, f.log.String())
 	require.Equal(t, appraiser.Unreachable, f.health.Health("u0", time.Now()))
@@ -239,7 +238,7 @@
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	for _, path := range []string{"/stream/", "/resume/"} {
 		f := newFixture(t, imitator.Events(9, 4), imitator.Events(9, 4))
-		f.budget = 0
+		f.budget.Store(0)
 		r := f.do("POST", path, "body")
 		require.Error(t, r.err)
 		require.Equal(t, 200, r.status)
@@ -248,6 +247,22 @@
 	}
 }
 
+// Guards against a response that is no stream being sent in the middle of one, when the upstream that resumes it answers
+// with something else.
+func TestResumptionWithAnotherKindOfResponse(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{
+		"plain success": imitator.Plain("plain body"), "client error": imitator.Status(404), "server error": imitator.Status(500),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, imitator.Events(3, 1), second)
+			r := f.do("POST", "/resume/", "body")
+			require.Error(t, r.err, "the stream looks complete")
+			require.Equal(t, "id: 1\ndata: token-1\n\n", r.body)
+			require.Equal(t, 2, f.runs())
+		})
+	}
+}
+
 func TestRoutingAndAuthorisation(t *testing.T) {
 	for _, c := range []struct {
 		name, path string
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -21,9 +21,12 @@
 const (
 	// maxBufferedResponse is the size up to which a response that is no stream is buffered before any of it is sent to
 	// the caller.
-	maxBufferedResponse = 256 << 10
-	// maxEventBytes bounds one event; typical events have a few hundred bytes.
-	maxEventBytes = 1 << 20
+	maxBufferedResponse = 64 << 10
+	// maxStrayBytes bounds the bytes of a stream since the last complete event with an ID. Typical events have a few
+	// hundred bytes.
+	maxStrayBytes = 64 << 10
+	// maxUnsizedResponse bounds a response that is no stream and whose length the upstream has not declared.
+	maxUnsizedResponse = 4 << 20
 	// relayBuffer is the size of the read buffer, which holds several events.
 	relayBuffer = 8 << 10
 )
@@ -72,6 +75,13 @@
 	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream:
 		j.runs++
 		return j.relayStream(ctx, u, e, timer)
+	case j.stream.started:
+		// Nothing but the rest of the stream may follow what the caller has already received.
+		j.runs++
+		if e.StatusCode >= http.StatusInternalServerError {
+			j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
+		}
+		return mayHaveRun, nil, errors.New("upstream did not resume the stream, its status is " + strconv.Itoa(e.StatusCode))
 	}
 	j.runs++
 	timer.stop()
@@ -81,7 +91,7 @@
 // handleTurnedAway classifies a response that states that the upstream has not run the request.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
 	// The body is read only so that the connection can be reused.
-	if _, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedResponse)); err != nil {
+	if err := e.Drain(); err != nil {
 		j.p.instruments.upstreamBroken.Inc(1)
 	}
 	// An upstream that refuses because its slots are in use is not unhealthy.
@@ -123,9 +133,12 @@
 	j.writeHeader(e.StatusCode, EndToEnd(e.Header), e.ContentLength)
 	_, err := j.w.Write(head)
 	if err == nil {
-		_, err = io.Copy(j.w, e)
+		err = j.copyRest(e)
 	}
 	if err != nil {
+		if errors.Is(err, errResponseTooLong) {
+			j.p.cfg.Health.Record(u.ID, appraiser.Broken, time.Now())
+		}
 		j.abort(judge.ReasonBroken, "response broke off after its first bytes were sent: "+err.Error())
 	}
 	j.p.cfg.Health.Record(u.ID, appraiser.Served, time.Now())
@@ -133,6 +146,21 @@
 	return done, nil, nil
 }
 
+var errResponseTooLong = errors.New("the response has no declared length and does not end")
+
+// copyRest forwards the rest of a body, up to maxUnsizedResponse if its length is not declared.
+func (j *job) copyRest(e *connector.Exchange) error {
+	if e.ContentLength >= 0 {
+		_, err := io.Copy(j.w, e)
+		return err
+	}
+	n, err := io.Copy(j.w, io.LimitReader(e, maxUnsizedResponse))
+	if err == nil && n == maxUnsizedResponse {
+		return errResponseTooLong
+	}
+	return err
+}
+
 // writeBuffered sends the caller a complete response of an upstream.
 func (j *job) writeBuffered(b *bufferedResponse) {
 	if impliesNotRun(b.status) && b.ran && !j.idempotent() {
@@ -178,20 +206,26 @@
 		j.stream.lastEvent = j.LastEvent
 	}
 	var pending []byte
+	stray := 0
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
 		if n > 0 {
 			pending = append(pending, chunk[:n]...)
-			timer.reset()
+			stray += n
 			if end := endOfEvents(pending); end > 0 {
+				if lastID(pending[:end]) != "" {
+					// Only events with an ID are progress: comments and blank lines may come without end.
+					stray = len(pending) - end
+					timer.reset()
+				}
 				if !j.forwardEvents(e, pending[:end]) {
 					return mayHaveRun, nil, errors.New("caller disconnected")
 				}
 				pending = append(pending[:0], pending[end:]...)
 			}
-			if len(pending) > maxEventBytes {
-				err = errors.New("stream event too long")
+			if stray > maxStrayBytes {
+				err = errStrayBytes
 			}
 		}
 		if err == nil {
@@ -201,6 +235,8 @@
 	}
 }
 
+var errStrayBytes = errors.New("the stream carries bytes that are no events")
+
 // handleStreamEnd classifies the end of a stream; err is the error of the last read and pending an incomplete event.
 func (j *job) handleStreamEnd(
 	ctx context.Context, u registrar.Upstream, e *connector.Exchange, pending []byte, err error,
