--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -1,6 +1,10 @@
 package blocker
 
 import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +21,8 @@
 	// maxSuspected is the maximum number of suspected requests that are kept. A crash makes all requests that the upstream
 	// was running suspected, which are up to 64.
 	maxSuspected = 4096
+	// maxLogs bounds the routers whose reports are kept.
+	maxLogs = 4096
 )
 
 // Fingerprint identifies a request by the parts that stay the same when its caller retries it.
@@ -30,25 +36,57 @@
 	return Fingerprint(d.Sum64())
 }
 
-// CrashReport is one crash of an upstream of which a request is suspected.
-type CrashReport struct {
-	Request  Fingerprint
-	Upstream string
-	// Age is the time since the crash.
-	Age time.Duration
+// Batch holds consecutive crash reports of one router, in columns: the element i of each list belongs to one crash. Reports
+// that have expired are left out.
+type Batch struct {
+	// Origin identifies the run of the router that recorded the crashes, and Last is the number of the last report.
+	Origin, Last uint64
+	Requests     []Fingerprint
+	// Upstreams holds hashes of the incarnations that crashed.
+	Upstreams []uint32
+	// AgesMS holds the times since the crashes in milliseconds.
+	AgesMS []uint32
+}
+
+// valid reports whether the columns of a batch have the same length, which is within the bound of a log.
+func (b *Batch) valid() bool {
+	n := len(b.Requests)
+	return b.Origin != 0 && n <= maxSuspected && len(b.Upstreams) == n && len(b.AgesMS) == n
 }
 
 // Blocker keeps the crash reports of suspected requests; it is safe for concurrent use.
 type Blocker struct {
+	// origin identifies the reports that this Blocker records itself.
+	origin uint64
+
 	mu sync.Mutex
-	// crashes maps each suspected request to the upstreams that crashed while running it, with the times of their last
+	// crashes maps each suspected request to the incarnations that crashed while running it, with the times of their last
 	// such crashes.
-	crashes map[Fingerprint]map[string]time.Time
+	crashes map[Fingerprint]map[uint32]time.Time
+	// logs holds the reports of each router, so that peers are sent only those that they lack.
+	logs map[uint64]*crashLog
+}
+
+// crashLog holds the reports of one router in the order of their numbers.
+type crashLog struct {
+	reports []crashReport
+	// last is the number of the last report that was received, which may have expired.
+	last uint64
+}
+
+type crashReport struct {
+	number   uint64
+	request  Fingerprint
+	upstream uint32
+	at       time.Time
 }
 
 // New returns a Blocker without crash reports.
 func New() *Blocker {
-	return &Blocker{crashes: make(map[Fingerprint]map[string]time.Time)}
+	return &Blocker{
+		origin:  rand.Uint64() | 1, // Zero is no origin.
+		crashes: make(map[Fingerprint]map[uint32]time.Time), logs: make(map[uint64]*crashLog),
+	}
 }
 
 // RecordCrash records that a request was running at an upstream when its connection broke. It returns the number of
@@ -56,19 +94,34 @@
 func (t *Blocker) RecordCrash(f Fingerprint, upstream string, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(f, upstream, now)
+	own := t.log(t.origin)
+	own.last++
+	t.add(own, crashReport{number: own.last, request: f, upstream: uint32(xxhash.Sum64String(upstream)), at: now})
 	return len(t.crashes[f])
 }
 
-func (t *Blocker) record(f Fingerprint, upstream string, at time.Time) {
-	if len(t.crashes) >= maxSuspected && t.crashes[f] == nil {
-		return // There is no room until Reports removes expired crashes.
+// log returns the log of a router, which is created on first use.
+func (t *Blocker) log(origin uint64) *crashLog {
+	l := t.logs[origin]
+	if l == nil {
+		l = &crashLog{}
+		t.logs[origin] = l
+	}
+	return l
+}
+
+// add appends a report to a log and records its crash. There is no room for further requests until expire removes old
+// ones.
+func (t *Blocker) add(l *crashLog, r crashReport) {
+	if len(l.reports) >= maxSuspected || len(t.crashes) >= maxSuspected && t.crashes[r.request] == nil {
+		return
 	}
-	if t.crashes[f] == nil {
-		t.crashes[f] = make(map[string]time.Time)
+	l.reports = append(l.reports, r)
+	if t.crashes[r.request] == nil {
+		t.crashes[r.request] = make(map[uint32]time.Time)
 	}
-	if at.After(t.crashes[f][upstream]) {
-		t.crashes[f][upstream] = at
+	if r.at.After(t.crashes[r.request][r.upstream]) {
+		t.crashes[r.request][r.upstream] = r.at
 	}
 }
 
@@ -89,32 +142,83 @@
 	return max(reportTTL-now.Sub(last), 0)
 }
 
-// Reports returns all crash reports, to be sent to the other routers, and removes those that have expired.
-func (t *Blocker) Reports(now time.Time) []CrashReport {
+// Known returns the number of the last report of each router, for a peer's ReportsSince. It removes expired reports.
+func (t *Blocker) Known(now time.Time) map[uint64]uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	var all []CrashReport
-	for f, crashes := range t.crashes {
-		for upstream, at := range crashes {
-			all = append(all, CrashReport{Request: f, Upstream: upstream, Age: now.Sub(at)})
+	known := make(map[uint64]uint64, len(t.logs))
+	for origin, l := range t.logs {
+		known[origin] = l.last
+	}
+	return known
+}
+
+// ReportsSince returns the reports that a peer lacks, which has those up to the given number of each router.
+func (t *Blocker) ReportsSince(known map[uint64]uint64, now time.Time) []Batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	var batches []Batch
+	for origin, l := range t.logs {
+		if l.last <= known[origin] {
+			continue
+		}
+		b := Batch{Origin: origin, Last: l.last}
+		first, _ := slices.BinarySearchFunc(l.reports, known[origin]+1, func(r crashReport, n uint64) int { return cmp.Compare(r.number, n) })
+		for _, r := range l.reports[first:] {
+			b.Requests = append(b.Requests, r.request)
+			b.Upstreams = append(b.Upstreams, r.upstream)
+			b.AgesMS = append(b.AgesMS, uint32(max(now.Sub(r.at), 0).Milliseconds()))
+		}
+		if len(b.Requests) > 0 {
+			batches = append(batches, b)
 		}
 	}
-	return all
+	return batches
 }
 
-// Merge adds the crash reports of another router.
-func (t *Blocker) Merge(reports []CrashReport, now time.Time) {
+// Merge adds the reports of another router. It returns an error for malformed batches, which it leaves out.
+func (t *Blocker) Merge(batches []Batch, now time.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, report := range reports {
-		if report.Age < reportTTL {
-			t.record(report.Request, report.Upstream, now.Add(-report.Age))
+	malformed := 0
+	for _, b := range batches {
+		if !b.valid() {
+			malformed++
+			continue
 		}
+		if t.logs[b.Origin] == nil && len(t.logs) >= maxLogs {
+			continue // There is room again once the logs of routers that are gone have expired.
+		}
+		l := t.log(b.Origin)
+		first := b.Last - uint64(len(b.Requests)) // Number of the report before the first; exact if none was left out.
+		known := l.last
+		for i, f := range b.Requests {
+			age := time.Duration(b.AgesMS[i]) * time.Millisecond
+			if number := first + uint64(i) + 1; number > known && age < reportTTL {
+				t.add(l, crashReport{number: number, request: f, upstream: b.Upstreams[i], at: now.Add(-age)})
+			}
+		}
+		l.last = max(l.last, b.Last)
+	}
+	if malformed > 0 {
+		return fmt.Errorf("%d of %d batches of crash reports are malformed", malformed, len(batches))
 	}
+	return nil
 }
 
 func (t *Blocker) expire(now time.Time) {
+	for origin, l := range t.logs {
+		expired := 0
+		for expired < len(l.reports) && now.Sub(l.reports[expired].at) >= reportTTL {
+			expired++
+		}
+		l.reports = l.reports[expired:]
+		if len(l.reports) == 0 && origin != t.origin {
+			delete(t.logs, origin)
+		}
+	}
 	for f, crashes := range t.crashes {
 		for upstream, at := range crashes {
 			if now.Sub(at) >= reportTTL {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,14 +30,16 @@
 	// minFailure is the time for which this process's own calls must have failed to count as an outage. It is shorter
 	// than minOutage because an unresponsive store is noticed up to 1.5 s late.
 	minFailure = 500 * time.Millisecond
-	// confirmationTimeout is the age of the last confirmation of the configuration at which a process that does not
-	// normally read the store schedules a read. It covers a watch, the header timeout of the store's client and an
-	// exchange between peers.
-	confirmationTimeout = 1700 * time.Millisecond
+	// spreadTime is the time that a confirmation takes at most from a reader to the other processes, over two exchanges
+	// between peers. One that has heard of no confirmation for this time and the duration of a watch schedules a read.
+	spreadTime = 1200 * time.Millisecond
 	// fallbackInterval is the mean interval between such fallback reads across the whole fleet.
 	fallbackInterval = 200 * time.Millisecond
 	// fallbackReadTime is the time for which a process keeps reading the store after starting a fallback read.
 	fallbackReadTime = 3 * time.Second
+	// batchTime is the pause after a watch that returned changes, so that changes in quick succession, such as many
+	// upstreams that start, take few calls.
+	batchTime = 100 * time.Millisecond
 	// readyPollInterval is the interval at which AwaitReady checks for readiness while requests wait for it.
 	readyPollInterval = 10 * time.Millisecond
 	// readerPollInterval is the interval at which a process that does not read the store checks whether it should.
@@ -76,6 +78,8 @@
 	// fallbackUntil the end of a fallback in progress. Only Run uses them.
 	fallbackAt    time.Time
 	fallbackUntil time.Time
+	// lastRead is the start of the last successful call of this process. Only Run uses it.
+	lastRead time.Time
 
 	mu       sync.Mutex
 	document platform.Document
@@ -160,9 +164,13 @@
 			continue
 		}
 		backoff = minBackoff
-		f.apply(changes, revision, started)
+		changed := f.apply(changes, revision, started)
 		f.callSucceeded(started)
+		f.lastRead = started
 		revision = changes.Revision
+		if changed {
+			pause(ctx, batchTime)
+		}
 	}
 }
 
@@ -174,16 +182,20 @@
 }
 
 // shouldRead reports whether this process should call the store now: because it reads on behalf of its peers, because
-// the configuration has not been confirmed within confirmationTimeout, or because a fallback read is in progress.
+// it has no list of upstreams yet, because the configuration has not been confirmed for too long, or because a fallback read is in progress.
 func (f *Follower) shouldRead(now time.Time) bool {
 	if f.cfg.Reader == nil || f.cfg.Reader() {
 		return true
 	}
-	if now.Sub(f.Current().Confirmed) < confirmationTimeout {
+	confirmed := f.Current().Confirmed
+	if f.lastRead.After(confirmed) {
+		confirmed = f.lastRead // There is no configuration yet, or it has been read by this process only.
+	}
+	if now.Sub(confirmed) < f.cfg.Wait+spreadTime {
 		f.fallbackAt = time.Time{}
 		return now.Before(f.fallbackUntil)
 	}
-	if f.Current().Table == nil {
+	if !f.cfg.Registry.Synced() {
 		return true
 	}
 	if f.fallbackAt.IsZero() {
@@ -197,14 +209,19 @@
 	return true
 }
 
-// apply applies the changes that the store returned; revision is the one that was watched from, or zero after a full
-// read.
-func (f *Follower) apply(c platform.Changes, revision uint64, started time.Time) {
+// apply applies the changes that the store returned, and reports whether there were any; revision is the one that was
+// watched from, or zero after a full read.
+func (f *Follower) apply(c platform.Changes, revision uint64, started time.Time) (changed bool) {
 	now := time.Now()
 	for _, key := range c.Unreadable {
 		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
 	}
 	f.detectOutageEnd(started)
+	confirmed := started
+	if empty := c.Configuration == nil && len(c.Upstreams) == 0 && len(c.Unreadable) == 0; empty && revision != 0 && now.Sub(started) >= f.cfg.Wait {
+		// The store responds to a watch without changes only at its end.
+		confirmed = started.Add(f.cfg.Wait)
+	}
 	// The configuration is applied before the upstreams, since the registry's complete revision means to peers that this
 	// process has all changes up to it, including those of the configuration.
 	updated := false
@@ -219,7 +236,8 @@
 	if updated && f.cfg.OnUpdate != nil {
 		f.cfg.OnUpdate()
 	}
-	f.Confirm(started)
+	f.Confirm(confirmed)
+	return updated
 }
 
 // sinceConfirmation returns the time from the last confirmation by this process or a peer until at; zero if there has
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -243,3 +244,46 @@
 		require.Greater(t, s.count(), before, "the store is not read although no peer confirms the configuration")
 	})
 }
+
+// Guards against a call to the store for each of many upstreams that start one after the other.
+func TestChangesInQuickSuccessionTakeFewCalls(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Revision: 5}}}
+	run(t, s, nil, func(_ *follower.Follower, r *registrar.Registry) {
+		s.set(func(s *state) {
+			s.calls = 0
+			for i := range uint64(20) {
+				s.next = append(s.next, platform.Changes{Revision: 6 + i, Upstreams: []registrar.Record{record(fmt.Sprint("u", i), 6+i)}})
+			}
+		})
+		time.Sleep(2 * time.Second)
+		s.set(func(s *state) { require.LessOrEqual(t, s.calls, 20) })
+		time.Sleep(2 * time.Second)
+		require.Len(t, r.View().ByService["s"], 20)
+	})
+}
+
+// Guards against processes that read the store themselves because confirmations reach them with the age of a whole watch.
+func TestEmptyWatchConfirmsItsEnd(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Revision: 5}}}
+	run(t, s, nil, func(f *follower.Follower, _ *registrar.Registry) {
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			require.LessOrEqual(t, time.Since(f.Current().Confirmed), follower.DefaultWait+150*time.Millisecond)
+		}
+		time.Sleep(follower.DefaultWait)
+		synctest.Wait()
+		require.Less(t, time.Since(f.Current().Confirmed), follower.DefaultWait)
+	})
+}
+
+// Guards against a fleet in which each process watches the store until the first configuration is published.
+func TestProcessThatIsNoReaderWaitsForFirstConfiguration(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Revision: 5}}}
+	run(t, s, func() bool { return false }, func(f *follower.Follower, _ *registrar.Registry) {
+		s.set(func(s *state) { s.calls = 0 })
+		time.Sleep(100 * time.Millisecond)
+		s.set(func(s *state) { require.Zero(t, s.calls) })
+		require.True(t, f.Adopt(*document(6, 1), time.Now(), "peer"))
+		require.True(t, f.Ready())
+	})
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -135,8 +135,9 @@
 		seeds = append(seeds, a.String())
 	}
 	g.relayer = relayer.New(relayer.Config{
-		Address: s.PeerListen.String(), Seeds: seeds, Link: s.Link, Readers: storeReaders,
-		Dial: g.cfg.Dial, Log: g.log.Named("relayer"),
+		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
+		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
+		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated },
 		State: relayer.State{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
@@ -181,14 +182,20 @@
 			// The settings have been validated; with a ratio of zero, only the extra retries remain.
 			b, _ = limiter.NewRetryBudget(limiter.RetryConfig{Floor: -1})
 		}
+		b.SetExtra(g.extraRetries())
 		g.budgets[service] = b
 	}
 	return b
 }
 
-// shareBudgets sets this gateway's share of the extra retries that the settings allow the whole fleet.
+// extraRetries returns this gateway's share of the extra retries that the settings allow the whole fleet.
+func (g *Gateway) extraRetries() float64 {
+	return budgetMargin * g.settings.Load().Retries.Extra / float64(g.gateways())
+}
+
+// shareBudgets updates the share of extra retries in each budget, which depends on the number of gateways.
 func (g *Gateway) shareBudgets() {
-	share := budgetMargin * g.settings.Load().Retries.Extra / float64(g.gateways())
+	share := g.extraRetries()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.budgets {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -107,6 +107,8 @@
 	reported      int
 	localAtReport int
 	reportedAt    time.Time
+	// heardHere is set if the upstream reported the load to this process, rather than to another gateway.
+	heardHere bool
 }
 
 // estimate returns the estimated number of requests at the upstream: those of this process, plus those of other
@@ -334,7 +336,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loadOf(upstream)
-	l.reported, l.localAtReport, l.reportedAt = load.Running+load.Waiting, l.local, now
+	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, now, true
 }
 
 // LoadReport is a load that an upstream reported to one of the gateways.
@@ -343,6 +345,8 @@
 	// Load is the number of requests that were running or waiting at the upstream.
 	Load int
 	Age  time.Duration
+	// Local is set if the upstream reported the load to this process.
+	Local bool
 }
 
 // Reports returns the load reports that are recent enough to be forwarded to other gateways.
@@ -352,7 +356,7 @@
 	all := make([]LoadReport, 0, len(p.loads))
 	for name, l := range p.loads {
 		if age := now.Sub(l.reportedAt); age < reportTTL {
-			all = append(all, LoadReport{Upstream: name, Load: l.reported, Age: age})
+			all = append(all, LoadReport{Upstream: name, Load: l.reported, Age: age, Local: l.heardHere})
 		}
 	}
 	return all
@@ -365,7 +369,7 @@
 	for _, r := range reports {
 		l := p.loadOf(r.Upstream)
 		if at := now.Add(-r.Age); r.Age >= 0 && at.After(l.reportedAt) {
-			l.reported, l.localAtReport, l.reportedAt = r.Load, l.local, at
+			l.reported, l.localAtReport, l.reportedAt, l.heardHere = r.Load, l.local, at, false
 		}
 	}
 }
--- /dev/null
+++ b/relayer/fleet_test.go
@@ -0,0 +1,316 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/appraiser"
+	"clementineramp/blocker"
+	"clementineramp/follower"
+	"clementineramp/mapper"
+	"clementineramp/placer"
+	"clementineramp/platform"
+	"clementineramp/registrar"
+	"clementineramp/relayer"
+)
+
+// fleet holds gateways on a network in memory; in a bubble of synctest their time is virtual.
+type fleet struct {
+	t     *testing.T
+	nodes []*node
+
+	mu sync.Mutex
+	// listeners holds those of the gateways that are up, by address.
+	listeners map[string]*pipeListener
+	// cut reports whether two gateways cannot reach each other; nil means that all can.
+	cut func(a, b string) bool
+	// crossBytes counts the bytes between failure domains, and bytes all bytes, once for each message.
+	crossBytes, bytes atomic.Int64
+}
+
+// node is a gateway of a fleet.
+type node struct {
+	address, domain string
+	registry        *registrar.Registry
+	follower        *follower.Follower
+	crashes         *blocker.Blocker
+	placer          *placer.Placer
+	relayer         *relayer.Relayer
+	stop            func()
+}
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// meteredConn counts what is written to it.
+type meteredConn struct {
+	net.Conn
+	count func(n int)
+}
+
+func (c *meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
+// newFleet starts gateways that are spread evenly over failure domains; the first ones are the seeds.
+func newFleet(t *testing.T, gateways, domains, upstreams int) *fleet {
+	f := &fleet{t: t, listeners: map[string]*pipeListener{}}
+	for i := range gateways {
+		n := &node{address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1), domain: fmt.Sprint("domain-", i%domains)}
+		f.nodes = append(f.nodes, n)
+	}
+	for i := range f.nodes {
+		f.start(i, upstreams)
+	}
+	t.Cleanup(func() {
+		for i := range f.nodes {
+			f.kill(i)
+		}
+	})
+	return f
+}
+
+// start starts a gateway without any state but the list of upstreams.
+func (f *fleet) start(i, upstreams int) {
+	n := f.nodes[i]
+	n.registry, n.crashes = registrar.New(registrar.Config{}), blocker.New()
+	var records []registrar.Record
+	for u := range upstreams {
+		id := fmt.Sprint("i-", u)
+		records = append(records, registrar.Record{ID: id, Revision: 1, Upstream: registrar.Upstream{ID: id, Service: "s", Slots: 16}})
+	}
+	n.registry.MergeList(records, 1, time.Now())
+	n.follower = follower.New(follower.Config{
+		Registry: n.registry, Log: hclog.NewNullLogger(),
+		Decode: func(data []byte) (*mapper.Table, error) {
+			return (&mapper.Table{Version: uint64(data[0])}).Build(), nil
+		},
+	})
+	n.placer = placer.New(placer.Config{View: n.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good }})
+	var seeds []string
+	for _, s := range f.nodes[:3] {
+		seeds = append(seeds, s.address)
+	}
+	n.relayer = relayer.New(relayer.Config{
+		Address: n.address, FailureDomain: n.domain, Seeds: seeds, Readers: 4, Log: hclog.NewNullLogger(),
+		Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, n, address) },
+		State: relayer.State{
+			Document: n.follower.Document, Confirmed: func() time.Time { return n.follower.Current().Confirmed },
+			Reached: func() bool { return true }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
+			PeerReachedStore: n.follower.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
+			Loads: n.placer.Reports, MergeLoads: n.placer.Merge,
+		},
+	})
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	f.mu.Lock()
+	f.listeners[n.address] = l
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = n.relayer.Serve(l) })
+	running.Go(func() { n.relayer.Run(ctx) })
+	n.stop = func() {
+		cancel()
+		_ = l.Close()
+		running.Wait()
+	}
+}
+
+// kill stops a gateway; calls to it fail at once, as after a reset.
+func (f *fleet) kill(i int) {
+	n := f.nodes[i]
+	f.mu.Lock()
+	delete(f.listeners, n.address)
+	f.mu.Unlock()
+	if n.stop != nil {
+		n.stop()
+		n.stop = nil
+	}
+}
+
+func (f *fleet) dial(ctx context.Context, from *node, address string) (net.Conn, error) {
+	f.mu.Lock()
+	l, cut := f.listeners[address], f.cut != nil && f.cut(from.address, address)
+	f.mu.Unlock()
+	if cut {
+		<-ctx.Done() // Packets are lost.
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	count := func(n int) {
+		f.bytes.Add(int64(n))
+		if f.domainOf(address) != from.domain {
+			f.crossBytes.Add(int64(n))
+		}
+	}
+	select {
+	case l.conns <- &meteredConn{Conn: server, count: count}:
+		return &meteredConn{Conn: client, count: count}, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (f *fleet) domainOf(address string) string {
+	for _, n := range f.nodes {
+		if n.address == address {
+			return n.domain
+		}
+	}
+	return ""
+}
+
+// publish gives a gateway a configuration as if it had read it from the store.
+func (f *fleet) publish(i int, version byte) {
+	n := f.nodes[i]
+	n.follower.Adopt(platform.Document{Revision: uint64(version) * 10, Data: []byte{version}}, time.Now(), "store")
+	n.relayer.NotifyPeers()
+}
+
+// awaitVersion returns the time until all gateways that are up have a configuration, or fails after the limit.
+func (f *fleet) awaitVersion(version byte, limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for {
+		missing := 0
+		for _, n := range f.nodes {
+			if n.stop != nil && n.follower.Document().Revision < uint64(version)*10 {
+				missing++
+			}
+		}
+		took := time.Since(start)
+		if missing == 0 {
+			return took
+		}
+		require.Less(f.t, took, limit, "%d gateways lack version %d", missing, version)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// The time within which a configuration must be in force everywhere, on deployments of this size.
+const propagation = 4 * time.Second
+
+// Guards against a change that does not reach every gateway of a large fleet in time: while all are well, while a quarter
+// of them has just been killed, and while two failure domains cannot reach each other.
+func TestChangeReachesLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100, 5, 0)
+		time.Sleep(10 * time.Second)
+		for _, n := range f.nodes {
+			require.InDelta(t, 100, n.relayer.Gateways(), 5, "gateways known after 10 s")
+		}
+		f.publish(7, 1)
+		f.awaitVersion(1, propagation)
+
+		for i := range 100 {
+			if i%4 == 1 {
+				f.kill(i)
+			}
+		}
+		f.publish(8, 2)
+		f.awaitVersion(2, propagation)
+
+		f.mu.Lock()
+		f.cut = func(a, b string) bool {
+			x, y := f.domainOf(a), f.domainOf(b)
+			return x == "domain-0" && y == "domain-2" || x == "domain-2" && y == "domain-0"
+		}
+		f.mu.Unlock()
+		f.publish(0, 3)
+		f.awaitVersion(3, propagation)
+	})
+}
+
+// Guards against state between gateways that costs more with each gateway and upstream: the bytes of a gateway stay
+// within the budget for control traffic, and few of them cross failure domains.
+func TestTrafficOfLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways, upstreams, seconds = 100, 180, 20
+		f := newFleet(t, gateways, 5, upstreams)
+		time.Sleep(5 * time.Second)
+		f.bytes.Store(0)
+		f.crossBytes.Store(0)
+		for range seconds * 10 {
+			// Each gateway hears of the loads of a few upstreams every 100 ms.
+			for i, n := range f.nodes {
+				for u := range 4 {
+					n.placer.RecordLoad(fmt.Sprint("i-", (i*7+u*41)%upstreams), placer.Load{Running: u + i%8}, time.Now())
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		each, cross := f.bytes.Load()/gateways/seconds, f.crossBytes.Load()/gateways/seconds
+		t.Logf("%d B/s for each gateway, %d B/s between failure domains", each, cross)
+		require.Less(t, each, int64(8_000))
+		require.Less(t, cross, int64(2_000))
+		for _, n := range f.nodes {
+			require.Greater(t, len(n.placer.Reports(time.Now())), upstreams*9/10, "loads that a gateway knows")
+		}
+	})
+}
+
+// Guards against crash reports that are sent again in each exchange: when a group of upstreams stops at the same moment,
+// each request that ran there is reported, and each report reaches each gateway about once.
+func TestTrafficAfterManyCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways, crashes = 50, 20
+		f := newFleet(t, gateways, 5, 0)
+		time.Sleep(5 * time.Second)
+		f.bytes.Store(0)
+		time.Sleep(10 * time.Second)
+		calm := f.bytes.Load()
+		f.bytes.Store(0)
+		for i, n := range f.nodes {
+			for c := range crashes {
+				n.crashes.RecordCrash(blocker.Fingerprint(1e15+i*crashes+c), fmt.Sprint("i-", c), time.Now())
+			}
+		}
+		poison := blocker.Fingerprint(1)
+		for i := range 3 {
+			f.nodes[i*11].crashes.RecordCrash(poison, fmt.Sprint("i-", i), time.Now())
+		}
+		time.Sleep(10 * time.Second)
+		for _, n := range f.nodes {
+			require.Positive(t, n.crashes.BlockedFor(poison, time.Now()))
+		}
+		const reportBytes = 40 // A report takes 17 bytes; an exchange with two peers at a time may bring some twice.
+		require.Less(t, f.bytes.Load()-calm, int64(gateways*gateways*crashes*reportBytes))
+	})
+}
--- /dev/null
+++ b/relayer/loads.go
@@ -0,0 +1,119 @@
+package relayer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementineramp/placer"
+	"clementineramp/registrar"
+)
+
+const (
+	// loadAgeUnit is the resolution of the age of a load. Ages are rounded up, so that a report never becomes younger
+	// when it is forwarded.
+	loadAgeUnit = 20 * time.Millisecond
+	// maxLoad is the largest load that is sent; an upstream with more requests is far over any limit.
+	maxLoad = 255
+)
+
+// Loads holds load reports in columns: the element i of each list belongs to one upstream.
+type Loads struct {
+	// Upstreams holds hashes of the IDs.
+	Upstreams []uint32
+	// Counts holds the numbers of requests.
+	Counts []byte
+	// Ages holds the ages of the reports in units of 20 ms.
+	Ages []byte
+}
+
+// hashUpstream returns the hash that stands for an upstream's ID in Loads.
+func hashUpstream(id string) uint32 {
+	return uint32(xxhash.Sum64String(id))
+}
+
+// encodeLoads returns reports in columns. Reports that are too old for the unit of the ages are left out.
+func encodeLoads(reports []placer.LoadReport) Loads {
+	l := Loads{
+		Upstreams: make([]uint32, 0, len(reports)), Counts: make([]byte, 0, len(reports)), Ages: make([]byte, 0, len(reports)),
+	}
+	for _, report := range reports {
+		age := (report.Age + loadAgeUnit - 1) / loadAgeUnit
+		if age < 0 || age > 255 {
+			continue
+		}
+		l.Upstreams = append(l.Upstreams, hashUpstream(report.Upstream))
+		l.Counts = append(l.Counts, byte(min(max(report.Load, 0), maxLoad)))
+		l.Ages = append(l.Ages, byte(age))
+	}
+	return l
+}
+
+// newerLoads returns the reports that are newer than those that a peer sent, or that the peer lacks.
+func newerLoads(own []placer.LoadReport, sent Loads) []placer.LoadReport {
+	if len(sent.Ages) != len(sent.Upstreams) {
+		return own
+	}
+	ages := make(map[uint32]time.Duration, len(sent.Upstreams))
+	for i, hash := range sent.Upstreams {
+		ages[hash] = time.Duration(sent.Ages[i]) * loadAgeUnit
+	}
+	newer := make([]placer.LoadReport, 0, len(own))
+	for _, report := range own {
+		if age, ok := ages[hashUpstream(report.Upstream)]; !ok || report.Age+loadAgeUnit < age {
+			newer = append(newer, report)
+		}
+	}
+	return newer
+}
+
+// loadCodec decodes loads into reports on the upstreams in use. It is safe for concurrent use.
+type loadCodec struct {
+	view func() *registrar.View
+
+	mu sync.Mutex
+	// ids maps the hashes of the upstreams in indexed to their IDs. Those of two upstreams with the same hash are left out.
+	ids     map[uint32]string
+	indexed *registrar.View
+}
+
+// decode returns the reports on upstreams in use; malformed columns give none.
+func (c *loadCodec) decode(l Loads) []placer.LoadReport {
+	if len(l.Counts) != len(l.Upstreams) || len(l.Ages) != len(l.Upstreams) {
+		return nil
+	}
+	ids := c.index()
+	reports := make([]placer.LoadReport, 0, len(l.Upstreams))
+	for i, hash := range l.Upstreams {
+		if id, ok := ids[hash]; ok {
+			reports = append(reports, placer.LoadReport{Upstream: id, Load: int(l.Counts[i]), Age: time.Duration(l.Ages[i]) * loadAgeUnit})
+		}
+	}
+	return reports
+}
+
+// index returns the IDs of the upstreams in use by their hashes.
+func (c *loadCodec) index() map[uint32]string {
+	v := c.view()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v == c.indexed {
+		return c.ids
+	}
+	c.ids, c.indexed = make(map[uint32]string), v
+	ambiguous := make(map[uint32]bool)
+	for _, list := range v.ByService {
+		for _, u := range list {
+			hash := hashUpstream(u.ID)
+			if _, taken := c.ids[hash]; taken {
+				ambiguous[hash] = true
+			}
+			c.ids[hash] = u.ID
+		}
+	}
+	for hash := range ambiguous {
+		delete(c.ids, hash)
+	}
+	return c.ids
+}
--- a/relayer/members.go
+++ b/relayer/members.go
@@ -1,57 +1,55 @@
 package relayer
 
 import (
-	"cmp"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // member is the last reported state of a peer.
 type member struct {
 	// at is the time at which some gateway last exchanged state with the peer.
-	at        time.Time
-	link      float64
-	saturated bool
+	at time.Time
+	// Peer holds the rest of its state; its age is not used.
+	Peer
 }
 
 // liveMembers returns this gateway, followed by the peers that some gateway exchanged state with within peerTTL. The
 // caller holds r.mu.
 func (r *Relayer) liveMembers(now time.Time) []Peer {
-	all := []Peer{{Address: r.cfg.Address, Link: r.cfg.Link, Saturated: r.saturated()}}
-	for a, m := range r.members {
+	all := make([]Peer, 0, 1+len(r.members))
+	all = append(all, Peer{Address: r.cfg.Address, FailureDomain: r.cfg.FailureDomain, Link: r.cfg.Link, Saturated: r.saturated()})
+	for _, m := range r.members {
 		if age := now.Sub(m.at); age < peerTTL {
-			all = append(all, Peer{Address: a, Age: age, Link: m.link, Saturated: m.saturated})
+			p := m.Peer
+			p.Age = age
+			all = append(all, p)
 		}
 	}
 	return all
 }
 
-// Readers returns the addresses of the n gateways that read the store on behalf of all, or of all members if there are
-// fewer. Those with the fastest links come first, because each change of a large configuration is transferred in full;
-// ties are broken by a hash of the address, so that all gateways choose the same ones.
-func Readers(members []Peer, n int) []string {
-	all := slices.Clone(members)
-	slices.SortFunc(all, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
-	})
-	readers := make([]string, 0, n)
-	for _, p := range all[:min(n, len(all))] {
-		readers = append(readers, p.Address)
-	}
-	return readers
-}
+// settleTime is the time after the start of a gateway in which it is no reader of the store, beyond what it reads for
+// itself, because it does not know yet which others are.
+const settleTime = time.Second
 
 // Reader reports whether this gateway is one of those that read the store on behalf of all.
 func (r *Relayer) Reader() bool {
+	if time.Since(r.started) < settleTime {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Contains(Readers(r.liveMembers(time.Now()), r.cfg.Readers), r.cfg.Address)
+	return slices.Contains(r.arrange(time.Now()).readers, r.cfg.Address)
 }
 
 // recordPeers records that a peer is alive and which other peers it listed, and removes expired peers.
-func (r *Relayer) recordPeers(from Peer, others []Peer, now time.Time) {
+func (r *Relayer) recordPeers(from Peer, list PeerList, now time.Time) {
+	others, err := list.decode()
+	if err != nil {
+		r.cfg.Log.Warn("peer_list_malformed", "peer", from.Address, "error", err.Error())
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordPeer(from, now)
@@ -63,28 +61,33 @@
 	for a, m := range r.members {
 		if now.Sub(m.at) >= peerTTL {
 			delete(r.members, a)
+			r.fleet = nil
 		}
 	}
 }
 
-// recordPeer updates the state of a peer unless a newer one is recorded.
+// recordPeer updates the state of a peer unless a newer one is recorded, or its address is malformed.
 func (r *Relayer) recordPeer(p Peer, at time.Time) {
-	old := r.members[p.Address]
-	if p.Address == "" || p.Address == r.cfg.Address || !at.After(old.at) {
+	old, known := r.members[p.Address]
+	if p.Address == r.cfg.Address || !at.After(old.at) {
 		return
 	}
-	if p.Link == 0 {
-		p.Link = old.link // Replies have no link speed, and the gateway that listed the peer may not have received it yet.
+	if !known {
+		if _, err := netip.ParseAddrPort(p.Address); err != nil || len(r.members) >= maxMembers {
+			return
+		}
+		r.fleet = nil
 	}
-	r.members[p.Address] = member{at: at, link: p.Link, saturated: p.Saturated}
+	r.members[p.Address] = member{at: at, Peer: p}
 }
 
-// otherMembers returns the live peers, at most maxListedPeers of them.
-func (r *Relayer) otherMembers(now time.Time) []Peer {
+// listPeers returns some of the live peers, chosen at random.
+func (r *Relayer) listPeers(now time.Time) PeerList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := r.liveMembers(now)[1:]
-	return all[:min(len(all), maxListedPeers)]
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return encodePeers(all[:min(len(all), max(minListedPeers, len(all)/listedShare))])
 }
 
 func (r *Relayer) saturated() bool {
@@ -108,5 +111,12 @@
 func (r *Relayer) Gateways() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.liveMembers(time.Now()))
+	now := time.Now()
+	n := 1
+	for _, m := range r.members {
+		if now.Sub(m.at) < peerTTL {
+			n++
+		}
+	}
+	return n
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,13 +22,14 @@
 )
 
 const (
-	// exchangeInterval is the mean pause between exchanges. Exchanges are the only source of changes for gateways that do
-	// not read the store. For all gateways they are the source of loads reported to other gateways, which change within a
-	// few hundred milliseconds.
-	exchangeInterval = 300 * time.Millisecond
-	// On average, one in randomPeerEvery exchanges goes to a random peer rather than to one that reads the store. These
-	// exchanges spread loads, members and crash reports.
-	randomPeerEvery = 2
+	// hubInterval is the mean pause between the exchanges of a hub with other hubs, and memberInterval that of another
+	// gateway with a hub of its failure domain. Loads, which change within a few hundred milliseconds, spread this way.
+	hubInterval    = 200 * time.Millisecond
+	memberInterval = 600 * time.Millisecond
+	// peerInterval is the mean pause between exchanges with peers of any kind, which carry no loads unless one of the two
+	// is a hub. Together with immediate exchanges after an update they spread the configuration, the upstreams and the
+	// members even if all hubs are slow or cut off.
+	peerInterval = 700 * time.Millisecond
 	// callTimeout bounds an exchange. An exchange takes milliseconds, or up to 0.3 s with a configuration of 1,200
 	// routes over a link of 10 Mbit/s.
 	callTimeout = time.Second
@@ -38,13 +39,18 @@
 	wakeQueueSize = 8
 	// peerTTL is the time since the last exchange of any gateway with a peer after which the peer no longer counts as live.
 	peerTTL = 8 * time.Second
-	// maxListedPeers bounds the number of peers listed in a request or a reply.
-	maxListedPeers = 32
+	// An exchange lists one in listedShare of the live peers, but at least minListedPeers, so that each gateway hears of
+	// each other several times within peerTTL.
+	listedShare    = 5
+	minListedPeers = 8
+	// maxMembers bounds the peers that are remembered.
+	maxMembers = 4096
 )
 
 // Peer describes a gateway to another one.
 type Peer struct {
-	Address string
+	Address       string
+	FailureDomain string
 	// Age is the time since some gateway last exchanged state with it.
 	Age time.Duration
 	// Link is the speed of the network link of its host in Mbit/s; zero means unknown.
@@ -53,21 +59,26 @@
 	Saturated bool
 }
 
-// Request is the argument of an exchange: the state of the sender.
+// Request is the argument of an exchange: the state of the sender. Fields of a Request and a Reply keep their names and
+// types, so that gateways of two versions can exchange what both know.
 type Request struct {
-	From string
-	// Link and Saturated describe the sender, as in Peer.
-	Link      float64
-	Saturated bool
+	// From is the address of the sender. FailureDomain, Link and Saturated describe it, as in Peer.
+	From          string
+	FailureDomain string
+	Link          float64
+	Saturated     bool
 	// Configuration is the revision of the sender's configuration, and Upstreams the one up to which it has all changes
 	// of upstreams.
 	Configuration uint64
 	Upstreams     uint64
 	// Newest is the revision of the newest change of an upstream that the sender has received.
-	Newest  uint64
-	Peers   []Peer
-	Crashes []blocker.CrashReport
-	Loads   []placer.LoadReport
+	Newest     uint64
+	OtherPeers PeerList
+	// KnownCrashes holds, by origin, the number of the last crash report that the sender has.
+	KnownCrashes map[uint64]uint64
+	// WithLoads is set if the exchange carries loads; LoadColumns are those of the sender.
+	WithLoads   bool
+	LoadColumns Loads
 }
 
 // CompressedDocument is a configuration as published, compressed by gzip.
@@ -88,11 +99,13 @@
 	ConfirmedAge time.Duration
 	// OutageAge is the time since the end of the last outage of the store that the peer recorded; negative means none.
 	OutageAge time.Duration
-	// Saturated is set if the peer gets less processor time than it needs.
-	Saturated bool
-	Peers     []Peer
-	Crashes   []blocker.CrashReport
-	Loads     []placer.LoadReport
+	// FailureDomain, Link and Saturated describe the peer, as in Peer.
+	FailureDomain string
+	Link          float64
+	Saturated     bool
+	OtherPeers    PeerList
+	CrashBatches  []blocker.Batch
+	LoadColumns   Loads
 }
 
 // State gives access to the state of a gateway that is exchanged with peers. All fields are required.
@@ -122,6 +135,8 @@
 type Config struct {
 	// Address is the address on which peers reach this gateway.
 	Address string
+	// FailureDomain is the failure domain of this host.
+	FailureDomain string
 	// Seeds are addresses of gateways to contact while no peer is live, and occasionally later; some may be out of date.
 	Seeds []string
 	// Link is the speed of the network link of this host in Mbit/s; zero means unknown.
@@ -131,6 +146,8 @@
 	// Saturated reports whether this gateway gets less processor time than it needs; nil means never.
 	Saturated func() bool
 	State     State
+	// CountBytes is called with the bytes that were sent to or received from peers; nil means no call.
+	CountBytes func(n int)
 	// Dial opens connections to peers; nil means the system's network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  hclog.Logger
@@ -138,7 +155,8 @@
 
 // Relayer exchanges state with the other gateways. It is safe for concurrent use.
 type Relayer struct {
-	cfg Config
+	cfg     Config
+	started time.Time
 
 	// wake holds the peers to exchange with without delay; an empty string means any peer.
 	wake chan string
@@ -147,9 +165,13 @@
 	compressMu sync.Mutex
 	compressed CompressedDocument
 
+	loads loadCodec
+
 	mu sync.Mutex
 	// members maps the address of each peer to its last reported state.
 	members map[string]member
+	// fleet is the arrangement of the live members; nil if it must be computed again.
+	fleet   *arrangement
 	clients map[string]*rpc.Client
 	// unreachable marks the peers whose last exchange failed.
 	unreachable map[string]bool
@@ -161,8 +183,12 @@
 		d := &net.Dialer{Timeout: callTimeout}
 		cfg.Dial = d.DialContext
 	}
+	if cfg.CountBytes == nil {
+		cfg.CountBytes = func(int) {}
+	}
 	return &Relayer{
-		cfg: cfg, wake: make(chan string, wakeQueueSize), members: make(map[string]member),
+		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize), members: make(map[string]member),
+		loads:   loadCodec{view: cfg.State.Registry.View},
 		clients: make(map[string]*rpc.Client), unreachable: make(map[string]bool),
 	}
 }
@@ -174,31 +200,34 @@
 
 // Exchange merges the state of a peer and replies with what is newer here. It fails only if compression does.
 func (g *Gateways) Exchange(req Request, reply *Reply) error {
+	r := g.r
 	now := time.Now()
-	g.r.recordPeers(Peer{Address: req.From, Link: req.Link, Saturated: req.Saturated}, req.Peers, now)
-	state := g.r.cfg.State
-	state.Crashes.Merge(req.Crashes, now)
-	reply.Loads = state.Loads(now)
-	state.MergeLoads(req.Loads, now)
+	r.recordPeers(Peer{Address: req.From, FailureDomain: req.FailureDomain, Link: req.Link, Saturated: req.Saturated}, req.OtherPeers, now)
+	state := r.cfg.State
+	if req.WithLoads {
+		own := state.Loads(now)
+		reply.LoadColumns = encodeLoads(newerLoads(own, req.LoadColumns))
+		state.MergeLoads(r.loads.decode(req.LoadColumns), now)
+	}
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	reply.Records, reply.Complete = state.Registry.RecordsSince(req.Upstreams)
 	current := state.Document()
 	if current.Revision > req.Configuration {
-		compressed, err := g.r.compress(current)
+		compressed, err := r.compress(current)
 		if err != nil {
 			return err
 		}
 		reply.Configuration = &compressed
 	}
 	if req.Configuration > current.Revision || req.Newest > state.Registry.NewestRevision() {
-		g.r.requestExchange(req.From)
+		r.requestExchange(req.From)
 	}
 	reply.Reached, reply.ConfirmedAge = state.Reached(), now.Sub(state.Confirmed())
 	reply.OutageAge = state.Registry.TimeSinceOutage(now)
-	reply.Crashes = state.Crashes.Reports(now)
-	reply.Peers = g.r.otherMembers(now)
-	reply.Saturated = g.r.saturated()
+	reply.CrashBatches = state.Crashes.ReportsSince(req.KnownCrashes, now)
+	reply.OtherPeers = r.listPeers(now)
+	reply.FailureDomain, reply.Link, reply.Saturated = r.cfg.FailureDomain, r.cfg.Link, r.saturated()
 	return nil
 }
 
@@ -261,6 +290,7 @@
 	if err := s.RegisterName("Gateways", &Gateways{r: r}); err != nil {
 		return err
 	}
+	var open atomic.Int64
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -269,22 +299,54 @@
 			}
 			return err
 		}
-		go s.ServeConn(c)
+		if open.Add(1) > maxPeerConnections {
+			open.Add(-1)
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer open.Add(-1)
+			s.ServeConn(newBoundedConn(c, maxRequestBytes, r.cfg.CountBytes))
+		}()
 	}
 }
 
-// Run exchanges state with one peer at a time until ctx ends.
+// Run exchanges state with peers until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.runHubExchanges(ctx) })
+	loops.Go(func() { r.runPeerExchanges(ctx) })
+	loops.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.clients {
+		_ = c.Close()
+	}
+}
+
+// runHubExchanges exchanges loads and the rest of the state with hubs.
+func (r *Relayer) runHubExchanges(ctx context.Context) {
+	for ctx.Err() == nil {
+		hub, interval := r.nextHub(time.Now())
+		if hub != "" {
+			r.exchange(ctx, hub)
+		}
+		pause(ctx, interval)
+	}
+}
+
+// runPeerExchanges exchanges state with peers of any kind, and with those that requestExchange names.
+func (r *Relayer) runPeerExchanges(ctx context.Context) {
 	peer := ""
 	for ctx.Err() == nil {
 		if peer == "" {
-			peer, _ = r.nextPeer(time.Now())
+			peer = r.nextPeer(time.Now())
 		}
 		if peer != "" {
 			r.exchange(ctx, peer)
 		}
 		peer = ""
-		t := time.NewTimer(exchangeInterval/2 + rand.N(exchangeInterval))
+		t := time.NewTimer(peerInterval/2 + rand.N(peerInterval))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -292,39 +354,16 @@
 		}
 		t.Stop()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.clients {
-		_ = c.Close()
-	}
 }
 
-// nextPeer returns the peer for the next exchange, or false if there is none: a reader of the store, a random live peer,
-// or a seed if no peer is live. A seed is also chosen occasionally while peers are live, so that parts of the fleet that
-// started separately discover each other.
-func (r *Relayer) nextPeer(now time.Time) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var live []string
-	for a, m := range r.members {
-		if now.Sub(m.at) < peerTTL {
-			live = append(live, a)
-		}
-	}
-	slices.Sort(live)
-	readers := slices.DeleteFunc(Readers(r.liveMembers(now), r.cfg.Readers), func(a string) bool { return a == r.cfg.Address })
-	if len(readers) > 0 && rand.IntN(randomPeerEvery) != 0 {
-		return readers[rand.IntN(len(readers))], true
-	}
-	seeds := slices.DeleteFunc(slices.Clone(r.cfg.Seeds), func(a string) bool { return a == r.cfg.Address })
-	const seedEvery = 8 // On average, one in this many exchanges goes to a seed.
-	if len(seeds) > 0 && (len(live) == 0 || rand.IntN(seedEvery) == 0) {
-		return seeds[rand.IntN(len(seeds))], true
-	}
-	if len(live) == 0 {
-		return "", false
+// pause waits for a random time around the mean d, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	return live[rand.IntN(len(live))], true
 }
 
 // exchange sends the state of this gateway to a peer and merges the reply.
@@ -332,13 +371,19 @@
 	state := r.cfg.State
 	now := time.Now()
 	req := Request{
-		From: r.cfg.Address, Link: r.cfg.Link, Saturated: r.saturated(), Configuration: state.Document().Revision,
-		Upstreams: state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
-		Peers: r.otherMembers(now), Crashes: state.Crashes.Reports(now), Loads: state.Loads(now),
+		From: r.cfg.Address, FailureDomain: r.cfg.FailureDomain, Link: r.cfg.Link, Saturated: r.saturated(),
+		Configuration: state.Document().Revision,
+		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
+		OtherPeers: r.listPeers(now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
+	}
+	if req.WithLoads {
+		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
 	}
 	var reply Reply
 	if err := r.call(ctx, peer, req, &reply); err != nil {
-		r.exchangeFailed(peer, err)
+		if ctx.Err() == nil {
+			r.exchangeFailed(peer, err)
+		}
 		return
 	}
 	r.exchangeSucceeded(peer)
@@ -357,30 +402,23 @@
 	if reply.Reached {
 		state.Confirm(now.Add(-reply.ConfirmedAge))
 	}
-	state.MergeLoads(reply.Loads, time.Now())
+	state.MergeLoads(r.loads.decode(reply.LoadColumns), time.Now())
 	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
 		r.NotifyPeers()
 	}
-	state.Crashes.Merge(reply.Crashes, time.Now())
-	r.recordPeers(Peer{Address: peer, Saturated: reply.Saturated}, reply.Peers, now)
+	if err := state.Crashes.Merge(reply.CrashBatches, time.Now()); err != nil {
+		r.cfg.Log.Warn("peer_crash_reports_malformed", "peer", peer, "error", err.Error())
+	}
+	r.recordPeers(Peer{Address: peer, FailureDomain: reply.FailureDomain, Link: reply.Link, Saturated: reply.Saturated}, reply.OtherPeers, now)
 }
 
 func (r *Relayer) call(ctx context.Context, peer string, req Request, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r.mu.Lock()
-	c := r.clients[peer]
-	r.mu.Unlock()
-	if c == nil {
-		conn, err := r.cfg.Dial(ctx, "tcp", peer)
-		if err != nil {
-			return err
-		}
-		c = rpc.NewClient(conn)
-		r.mu.Lock()
-		r.clients[peer] = c
-		r.mu.Unlock()
+	c, err := r.client(ctx, peer)
+	if err != nil {
+		return err
 	}
 	call := c.Go("Gateways.Exchange", req, reply, make(chan *rpc.Call, 1))
 	select {
@@ -391,6 +429,29 @@
 	}
 }
 
+// client returns the connection to a peer, which it opens if there is none.
+func (r *Relayer) client(ctx context.Context, peer string) (*rpc.Client, error) {
+	r.mu.Lock()
+	c := r.clients[peer]
+	r.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	conn, err := r.cfg.Dial(ctx, "tcp", peer)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.clients[peer]; c != nil {
+		_ = conn.Close() // The other loop has connected to the peer meanwhile.
+		return c, nil
+	}
+	c = rpc.NewClient(newBoundedConn(conn, maxReplyBytes, r.cfg.CountBytes))
+	r.clients[peer] = c
+	return c, nil
+}
+
 // exchangeFailed closes the connection to a peer and stops counting it as live.
 func (r *Relayer) exchangeFailed(peer string, err error) {
 	r.mu.Lock()
@@ -400,6 +461,7 @@
 		delete(r.clients, peer)
 	}
 	delete(r.members, peer)
+	r.fleet = nil
 	if !r.unreachable[peer] {
 		r.unreachable[peer] = true
 		r.cfg.Log.Warn("peer_lost", "peer", peer, "error", err.Error())
