platform, proxier, relayer, gatekeeper: bounds on what stores, callers and peers send

A body of unknown length was counted against the memory for bodies only once it had been read whole, so that callers which never end theirs could fill the memory; it is reserved as it arrives (TestMemoryOfUnfinishedBodies). A refused request whose body was read in part waited for the rest of it before the response; the connection now closes. Readiness and metrics take requests without a body, with bounded headers and times.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -58,6 +58,8 @@
 	// idleFactor is the multiple of the configured idle time after which connections of callers are closed. It exceeds
 	// one because a request may be in transit when the time ends, and because callers may measure the time differently.
 	idleFactor = 1.5
+	// statusIdleTimeout is the time after which an idle connection for readiness checks or metrics is closed.
+	statusIdleTimeout = time.Minute
 	// metricsPath is the HTTP path that serves the metrics.
 	metricsPath = "/metrics"
 )
@@ -212,8 +214,7 @@
 		Handler: g.proxier, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.callers.OnConnState, ErrorLog: g.log.Named("callers").StandardLogger(nil),
 	}
-	readyServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout}
-	metricsServer := &http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	readyServer, metricsServer := newStatusServer(g.readinessHandler()), newStatusServer(g.metricsHandler())
 	var listeners []net.Listener
 	for _, address := range []string{s.Listen.String(), s.ReadyListen.String(), s.PeerListen.String(), s.MetricsListen.String()} {
 		l, err := g.cfg.Listen("tcp", address)
@@ -257,6 +258,14 @@
 	return trace.Wrap(err)
 }
 
+// newStatusServer returns a server for requests without a body.
+func newStatusServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: http.MaxBytesHandler(h, 0), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
+		IdleTimeout: statusIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -45,6 +45,9 @@
 // Load is the load that an upstream reported, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the time that work takes on the upstream's host at this moment, as a multiple of the usual; zero means
+	// unknown. Choices do not depend on it.
+	Slowdown float64
 }
 
 // Request holds the properties of a request that the choice depends on.
--- a/proxier/hostile_test.go
+++ b/proxier/hostile_test.go
@@ -122,3 +122,46 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Guards against callers that send bodies of unknown length and never end them: the memory that they take counts while
+// they arrive, not only afterwards.
+func TestMemoryOfUnfinishedBodies(t *testing.T) {
+	f := newFixture(t, nil)
+	const size = 1 << 19 // Eight of them take all of the memory for bodies.
+	var writers []*io.PipeWriter
+	statuses := make(chan int, 12)
+	for range cap(statuses) {
+		r, w := io.Pipe()
+		writers = append(writers, w)
+		req, err := http.NewRequest("POST", f.server.URL+"/order/", r)
+		require.NoError(t, err)
+		req.Host = "h"
+		req.Header.Set(imitator.HeaderAttempt, "attempt-1")
+		req.Header.Set(imitator.HeaderKey, "key")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				statuses <- 0 // The connection was closed while the body was still being sent.
+				return
+			}
+			_ = resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+		go func() { _, _ = w.Write(make([]byte, size)) }()
+	}
+	for range cap(statuses) - 8 {
+		require.Contains(t, []int{0, 503}, <-statuses)
+	}
+	for _, w := range writers {
+		_ = w.Close()
+	}
+	// When the memory ends while several bodies arrive at once, more than four may be refused.
+	served := 0
+	for range 8 {
+		if <-statuses == 200 {
+			served++
+		}
+	}
+	require.Positive(t, served)
+	require.Equal(t, 200, f.do("POST", "/order/", strings.Repeat("x", size)).status, "the memory is free again")
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -133,6 +133,8 @@
 	urgency  int
 	service  string
 	body     []byte
+	// bodyBroken is set if only a part of the body was read.
+	bodyBroken bool
 	// print is the fingerprint that identifies the request in crash reports.
 	print  blocker.Fingerprint
 	header http.Header
@@ -326,15 +328,19 @@
 		j.body = make([]byte, j.r.ContentLength)
 		_, err = io.ReadFull(j.r.Body, j.body)
 	} else {
-		j.body, err = io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, maxBytes))
+		body := &reservingReader{p: j.p, body: http.MaxBytesReader(j.w, j.r.Body, maxBytes)}
+		j.body, err = io.ReadAll(body)
+		reserved = body.reserved
 	}
-	j.p.bodyBytes.Add(int64(len(j.body)) - reserved)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return nil
 	}
-	j.p.bodyBytes.Add(-int64(len(j.body)))
-	j.body = nil
+	j.p.bodyBytes.Add(-reserved)
+	j.body, j.bodyBroken = nil, true
+	if errors.Is(err, errBodyMemory) {
+		return newRefusal(http.StatusServiceUnavailable, judge.ReasonQueueFull, "the memory for bodies is used up")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return newRefusal(http.StatusRequestEntityTooLarge, judge.ReasonInvalid, "the body is too large")
@@ -342,6 +348,25 @@
 	return newRefusal(http.StatusRequestTimeout, judge.ReasonTimeout, "the body did not arrive")
 }
 
+var errBodyMemory = errors.New("the memory for bodies is used up")
+
+// reservingReader reads a body of unknown length and reserves memory for it as it arrives.
+type reservingReader struct {
+	p        *Proxier
+	body     io.Reader
+	reserved int64
+}
+
+// Read reads from the body, or fails if there is no memory for what arrived.
+func (r *reservingReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	r.reserved += int64(n)
+	if r.p.bodyBytes.Add(int64(n)) > r.p.cfg.MaxBodyBytes {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
 // localResponse is a response that the router itself generates, as an error.
 type localResponse struct {
 	status int
@@ -383,8 +408,8 @@
 		}
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
-	if a.reason == judge.ReasonTimeout && a.status == http.StatusRequestTimeout {
-		h.Set("Connection", "close") // The rest of the body may still arrive.
+	if j.bodyBroken {
+		h.Set("Connection", "close") // The server would wait for the rest of the body before it responds.
 	}
 	text := a.text + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -68,6 +68,9 @@
 // Load is the number of running and waiting requests and the capacity that an upstream reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the time that work takes on the upstream's host at this moment, as a multiple of the usual; zero means
+	// unknown.
+	Slowdown float64
 }
 
 // Reply holds the decoded headers of an upstream's response.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/netip"
+	"net/rpc"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +20,7 @@
 	"clementineramp/mapper"
 	"clementineramp/placer"
 	"clementineramp/platform"
+	"clementineramp/platform/imitator"
 	"clementineramp/registrar"
 	"clementineramp/relayer"
 )
@@ -149,3 +154,68 @@
 	rotated := []relayer.Peer{equal[2], equal[0], equal[1]}
 	require.Equal(t, relayer.Readers(equal, 2), relayer.Readers(rotated, 2), "the readers depend on the order of the members")
 }
+
+// Guards against an address among the seeds that belongs to somebody else by now, and against peers that send nonsense:
+// the exchange with sound peers goes on, and connections with nonsense are closed.
+func TestStrangersAmongPeers(t *testing.T) {
+	var seeds []string
+	for _, kind := range []string{"head", "no HTTP", "body"} {
+		h := &imitator.Hostile{Kind: kind}
+		require.NoError(t, h.Start())
+		t.Cleanup(h.Close)
+		seeds = append(seeds, h.Address())
+	}
+	a := newGateway(t, true)
+	b := newGateway(t, false, append(seeds, a.address)...)
+	for _, text := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff", "\x07\xff\x82\x01\x01", strings.Repeat("\x00", 100)} {
+		c, err := net.Dial("tcp", a.address)
+		require.NoError(t, err)
+		_, err = io.WriteString(c, text)
+		require.NoError(t, err)
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c) // It ends when the gateway has closed the connection.
+		_ = c.Close()
+	}
+	a.follower.Adopt(platform.Document{Revision: 10, Data: []byte{1}}, time.Now(), "store")
+	a.registry.MergeList(nil, 10, time.Now())
+	eventually(t, "the configuration did not reach the gateway", func() bool { return b.follower.Ready() })
+}
+
+// Guards against a message that announces or has more bytes than an exchange can need.
+func TestMessageWithoutEnd(t *testing.T) {
+	a := newGateway(t, true)
+	c, err := net.Dial("tcp", a.address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte{0xfc, 0x3f, 0xff, 0xff, 0xff}) // A message of 1 GB follows.
+	require.NoError(t, err)
+	sent := 0
+	block := make([]byte, 64<<10)
+	for err == nil && sent < 64<<20 {
+		var n int
+		n, err = c.Write(block)
+		sent += n
+	}
+	require.Error(t, err, "the gateway reads a message of %d bytes", sent)
+}
+
+// Guards against malformed columns in a message of a peer of another version, or in trouble.
+func TestMalformedColumns(t *testing.T) {
+	a := newGateway(t, true)
+	a.registry.MergeList([]registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}, 1, time.Now())
+	client, err := rpc.Dial("tcp", a.address)
+	require.NoError(t, err)
+	defer client.Close()
+	address := netip.MustParseAddrPort("10.0.0.9:1")
+	for name, req := range map[string]relayer.Request{
+		"loads":            {WithLoads: true, LoadColumns: relayer.Loads{Upstreams: []uint32{1, 2}, Counts: []byte{1}}},
+		"peers":            {OtherPeers: relayer.PeerList{Addresses: []netip.AddrPort{address}}},
+		"domain of a peer": {OtherPeers: relayer.PeerList{Addresses: []netip.AddrPort{address}, Domains: []byte{3}, AgesMS: []uint32{1}, Links: []float64{1}, Saturated: []bool{false}}},
+		"address":          {From: "nonsense"},
+	} {
+		var reply relayer.Reply
+		require.NoError(t, client.Call("Gateways.Exchange", req, &reply), name)
+	}
+	require.Equal(t, 1, a.relayer.Gateways())
+	require.Empty(t, a.placer.Reports(time.Now()))
+}
