soaker: bytes without end, resets of all connections, upstreams that stop together

New kinds of faults: an upstream or the store that sends bytes without end, a reset of all connections at the same moment, two upstreams that crash together. Seeds that once failed keep the faults that they had (Config.AllFaults).

--- a/commander/soak.go
+++ b/commander/soak.go
@@ -74,7 +74,7 @@
 			report, err := soaker.Run(ctx, soaker.Config{
 				Seed: seed, Command: []string{program, "gateway"}, Dir: seedDir, Gateways: cmd.Int("gateways"),
 				Upstreams: cmd.Int("upstreams"), Callers: cmd.Int("callers"), Faults: cmd.Int("faults"),
-				Duration: cmd.Duration("duration"), Timed: cmd.Bool("timed"),
+				Duration: cmd.Duration("duration"), Timed: cmd.Bool("timed"), AllFaults: true,
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -43,6 +43,16 @@
 	{"unreadable", putInvalidEntry},
 }
 
+// laterFaults lists further kinds, from which a run draws only if its configuration says so: seeds that once revealed a
+// fault of the gateways keep the faults that they had.
+var laterFaults = []fault{
+	{"flood", floodFromUpstream},
+	{"flood", floodFromUpstream},
+	{"store_flood", floodFromStore},
+	{"reset_all", resetAllLinks},
+	{"group", crashGroup},
+}
+
 // randomDuration returns a random duration of at least low and less than high.
 func randomDuration(random *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(random.Int64N(int64(high-low)))
@@ -56,10 +66,14 @@
 		at = append(at, randomDuration(random, 0, s.cfg.Duration))
 	}
 	slices.Sort(at)
+	kinds := faults
+	if s.cfg.AllFaults {
+		kinds = slices.Concat(faults, laterFaults)
+	}
 	start := time.Now()
 	var group sync.WaitGroup
 	for _, d := range at {
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		group.Go(func() {
 			pause(ctx, time.Until(start.Add(d)))
@@ -233,6 +247,48 @@
 	return fmt.Sprint(u.ID, " behaviour ", m, " ", d)
 }
 
+// floodFromUpstream makes a random upstream respond to every second request with bytes without end for a while.
+func floodFromUpstream(ctx context.Context, s *soak, random *rand.Rand) string {
+	u := s.any(random)
+	d := randomDuration(random, 300*time.Millisecond, 3*time.Second)
+	s.withFaultWindow(ctx, u.ID, d, func() { u.behaviour.Store(int32(Flooding)) }, func() { u.behaviour.Store(int32(Healthy)) })
+	return fmt.Sprint(u.ID, " ", d)
+}
+
+func floodFromStore(ctx context.Context, s *soak, random *rand.Rand) string {
+	d := randomDuration(random, 300*time.Millisecond, 3*time.Second)
+	s.withFaultWindow(ctx, "", d, func() { s.store.SetMode(imitator.Flooding) }, func() { s.store.SetMode(imitator.Up) })
+	return d.String()
+}
+
+// resetAllLinks resets the connections of all callers, upstreams and gateways at the same moment.
+func resetAllLinks(_ context.Context, s *soak, _ *rand.Rand) string {
+	now := time.Now()
+	s.addFaultWindow("", now, now)
+	s.mu.Lock()
+	upstreams := slices.Clone(s.upstreams)
+	s.mu.Unlock()
+	for _, u := range upstreams {
+		u.link.reset()
+	}
+	for _, g := range s.gateways {
+		g.storeLink.reset()
+		g.callerLink.reset()
+	}
+	return ""
+}
+
+// crashGroup crashes two upstreams at the same moment.
+func crashGroup(ctx context.Context, s *soak, random *rand.Rand) string {
+	other := rand.New(rand.NewPCG(random.Uint64(), 0))
+	var second string
+	var group sync.WaitGroup
+	group.Go(func() { second = crashUpstream(ctx, s, other) })
+	first := crashUpstream(ctx, s, random)
+	group.Wait()
+	return first + " " + second
+}
+
 // replaceUpstream adds an upstream of the same service for a random one, and then passes the old one to stop.
 func (s *soak) replaceUpstream(random *rand.Rand, stop func(u *upstream)) string {
 	u, ok := s.detachUpstream(random)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -68,6 +68,8 @@
 	// Duration is the time during which faults start, and Faults their number.
 	Duration time.Duration
 	Faults   int
+	// AllFaults also draws the kinds of faults that were added later.
+	AllFaults bool
 	// Timed also checks guarantees with a time bound. These hold only on a machine that is not overloaded.
 	Timed bool
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -45,18 +45,21 @@
 // after the first once revealed a fault and is kept with a description of the failure.
 func TestSoak(t *testing.T) {
 	for _, c := range []struct {
-		seed    uint64
-		failure string
+		seed      uint64
+		allFaults bool
+		failure   string
 	}{
 		{seed: 1},
-		{4, "SIGTERM right after the start ended the process before it handled signals"},
-		{5, "SIGTERM right after the start ended another gateway before it handled signals"},
-		{7, "the port of a crashed upstream was reused by another server, whose response was forwarded"},
+		{seed: 2, allFaults: true},
+		{4, false, "SIGTERM right after the start ended the process before it handled signals"},
+		{5, false, "SIGTERM right after the start ended another gateway before it handled signals"},
+		{7, false, "the port of a crashed upstream was reused by another server, whose response was forwarded"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
 			t.Parallel()
 			report, err := soaker.Run(context.Background(), soaker.Config{
 				Seed: c.seed, Command: []string{os.Args[0]}, Env: []string{asGateway + "=correct"}, Dir: t.TempDir(),
+				AllFaults: c.allFaults,
 			})
 			require.NoError(t, err)
 			t.Log(report)
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -29,6 +29,8 @@
 	// Duplicating upstreams send two responses to each plain request.
 	Duplicating
 	behaviours
+	// Flooding upstreams send bytes without end in response to every second request.
+	Flooding
 )
 
 const (
@@ -41,6 +43,12 @@
 	workTime = 10 * time.Millisecond
 )
 
+// floodKinds are the kinds of responses without end that a Flooding upstream sends. None of them is signed, so that nothing
+// of them may reach a caller, and none says that the request has not run, since it counts as run.
+var floodKinds = []string{
+	"head", "header lines", "interim heads", "no HTTP", "stale responses", "silence after a partial head",
+}
+
 // lengthHeader is the request header with the number of events of the stream that an upstream sends.
 const lengthHeader = "X-Events"
 
@@ -115,7 +123,8 @@
 }
 
 func (u *upstream) handle(w http.ResponseWriter, r *http.Request) {
-	second := u.count.Add(1)%2 == 0
+	n := u.count.Add(1)
+	second := n%2 == 0
 	switch m := Behaviour(u.behaviour.Load()); {
 	case m == Failing && second:
 		imitator.Status(http.StatusInternalServerError)(w, r)
@@ -123,6 +132,8 @@
 		imitator.Hang(w, r)
 	case m == Resetting && second:
 		imitator.ResetConnection(w, r)
+	case m == Flooding && second:
+		imitator.FloodResponse(floodKinds[int(n/2)%len(floodKinds)])(w, r)
 	case m == Duplicating && r.Header.Get(lengthHeader) == "":
 		serveDuplicate(w, r)
 	case r.Header.Get(lengthHeader) != "":
