--- a/follower/follower.go
+++ b/follower/follower.go
@@ -39,7 +39,7 @@
 	fallbackReadTime = 3 * time.Second
 	// batchTime is the pause after a watch that returned changes, so that changes in quick succession, such as many
 	// upstreams that start, take few calls.
-	batchTime = 100 * time.Millisecond
+	batchTime = 250 * time.Millisecond
 	// readyPollInterval is the interval at which AwaitReady checks for readiness while requests wait for it.
 	readyPollInterval = 10 * time.Millisecond
 	// readerPollInterval is the interval at which a process that does not read the store checks whether it should.
