placer, registrar: chats are fetched from upstreams that are leaving

During a release the chats of an upstream that is leaving were processed again at their next upstreams, although it still had them in its cache: only upstreams in use were sources. The view now also lists those that are leaving, as sources only. TestChatsAreFetchedFromLeavingUpstreams replaces four of nine engines one after the other; it failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -162,7 +162,8 @@
 // Choose returns the upstream for a request and counts the request there until Done. The result is false if no upstream
 // of the service is left.
 func (p *Placer) Choose(r Request, now time.Time) (Choice, bool) {
-	listed := p.cfg.View().ByService[r.Service]
+	view := p.cfg.View()
+	listed := view.ByService[r.Service]
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := p.usable(listed, r, now)
@@ -180,7 +181,7 @@
 		Candidates: len(usable), ReportAge: -1,
 	}
 	if r.Chat != "" {
-		choice.Source = cacheSource(usable, index)
+		choice.Source = p.cacheSource(usable, index, view.Leaving[r.Service], r.Chat, now)
 	}
 	l := p.loadOf(c.ID)
 	if !l.reportedAt.IsZero() {
@@ -272,20 +273,24 @@
 	return index, position
 }
 
-// cacheSource returns the first good upstream in the chat's preference order other than the chosen one. If the chat was
-// moved for load, that is the preferred upstream; if the chosen one has just become the preferred upstream, the chat is
-// cached at the next one in the order.
-func cacheSource(usable []candidate, chosen int) registrar.Upstream {
-	best := -1
+// cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
+// that is leaving. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
+// preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving, it still has
+// the chat until it is gone.
+func (p *Placer) cacheSource(usable []candidate, chosen int, leaving []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
+	var best registrar.Upstream
+	score := math.Inf(-1)
 	for i, c := range usable {
-		if i != chosen && c.health == appraiser.Good && (best < 0 || c.score > usable[best].score) {
-			best = i
+		if i != chosen && c.health == appraiser.Good && c.score > score {
+			best, score = c.Upstream, c.score
 		}
 	}
-	if best < 0 {
-		return registrar.Upstream{}
+	for _, u := range leaving {
+		if s := p.score(chat, u, now); s > score && p.cfg.Health(u.ID, now) == appraiser.Good {
+			best, score = u, s
+		}
 	}
-	return usable[best].Upstream
+	return best
 }
 
 // score returns the rendezvous-hash score of an upstream for a chat, weighted by the time since the upstream's start.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -245,3 +245,41 @@
 	require.True(t, reported)
 	require.Greater(t, utilisation, 0.75)
 }
+
+// Guards against prompts that are processed again during a release, in which the upstreams are replaced one after the
+// other: the chats of an upstream that is leaving must be fetched from it at their next upstreams, which are new or are
+// the next in the preference order.
+func TestChatsAreFetchedFromLeavingUpstreams(t *testing.T) {
+	v := engines(9)
+	p := newPlacer(v, good)
+	holders := map[string]string{}
+	request := func(chat string) placer.Request {
+		return placer.Request{Service: "pool", Chat: chat, ChatTokens: 10000}
+	}
+	for i := range 100 {
+		chat := fmt.Sprint("chat-", i)
+		c, ok := p.Choose(request(chat), start)
+		require.True(t, ok)
+		p.Done(c.Upstream.ID)
+		holders[chat] = c.Upstream.ID
+	}
+	now := start
+	for i := range 4 {
+		now = now.Add(time.Second)
+		all := v.ByService["pool"]
+		leaving := all[0]
+		v.Leaving = map[string][]registrar.Upstream{"pool": {leaving}}
+		v.ByService["pool"] = append(all[1:len(all):len(all)], registrar.Upstream{
+			ID: fmt.Sprint("new-", i), Service: "pool", Slots: 48, Address: fmt.Sprintf("10.0.1.%d:1", i+1), Born: now.UnixMilli(),
+		})
+		for chat, holder := range holders {
+			c, ok := p.Choose(request(chat), now)
+			require.True(t, ok)
+			p.Done(c.Upstream.ID)
+			if c.Upstream.ID != holder {
+				require.Equal(t, holder, c.Source.ID, "%s moved to %s", chat, c.Upstream.ID)
+			}
+			holders[chat] = c.Upstream.ID
+		}
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -76,6 +76,8 @@
 type View struct {
 	// ByService holds the upstreams of each service, ordered by ID.
 	ByService map[string][]Upstream
+	// Leaving holds, by service, the upstreams that are leaving: they accept no requests, but still have their caches.
+	Leaving map[string][]Upstream
 	// Revision is that of the newest record.
 	Revision uint64
 }
@@ -264,10 +266,13 @@
 }
 
 func (r *Registry) rebuild(now time.Time) {
-	v := &View{ByService: make(map[string][]Upstream)}
+	v := &View{ByService: make(map[string][]Upstream), Leaving: make(map[string][]Upstream)}
 	for _, e := range r.entries {
 		v.Revision = max(v.Revision, e.Revision)
 		inGrace := e.Removed && now.Before(e.graceUntil)
+		if e.Upstream.Leaving && !e.Removed {
+			v.Leaving[e.Upstream.Service] = append(v.Leaving[e.Upstream.Service], e.Upstream)
+		}
 		if e.Removed && !inGrace || e.Upstream.Leaving {
 			continue
 		}
