--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -146,3 +147,19 @@
 	env.Defer(func() { _ = server.Close() })
 	return listener.Addr().String(), nil
 }
+
+// Guards against a line that is too long, such as bytes of a damaged file, hiding the rest of a log.
+func TestStorySkipsLongLines(t *testing.T) {
+	for name, long := range map[string]string{
+		"text": strings.Repeat("x", 10<<20), "one with the request": "request=9c41d07b " + strings.Repeat("x", 100<<10), "zeros": strings.Repeat("\x00", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "gateway.log")
+			text := "event=first request=9c41d07b\n" + long + "\nevent=last request=9c41d07b"
+			require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+			var stdout, stderr bytes.Buffer
+			require.Equal(t, commander.ExitOK, commander.Run(t.Context(), []string{"clementinectl", "story", "9c41d07b", file}, &stdout, &stderr), stderr.String())
+			require.Equal(t, file+": event=first request=9c41d07b\n"+file+": event=last request=9c41d07b\n", stdout.String())
+		})
+	}
+}
--- a/commander/story.go
+++ b/commander/story.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -79,18 +80,28 @@
 	return nil
 }
 
-// requestLines returns the lines of a log whose request field is id.
+// requestLines returns the lines of a log whose request field is id; it leaves out lines longer than maxLogLine.
 func requestLines(id, file string, r io.Reader) ([]logLine, error) {
 	// The field must begin a word outside quoted values; quotes within a quoted value are escaped.
 	field := regexp.MustCompile(`^(?:[^"]|"(?:\\.|[^"\\])*")* request="?` + regexp.QuoteMeta(id) + `"?(?: |$)`)
 	var lines []logLine
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLogLine)
-	for s.Scan() {
-		if !field.MatchString(s.Text()) {
+	br := bufio.NewReaderSize(r, maxLogLine)
+	tooLong := false
+	for {
+		b, isPrefix, err := br.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return lines, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		// A line that is longer than the buffer comes in pieces; the logger does not write such lines.
+		skip := tooLong || isPrefix
+		tooLong = isPrefix
+		if skip || !field.Match(b) {
 			continue
 		}
-		line := logLine{file: file, text: s.Text()}
+		line := logLine{file: file, text: string(b)}
 		if _, rest, ok := strings.Cut(line.text, "time="); ok {
 			stamp, _, _ := strings.Cut(rest, " ")
 			if t, err := time.Parse(time.RFC3339Nano, stamp); err == nil {
@@ -102,8 +113,4 @@
 		}
 		lines = append(lines, line)
 	}
-	if err := s.Err(); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	return lines, nil
 }
