placer: loads of upstreams that are silent while requests wait decay over 4 s

Cause: an upstream reports its load with its responses. One with a queue of long prompts (a request waited 0.9 s there while the median response took 70 ms) sends none, so that its load decayed by half in a second at all gateways, and each sent it more. While a gateway has requests at an upstream, what others have there now decays over 4 s in place of 1.5 s. TestLoadOfSilentUpstreamStays failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -38,6 +38,9 @@
 	// loadDecayTime is the time constant with which a reported load decays, falling to 1/e. Streams last one to two
 	// seconds, and an upstream that receives no requests sends no reports.
 	loadDecayTime = 1500 * time.Millisecond
+	// waitingDecayTime replaces it while this process has requests at the upstream. An upstream reports its load with its
+	// responses, so one that is silent although it has requests still has most of its load: they wait.
+	waitingDecayTime = 4 * time.Second
 	// reportTTL is the age up to which a reported load is forwarded to other gateways.
 	reportTTL = 2 * loadDecayTime
 )
@@ -121,7 +124,11 @@
 	if others == 0 {
 		return float64(l.local)
 	}
-	return float64(l.local) + others*math.Exp(-now.Sub(l.reportedAt).Seconds()/loadDecayTime.Seconds())
+	decayTime := loadDecayTime
+	if l.local > 0 {
+		decayTime = waitingDecayTime
+	}
+	return float64(l.local) + others*math.Exp(-now.Sub(l.reportedAt).Seconds()/decayTime.Seconds())
 }
 
 // New returns a Placer without any load reports.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -138,6 +138,26 @@
 	require.Less(t, previous, 2.0)
 }
 
+// Guards against a pile of requests at an upstream with a long queue: it sends no responses, and so no reports, while
+// requests wait there, and must not seem to be idle for that.
+func TestLoadOfSilentUpstreamStays(t *testing.T) {
+	v := engines(1)
+	p := newPlacer(v, good)
+	id := v.ByService["pool"][0].ID
+	p.RecordLoad(id, placer.Load{Running: 48}, start)
+	load := func(after time.Duration) float64 {
+		share, ok := p.Occupancy("pool", start.Add(after))
+		require.True(t, ok)
+		return 48 * share
+	}
+	_, ok := p.Choose(placer.Request{Service: "pool"}, start)
+	require.True(t, ok)
+	require.Greater(t, load(time.Second), 36.0, "three quarters of the load after a second")
+	require.Greater(t, load(2*time.Second), 28.0)
+	p.Done(id)
+	require.Less(t, load(2*time.Second), 14.0, "no request of this process waits at the upstream")
+}
+
 func TestLoadReportedByPeer(t *testing.T) {
 	v := engines(2)
 	a, b := newPlacer(v, good), newPlacer(v, good)
