--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -121,7 +121,7 @@
 	})
 	n.placer = placer.New(placer.Config{View: n.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good }})
 	var seeds []string
-	for _, s := range f.nodes[:3] {
+	for _, s := range f.nodes[:min(3, len(f.nodes))] {
 		seeds = append(seeds, s.address)
 	}
 	n.relayer = relayer.New(relayer.Config{
