placer: no prompts are fetched from upstreams that have fallen silent

Cause: an engine that is told to fetch a prompt from a host that is gone waits about 300 ms for the connection before it processes the prompt.

Change: an upstream is named as a source only if some gateway had a load report from it within the last 2 s. Load reports of leaving upstreams are kept as long as they are listed.

The new test fails on the code before; two tests of fetches now let their upstreams report, as engines do.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -292,15 +293,22 @@
 	g.upstreams.Refresh(now)
 	g.shareBudgets()
 	live, incarnations := make(map[string]bool), make(map[string]bool)
-	for _, list := range g.upstreams.View().ByService {
+	view := g.upstreams.View()
+	for _, list := range view.ByService {
 		for _, u := range list {
 			live[u.ID] = true
 			incarnations[proxier.Incarnation(u)] = true
 		}
 	}
+	known := maps.Clone(live)
+	for _, list := range view.Leaving {
+		for _, u := range list {
+			known[u.ID] = true // Prompts are fetched from it as long as it is known to be there.
+		}
+	}
 	g.pool.Sweep(func(name string) bool { return incarnations[name] })
-	g.health.Prune(func(id string) bool { return live[id] })
-	g.placer.Prune(func(id string) bool { return live[id] })
+	g.health.Prune(func(id string) bool { return known[id] })
+	g.placer.Prune(func(id string) bool { return known[id] })
 	if table := g.follower.Current().Table; table != nil && table.Limits.IdleTime > 0 {
 		g.callers.CloseIdle(now, time.Duration(idleFactor*float64(table.Limits.IdleTime)))
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,6 +43,10 @@
 	waitingDecayTime = 4 * time.Second
 	// reportTTL is the age up to which a reported load is forwarded to other gateways.
 	reportTTL = 2 * loadDecayTime
+	// maxSourceSilence is the age of an upstream's latest load report up to which prompts are fetched from it. An engine
+	// that is told to fetch from a host that is gone waits for its connection before it processes the prompt, while the
+	// entries of lost upstreams stay in the store for seconds, and as long as an outage of the store lasts.
+	maxSourceSilence = 2 * time.Second
 )
 
 // Load is the load that an upstream reported, in requests.
@@ -283,7 +287,8 @@
 // cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
 // that is leaving. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
 // preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving, it still has
-// the chat until it is gone.
+// the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be gone, and those
+// after it in the order hardly have the chat.
 func (p *Placer) cacheSource(usable []candidate, chosen int, leaving []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
 	var best registrar.Upstream
 	score := math.Inf(-1)
@@ -297,6 +302,9 @@
 			best, score = u, s
 		}
 	}
+	if l := p.loads[best.ID]; l == nil || now.Sub(l.reportedAt) > maxSourceSilence {
+		return registrar.Upstream{}
+	}
 	return best
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -81,6 +81,7 @@
 	p := newPlacer(engines(4), good)
 	long := placer.Request{Service: "pool", Chat: "long", ChatTokens: 20000}
 	preferred, _ := p.Choose(long, start)
+	p.RecordLoad(preferred.Upstream.ID, placer.Load{Running: 1, Slots: 48}, start)
 	short := placer.Request{Service: "pool", Chat: "long", ChatTokens: 100}
 	for {
 		c, _ := p.Choose(short, start)
@@ -281,6 +282,7 @@
 		c, ok := p.Choose(request(chat), start)
 		require.True(t, ok)
 		p.Done(c.Upstream.ID)
+		p.RecordLoad(c.Upstream.ID, placer.Load{Running: 0, Slots: 48}, start)
 		holders[chat] = c.Upstream.ID
 	}
 	now := start
@@ -299,7 +301,49 @@
 			if c.Upstream.ID != holder {
 				require.Equal(t, holder, c.Source.ID, "%s moved to %s", chat, c.Upstream.ID)
 			}
+			p.RecordLoad(c.Upstream.ID, placer.Load{Running: 0, Slots: 48}, now)
 			holders[chat] = c.Upstream.ID
 		}
 	}
 }
+
+// Guards against first tokens that wait for a fetch from an upstream that is gone. Groups of upstreams stop at the same
+// moment, or are replaced while the store is away, and their entries stay listed: no request may name one of them as the
+// source of its prompt once it has been silent, while the upstreams that still report are named.
+func TestChatsAreNotFetchedFromSilentUpstreams(t *testing.T) {
+	v := engines(12)
+	all := v.ByService["pool"]
+	v.ByService["pool"] = all[:10]
+	v.Leaving = map[string][]registrar.Upstream{"pool": all[10:]}
+	gone := map[string]bool{all[0].ID: true, all[1].ID: true, all[2].ID: true, all[10].ID: true, all[11].ID: true}
+	p := newPlacer(v, good)
+	for _, u := range all {
+		p.RecordLoad(u.ID, placer.Load{Slots: 48}, start)
+	}
+	named := map[string]int{}
+	choose := func(now time.Time) {
+		clear(named)
+		for i := range 500 {
+			c, ok := p.Choose(placer.Request{Service: "pool", Chat: fmt.Sprint("chat-", i), ChatTokens: 10000}, now)
+			require.True(t, ok)
+			p.Done(c.Upstream.ID)
+			named[c.Source.ID]++
+		}
+	}
+	choose(start.Add(time.Second))
+	require.Len(t, named, len(all), "an upstream that has just reported is not named")
+	for s := 1; s <= 3; s++ {
+		for _, u := range all {
+			if !gone[u.ID] {
+				p.RecordLoad(u.ID, placer.Load{Slots: 48}, start.Add(time.Duration(s)*time.Second))
+			}
+		}
+	}
+	choose(start.Add(3 * time.Second))
+	for id := range gone {
+		require.Zero(t, named[id], "%s is gone", id)
+	}
+	for _, u := range all {
+		require.True(t, gone[u.ID] || named[u.ID] > 0, "%s still reports", u.ID)
+	}
+}
