router: engines that were not ready are tried again if the request may have run elsewhere

Change: when all candidates have been tried and an attempt may have run, agents that were not ready are tried again after 200 ms, three times at most. Plain refusals stay immediate.

--- a/router/chat.go
+++ b/router/chat.go
@@ -32,6 +32,13 @@
 // that is down fail fast.
 const maxFailures = 8
 
+const (
+	// notReadyWait is the time after which agents whose engine was not ready are tried again.
+	notReadyWait = 200 * time.Millisecond
+	// maxNotReadyRounds is the number of times that they are tried again.
+	maxNotReadyRounds = 3
+)
+
 // chatRoute is the state of routing one chat request.
 type chatRoute struct {
 	router *Router
@@ -49,6 +56,10 @@
 	// failed holds the upstreams that failed this request, and refused those that refused it for a reason specific to
 	// them, such as a lack of capacity.
 	failed, refused []string
+	// notReady holds the upstreams in failed whose engine was not ready, and notReadyRounds is the number of times that
+	// such upstreams were tried again.
+	notReady       []string
+	notReadyRounds int
 	// mayHaveRun is true once an attempt of this request may have run.
 	mayHaveRun bool
 	// mayHaveRunAt holds the upstreams in failed at which the request may have run.
@@ -121,7 +132,7 @@
 		if left <= 0 && t.text.Len() == 0 {
 			return t.exhausted(judge.ReasonDeadline)
 		}
-		next, ok := t.next()
+		next, ok := t.next(ctx)
 		if !ok {
 			return t.exhausted(judge.ReasonNoUpstream)
 		}
@@ -149,8 +160,8 @@
 
 // next returns the next candidate and fills in the fields of the envelope that depend on it. It chooses again when all
 // candidates of the last choice have been tried.
-func (t *chatRoute) next() (chooser.Candidate, bool) {
-	if len(t.candidates) == 0 && !t.choose() && !t.chooseAgain() {
+func (t *chatRoute) next(ctx context.Context) (chooser.Candidate, bool) {
+	if len(t.candidates) == 0 && !t.choose() && !t.chooseAgain() && !t.chooseNotReady(ctx) {
 		return chooser.Candidate{}, false
 	}
 	c := t.candidates[0]
@@ -199,6 +210,25 @@
 	return t.choose()
 }
 
+// chooseNotReady makes the agents whose engine was not ready candidates again after a short wait, if the request may have
+// run elsewhere: an engine that changes its model version may be ready soon, and the caller could not tell what happened.
+func (t *chatRoute) chooseNotReady(ctx context.Context) bool {
+	if !t.mayHaveRun || len(t.notReady) == 0 || t.notReadyRounds == maxNotReadyRounds {
+		return false
+	}
+	t.notReadyRounds++
+	timer := time.NewTimer(notReadyWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	t.failed = slices.DeleteFunc(t.failed, func(u string) bool { return slices.Contains(t.notReady, u) })
+	t.notReady = nil
+	return t.choose()
+}
+
 func (t *chatRoute) untried() []chooser.Upstream {
 	return slices.DeleteFunc(t.router.cfg.View(t.pool), func(u chooser.Upstream) bool {
 		return t.wasTried(u.Name)
@@ -316,6 +346,9 @@
 	}
 	t.failed = append(t.failed, c.Name)
 	if f.Cause.Verdict == judge.NotRun {
+		if f.Cause.Reason == judge.ReasonNotReady {
+			t.notReady = append(t.notReady, c.Name)
+		}
 		return len(t.failed) <= maxFailures, f.Cause
 	}
 	t.mayHaveRunAt = append(t.mayHaveRunAt, c.Name)
