prover: a cell ends after 10 minutes of virtual time

A ticket was requested, and configurations were sampled after an early error, without a limit of time, so that a cell could last forever in virtual time.

Change: the context of a cell ends after 10 minutes of virtual time, and the cell fails with its name. Injections use that context, too.

--- a/prover/run.go
+++ b/prover/run.go
@@ -36,6 +36,8 @@
 	stepTimeout = 30 * time.Second
 	// stopTimeout limits the wait for a process to shut down gracefully.
 	stopTimeout = 30 * time.Second
+	// cellTimeout limits the virtual time of a cell, so that a wait without end fails one cell and names it.
+	cellTimeout = 10 * time.Minute
 	// loadFactor is the multiple of the mean load that no engine may exceed.
 	loadFactor = 1.25
 )
@@ -76,7 +78,13 @@
 		routerAddress: map[string]string{}, agents: map[string]bool{}, injected: make(chan struct{}),
 		modelVersion: demonstrator.Version, adopted: make(chan struct{}, 1), stopDone: map[string]chan struct{}{},
 	}
+	ctx, cancel := context.WithTimeout(ctx, cellTimeout)
+	defer cancel()
+	c.ctx = ctx
 	report.Err = c.run(ctx)
+	if ctx.Err() != nil {
+		report.Err = trace.LimitExceeded("the cell did not end within %v: %v", cellTimeout, report.Err)
+	}
 	report.Journal = c.journal
 	if report.Err == nil {
 		report.Violations = Check(c.journal)
@@ -86,7 +94,9 @@
 
 // cellRun is the state of one run of a cell.
 type cellRun struct {
-	cell    Cell
+	cell Cell
+	// ctx ends with the cell, for goroutines that events start.
+	ctx     context.Context
 	opts    Options
 	network *standin.Network
 	fleet   *demonstrator.Fleet
@@ -248,7 +258,7 @@
 		c.injections.Add(1)
 		go func() {
 			defer c.injections.Done()
-			f.injectInBackground(context.Background(), c)
+			f.injectInBackground(c.ctx, c)
 		}()
 	}
 	close(c.injected)
