appraiser, connector, gatekeeper: unreachable upstreams are probed, not tried with requests

Cause: when a group of upstreams goes dark, each gateway finds out by itself, and each trial of a dark upstream delays a request by the dial timeout of 0.3 s.

Change: unreachable upstreams get no trials; the gateway opens a connection after 0.25 to 2 s and keeps it for use. A good upstream whose request was silent is probed as well, at most once a second. The dial timeout is 0.15 s.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -16,7 +16,7 @@
 	Trial
 	// Suspect upstreams have failed too many of their recent requests.
 	Suspect
-	// Unreachable upstreams accept no connections.
+	// Unreachable upstreams accept no connections. Probes, which open a connection, decide when they have recovered.
 	Unreachable
 )
 
@@ -43,10 +43,13 @@
 	Silent
 	// Refused means that no connection could be opened.
 	Refused
+	// Connected means that a probe opened a connection to an unreachable upstream.
+	Connected
 )
 
 var outcomeNames = [...]string{
 	Served: "served", Failed: "failed", Broken: "broken", Shed: "shed", Silent: "silent", Refused: "refused",
+	Connected: "connected",
 }
 
 // String returns the name of the outcome in logs.
@@ -68,6 +71,8 @@
 	maxUnreachableBackoff = 2 * time.Second
 	// requiredTrials is the number of successive trials that a suspect upstream must pass to be good again.
 	requiredTrials = 2
+	// minProbeInterval is the least time between two probes of a good upstream that is silent, which may only be slow.
+	minProbeInterval = time.Second
 	// trialTimeout is the time after which a trial without an outcome no longer prevents the next one.
 	trialTimeout = 3 * time.Second
 )
@@ -80,8 +85,12 @@
 	backoff        time.Duration
 	suspendedUntil time.Time
 	passedTrials   int
-	// trialAt is the start of the trial in progress, or zero.
+	// trialAt is the start of the trial or probe in progress, or zero.
 	trialAt time.Time
+	// doubted is set if a good upstream was silent, so that a probe must decide whether it is reachable. probedAt is the
+	// start of the last probe.
+	doubted  bool
+	probedAt time.Time
 }
 
 // Change is a change of an upstream's health.
@@ -115,8 +124,8 @@
 	return &Appraiser{cfg: cfg, states: make(map[string]*state)}
 }
 
-// Health returns the health of an upstream; upstreams without any outcome are good. Once its suspension has passed, an
-// upstream has the health Trial except while a trial is in progress.
+// Health returns the health of an upstream; upstreams without any outcome are good. Once its suspension has passed, a
+// suspect upstream has the health Trial except while a trial is in progress.
 func (a *Appraiser) Health(upstream string, now time.Time) Health {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -124,7 +133,7 @@
 	if s == nil || s.health == Good {
 		return Good
 	}
-	if now.Before(s.suspendedUntil) || !s.trialAt.IsZero() && now.Sub(s.trialAt) < trialTimeout {
+	if s.health == Unreachable || now.Before(s.suspendedUntil) || !s.trialAt.IsZero() && now.Sub(s.trialAt) < trialTimeout {
 		return s.health
 	}
 	return Trial
@@ -135,7 +144,7 @@
 func (a *Appraiser) Begin(upstream string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.states[upstream]; s != nil && s.health != Good && !now.Before(s.suspendedUntil) && s.trialAt.IsZero() {
+	if s := a.states[upstream]; s != nil && s.health == Suspect && !now.Before(s.suspendedUntil) && s.trialAt.IsZero() {
 		s.trialAt = now
 	}
 }
@@ -157,6 +166,7 @@
 		s.failures |= 1
 	}
 	before := s.health
+	s.doubted = o == Silent && s.health == Good
 	switch {
 	case o == Served:
 		s.recordSuccess()
@@ -174,6 +184,58 @@
 	}
 }
 
+// DueProbes returns the upstreams that must be probed now, and begins a probe of each; RecordProbe ends it. These are the
+// unreachable ones whose suspension has passed, and the good ones whose last request was silent.
+func (a *Appraiser) DueProbes(now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var due []string
+	for name, s := range a.states {
+		if s.probeDue(now) {
+			s.probedAt, s.trialAt, s.doubted = now, now, false
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
+func (s *state) probeDue(now time.Time) bool {
+	if !s.trialAt.IsZero() && now.Sub(s.trialAt) < trialTimeout {
+		return false
+	}
+	switch s.health {
+	case Good:
+		return s.doubted && now.Sub(s.probedAt) >= minProbeInterval
+	case Unreachable:
+		return !now.Before(s.suspendedUntil)
+	default:
+		return false
+	}
+}
+
+// RecordProbe records whether a probe of an upstream opened a connection. An unreachable one is good again then, and a
+// good one is unreachable if it did not.
+func (a *Appraiser) RecordProbe(upstream string, connected bool, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.states[upstream]
+	if s == nil || s.trialAt.IsZero() || s.health != Unreachable && s.health != Good {
+		return // The probe has timed out, or a request has shown more since.
+	}
+	change := Change{Upstream: upstream, From: s.health, Outcome: Connected}
+	s.trialAt = time.Time{}
+	switch {
+	case !connected:
+		s.suspend(Unreachable, minUnreachableBackoff, maxUnreachableBackoff, now)
+		change.To, change.Outcome, change.Backoff = Unreachable, Refused, s.backoff
+	case s.health == Unreachable:
+		*s = state{probedAt: s.probedAt}
+	}
+	if change.From != change.To && a.cfg.OnChange != nil {
+		a.cfg.OnChange(change)
+	}
+}
+
 // recordSuccess records a served request. A suspect upstream is good again after requiredTrials of them, an unreachable
 // one after the first.
 func (s *state) recordSuccess() {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -203,6 +203,22 @@
 	return n, err
 }
 
+func TestConnectedConnectionIsReused(t *testing.T) {
+	u := serve(t, respondEach(okResponse))
+	p := connector.New(connector.Config{})
+	target := u.target()
+	target.MaxConnections = 1
+	require.NoError(t, p.Connect(t.Context(), target))
+	require.ErrorIs(t, p.Connect(t.Context(), target), connector.ErrTooManyConnections)
+	body, err := exchange(t, p, target, "1")
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Len(t, u.accepted, 1)
+	_ = u.Close()
+	require.Error(t, p.Connect(t.Context(), u.target()))
+	require.Equal(t, 1, p.OpenConnections(), "a failed connection counts as open")
+}
+
 func TestConnectionLimit(t *testing.T) {
 	release := make(chan struct{})
 	u := serve(t, func(_ int, c net.Conn) {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// DefaultDialTimeout bounds the dialling of a connection, which takes a few milliseconds within a region.
-	DefaultDialTimeout = 300 * time.Millisecond
+	// DefaultDialTimeout bounds the dialling of a connection, which takes a few milliseconds within a region. A request
+	// for an upstream that has gone dark waits for it before it is sent to another one.
+	DefaultDialTimeout = 150 * time.Millisecond
 	// DefaultIdleTimeout is the time for which an idle connection is kept if the upstream announces no timeout.
 	DefaultIdleTimeout = 2 * time.Second
 	// DefaultHeadTimeout bounds the time from the first byte of a response's head to its last. A head has a few hundred
@@ -103,6 +104,29 @@
 		}
 		p.release(c, false)
 	}
+	return p.dial(ctx, t)
+}
+
+// Connect opens a connection to the target and keeps it for later exchanges.
+func (p *Pool) Connect(ctx context.Context, t Target) error {
+	p.mu.Lock()
+	u := p.conns(t.Upstream)
+	if t.MaxConnections > 0 && u.open >= t.MaxConnections {
+		p.mu.Unlock()
+		return ErrTooManyConnections
+	}
+	u.open++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	p.release(c, true)
+	return nil
+}
+
+// dial opens a connection that has been counted as open.
+func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
 	start := time.Now()
@@ -124,11 +148,7 @@
 func (p *Pool) takeIdle(t Target) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := p.upstreams[t.Upstream]
-	if u == nil {
-		u = &upstreamConns{}
-		p.upstreams[t.Upstream] = u
-	}
+	u := p.conns(t.Upstream)
 	now := time.Now()
 	for len(u.idle) > 0 {
 		c := u.idle[len(u.idle)-1]
@@ -146,6 +166,16 @@
 	return nil, nil
 }
 
+// conns returns the connections to an upstream, which are created on first use; p.mu must be held.
+func (p *Pool) conns(upstream string) *upstreamConns {
+	u := p.upstreams[upstream]
+	if u == nil {
+		u = &upstreamConns{}
+		p.upstreams[upstream] = u
+	}
+	return u
+}
+
 // release returns a connection to the pool if keep is true and the pool has fewer than maxIdleConns idle connections to
 // the upstream. Otherwise it closes the connection.
 func (p *Pool) release(c *conn, keep bool) {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -284,6 +285,29 @@
 			return
 		case now := <-t.C:
 			g.housekeep(now)
+			g.probeUnreachable(ctx, now)
+		}
+	}
+}
+
+// probeUnreachable opens connections to the unreachable upstreams whose probes are due, so that no request waits for one
+// that is still gone.
+func (g *Gateway) probeUnreachable(ctx context.Context, now time.Time) {
+	due := g.health.DueProbes(now)
+	if len(due) == 0 {
+		return
+	}
+	for _, list := range g.upstreams.View().ByService {
+		for _, u := range list {
+			if !slices.Contains(due, u.ID) {
+				continue
+			}
+			go func() {
+				err := g.pool.Connect(ctx, connector.Target{Upstream: proxier.Incarnation(u), Address: u.Address})
+				if ctx.Err() == nil {
+					g.health.RecordProbe(u.ID, err == nil, time.Now())
+				}
+			}()
 		}
 	}
 }
