appraiser, relayer: gateways share which upstreams they cannot connect to

Change: a gateway that cannot open a connection marks the upstream. Marks (5 bytes each) go with all exchanges, and the first mark of an upstream starts exchanges at once. The others probe a marked upstream that has not reported its load since, and only their own probe takes it out of use, because the sender may be cut off.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -73,6 +73,8 @@
 	requiredTrials = 2
 	// minProbeInterval is the least time between two probes of a good upstream that is silent, which may only be slow.
 	minProbeInterval = time.Second
+	// markTTL is the time for which a mark counts. Failed probes renew the marks of upstreams that stay unreachable.
+	markTTL = 2500 * time.Millisecond
 	// trialTimeout is the time after which a trial without an outcome no longer prevents the next one.
 	trialTimeout = 3 * time.Second
 )
@@ -110,6 +112,19 @@
 	// OnChange is called for each change of an upstream's health; it may be nil. A lock is held during the call, so it
 	// must not call the Appraiser.
 	OnChange func(Change)
+	// OnMark is called when an upstream without a mark gets one; it may be nil. A lock is held during the call, so it must
+	// not call the Appraiser.
+	OnMark func()
+	// Heard returns the time at which an upstream last reported its load to any gateway; nil means never. No lock is held
+	// during the call.
+	Heard func(upstream string) time.Time
+}
+
+// Mark says that a gateway could not open a connection to an upstream.
+type Mark struct {
+	Upstream string
+	// Age is the time since then.
+	Age time.Duration
 }
 
 // Appraiser tracks the health of upstreams; it is safe for concurrent use.
@@ -117,11 +132,16 @@
 	cfg    Config
 	mu     sync.Mutex
 	states map[string]*state
+	// marks holds the times of the newest marks, those of this gateway included.
+	marks map[string]time.Time
 }
 
 // New returns an Appraiser for which all upstreams are good.
 func New(cfg Config) *Appraiser {
-	return &Appraiser{cfg: cfg, states: make(map[string]*state)}
+	if cfg.Heard == nil {
+		cfg.Heard = func(string) time.Time { return time.Time{} }
+	}
+	return &Appraiser{cfg: cfg, states: make(map[string]*state), marks: make(map[string]time.Time)}
 }
 
 // Health returns the health of an upstream; upstreams without any outcome are good. Once its suspension has passed, a
@@ -172,6 +192,7 @@
 		s.recordSuccess()
 	case o == Refused:
 		s.suspend(Unreachable, minUnreachableBackoff, maxUnreachableBackoff, now)
+		a.mark(upstream, now)
 	case s.health != Good:
 		s.suspend(Suspect, minBackoff, maxBackoff, now)
 	case bits.OnesCount8(s.failures) >= failureLimit:
@@ -228,6 +249,7 @@
 	case !connected:
 		s.suspend(Unreachable, minUnreachableBackoff, maxUnreachableBackoff, now)
 		change.To, change.Outcome, change.Backoff = Unreachable, Refused, s.backoff
+		a.mark(upstream, now)
 	case s.health == Unreachable:
 		*s = state{probedAt: s.probedAt}
 	}
@@ -236,6 +258,58 @@
 	}
 }
 
+// mark records that some gateway could not connect to an upstream at the given time.
+func (a *Appraiser) mark(upstream string, at time.Time) {
+	old := a.marks[upstream]
+	if !at.After(old) {
+		return
+	}
+	a.marks[upstream] = at
+	if at.Sub(old) > markTTL && a.cfg.OnMark != nil {
+		a.cfg.OnMark()
+	}
+}
+
+// Marks returns the marks that still count, to be sent to other gateways.
+func (a *Appraiser) Marks(now time.Time) []Mark {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var marks []Mark
+	for upstream, at := range a.marks {
+		if age := now.Sub(at); age < markTTL {
+			marks = append(marks, Mark{Upstream: upstream, Age: max(age, 0)})
+		}
+	}
+	return marks
+}
+
+// MergeMarks records the marks of another gateway. A marked upstream that has not reported its load since is probed, and
+// only that probe decides, because the other gateway may itself be cut off.
+func (a *Appraiser) MergeMarks(marks []Mark, now time.Time) {
+	heard := make([]time.Time, len(marks))
+	for i, m := range marks {
+		heard[i] = a.cfg.Heard(m.Upstream)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, m := range marks {
+		at := now.Add(-m.Age)
+		if m.Age < 0 || m.Age >= markTTL || !at.After(a.marks[m.Upstream]) {
+			continue
+		}
+		a.mark(m.Upstream, at)
+		if at.Before(heard[i]) {
+			continue
+		}
+		s := a.states[m.Upstream]
+		if s == nil {
+			s = &state{}
+			a.states[m.Upstream] = s
+		}
+		s.doubted = s.health == Good && at.After(s.probedAt)
+	}
+}
+
 // recordSuccess records a served request. A suspect upstream is good again after requiredTrials of them, an unreachable
 // one after the first.
 func (s *state) recordSuccess() {
@@ -267,4 +341,9 @@
 			delete(a.states, name)
 		}
 	}
+	for name := range a.marks {
+		if !keep(name) {
+			delete(a.marks, name)
+		}
+	}
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -122,7 +122,10 @@
 func (g *Gateway) assemble() {
 	s := g.cfg.Settings
 	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream})
-	g.health = appraiser.New(appraiser.Config{OnChange: g.logHealth})
+	g.health = appraiser.New(appraiser.Config{
+		OnChange: g.logHealth, OnMark: func() { g.relayer.NotifyPeers() },
+		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
+	})
 	g.placer = placer.New(placer.Config{
 		FailureDomain: s.FailureDomain, View: g.upstreams.View, Health: g.health.Health,
 	})
@@ -148,6 +151,7 @@
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
 			PeerReachedStore: g.follower.PeerReachedStore,
 			Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge,
+			Health: g.health,
 		},
 	})
 	g.proxier = proxier.New(proxier.Config{
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -362,6 +362,16 @@
 	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, now, true
 }
 
+// Heard returns the time of an upstream's latest load report to any gateway; it is zero before the first.
+func (p *Placer) Heard(upstream string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[upstream]; l != nil {
+		return l.reportedAt
+	}
+	return time.Time{}
+}
+
 // LoadReport is a load that an upstream reported to one of the gateways.
 type LoadReport struct {
 	Upstream string
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -46,6 +46,7 @@
 	follower        *follower.Follower
 	crashes         *blocker.Blocker
 	placer          *placer.Placer
+	health          *appraiser.Appraiser
 	relayer         *relayer.Relayer
 	stop            func()
 }
@@ -120,6 +121,7 @@
 		},
 	})
 	n.placer = placer.New(placer.Config{View: n.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good }})
+	n.health = appraiser.New(appraiser.Config{OnMark: func() { n.relayer.NotifyPeers() }, Heard: n.placer.Heard})
 	var seeds []string
 	for _, s := range f.nodes[:min(3, len(f.nodes))] {
 		seeds = append(seeds, s.address)
@@ -131,7 +133,7 @@
 			Document: n.follower.Document, Confirmed: func() time.Time { return n.follower.Current().Confirmed },
 			Reached: func() bool { return true }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
 			PeerReachedStore: n.follower.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
-			Loads: n.placer.Reports, MergeLoads: n.placer.Merge,
+			Loads: n.placer.Reports, MergeLoads: n.placer.Merge, Health: n.health,
 		},
 	})
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -355,3 +357,51 @@
 		require.Less(t, f.bytes.Load()-calm, int64(gateways*gateways*crashes*reportBytes))
 	})
 }
+
+// Guards against gateways of a large fleet that each find out by themselves which upstreams have vanished: a quarter of
+// them goes dark at the same moment, a few gateways notice each, and all gateways must know before the entries in the store
+// expire. The bytes stay within the budget for control traffic.
+func TestVanishedUpstreamsAreKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			gateways, upstreams, dark = 100, 180, 45
+			expiry                    = 3 * 1200 * time.Millisecond
+			observed                  = 10 * time.Second
+			budget                    = 8_000 // bytes a second for each gateway
+		)
+		f := newFleet(t, gateways, 5, upstreams)
+		time.Sleep(5 * time.Second)
+		f.bytes.Store(0)
+		begin := time.Now()
+		for u := range dark {
+			f.nodes[u*7%gateways].health.Record(fmt.Sprint("i-", u), appraiser.Refused, time.Now())
+		}
+		known := func() int {
+			n := 0
+			for _, g := range f.nodes {
+				for u := range dark {
+					if g.health.Health(fmt.Sprint("i-", u), time.Now()) == appraiser.Unreachable {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		var after time.Duration
+		for time.Since(begin) < observed {
+			for _, g := range f.nodes {
+				for _, id := range g.health.DueProbes(time.Now()) {
+					g.health.RecordProbe(id, false, time.Now())
+				}
+			}
+			if after == 0 && known() == gateways*dark {
+				after = time.Since(begin)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("known everywhere after %v, %d B/s for each gateway", after, f.bytes.Load()/gateways/int64(observed/time.Second))
+		require.NotZero(t, after, "%d of %d pairs are known", known(), gateways*dark)
+		require.Less(t, after, expiry)
+		require.Less(t, f.bytes.Load(), int64(gateways*budget*observed/time.Second))
+	})
+}
--- a/relayer/loads.go
+++ b/relayer/loads.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"clementineramp/appraiser"
 	"clementineramp/placer"
 	"clementineramp/registrar"
 )
@@ -50,6 +52,42 @@
 	return l
 }
 
+// Marks holds marks of unreachable upstreams in columns, as Loads does.
+type Marks struct {
+	Upstreams []uint32
+	Ages      []byte
+}
+
+// encodeMarks returns marks in columns. Marks that are too old for the unit of the ages are left out.
+func encodeMarks(marks []appraiser.Mark) Marks {
+	var c Marks
+	for _, m := range marks {
+		if age := (m.Age + loadAgeUnit - 1) / loadAgeUnit; age >= 0 && age <= 255 {
+			c.Upstreams = append(c.Upstreams, hashUpstream(m.Upstream))
+			c.Ages = append(c.Ages, byte(age))
+		}
+	}
+	return c
+}
+
+// minMarkRenewal is the difference in age from which a mark is news to a peer that has an older one.
+const minMarkRenewal = time.Second
+
+// newerMarks returns the marks that a peer lacks, or of which it sent much older ones.
+func newerMarks(own []appraiser.Mark, sent Marks) []appraiser.Mark {
+	if len(sent.Ages) != len(sent.Upstreams) {
+		return own
+	}
+	ages := make(map[uint32]time.Duration, len(sent.Upstreams))
+	for i, hash := range sent.Upstreams {
+		ages[hash] = time.Duration(sent.Ages[i]) * loadAgeUnit
+	}
+	return slices.DeleteFunc(own, func(m appraiser.Mark) bool {
+		age, known := ages[hashUpstream(m.Upstream)]
+		return known && age < m.Age+minMarkRenewal
+	})
+}
+
 // newerLoads returns the reports that are newer than those that a peer sent, or that the peer lacks.
 func newerLoads(own []placer.LoadReport, sent Loads) []placer.LoadReport {
 	if len(sent.Ages) != len(sent.Upstreams) {
@@ -68,8 +106,8 @@
 	return newer
 }
 
-// loadCodec decodes loads into reports on the upstreams in use. It is safe for concurrent use.
-type loadCodec struct {
+// upstreamCodec decodes loads and marks of the upstreams in use. It is safe for concurrent use.
+type upstreamCodec struct {
 	view func() *registrar.View
 
 	mu sync.Mutex
@@ -78,8 +116,8 @@
 	indexed *registrar.View
 }
 
-// decode returns the reports on upstreams in use; malformed columns give none.
-func (c *loadCodec) decode(l Loads) []placer.LoadReport {
+// decodeLoads returns the reports on upstreams in use; malformed columns give none.
+func (c *upstreamCodec) decodeLoads(l Loads) []placer.LoadReport {
 	if len(l.Counts) != len(l.Upstreams) || len(l.Ages) != len(l.Upstreams) {
 		return nil
 	}
@@ -93,8 +131,23 @@
 	return reports
 }
 
+// decodeMarks returns the marks of upstreams in use; malformed columns give none.
+func (c *upstreamCodec) decodeMarks(m Marks) []appraiser.Mark {
+	if len(m.Upstreams) == 0 || len(m.Ages) != len(m.Upstreams) {
+		return nil
+	}
+	ids := c.index()
+	var marks []appraiser.Mark
+	for i, hash := range m.Upstreams {
+		if id, ok := ids[hash]; ok {
+			marks = append(marks, appraiser.Mark{Upstream: id, Age: time.Duration(m.Ages[i]) * loadAgeUnit})
+		}
+	}
+	return marks
+}
+
 // index returns the IDs of the upstreams in use by their hashes.
-func (c *loadCodec) index() map[uint32]string {
+func (c *upstreamCodec) index() map[uint32]string {
 	v := c.view()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/placer"
 	"clementineramp/platform"
@@ -82,6 +83,8 @@
 	// WithLoads is set if the exchange carries loads; LoadColumns are those of the sender.
 	WithLoads   bool
 	LoadColumns Loads
+	// Unreachable holds the upstreams to which some gateway could not connect.
+	Unreachable Marks
 }
 
 // CompressedDocument is a configuration as published, compressed by gzip.
@@ -109,6 +112,7 @@
 	OtherPeers    PeerList
 	CrashBatches  []blocker.Batch
 	LoadColumns   Loads
+	Unreachable   Marks
 }
 
 // State gives access to the state of a gateway that is exchanged with peers. All fields are required.
@@ -132,6 +136,8 @@
 	// Loads returns the newest loads of upstreams, and MergeLoads merges those of a peer.
 	Loads      func(now time.Time) []placer.LoadReport
 	MergeLoads func(loads []placer.LoadReport, now time.Time)
+	// Health holds the marks of unreachable upstreams.
+	Health *appraiser.Appraiser
 }
 
 // Config holds the settings and dependencies of a Relayer.
@@ -168,7 +174,7 @@
 	compressMu sync.Mutex
 	compressed CompressedDocument
 
-	loads loadCodec
+	upstreams upstreamCodec
 
 	mu sync.Mutex
 	// members maps the address of each peer to its last reported state.
@@ -191,8 +197,8 @@
 	}
 	return &Relayer{
 		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize), members: make(map[string]member),
-		loads:   loadCodec{view: cfg.State.Registry.View},
-		clients: make(map[string]*rpc.Client), unreachable: make(map[string]bool),
+		upstreams: upstreamCodec{view: cfg.State.Registry.View},
+		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]bool),
 	}
 }
 
@@ -210,8 +216,10 @@
 	if req.WithLoads {
 		own := state.Loads(now)
 		reply.LoadColumns = encodeLoads(newerLoads(own, req.LoadColumns))
-		state.MergeLoads(r.loads.decode(req.LoadColumns), now)
+		state.MergeLoads(r.upstreams.decodeLoads(req.LoadColumns), now)
 	}
+	reply.Unreachable = encodeMarks(newerMarks(state.Health.Marks(now), req.Unreachable))
+	state.Health.MergeMarks(r.upstreams.decodeMarks(req.Unreachable), now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	reply.Records, reply.Complete = state.Registry.RecordsSince(req.Upstreams)
@@ -378,6 +386,7 @@
 		Configuration: state.Document().Revision,
 		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
+		Unreachable: encodeMarks(state.Health.Marks(now)),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
@@ -405,7 +414,8 @@
 	if reply.Reached {
 		state.Confirm(now.Add(-reply.ConfirmedAge))
 	}
-	state.MergeLoads(r.loads.decode(reply.LoadColumns), time.Now())
+	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
+	state.Health.MergeMarks(r.upstreams.decodeMarks(reply.Unreachable), time.Now())
 	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
 		r.NotifyPeers()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -58,6 +58,7 @@
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
 			Reached: func() bool { return g.reached }, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
 			PeerReachedStore: g.follower.PeerReachedStore, Registry: g.registry, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge,
+			Health: appraiser.New(appraiser.Config{}),
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
