placer, relayer: high loads reach all gateways without delay; sources that leave are named while the list is current

Change: recent reports above the load limit go with all exchanges, and the first of an upstream starts exchanges with three peers at once, at most every 0.3 s. While the list of upstreams has been confirmed within 1.5 s and no outage ended in the last four heartbeats, a source may be silent for 10 s.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -62,6 +62,10 @@
 	idleFactor = 1.5
 	// statusIdleTimeout is the time after which an idle connection for readiness checks or metrics is closed.
 	statusIdleTimeout = time.Minute
+	// maxListAge is the time since the list of upstreams was confirmed up to which it counts as current.
+	maxListAge = 1500 * time.Millisecond
+	// expiryHeartbeats is the number of heartbeats after which the entry of an upstream that is gone expires, and a margin.
+	expiryHeartbeats = 4
 	// minWatchTime bounds the calls to the store on deployments where changes must take effect very soon.
 	minWatchTime = 250 * time.Millisecond
 	// metricsPath is the HTTP path that serves the metrics.
@@ -130,6 +134,7 @@
 	})
 	g.placer = placer.New(placer.Config{
 		FailureDomain: s.FailureDomain, View: g.upstreams.View, Health: g.health.Health,
+		ListCurrent: g.listCurrent, OnHigh: func() { g.relayer.NotifyHighLoad() },
 	})
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
@@ -152,7 +157,7 @@
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
 			PeerReachedStore: g.follower.PeerReachedStore,
-			Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge,
+			Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, HighLoads: g.placer.HighReports, MergeLoads: g.placer.Merge,
 			Health: g.health,
 		},
 	})
@@ -174,6 +179,16 @@
 	g.callers = NewCallerConns(s.Connections)
 }
 
+// listCurrent reports whether the list of upstreams has been confirmed lately, and no entry is left of those that went away
+// during an outage of the store.
+func (g *Gateway) listCurrent(now time.Time) bool {
+	if now.Sub(g.follower.Current().Confirmed) > maxListAge {
+		return false
+	}
+	since := g.upstreams.TimeSinceOutage(now)
+	return since < 0 || since > expiryHeartbeats*g.settings.Load().Heartbeat
+}
+
 // watchTime returns the duration of a watch of the store without changes: half of the time in which a change must take
 // effect, because an unresponsive connection is noticed only at the end of its watch.
 func watchTime(propagation time.Duration) time.Duration {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,10 +43,17 @@
 	waitingDecayTime = 4 * time.Second
 	// reportTTL is the age up to which a reported load is forwarded to other gateways.
 	reportTTL = 2 * loadDecayTime
+	// highReportTTL is the age up to which a report above the load limit is forwarded with every exchange, and
+	// minHighInterval is the least time between two calls of OnHigh: a flood brings many such reports.
+	highReportTTL   = time.Second
+	minHighInterval = 300 * time.Millisecond
 	// maxSourceSilence is the age of an upstream's latest load report up to which prompts are fetched from it. An engine
 	// that is told to fetch from a host that is gone waits for its connection before it processes the prompt, while the
-	// entries of lost upstreams stay in the store for seconds, and as long as an outage of the store lasts.
+	// entries of lost upstreams stay in the store as long as an outage lasts, and for seconds after it.
 	maxSourceSilence = 2 * time.Second
+	// maxListedSourceSilence replaces it while the list of upstreams is current: upstreams that leave report no load any
+	// more, but are listed until they are gone, and crashed ones are soon found to be unreachable.
+	maxListedSourceSilence = 10 * time.Second
 )
 
 // Load is the load that an upstream reported, in requests.
@@ -97,6 +104,11 @@
 	View func() *registrar.View
 	// Health returns the health of an upstream.
 	Health func(upstream string, now time.Time) appraiser.Health
+	// ListCurrent reports whether upstreams that are gone, other than by a crash, are no longer in use; nil means never.
+	ListCurrent func(now time.Time) bool
+	// OnHigh is called when a report shows that an upstream has come to carry more than its load limit, so that other
+	// gateways are told without delay; it may be nil. A lock is held during the call, so it must not call the Placer.
+	OnHigh func()
 	// Random returns a number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -107,6 +119,9 @@
 
 	mu    sync.Mutex
 	loads map[string]*upstreamLoad
+	// limits holds the load limit of each service at the last choice, and highAt is the time of the last call of OnHigh.
+	limits map[string]float64
+	highAt time.Time
 }
 
 // upstreamLoad is the load of one upstream, in requests.
@@ -119,6 +134,11 @@
 	reportedAt    time.Time
 	// heardHere is set if the upstream reported the load to this process, rather than to another gateway.
 	heardHere bool
+	// service and slots are those of the upstream when it was last a candidate.
+	service string
+	slots   int
+	// high is set if the reported load is above the load limit.
+	high bool
 }
 
 // estimate returns the estimated number of requests at the upstream: those of this process, plus those of other
@@ -149,7 +169,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad)}
+	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64)}
 }
 
 // candidate is an upstream with its load and health.
@@ -161,11 +181,11 @@
 	score float64
 }
 
-// loadLimit returns the load up to which the upstream accepts chats: the given limit, but at most maxSlotShare of its
+// loadLimit returns the load up to which an upstream accepts chats: the given limit, but at most maxSlotShare of its
 // slots, since requests beyond its slots would wait.
-func (c *candidate) loadLimit(limit float64) float64 {
-	if c.Slots > 0 {
-		return min(limit, maxSlotShare*float64(c.Slots))
+func loadLimit(slots int, limit float64) float64 {
+	if slots > 0 {
+		return min(limit, maxSlotShare*float64(slots))
 	}
 	return limit
 }
@@ -233,6 +253,7 @@
 		c := candidate{Upstream: u, health: p.cfg.Health(u.ID, now)}
 		if l := p.loads[u.ID]; l != nil {
 			c.load = l.estimate(now)
+			l.service, l.slots = u.Service, u.Slots
 		}
 		switch {
 		case c.health == appraiser.Good || c.health == appraiser.Trial && r.Repeatable:
@@ -266,10 +287,11 @@
 		usable[i].score = p.score(r.Chat, usable[i].Upstream, now)
 	}
 	length := min(float64(r.ChatTokens)/longChatTokens, 1)
-	limit := (p.cfg.LoadFactor*mean + p.cfg.Slack) * (shortChatFactor + (1-shortChatFactor)*length)
+	p.limits[r.Service] = p.cfg.LoadFactor*mean + p.cfg.Slack
+	limit := p.limits[r.Service] * (shortChatFactor + (1-shortChatFactor)*length)
 	index = -1
 	for i, c := range usable {
-		if c.load < c.loadLimit(limit) && (index < 0 || c.score > usable[index].score) {
+		if c.load < loadLimit(c.Slots, limit) && (index < 0 || c.score > usable[index].score) {
 			index = i
 		}
 	}
@@ -302,7 +324,11 @@
 			best, score = u, s
 		}
 	}
-	if l := p.loads[best.ID]; l == nil || now.Sub(l.reportedAt) > maxSourceSilence {
+	silence := maxSourceSilence
+	if p.cfg.ListCurrent != nil && p.cfg.ListCurrent(now) {
+		silence = maxListedSourceSilence
+	}
+	if l := p.loads[best.ID]; l == nil || now.Sub(l.reportedAt) > silence {
 		return registrar.Upstream{}
 	}
 	return best
@@ -360,6 +386,31 @@
 	defer p.mu.Unlock()
 	l := p.loadOf(upstream)
 	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, now, true
+	p.detectHigh(l, now)
+}
+
+// detectHigh compares a new report with the load limit, and calls OnHigh if the load has risen above it.
+func (p *Placer) detectHigh(l *upstreamLoad, now time.Time) {
+	limit, known := p.limits[l.service]
+	before := l.high
+	l.high = known && float64(l.reported) > loadLimit(l.slots, limit)
+	if l.high && !before && p.cfg.OnHigh != nil && now.Sub(p.highAt) >= minHighInterval {
+		p.highAt = now
+		p.cfg.OnHigh()
+	}
+}
+
+// HighReports returns the recent reports above the load limit.
+func (p *Placer) HighReports(now time.Time) []LoadReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []LoadReport
+	for name, l := range p.loads {
+		if age := now.Sub(l.reportedAt); l.high && age < highReportTTL {
+			all = append(all, LoadReport{Upstream: name, Load: l.reported, Age: age, Local: l.heardHere})
+		}
+	}
+	return all
 }
 
 // Heard returns the time of an upstream's latest load report to any gateway; it is zero before the first.
@@ -403,6 +454,7 @@
 		l := p.loadOf(r.Upstream)
 		if at := now.Add(-r.Age); r.Age >= 0 && at.After(l.reportedAt) {
 			l.reported, l.localAtReport, l.reportedAt, l.heardHere = r.Load, l.local, at, false
+			p.detectHigh(l, now)
 		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,8 +36,10 @@
 	callTimeout = time.Second
 	// dialTimeout bounds the opening of a connection, which takes a few milliseconds within a region.
 	dialTimeout = 300 * time.Millisecond
-	// notifiedPeers is the number of exchanges that a gateway starts without delay when it has received an update.
+	// notifiedPeers is the number of exchanges that a gateway starts without delay when it has received an update, and
+	// highLoadPeers that for a high load, which is of no use to gateways that hear of it late.
 	notifiedPeers = 2
+	highLoadPeers = 3
 	// wakeQueueSize bounds the queue of immediate exchanges.
 	wakeQueueSize = 8
 	// peerTTL is the time since the last exchange of any gateway with a peer after which the peer no longer counts as live.
@@ -83,6 +85,8 @@
 	// WithLoads is set if the exchange carries loads; LoadColumns are those of the sender.
 	WithLoads   bool
 	LoadColumns Loads
+	// HighLoads holds the recent loads above the load limit, which exchanges of any kind carry.
+	HighLoads Loads
 	// Unreachable holds the upstreams to which some gateway could not connect.
 	Unreachable Marks
 }
@@ -112,6 +116,7 @@
 	OtherPeers    PeerList
 	CrashBatches  []blocker.Batch
 	LoadColumns   Loads
+	HighLoads     Loads
 	Unreachable   Marks
 }
 
@@ -133,8 +138,10 @@
 
 	Registry *registrar.Registry
 	Crashes  *blocker.Blocker
-	// Loads returns the newest loads of upstreams, and MergeLoads merges those of a peer.
+	// Loads returns the newest loads of upstreams, HighLoads the recent ones above the load limit, and MergeLoads merges
+	// those of a peer.
 	Loads      func(now time.Time) []placer.LoadReport
+	HighLoads  func(now time.Time) []placer.LoadReport
 	MergeLoads func(loads []placer.LoadReport, now time.Time)
 	// Health holds the marks of unreachable upstreams.
 	Health *appraiser.Appraiser
@@ -218,6 +225,8 @@
 		reply.LoadColumns = encodeLoads(newerLoads(own, req.LoadColumns))
 		state.MergeLoads(r.upstreams.decodeLoads(req.LoadColumns), now)
 	}
+	reply.HighLoads = encodeLoads(newerLoads(state.HighLoads(now), req.HighLoads))
+	state.MergeLoads(r.upstreams.decodeLoads(req.HighLoads), now)
 	reply.Unreachable = encodeMarks(newerMarks(state.Health.Marks(now), req.Unreachable))
 	state.Health.MergeMarks(r.upstreams.decodeMarks(req.Unreachable), now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
@@ -295,6 +304,13 @@
 	}
 }
 
+// NotifyHighLoad starts exchanges with a few peers without delay; call it when this gateway has heard of a high load.
+func (r *Relayer) NotifyHighLoad() {
+	for range highLoadPeers {
+		r.requestExchange("")
+	}
+}
+
 // Serve serves the exchanges of peers until the listener is closed, and then returns nil.
 func (r *Relayer) Serve(l net.Listener) error {
 	s := rpc.NewServer()
@@ -386,7 +402,7 @@
 		Configuration: state.Document().Revision,
 		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
-		Unreachable: encodeMarks(state.Health.Marks(now)),
+		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeMarks(state.Health.Marks(now)),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
@@ -415,6 +431,7 @@
 		state.Confirm(now.Add(-reply.ConfirmedAge))
 	}
 	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
+	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
 	state.Health.MergeMarks(r.upstreams.decodeMarks(reply.Unreachable), time.Now())
 	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
