placer: hot chats are spread while many gateways choose by old reports

Change: a chat that has to go to the third upstream of its order or further is hot. For 10 s it goes to a random one of its first upstreams below their limits, in proportion to what they still accept; to one for each 6 gateways, 16 at most, so that deployments with few gateways, which know most of the load themselves, choose as before.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -134,7 +134,8 @@
 	})
 	g.placer = placer.New(placer.Config{
 		FailureDomain: s.FailureDomain, View: g.upstreams.View, Health: g.health.Health,
-		ListCurrent: g.listCurrent, OnHigh: func() { g.relayer.NotifyHighLoad() },
+		Gateways: func() int { return g.relayer.Gateways() }, ListCurrent: g.listCurrent,
+		OnHigh: func() { g.relayer.NotifyHighLoad() },
 	})
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,8 +1,11 @@
 package placer
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +30,17 @@
 	// longChatTokens is the number of cached tokens from which a chat counts as long; an engine processes that many in
 	// about 40 ms.
 	longChatTokens = 4000
+	// hotPosition is the position in a chat's preference order from which on the chat is hot: its first upstreams are at
+	// their limits. For hotTime after it, the chat goes to a random one of its first upstreams below their limits, because
+	// all gateways that chose the same one would fill it before its first load report.
+	hotPosition = 2
+	hotTime     = 10 * time.Second
+	// A hot chat is spread over one upstream for each gatewaysPerSpread gateways, as the requests of the others that a
+	// gateway has not heard of grow with their number, but over at most maxSpread.
+	gatewaysPerSpread = 6
+	maxSpread         = 16
+	// maxHotChats bounds the hot chats that are remembered.
+	maxHotChats = 1024
 	// maxSlotShare is the fraction of an upstream's slots above which its chats go to other upstreams, as long as those
 	// have free slots. The rest is left for requests that other gateways send before their load is reported.
 	maxSlotShare = 0.9
@@ -109,6 +123,8 @@
 	// OnHigh is called when a report shows that an upstream has come to carry more than its load limit, so that other
 	// gateways are told without delay; it may be nil. A lock is held during the call, so it must not call the Placer.
 	OnHigh func()
+	// Gateways returns the number of gateways that choose among the same upstreams; nil means one.
+	Gateways func() int
 	// Random returns a number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -122,6 +138,10 @@
 	// limits holds the load limit of each service at the last choice, and highAt is the time of the last call of OnHigh.
 	limits map[string]float64
 	highAt time.Time
+	// gateways is the number of gateways at the last choice.
+	gateways int
+	// hotUntil holds the hot chats and the time until which they count as hot.
+	hotUntil map[string]time.Time
 }
 
 // upstreamLoad is the load of one upstream, in requests.
@@ -166,10 +186,13 @@
 	if cfg.Ramp == 0 {
 		cfg.Ramp = DefaultRamp
 	}
+	if cfg.Gateways == nil {
+		cfg.Gateways = func() int { return 1 }
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64)}
+	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64), hotUntil: make(map[string]time.Time)}
 }
 
 // candidate is an upstream with its load and health.
@@ -195,8 +218,10 @@
 func (p *Placer) Choose(r Request, now time.Time) (Choice, bool) {
 	view := p.cfg.View()
 	listed := view.ByService[r.Service]
+	gateways := p.cfg.Gateways()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gateways = gateways
 	usable := p.usable(listed, r, now)
 	if len(usable) == 0 {
 		return Choice{}, false
@@ -298,12 +323,67 @@
 	if index < 0 {
 		return p.leastLoaded(usable), len(usable)
 	}
+	if position = positionOf(usable, index); p.hot(r.Chat, position, now) {
+		accepting := accepting(usable, limit)
+		width := min(max(p.gateways/gatewaysPerSpread, 1), maxSpread)
+		index = p.spread(usable, accepting[:min(len(accepting), width)], limit)
+		position = positionOf(usable, index)
+	}
+	return index, position
+}
+
+// hot reports whether a chat is hot, given the position of its first upstream below its limit.
+func (p *Placer) hot(chat string, position int, now time.Time) bool {
+	if position >= hotPosition {
+		if len(p.hotUntil) >= maxHotChats {
+			maps.DeleteFunc(p.hotUntil, func(_ string, until time.Time) bool { return now.After(until) })
+		}
+		if len(p.hotUntil) < maxHotChats {
+			p.hotUntil[chat] = now.Add(hotTime)
+		}
+		return true
+	}
+	return now.Before(p.hotUntil[chat])
+}
+
+// accepting returns the indices of the candidates below their load limits, in the chat's preference order.
+func accepting(usable []candidate, limit float64) []int {
+	var list []int
+	for i, c := range usable {
+		if c.load < loadLimit(c.Slots, limit) {
+			list = append(list, i)
+		}
+	}
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(usable[b].score, usable[a].score) })
+	return list
+}
+
+// positionOf returns the position of a candidate in the chat's preference order.
+func positionOf(usable []candidate, index int) int {
+	position := 0
 	for _, c := range usable {
 		if c.score > usable[index].score {
 			position++
 		}
 	}
-	return index, position
+	return position
+}
+
+// spread returns one of the candidates at random, in proportion to the load that they still accept.
+func (p *Placer) spread(usable []candidate, list []int, limit float64) int {
+	const steps = 1 << 20
+	free := func(i int) float64 { return loadLimit(usable[i].Slots, limit) - usable[i].load }
+	total := 0.0
+	for _, i := range list {
+		total += free(i)
+	}
+	left := total * float64(p.cfg.Random(steps)) / steps
+	for _, i := range list {
+		if left -= free(i); left < 0 {
+			return i
+		}
+	}
+	return list[len(list)-1]
 }
 
 // cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -351,3 +351,93 @@
 		require.Len(t, named(now), c.sources, "sources after %d s, list current: %v", c.seconds, c.current)
 	}
 }
+
+// simulated is a request in progress in TestHotChatAmongManyGateways.
+type simulated struct {
+	end              time.Duration
+	gateway, service int
+}
+
+// Guards against a hot chat that a hundred gateways send to the same engine: when its first engines are at their limits, all
+// gateways choose the same next one, and fill it before its first report reaches them. Of all requests, at most 3 in 100 may
+// reach an engine that holds more than twice the mean and 3.
+func TestHotChatAmongManyGateways(t *testing.T) {
+	const (
+		gateways, size, seconds = 100, 90, 20
+		perSecond               = 300 // requests a second, of which one in five is of the hot chat
+		duration                = 1500 * time.Millisecond
+		answer, delay           = 100 * time.Millisecond, 500 * time.Millisecond // of a report, and of its way to the others
+	)
+	v := engines(size)
+	for i := range v.ByService["pool"] {
+		v.ByService["pool"][i].Slots = 16
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	var all []*placer.Placer
+	for range gateways {
+		all = append(all, placer.New(placer.Config{
+			View: func() *registrar.View { return v }, Health: good, Gateways: func() int { return gateways }, Random: random.IntN,
+		}))
+	}
+	index := map[string]int{}
+	for i, u := range v.ByService["pool"] {
+		index[u.ID] = i
+	}
+	loads, total := make([]int, size), 0
+	type report struct {
+		at       time.Duration
+		from     int
+		upstream string
+		load     int
+	}
+	var running []simulated
+	var answers, reports []report
+	requests, over := 0, 0
+	step := time.Second / perSecond
+	for now := time.Duration(0); now < seconds*time.Second; now += step {
+		at := start.Add(now)
+		for len(running) > 0 && running[0].end <= now {
+			r := running[0]
+			running = running[1:]
+			loads[r.service]--
+			total--
+			all[r.gateway].Done(v.ByService["pool"][r.service].ID)
+		}
+		for len(answers) > 0 && answers[0].at <= now {
+			a := answers[0]
+			answers = answers[1:]
+			a.load = loads[index[a.upstream]]
+			all[a.from].RecordLoad(a.upstream, placer.Load{Running: a.load, Slots: 16}, at)
+			a.at = now + delay
+			reports = append(reports, a)
+		}
+		for len(reports) > 0 && reports[0].at <= now {
+			for i, p := range all {
+				if i != reports[0].from {
+					p.Merge([]placer.LoadReport{{Upstream: reports[0].upstream, Load: reports[0].load, Age: delay}}, at)
+				}
+			}
+			reports = reports[1:]
+		}
+		chat := fmt.Sprint("chat-", random.IntN(2000))
+		if random.IntN(5) == 0 {
+			chat = "hot"
+		}
+		g := random.IntN(gateways)
+		c, ok := all[g].Choose(placer.Request{Service: "pool", Chat: chat, ChatTokens: 10000}, at)
+		require.True(t, ok)
+		u := index[c.Upstream.ID]
+		if now > 5*time.Second {
+			requests++
+			if float64(loads[u]) > 2*float64(total)/size+3 {
+				over++
+			}
+		}
+		loads[u]++
+		total++
+		running = append(running, simulated{end: now + duration, gateway: g, service: u})
+		answers = append(answers, report{at: now + answer, from: g, upstream: c.Upstream.ID})
+	}
+	t.Logf("%d of %d requests reached an engine that held over twice the mean and 3", over, requests)
+	require.Less(t, over*100, requests*3)
+}
