appraiser: an old mark does not end the doubt about a silent upstream

Found by reading: MergeMarks overwrote what a silent request had set, if the mark was older than the last probe. The test has the case; it fails on the code before.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -89,8 +89,8 @@
 	passedTrials   int
 	// trialAt is the start of the trial or probe in progress, or zero.
 	trialAt time.Time
-	// doubted is set if a good upstream was silent, so that a probe must decide whether it is reachable. probedAt is the
-	// start of the last probe.
+	// doubted is set if a good upstream was silent or marked, so that a probe must decide whether it is reachable. probedAt
+	// is the start of the last probe.
 	doubted  bool
 	probedAt time.Time
 }
@@ -206,7 +206,7 @@
 }
 
 // DueProbes returns the upstreams that must be probed now, and begins a probe of each; RecordProbe ends it. These are the
-// unreachable ones whose suspension has passed, and the good ones whose last request was silent.
+// unreachable ones whose suspension has passed, and the good ones whose last request was silent or that are marked.
 func (a *Appraiser) DueProbes(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -306,7 +306,9 @@
 			s = &state{}
 			a.states[m.Upstream] = s
 		}
-		s.doubted = s.health == Good && at.After(s.probedAt)
+		if s.health == Good && at.After(s.probedAt) {
+			s.doubted = true
+		}
 	}
 }
 
--- a/appraiser/appraiser_test.go
+++ b/appraiser/appraiser_test.go
@@ -115,7 +115,8 @@
 	require.Equal(t, appraiser.Good, a.Health("slow", start))
 	a.Record("slow", appraiser.Silent, start.Add(100*time.Millisecond))
 	require.Empty(t, a.DueProbes(start.Add(200*time.Millisecond)), "a slow upstream is probed with each silent request")
-	require.Contains(t, a.DueProbes(start.Add(time.Second)), "slow")
+	a.MergeMarks([]appraiser.Mark{{Upstream: "slow", Age: 500 * time.Millisecond}}, start.Add(300*time.Millisecond))
+	require.Contains(t, a.DueProbes(start.Add(time.Second)), "slow", "a mark from before the last probe ends the doubt")
 }
 
 // Guards against each gateway of a large fleet finding out by itself, with a delayed request, that a group of upstreams has
