--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -73,8 +73,8 @@
 	requiredTrials = 2
 	// minProbeInterval is the least time between two probes of a good upstream that is silent, which may only be slow.
 	minProbeInterval = time.Second
-	// markTTL is the time for which a mark counts. Failed probes renew the marks of upstreams that stay unreachable.
-	markTTL = 2500 * time.Millisecond
+	// reportTTL is the time for which a report counts. Failed probes renew those on upstreams that stay unreachable.
+	reportTTL = 2500 * time.Millisecond
 	// trialTimeout is the time after which a trial without an outcome no longer prevents the next one.
 	trialTimeout = 3 * time.Second
 )
@@ -89,7 +89,7 @@
 	passedTrials   int
 	// trialAt is the start of the trial or probe in progress, or zero.
 	trialAt time.Time
-	// doubted is set if a good upstream was silent or marked, so that a probe must decide whether it is reachable. probedAt
+	// doubted is set if a good upstream was silent or reported, so that a probe must decide whether it is reachable. probedAt
 	// is the start of the last probe.
 	doubted  bool
 	probedAt time.Time
@@ -112,16 +112,16 @@
 	// OnChange is called for each change of an upstream's health; it may be nil. A lock is held during the call, so it
 	// must not call the Appraiser.
 	OnChange func(Change)
-	// OnMark is called when an upstream without a mark gets one; it may be nil. A lock is held during the call, so it must
+	// OnReport is called with the first report on an upstream that counts; it may be nil. A lock is held during the call, so it must
 	// not call the Appraiser.
-	OnMark func()
+	OnReport func()
 	// Heard returns the time at which an upstream last reported its load to any gateway; nil means never. No lock is held
 	// during the call.
 	Heard func(upstream string) time.Time
 }
 
-// Mark says that a gateway could not open a connection to an upstream.
-type Mark struct {
+// Report says that a gateway could not open a connection to an upstream.
+type Report struct {
 	Upstream string
 	// Age is the time since then.
 	Age time.Duration
@@ -132,8 +132,8 @@
 	cfg    Config
 	mu     sync.Mutex
 	states map[string]*state
-	// marks holds the times of the newest marks, those of this gateway included.
-	marks map[string]time.Time
+	// reports holds the times of the newest reports, those of this gateway included.
+	reports map[string]time.Time
 }
 
 // New returns an Appraiser for which all upstreams are good.
@@ -141,7 +141,7 @@
 	if cfg.Heard == nil {
 		cfg.Heard = func(string) time.Time { return time.Time{} }
 	}
-	return &Appraiser{cfg: cfg, states: make(map[string]*state), marks: make(map[string]time.Time)}
+	return &Appraiser{cfg: cfg, states: make(map[string]*state), reports: make(map[string]time.Time)}
 }
 
 // Health returns the health of an upstream; upstreams without any outcome are good. Once its suspension has passed, a
@@ -192,7 +192,7 @@
 		s.recordSuccess()
 	case o == Refused:
 		s.suspend(Unreachable, minUnreachableBackoff, maxUnreachableBackoff, now)
-		a.mark(upstream, now)
+		a.report(upstream, now)
 	case s.health != Good:
 		s.suspend(Suspect, minBackoff, maxBackoff, now)
 	case bits.OnesCount8(s.failures) >= failureLimit:
@@ -206,7 +206,7 @@
 }
 
 // DueProbes returns the upstreams that must be probed now, and begins a probe of each; RecordProbe ends it. These are the
-// unreachable ones whose suspension has passed, and the good ones whose last request was silent or that are marked.
+// unreachable ones whose suspension has passed, and the good ones whose last request was silent or that are reported.
 func (a *Appraiser) DueProbes(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -249,7 +249,7 @@
 	case !connected:
 		s.suspend(Unreachable, minUnreachableBackoff, maxUnreachableBackoff, now)
 		change.To, change.Outcome, change.Backoff = Unreachable, Refused, s.backoff
-		a.mark(upstream, now)
+		a.report(upstream, now)
 	case s.health == Unreachable:
 		*s = state{probedAt: s.probedAt}
 	}
@@ -258,53 +258,53 @@
 	}
 }
 
-// mark records that some gateway could not connect to an upstream at the given time.
-func (a *Appraiser) mark(upstream string, at time.Time) {
-	old := a.marks[upstream]
+// report records that some gateway could not connect to an upstream at the given time.
+func (a *Appraiser) report(upstream string, at time.Time) {
+	old := a.reports[upstream]
 	if !at.After(old) {
 		return
 	}
-	a.marks[upstream] = at
-	if at.Sub(old) > markTTL && a.cfg.OnMark != nil {
-		a.cfg.OnMark()
+	a.reports[upstream] = at
+	if at.Sub(old) > reportTTL && a.cfg.OnReport != nil {
+		a.cfg.OnReport()
 	}
 }
 
-// Marks returns the marks that still count, to be sent to other gateways.
-func (a *Appraiser) Marks(now time.Time) []Mark {
+// Reports returns the reports that still count, to be sent to other gateways.
+func (a *Appraiser) Reports(now time.Time) []Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var marks []Mark
-	for upstream, at := range a.marks {
-		if age := now.Sub(at); age < markTTL {
-			marks = append(marks, Mark{Upstream: upstream, Age: max(age, 0)})
+	var reports []Report
+	for upstream, at := range a.reports {
+		if age := now.Sub(at); age < reportTTL {
+			reports = append(reports, Report{Upstream: upstream, Age: max(age, 0)})
 		}
 	}
-	return marks
+	return reports
 }
 
-// MergeMarks records the marks of another gateway. A marked upstream that has not reported its load since is probed, and
-// only that probe decides, because the other gateway may itself be cut off.
-func (a *Appraiser) MergeMarks(marks []Mark, now time.Time) {
-	heard := make([]time.Time, len(marks))
-	for i, m := range marks {
-		heard[i] = a.cfg.Heard(m.Upstream)
+// MergeReports records the reports of another gateway. Upstreams that have not reported their load since are probed, and only
+// that probe decides, because the other gateway may itself be cut off.
+func (a *Appraiser) MergeReports(reports []Report, now time.Time) {
+	heard := make([]time.Time, len(reports))
+	for i, r := range reports {
+		heard[i] = a.cfg.Heard(r.Upstream)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for i, m := range marks {
-		at := now.Add(-m.Age)
-		if m.Age < 0 || m.Age >= markTTL || !at.After(a.marks[m.Upstream]) {
+	for i, r := range reports {
+		at := now.Add(-r.Age)
+		if r.Age < 0 || r.Age >= reportTTL || !at.After(a.reports[r.Upstream]) {
 			continue
 		}
-		a.mark(m.Upstream, at)
+		a.report(r.Upstream, at)
 		if at.Before(heard[i]) {
 			continue
 		}
-		s := a.states[m.Upstream]
+		s := a.states[r.Upstream]
 		if s == nil {
 			s = &state{}
-			a.states[m.Upstream] = s
+			a.states[r.Upstream] = s
 		}
 		if s.health == Good && at.After(s.probedAt) {
 			s.doubted = true
@@ -343,9 +343,9 @@
 			delete(a.states, name)
 		}
 	}
-	for name := range a.marks {
+	for name := range a.reports {
 		if !keep(name) {
-			delete(a.marks, name)
+			delete(a.reports, name)
 		}
 	}
 }
--- a/appraiser/appraiser_test.go
+++ b/appraiser/appraiser_test.go
@@ -115,28 +115,28 @@
 	require.Equal(t, appraiser.Good, a.Health("slow", start))
 	a.Record("slow", appraiser.Silent, start.Add(100*time.Millisecond))
 	require.Empty(t, a.DueProbes(start.Add(200*time.Millisecond)), "a slow upstream is probed with each silent request")
-	a.MergeMarks([]appraiser.Mark{{Upstream: "slow", Age: 500 * time.Millisecond}}, start.Add(300*time.Millisecond))
-	require.Contains(t, a.DueProbes(start.Add(time.Second)), "slow", "a mark from before the last probe ends the doubt")
+	a.MergeReports([]appraiser.Report{{Upstream: "slow", Age: 500 * time.Millisecond}}, start.Add(300*time.Millisecond))
+	require.Contains(t, a.DueProbes(start.Add(time.Second)), "slow", "a report from before the last probe ends the doubt")
 }
 
 // Guards against each gateway of a large fleet finding out by itself, with a delayed request, that a group of upstreams has
-// gone dark. A mark alone must not take an upstream out of use: the gateway that sent it may be cut off.
-func TestMarkedUpstreamsAreProbed(t *testing.T) {
+// gone dark. A report alone must not take an upstream out of use: the gateway that sent it may be cut off.
+func TestReportedUpstreamsAreProbed(t *testing.T) {
 	news := 0
 	heard := map[string]time.Time{"reports": start.Add(time.Second)}
 	a := appraiser.New(appraiser.Config{
-		OnMark: func() { news++ }, Heard: func(u string) time.Time { return heard[u] },
+		OnReport: func() { news++ }, Heard: func(u string) time.Time { return heard[u] },
 	})
 	b := appraiser.New(appraiser.Config{})
 	for _, u := range []string{"dark", "cut off from b", "reports"} {
 		b.Record(u, appraiser.Refused, start)
 	}
 	now := start.Add(100 * time.Millisecond)
-	marks := b.Marks(now)
-	require.Len(t, marks, 3)
-	a.MergeMarks(marks, now)
-	a.MergeMarks(b.Marks(now.Add(time.Second)), now.Add(time.Second))
-	require.Equal(t, 3, news, "a mark is news only once")
+	reports := b.Reports(now)
+	require.Len(t, reports, 3)
+	a.MergeReports(reports, now)
+	a.MergeReports(b.Reports(now.Add(time.Second)), now.Add(time.Second))
+	require.Equal(t, 3, news, "a report is news only once")
 	require.Equal(t, appraiser.Good, a.Health("dark", now))
 	due := a.DueProbes(now)
 	require.ElementsMatch(t, []string{"dark", "cut off from b"}, due)
@@ -144,12 +144,12 @@
 	a.RecordProbe("cut off from b", true, now)
 	require.Equal(t, appraiser.Unreachable, a.Health("dark", now))
 	require.Equal(t, appraiser.Good, a.Health("cut off from b", now))
-	a.MergeMarks(marks, now)
-	require.Empty(t, a.DueProbes(now.Add(200*time.Millisecond)), "an old mark starts another probe")
-	require.Len(t, a.Marks(now.Add(2450*time.Millisecond)), 1, "marks expire, unless a probe has renewed them")
-	require.Empty(t, a.Marks(now.Add(3*time.Second)))
-	a.MergeMarks([]appraiser.Mark{{Upstream: "x", Age: -time.Hour}, {Upstream: "y", Age: time.Hour}}, now)
-	require.Equal(t, []string{"dark"}, a.DueProbes(now.Add(time.Hour)), "a mark from the future or the past counts")
+	a.MergeReports(reports, now)
+	require.Empty(t, a.DueProbes(now.Add(200*time.Millisecond)), "an old report starts another probe")
+	require.Len(t, a.Reports(now.Add(2450*time.Millisecond)), 1, "reports expire, unless a probe has renewed them")
+	require.Empty(t, a.Reports(now.Add(3*time.Second)))
+	a.MergeReports([]appraiser.Report{{Upstream: "x", Age: -time.Hour}, {Upstream: "y", Age: time.Hour}}, now)
+	require.Equal(t, []string{"dark"}, a.DueProbes(now.Add(time.Hour)), "a report from the future or the past counts")
 }
 
 func TestRefusedConnectionsSuspend(t *testing.T) {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -129,7 +129,7 @@
 	s := g.cfg.Settings
 	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream})
 	g.health = appraiser.New(appraiser.Config{
-		OnChange: g.logHealth, OnMark: func() { g.relayer.NotifyPeers() },
+		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
 		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
 	})
 	g.placer = placer.New(placer.Config{
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -124,7 +124,7 @@
 		View: n.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good },
 		OnHigh: func() { n.relayer.NotifyHighLoad() },
 	})
-	n.health = appraiser.New(appraiser.Config{OnMark: func() { n.relayer.NotifyPeers() }, Heard: n.placer.Heard})
+	n.health = appraiser.New(appraiser.Config{OnReport: func() { n.relayer.NotifyPeers() }, Heard: n.placer.Heard})
 	var seeds []string
 	for _, s := range f.nodes[:min(3, len(f.nodes))] {
 		seeds = append(seeds, s.address)
--- a/relayer/loads.go
+++ b/relayer/loads.go
@@ -52,29 +52,29 @@
 	return l
 }
 
-// Marks holds marks of unreachable upstreams in columns, as Loads does.
-type Marks struct {
+// UnreachableReports holds reports on unreachable upstreams in columns, as Loads does.
+type UnreachableReports struct {
 	Upstreams []uint32
 	Ages      []byte
 }
 
-// encodeMarks returns marks in columns. Marks that are too old for the unit of the ages are left out.
-func encodeMarks(marks []appraiser.Mark) Marks {
-	var c Marks
-	for _, m := range marks {
-		if age := (m.Age + loadAgeUnit - 1) / loadAgeUnit; age >= 0 && age <= 255 {
-			c.Upstreams = append(c.Upstreams, hashUpstream(m.Upstream))
+// encodeUnreachable returns reports in columns. Those that are too old for the unit of the ages are left out.
+func encodeUnreachable(reports []appraiser.Report) UnreachableReports {
+	var c UnreachableReports
+	for _, r := range reports {
+		if age := (r.Age + loadAgeUnit - 1) / loadAgeUnit; age >= 0 && age <= 255 {
+			c.Upstreams = append(c.Upstreams, hashUpstream(r.Upstream))
 			c.Ages = append(c.Ages, byte(age))
 		}
 	}
 	return c
 }
 
-// minMarkRenewal is the difference in age from which a mark is news to a peer that has an older one.
-const minMarkRenewal = time.Second
+// minReportRenewal is the difference in age from which a report is news to a peer that has an older one.
+const minReportRenewal = time.Second
 
-// newerMarks returns the marks that a peer lacks, or of which it sent much older ones.
-func newerMarks(own []appraiser.Mark, sent Marks) []appraiser.Mark {
+// newerUnreachable returns the reports that a peer lacks, or of which it sent much older ones.
+func newerUnreachable(own []appraiser.Report, sent UnreachableReports) []appraiser.Report {
 	if len(sent.Ages) != len(sent.Upstreams) {
 		return own
 	}
@@ -82,9 +82,9 @@
 	for i, hash := range sent.Upstreams {
 		ages[hash] = time.Duration(sent.Ages[i]) * loadAgeUnit
 	}
-	return slices.DeleteFunc(own, func(m appraiser.Mark) bool {
-		age, known := ages[hashUpstream(m.Upstream)]
-		return known && age < m.Age+minMarkRenewal
+	return slices.DeleteFunc(own, func(r appraiser.Report) bool {
+		age, known := ages[hashUpstream(r.Upstream)]
+		return known && age < r.Age+minReportRenewal
 	})
 }
 
@@ -106,7 +106,7 @@
 	return newer
 }
 
-// upstreamCodec decodes loads and marks of the upstreams in use. It is safe for concurrent use.
+// upstreamCodec decodes loads and reports on the upstreams in use. It is safe for concurrent use.
 type upstreamCodec struct {
 	view func() *registrar.View
 
@@ -131,19 +131,19 @@
 	return reports
 }
 
-// decodeMarks returns the marks of upstreams in use; malformed columns give none.
-func (c *upstreamCodec) decodeMarks(m Marks) []appraiser.Mark {
+// decodeUnreachable returns the reports on upstreams in use; malformed columns give none.
+func (c *upstreamCodec) decodeUnreachable(m UnreachableReports) []appraiser.Report {
 	if len(m.Upstreams) == 0 || len(m.Ages) != len(m.Upstreams) {
 		return nil
 	}
 	ids := c.index()
-	var marks []appraiser.Mark
+	var reports []appraiser.Report
 	for i, hash := range m.Upstreams {
 		if id, ok := ids[hash]; ok {
-			marks = append(marks, appraiser.Mark{Upstream: id, Age: time.Duration(m.Ages[i]) * loadAgeUnit})
+			reports = append(reports, appraiser.Report{Upstream: id, Age: time.Duration(m.Ages[i]) * loadAgeUnit})
 		}
 	}
-	return marks
+	return reports
 }
 
 // index returns the IDs of the upstreams in use by their hashes.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -88,7 +88,7 @@
 	// HighLoads holds the recent loads above the load limit, which exchanges of any kind carry.
 	HighLoads Loads
 	// Unreachable holds the upstreams to which some gateway could not connect.
-	Unreachable Marks
+	Unreachable UnreachableReports
 }
 
 // CompressedDocument is a configuration as published, compressed by gzip.
@@ -117,7 +117,7 @@
 	CrashBatches  []blocker.Batch
 	LoadColumns   Loads
 	HighLoads     Loads
-	Unreachable   Marks
+	Unreachable   UnreachableReports
 }
 
 // State gives access to the state of a gateway that is exchanged with peers. All fields are required.
@@ -143,7 +143,7 @@
 	Loads      func(now time.Time) []placer.LoadReport
 	HighLoads  func(now time.Time) []placer.LoadReport
 	MergeLoads func(loads []placer.LoadReport, now time.Time)
-	// Health holds the marks of unreachable upstreams.
+	// Health holds the reports on unreachable upstreams.
 	Health *appraiser.Appraiser
 }
 
@@ -227,8 +227,8 @@
 	}
 	reply.HighLoads = encodeLoads(newerLoads(state.HighLoads(now), req.HighLoads))
 	state.MergeLoads(r.upstreams.decodeLoads(req.HighLoads), now)
-	reply.Unreachable = encodeMarks(newerMarks(state.Health.Marks(now), req.Unreachable))
-	state.Health.MergeMarks(r.upstreams.decodeMarks(req.Unreachable), now)
+	reply.Unreachable = encodeUnreachable(newerUnreachable(state.Health.Reports(now), req.Unreachable))
+	state.Health.MergeReports(r.upstreams.decodeUnreachable(req.Unreachable), now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	reply.Records, reply.Complete = state.Registry.RecordsSince(req.Upstreams)
@@ -402,7 +402,7 @@
 		Configuration: state.Document().Revision,
 		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
-		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeMarks(state.Health.Marks(now)),
+		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeUnreachable(state.Health.Reports(now)),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
@@ -432,7 +432,7 @@
 	}
 	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
-	state.Health.MergeMarks(r.upstreams.decodeMarks(reply.Unreachable), time.Now())
+	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
 		r.NotifyPeers()
