--- a/agent/credit_test.go
+++ b/agent/credit_test.go
@@ -45,11 +45,12 @@
 	t            *testing.T
 	now          atomic.Pointer[time.Time]
 	listedAgents int
-	snapshot     *configurer.Snapshot
-	engines      []*standin.Engine
-	agents       []*agent.Agent
-	stops        []context.CancelFunc
-	requests     atomic.Int64
+	// snapshot is read by the agents while a test replaces it.
+	snapshot atomic.Pointer[configurer.Snapshot]
+	engines  []*standin.Engine
+	agents   []*agent.Agent
+	stops    []context.CancelFunc
+	requests atomic.Int64
 	// slots is the batch size of an engine, interval the time between its tokens, and log receives the log lines.
 	slots    int
 	interval time.Duration
@@ -71,7 +72,8 @@
 }
 
 func newFleet(t *testing.T, n int, s *configurer.Snapshot) *fleet {
-	f := &fleet{t: t, listedAgents: n, snapshot: s, slots: 8, log: io.Discard}
+	f := &fleet{t: t, listedAgents: n, slots: 8, log: io.Discard}
+	f.snapshot.Store(s)
 	f.startEngines(n)
 	return f
 }
@@ -104,7 +106,7 @@
 	}
 	a, err := agent.New(agent.Config{
 		Name: fmt.Sprint("engine-", i), Pool: pool, Kind: agent.KindEngine, Upstream: f.engines[i].Address(), SharedKey: key, Slots: f.slots,
-		Snapshot:   func() *configurer.Snapshot { return f.snapshot },
+		Snapshot:   f.snapshot.Load,
 		PeerLoad:   func(string, string) tracker.Load { return tracker.Load{} },
 		View:       func(string) []chooser.Upstream { return make([]chooser.Upstream, f.listedAgents) },
 		MergeFleet: func(encoder.FleetHistory) {},
@@ -112,7 +114,7 @@
 		Log: hclog.New(&hclog.LoggerOptions{Output: f.log}), Now: func() time.Time { return *f.now.Load() },
 	})
 	require.NoError(f.t, err)
-	a.SetSnapshot(f.snapshot)
+	a.SetSnapshot(f.snapshot.Load())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -172,7 +174,7 @@
 			tokens += r.PromptTokens + r.Emitted
 		}
 	}
-	return float64(tokens) * f.snapshot.Accounts[0].CreditsPerToken
+	return float64(tokens) * f.snapshot.Load().Accounts[0].CreditsPerToken
 }
 
 // Guards against a refusal for lack of credit although the account has enough, and against requests that need credit
@@ -190,8 +192,8 @@
 	require.Nil(t, f.sendChat(0, "urgent"))
 	require.InDelta(t, 2*cost, f.spent(), 1e-9)
 
-	f.snapshot = snapshot("", hour)
-	f.agents[0].SetSnapshot(f.snapshot)
+	f.snapshot.Store(snapshot("", hour))
+	f.agents[0].SetSnapshot(f.snapshot.Load())
 	require.Nil(t, f.sendChat(0, "batch"))
 }
 
@@ -306,7 +308,8 @@
 // work than it did.
 func TestWorkAfterPause(t *testing.T) {
 	var log bytes.Buffer
-	f := &fleet{t: t, listedAgents: 1, snapshot: snapshot(""), slots: 1, interval: 5 * time.Millisecond, log: &log}
+	f := &fleet{t: t, listedAgents: 1, slots: 1, interval: 5 * time.Millisecond, log: &log}
+	f.snapshot.Store(snapshot(""))
 	f.startEngines(1)
 	batch := make(chan *judge.Error, 1)
 	go func() { batch <- f.sendChat(0, "batch") }()
