--- a/connector/pool.go
+++ b/connector/pool.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// DefaultDialTimeout bounds the dialling of a connection, which takes a few milliseconds within a region. A request
-	// for an upstream that has gone dark waits for it before it is sent to another one.
-	DefaultDialTimeout = 150 * time.Millisecond
+	// DefaultDialTimeout bounds the dialling of a connection, which takes a few milliseconds within a region, and far longer
+	// while this host gets too little processor time. A request for an upstream that has gone dark waits for it before it is
+	// sent to another one.
+	DefaultDialTimeout = 300 * time.Millisecond
 	// DefaultIdleTimeout is the time for which an idle connection is kept if the upstream announces no timeout.
 	DefaultIdleTimeout = 2 * time.Second
 	// DefaultHeadTimeout bounds the time from the first byte of a response's head to its last. A head has a few hundred
