gossiper: fetches from peers take turns without a mutex

Cause: fetch held a mutex while it waited for a peer or for the rate limit of part reads, and a second fetch waited for the mutex. In a bubble of testing/synctest time stands still while a goroutine waits for a mutex, so that the first fetch never ended.

Change: a channel with one place, which also lets a fetch end with its context.

--- a/gossiper/distributor.go
+++ b/gossiper/distributor.go
@@ -60,8 +60,9 @@
 	// These signals hold at most one value, since a receiver acts on the latest state.
 	pushWake, fetchWake, readWake chan struct{}
 
-	// fetchMu is held during a fetch from a peer.
-	fetchMu sync.Mutex
+	// fetching holds a value during a fetch from a peer. It is no mutex, because a fetch waits for peers, and in a bubble
+	// of testing/synctest time stands still while a goroutine waits for a mutex.
+	fetching chan struct{}
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -103,6 +104,7 @@
 	return &Distributor{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		partLimiter: parts, ready: make(chan struct{}),
+		fetching: make(chan struct{}, 1),
 		pushWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), readWake: make(chan struct{}, 1),
 	}
 }
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -104,10 +104,14 @@
 }
 
 // fetch fetches the wanted configuration from the peer that reported it. Calls run one at a time, so a concurrent call
-// returns after the running one has ended.
+// returns after the running one has ended, or when its ctx ends.
 func (d *Distributor) fetch(ctx context.Context) {
-	d.fetchMu.Lock()
-	defer d.fetchMu.Unlock()
+	select {
+	case d.fetching <- struct{}{}:
+		defer func() { <-d.fetching }()
+	case <-ctx.Done():
+		return
+	}
 	id, peer := d.takeWanted()
 	if id.Version == 0 || !d.cfg.Holder.Observe(id).Wanted {
 		return
