connector, gatekeeper, proxier: no request is sent for a caller that has left

Change: right before a request is sent, the gateway asks the operating system whether the caller's connection has been closed, and drops the request if so. The upstream is not blamed, and a new connection is kept.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -312,3 +312,60 @@
 	require.True(t, errors.Is(err, io.ErrUnexpectedEOF))
 	require.Contains(t, err.Error(), "may have been sent")
 }
+
+// Guards against requests that are sent although their callers have left while the connection was being opened.
+func TestAbandonedRequestIsNotSent(t *testing.T) {
+	received := make(chan struct{}, 1)
+	u := serve(t, func(_ int, c net.Conn) {
+		if n, _ := c.Read(make([]byte, 1)); n > 0 {
+			received <- struct{}{}
+		}
+	})
+	p := connector.New(connector.Config{})
+	req := request("1")
+	req.Abandoned = func() bool { return true }
+	_, err := p.Do(t.Context(), u.target(), req, matchID("1"))
+	require.ErrorIs(t, err, connector.ErrAbandoned)
+	var failure *connector.Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, connector.NotSent, failure.SendStatus)
+	require.Equal(t, 1, p.OpenConnections(), "a new connection is kept for later requests")
+	p.Sweep(func(string) bool { return false })
+	require.Zero(t, p.OpenConnections())
+	require.Empty(t, received)
+}
+
+// Guards against taking unread bytes for an end, and an end for silence.
+func TestClosedByPeer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	for name, c := range map[string]struct {
+		peer   func(c *net.TCPConn)
+		closed bool
+	}{
+		"open":   {func(*net.TCPConn) {}, false},
+		"unread": {func(c *net.TCPConn) { _, _ = c.Write([]byte("x")) }, false},
+		"closed": {func(c *net.TCPConn) { _ = c.Close() }, true},
+		"reset":  {func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer peer.Close()
+			conn, err := l.Accept()
+			require.NoError(t, err)
+			defer conn.Close()
+			c.peer(peer.(*net.TCPConn))
+			if c.closed {
+				require.Eventually(t, func() bool { return connector.ClosedByPeer(conn) }, 10*time.Second, time.Millisecond)
+			} else {
+				require.False(t, connector.ClosedByPeer(conn))
+			}
+		})
+	}
+	own, other := net.Pipe()
+	require.NoError(t, other.Close())
+	require.False(t, connector.ClosedByPeer(own), "a connection that cannot be checked")
+	require.NoError(t, own.Close())
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -30,6 +30,9 @@
 	readBuffer = 4 << 10
 )
 
+// ErrAbandoned means that a request was not sent because Request.Abandoned returned true.
+var ErrAbandoned = errors.New("nobody waits for the response")
+
 var (
 	errHeadTooLong   = errors.New("the head of the response is too long")
 	errTooManyHeads  = errors.New("too many interim responses")
@@ -46,6 +49,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Abandoned reports whether nobody waits for the response any more. It is called when the connection is there, right
+	// before the request is sent; nil means never.
+	Abandoned func() bool
 }
 
 // SendStatus says whether a failed exchange may have sent the request.
@@ -147,6 +153,11 @@
 		p.release(c, false)
 		return &Error{SendStatus: status, Reused: c.reused, Err: err}
 	}
+	if req.Abandoned != nil && req.Abandoned() {
+		// The idle time of a reused connection has gone on at the upstream, so only a new one is kept.
+		p.release(c, stop() && !c.reused)
+		return nil, &Error{SendStatus: NotSent, Reused: c.reused, Err: ErrAbandoned}
+	}
 	if err := c.send(req); err != nil {
 		return nil, fail(MayHaveBeenSent, err)
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -246,19 +246,32 @@
 // Reusable reports whether the peer of an idle connection has neither closed it nor sent bytes that are still unread.
 // It is true for a connection that is not a syscall.Conn, which cannot be checked.
 func Reusable(nc net.Conn) bool {
+	_, errno, ok := peek(nc)
+	return !ok || errno == syscall.EAGAIN
+}
+
+// ClosedByPeer reports whether the peer of a connection has closed or reset it and no unread bytes are left. It is false
+// for a connection that is not a syscall.Conn, which cannot be checked.
+func ClosedByPeer(nc net.Conn) bool {
+	n, errno, ok := peek(nc)
+	return ok && n == 0 && errno != syscall.EAGAIN
+}
+
+// peek looks at the next unread byte of a connection without waiting for one, even while another goroutine reads. ok is
+// false if the connection is not a syscall.Conn; a connection that is closed at this end gives EBADF.
+func peek(nc net.Conn) (n int, errno error, ok bool) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, nil, false
 	}
+	errno = syscall.EBADF
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, errno, true
 	}
-	reusable := false
-	err = raw.Control(func(fd uintptr) {
+	_ = raw.Control(func(fd uintptr) { // It fails only on a connection that is closed at this end.
 		var b [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errno == syscall.EAGAIN
+		n, _, errno = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && reusable
+	return max(n, 0), errno, true
 }
--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -131,6 +132,22 @@
 	return now.Sub(c.idleSince)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// ConnContext adds the connection of a caller to the context of its requests, for Disconnected. It is the ConnContext
+// callback of the http.Server that serves the connections.
+func (c *CallerConns) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// Disconnected reports whether the caller of a request has closed its connection. It asks the operating system, because
+// http.Server learns of it late while the process gets too little processor time. ctx is the context of the request.
+func (c *CallerConns) Disconnected(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && connector.ClosedByPeer(conn.Conn)
+}
+
 // OnConnState is the ConnState callback of the http.Server that serves the connections.
 func (c *CallerConns) OnConnState(nc net.Conn, state http.ConnState) {
 	conn, ok := nc.(*callerConn)
--- a/gatekeeper/conns_test.go
+++ b/gatekeeper/conns_test.go
@@ -121,3 +121,33 @@
 		require.Eventually(t, func() bool { return conns.Open() <= 2 }, waitTimeout, time.Millisecond, "the longest idle connection stays open")
 	}
 }
+
+// Guards against requests whose callers left before the server noticed: a handler must be able to learn it from the
+// connection, also while http.Server has not read the end of it.
+func TestDisconnectedCaller(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(10)
+	left := make(chan bool)
+	server := &http.Server{
+		ConnState: conns.OnConnState, ConnContext: conns.ConnContext,
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			left <- conns.Disconnected(r.Context())
+			// The body is not read, so that the server does not look for the end of the connection.
+			for !conns.Disconnected(r.Context()) {
+				time.Sleep(time.Millisecond)
+			}
+			left <- r.Context().Err() == nil
+		}),
+	}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"))
+	require.NoError(t, err)
+	require.False(t, <-left, "the caller is still there")
+	require.NoError(t, c.Close())
+	require.True(t, <-left, "the context of the request has not ended")
+	require.False(t, conns.Disconnected(t.Context()), "a context without a connection")
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -174,6 +174,7 @@
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
 		Routers:      g.gateways, Closing: func() bool { return g.stopping.Load() || g.divertsCallers() },
 		Refusing:     func() proxier.RefusalMode { return proxier.RefusalMode(g.refusing.Load()) },
+		CallerLeft:   func(ctx context.Context) bool { return g.callers.Disconnected(ctx) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
 		Log: g.log.Named("proxier"), Metrics: g.registry,
 	})
@@ -242,7 +243,7 @@
 	started := time.Now()
 	callerServer := &http.Server{
 		Handler: g.proxier, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.callers.OnConnState, ErrorLog: g.log.Named("callers").StandardLogger(nil),
+		ConnState: g.callers.OnConnState, ConnContext: g.callers.ConnContext, ErrorLog: g.log.Named("callers").StandardLogger(nil),
 	}
 	readyServer, metricsServer := newStatusServer(g.readinessHandler()), newStatusServer(g.metricsHandler())
 	var listeners []net.Listener
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -90,7 +90,7 @@
 // mayRepeat reports whether the request may be sent to another upstream, and deducts a retry from the budget unless the
 // attempt ended before anything was sent.
 func (j *job) mayRepeat(v verdict, turnedAwayCount int) bool {
-	if j.ctx.Err() != nil {
+	if j.ctx.Err() != nil || j.abandoned {
 		return false
 	}
 	switch v {
@@ -125,7 +125,7 @@
 		return
 	}
 	switch {
-	case j.r.Context().Err() != nil:
+	case j.abandoned || j.r.Context().Err() != nil:
 		j.recordOutcome(0, judge.ReasonBroken, "caller disconnected")
 		panic(http.ErrAbortHandler)
 	case j.runs > 0 && j.ctx.Err() != nil:
@@ -177,6 +177,7 @@
 	defer timer.stop()
 	exchange, err := j.p.cfg.Pool.Do(ctx, j.target(u), connector.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
+		Abandoned: func() bool { return j.p.cfg.CallerLeft(j.r.Context()) },
 	}, func(status int, h http.Header) bool { return j.matchesRequest(status, h) })
 	if err != nil {
 		return j.handleNoResponse(ctx, u, err)
@@ -198,6 +199,10 @@
 	now := time.Now()
 	var failure *connector.Error
 	if errors.As(err, &failure) && failure.SendStatus == connector.NotSent {
+		if errors.Is(err, connector.ErrAbandoned) {
+			j.abandoned = true
+			return notSent, nil, err
+		}
 		if !errors.Is(err, connector.ErrTooManyConnections) && j.ctx.Err() == nil {
 			j.p.cfg.Health.Record(u.ID, appraiser.Refused, now)
 		}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -84,6 +84,8 @@
 	Routers func() int
 	// Closing reports whether responses close their connections, so that callers move to other routers.
 	Closing func() bool
+	// CallerLeft reports whether the caller of the request with the given context has closed its connection.
+	CallerLeft func(ctx context.Context) bool
 	// Refusing returns which new requests are refused because the process is shutting down.
 	Refusing func() RefusalMode
 	// MaxBodyBytes bounds the total size of the bodies that are in memory at the same time, and that of a single body
@@ -148,6 +150,8 @@
 	// firstByte is the time to the first byte of the response.
 	firstByte time.Duration
 	choice    placer.Choice
+	// abandoned is set if the caller had left when an attempt was about to be sent.
+	abandoned bool
 	// occupancy is the utilisation of the service's slots when the request arrived, and refusedShare the share of
 	// requests that were being refused at that time.
 	occupancy    float64
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -41,11 +41,13 @@
 	confirmed time.Time
 	budget    atomic.Int64
 	refusing  proxier.RefusalMode
-	upstreams []*imitator.Upstream
-	view      registrar.View
-	health    *appraiser.Appraiser
-	crashes   *blocker.Blocker
-	log       imitator.Log
+	// callerLeft is set if callers have closed their connections.
+	callerLeft atomic.Bool
+	upstreams  []*imitator.Upstream
+	view       registrar.View
+	health     *appraiser.Appraiser
+	crashes    *blocker.Blocker
+	log        imitator.Log
 }
 
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
@@ -95,6 +97,7 @@
 		AllowRetry:   func(string) bool { return f.budget.Add(-1) >= 0 },
 		CountRequest: func(string) {}, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() proxier.RefusalMode { return f.refusing },
+		CallerLeft:   func(context.Context) bool { return f.callerLeft.Load() },
 		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
 		Log: logger.New(logger.Config{Output: &f.log}), Metrics: metrics.NewRegistry(),
 	})
@@ -400,3 +403,17 @@
 		require.True(t, strings.HasPrefix(line, "time="), line)
 	}
 }
+
+// Guards against work for callers that have left while their requests waited for processor time.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	f.callerLeft.Store(true)
+	for _, path := range []string{"/order/", "/read/", "/resume/"} {
+		require.Error(t, f.do(http.MethodPost, path, "body").err, path)
+	}
+	require.Zero(t, f.runs())
+	require.Equal(t, appraiser.Good, f.health.Health("u0", time.Now()))
+	f.callerLeft.Store(false)
+	require.NoError(t, f.do(http.MethodPost, "/order/", "body").err)
+	require.Equal(t, 1, f.runs())
+}
