--- a/connector/pool.go
+++ b/connector/pool.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -246,32 +247,33 @@
 // Reusable reports whether the peer of an idle connection has neither closed it nor sent bytes that are still unread.
 // It is true for a connection that is not a syscall.Conn, which cannot be checked.
 func Reusable(nc net.Conn) bool {
-	_, errno, ok := peek(nc)
-	return !ok || errno == syscall.EAGAIN
+	_, err := peek(nc)
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
 
 // ClosedByPeer reports whether the peer of a connection has closed or reset it and no unread bytes are left. It is false
 // for a connection that is not a syscall.Conn, which cannot be checked.
 func ClosedByPeer(nc net.Conn) bool {
-	n, errno, ok := peek(nc)
-	return ok && n == 0 && errno != syscall.EAGAIN
+	n, err := peek(nc)
+	open := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) || errors.Is(err, errors.ErrUnsupported)
+	return n == 0 && !open
 }
 
-// peek looks at the next unread byte of a connection without waiting for one, even while another goroutine reads. ok is
-// false if the connection is not a syscall.Conn; a connection that is closed at this end gives EBADF.
-func peek(nc net.Conn) (n int, errno error, ok bool) {
+// peek returns the number of unread bytes of a connection, up to one, without waiting for any, even while another goroutine
+// reads. The error is that of the operating system: EAGAIN for an open connection without unread bytes, none for a closed
+// one. It is errors.ErrUnsupported if the connection is not a syscall.Conn.
+func peek(nc net.Conn) (n int, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return 0, nil, false
+		return 0, errors.ErrUnsupported
 	}
-	errno = syscall.EBADF
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, errno, true
+		return 0, err
 	}
-	_ = raw.Control(func(fd uintptr) { // It fails only on a connection that is closed at this end.
-		var b [1]byte
-		n, _, errno = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	var b [1]byte
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return max(n, 0), errno, true
+	return max(n, 0), cmp.Or(controlErr, err)
 }
--- a/prover/matrix_test.go
+++ b/prover/matrix_test.go
@@ -14,6 +14,7 @@
 	if os.Getenv("PROVER_LOG") != "" {
 		opts.Log = func(line []byte) { fmt.Print(string(line)) }
 	}
+	defer ended.Add(1)
 	synctest.Test(t, func(t *testing.T) {
 		report = prover.Run(t.Context(), cell, opts)
 	})
