placer, relayer: upstreams near their limits are taken with a falling probability, hot chats are reported

Right after the flood a hundred gateways choose by reports of 0.3 to 0.8 s; all use up what is left of the same engines, and a hot chat is known to be hot at the gateways only that happened to find two of its engines at their limits.

Change: the nearer an upstream is to its limit, the less likely it is taken, in proportion to the number of gateways and while the upstreams are less than half busy. A chat that a gateway finds hot twice while most upstreams are below their limits is reported in all exchanges (up to 16 hashes), so that all gateways spread it.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -159,7 +159,7 @@
 			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
 			PeerReachedStore: g.follower.PeerReachedStore,
 			Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, HighLoads: g.placer.HighReports, MergeLoads: g.placer.Merge,
-			Health: g.health,
+			Health: g.health, HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
 		},
 	})
 	g.proxier = proxier.New(proxier.Config{
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -113,9 +113,14 @@
 		running = append(running, simulated{end: now + duration, gateway: g, service: u})
 		answers = append(answers, report{at: now + answer, from: g, upstream: c.Upstream.ID})
 	}
-	now := time.Duration(0)
+	now, shared := time.Duration(0), time.Duration(0)
 	for _, phase := range phases {
 		for end := now + phase.lasts; now < end; now += time.Second / time.Duration(phase.perSecond) {
+			for ; shared < now; shared += 20 * time.Millisecond { // Each gateway exchanges hot chats once a second.
+				from, to, at := all[random.IntN(gateways)], all[random.IntN(gateways)], start.Add(now)
+				to.MergeHotChats(from.HotChats(at), at)
+				from.MergeHotChats(to.HotChats(at), at)
+			}
 			send(now, phase)
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,17 +29,16 @@
 	// longChatTokens is the number of cached tokens from which a chat counts as long; an engine processes that many in
 	// about 40 ms.
 	longChatTokens = 4000
-	// hotPosition is the position in a chat's preference order from which on the chat is hot: its first upstreams are at
-	// their limits. For hotTime after it, the chat goes to a random one of its first upstreams below their limits, because
-	// all gateways that chose the same one would fill it before its first load report.
-	hotPosition = 2
-	hotTime     = 10 * time.Second
 	// A hot chat is spread over one upstream for each gatewaysPerSpread gateways, as the requests of the others that a
 	// gateway has not heard of grow with their number, but over at most maxSpread.
 	gatewaysPerSpread = 6
 	maxSpread         = 16
-	// maxHotChats bounds the hot chats that are remembered.
-	maxHotChats = 1024
+	// softShare is the fraction of the load limit, counted from above, in which an upstream is taken with a falling
+	// probability. It holds for softGateways gateways and more and for idle upstreams; it is less in proportion for fewer
+	// gateways, and falls to zero with a mean load of half the slots, because under overload all upstreams are near their
+	// limits, and chats that move only have their prompts processed again.
+	softShare    = 0.7
+	softGateways = 100
 	// maxSlotShare is the fraction of an upstream's slots above which its chats go to other upstreams, as long as those
 	// have free slots. The rest is left for requests that other gateways send before their load is reported.
 	maxSlotShare = 0.9
@@ -140,8 +138,8 @@
 	highAt time.Time
 	// gateways is the number of gateways at the last choice.
 	gateways int
-	// hotUntil holds the hot chats and the time until which they count as hot.
-	hotUntil map[string]time.Time
+	// hot holds the hot chats by the hashes of their names.
+	hot map[uint32]*hotChat
 }
 
 // upstreamLoad is the load of one upstream, in requests.
@@ -192,7 +190,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64), hotUntil: make(map[string]time.Time)}
+	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64), hot: make(map[uint32]*hotChat)}
 }
 
 // candidate is an upstream with its load and health.
@@ -315,15 +313,23 @@
 	p.limits[r.Service] = p.cfg.LoadFactor*mean + p.cfg.Slack
 	limit := p.limits[r.Service] * (shortChatFactor + (1-shortChatFactor)*length)
 	index = -1
+	below := 0
 	for i, c := range usable {
-		if c.load < loadLimit(c.Slots, limit) && (index < 0 || c.score > usable[index].score) {
+		if c.load >= loadLimit(c.Slots, limit) {
+			continue
+		}
+		below++
+		if index < 0 || c.score > usable[index].score {
 			index = i
 		}
 	}
 	if index < 0 {
 		return p.leastLoaded(usable), len(usable)
 	}
-	if position = positionOf(usable, index); p.hot(r.Chat, position, now) {
+	if !p.accepts(usable[index], limit, mean) {
+		index = p.nextAccepting(usable, limit, mean)
+	}
+	if position = positionOf(usable, index); p.isHot(r.Chat, position, float64(below)/float64(len(usable)), now) {
 		accepting := accepting(usable, limit)
 		width := min(max(p.gateways/gatewaysPerSpread, 1), maxSpread)
 		index = p.spread(usable, accepting[:min(len(accepting), width)], limit)
@@ -332,18 +338,31 @@
 	return index, position
 }
 
-// hot reports whether a chat is hot, given the position of its first upstream below its limit.
-func (p *Placer) hot(chat string, position int, now time.Time) bool {
-	if position >= hotPosition {
-		if len(p.hotUntil) >= maxHotChats {
-			maps.DeleteFunc(p.hotUntil, func(_ string, until time.Time) bool { return now.After(until) })
-		}
-		if len(p.hotUntil) < maxHotChats {
-			p.hotUntil[chat] = now.Add(hotTime)
+// accepts reports whether a candidate below its load limit is taken. Close to the limit it is taken with a probability that
+// falls to zero, because the other gateways have the same old reports and would all use up what is left at the same time:
+// the mean load is that of all candidates.
+func (p *Placer) accepts(c candidate, limit, mean float64) bool {
+	const steps = 1 << 20
+	limit = loadLimit(c.Slots, limit)
+	idle := 1.0
+	if c.Slots > 0 {
+		idle = max(1-2*mean/float64(c.Slots), 0)
+	}
+	margin := softShare * idle * limit * min(float64(p.gateways)/softGateways, 1)
+	free := limit - c.load
+	return free >= margin || free > margin*float64(p.cfg.Random(steps))/steps
+}
+
+// nextAccepting returns the index of the first candidate in the chat's preference order that is taken, or of the first one
+// below its limit if none is.
+func (p *Placer) nextAccepting(usable []candidate, limit, mean float64) int {
+	list := accepting(usable, limit)
+	for _, i := range list[1:] {
+		if p.accepts(usable[i], limit, mean) {
+			return i
 		}
-		return true
 	}
-	return now.Before(p.hotUntil[chat])
+	return list[0]
 }
 
 // accepting returns the indices of the candidates below their load limits, in the chat's preference order.
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -137,6 +137,7 @@
 			Reached: func() bool { return true }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
 			PeerReachedStore: n.follower.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
 			Loads: n.placer.Reports, MergeLoads: n.placer.Merge, HighLoads: n.placer.HighReports, Health: n.health,
+			HotChats: n.placer.HotChats, MergeHotChats: n.placer.MergeHotChats,
 		},
 	})
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -475,3 +476,41 @@
 		require.GreaterOrEqual(t, known, gateways*9/10)
 	})
 }
+
+// Guards against a hot chat that only some gateways spread: each receives a request of it every few seconds, and the others
+// go on sending theirs to the same engines. All must know it within a few seconds, and the bytes stay within the budget.
+func TestHotChatIsKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			gateways, upstreams = 100, 60
+			bound               = 3 * time.Second
+			budget              = 8_000 // bytes a second for each gateway
+		)
+		f := newFleet(t, gateways, 5, upstreams)
+		time.Sleep(5 * time.Second)
+		f.bytes.Store(0)
+		begin := time.Now()
+		var chats []placer.HotChat
+		for c := range uint32(8) {
+			chats = append(chats, placer.HotChat{Chat: 1<<31 + c})
+		}
+		f.nodes[42].placer.MergeHotChats(chats, begin)
+		known := func() (n int) {
+			for _, g := range f.nodes {
+				if len(g.placer.HotChats(time.Now())) == len(chats) {
+					n++
+				}
+			}
+			return n
+		}
+		for known() < gateways {
+			require.Less(t, time.Since(begin), bound, "%d of %d gateways know the hot chats", known(), gateways)
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("known everywhere after %v", time.Since(begin))
+		time.Sleep(10*time.Second - time.Since(begin))
+		require.Less(t, f.bytes.Load(), int64(gateways*budget*10))
+		time.Sleep(time.Second)
+		require.Zero(t, known(), "a report outlives its cause")
+	})
+}
--- a/relayer/loads.go
+++ b/relayer/loads.go
@@ -170,3 +170,50 @@
 	}
 	return c.ids
 }
+
+// hotChatAgeUnit is the resolution of the age of a report on a hot chat.
+const hotChatAgeUnit = 50 * time.Millisecond
+
+// HotChats holds reports on hot chats in columns, as Loads does.
+type HotChats struct {
+	// Chats holds hashes of the names.
+	Chats []uint32
+	// Ages holds the ages of the reports in units of 50 ms.
+	Ages []byte
+}
+
+// encodeHotChats returns reports in columns. Those that are too old for the unit of the ages are left out.
+func encodeHotChats(chats []placer.HotChat) HotChats {
+	var h HotChats
+	for _, c := range chats {
+		if age := (c.Age + hotChatAgeUnit - 1) / hotChatAgeUnit; age >= 0 && age <= 255 {
+			h.Chats = append(h.Chats, c.Chat)
+			h.Ages = append(h.Ages, byte(age))
+		}
+	}
+	return h
+}
+
+// decode returns the reports; malformed columns give none.
+func (h HotChats) decode() []placer.HotChat {
+	if len(h.Chats) != len(h.Ages) {
+		return nil
+	}
+	chats := make([]placer.HotChat, len(h.Chats))
+	for i, c := range h.Chats {
+		chats[i] = placer.HotChat{Chat: c, Age: time.Duration(h.Ages[i]) * hotChatAgeUnit}
+	}
+	return chats
+}
+
+// newerHotChats returns the reports that a peer lacks, or of which it sent much older ones.
+func newerHotChats(own []placer.HotChat, sent HotChats) []placer.HotChat {
+	ages := make(map[uint32]time.Duration, len(sent.Chats))
+	for _, c := range sent.decode() {
+		ages[c.Chat] = c.Age
+	}
+	return slices.DeleteFunc(own, func(c placer.HotChat) bool {
+		age, known := ages[c.Chat]
+		return known && age < c.Age+minReportRenewal
+	})
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -93,6 +93,8 @@
 	HighLoads Loads
 	// Unreachable holds the upstreams to which some gateway could not connect.
 	Unreachable UnreachableReports
+	// HotChats holds the chats that gateways spread over several upstreams.
+	HotChats HotChats
 }
 
 // CompressedDocument is a configuration as published, compressed by gzip.
@@ -122,6 +124,7 @@
 	LoadColumns   Loads
 	HighLoads     Loads
 	Unreachable   UnreachableReports
+	HotChats      HotChats
 }
 
 // State gives access to the state of a gateway that is exchanged with peers. All fields are required.
@@ -147,6 +150,9 @@
 	Loads      func(now time.Time) []placer.LoadReport
 	HighLoads  func(now time.Time) []placer.LoadReport
 	MergeLoads func(loads []placer.LoadReport, now time.Time)
+	// HotChats returns the reports on hot chats, and MergeHotChats merges those of a peer.
+	HotChats      func(now time.Time) []placer.HotChat
+	MergeHotChats func(chats []placer.HotChat, now time.Time)
 	// Health holds the reports on unreachable upstreams.
 	Health *appraiser.Appraiser
 }
@@ -234,6 +240,8 @@
 	state.MergeLoads(r.upstreams.decodeLoads(req.HighLoads), now)
 	reply.Unreachable = encodeUnreachable(newerUnreachable(state.Health.Reports(now), req.Unreachable))
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(req.Unreachable), now)
+	reply.HotChats = encodeHotChats(newerHotChats(state.HotChats(now), req.HotChats))
+	state.MergeHotChats(req.HotChats.decode(), now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	reply.Records, reply.Complete = state.Registry.RecordsSince(req.Upstreams)
@@ -408,6 +416,7 @@
 		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
 		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeUnreachable(state.Health.Reports(now)),
+		HotChats: encodeHotChats(state.HotChats(now)),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
@@ -443,6 +452,7 @@
 	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
+	state.MergeHotChats(reply.HotChats.decode(), time.Now())
 	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
 		r.NotifyPeers()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -58,6 +58,7 @@
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
 			Reached: func() bool { return g.reached }, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
 			PeerReachedStore: g.follower.PeerReachedStore, Registry: g.registry, Crashes: g.crashes, Loads: g.placer.Reports, MergeLoads: g.placer.Merge, HighLoads: g.placer.HighReports,
+			HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
 			Health: appraiser.New(appraiser.Config{}),
 		},
 	})
@@ -210,6 +211,7 @@
 	address := netip.MustParseAddrPort("10.0.0.9:1")
 	for name, req := range map[string]relayer.Request{
 		"loads":            {WithLoads: true, LoadColumns: relayer.Loads{Upstreams: []uint32{1, 2}, Counts: []byte{1}}},
+		"hot chats":        {HotChats: relayer.HotChats{Chats: []uint32{1, 2}, Ages: []byte{1}}},
 		"peers":            {OtherPeers: relayer.PeerList{Addresses: []netip.AddrPort{address}}},
 		"domain of a peer": {OtherPeers: relayer.PeerList{Addresses: []netip.AddrPort{address}, Domains: []byte{3}, AgesMS: []uint32{1}, Links: []float64{1}, Saturated: []bool{false}}},
 		"address":          {From: "nonsense"},
@@ -219,4 +221,5 @@
 	}
 	require.Equal(t, 1, a.relayer.Gateways())
 	require.Empty(t, a.placer.Reports(time.Now()))
+	require.Empty(t, a.placer.HotChats(time.Now()))
 }
