--- a/placer/hot.go
+++ b/placer/hot.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// hotPosition is the position in a chat's preference order from which on the chat is hot: its first upstreams are at
-	// their limits. For hotTime after it, the chat goes to a random one of its first upstreams below their limits, because
+	// hotPosition is the position in a chat's preference order from which on the chat is hot: its first upstreams are at or
+	// near their limits. For hotTime after it, the chat goes to a random one of its first upstreams below their limits, because
 	// all gateways that chose the same one would fill it before its first load report.
 	hotPosition = 2
 	hotTime     = 10 * time.Second
@@ -20,7 +20,7 @@
 	// a chat that had to move once is not hot for that.
 	reportedSightings = 2
 	// minBelow is the share of upstreams below their limits from which such a finding counts: while most are at their limits,
-	// chats move for the load of all, and spreading them would only have their prompts read again.
+	// chats move for the load of all, and spreading them would only have their prompts processed again.
 	minBelow = 0.75
 	// maxHotChats bounds the hot chats that are remembered, and maxReportedChats those that are reported.
 	maxHotChats      = 1024
@@ -49,8 +49,8 @@
 	return uint32(xxhash.Sum64String(chat))
 }
 
-// isHot reports whether a chat is hot, given the position of its first upstream below its limit and the share of upstreams
-// below theirs. The caller holds p.mu.
+// isHot reports whether a chat is hot, given the position of the first upstream that takes it and the share of upstreams
+// below their limits. The caller holds p.mu.
 func (p *Placer) isHot(chat string, position int, below float64, now time.Time) bool {
 	hash := hashChat(chat)
 	h := p.hot[hash]
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -339,8 +339,8 @@
 }
 
 // accepts reports whether a candidate below its load limit is taken. Close to the limit it is taken with a probability that
-// falls to zero, because the other gateways have the same old reports and would all use up what is left at the same time:
-// the mean load is that of all candidates.
+// falls to zero, because the other gateways have the same old reports and would all use up what is left at the same time.
+// limit is the load limit, and mean the mean load of the candidates.
 func (p *Placer) accepts(c candidate, limit, mean float64) bool {
 	const steps = 1 << 20
 	limit = loadLimit(c.Slots, limit)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -505,7 +505,8 @@
 }
 
 // exchangeFailed closes the connection to a peer and stops counting it as live. If the peer was a reader of the store, it
-// returns the other readers, which may have gone at the same moment.
+// returns the other readers, which may have gone at the same moment. Only the first failure of a peer does, so that a gateway
+// that is cut off tries each peer a few times only.
 func (r *Relayer) exchangeFailed(peer string, err error) (doubtful []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
