connector: a pause of this process is no dial timeout

The upstreams were marked unreachable, attempts to replace a silent one failed, and callers left.

After a pause of this process, its timers have expired before what has arrived meanwhile is read.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"clementineramp/timekeeper"
 )
 
 const (
@@ -30,9 +33,11 @@
 // ErrTooManyConnections means that this process already has Target.MaxConnections connections to the upstream.
 var ErrTooManyConnections = errors.New("too many connections to the upstream")
 
+var errDialTimeout = errors.New("no connection within the dial timeout")
+
 // Config holds the settings and dependencies of a Pool; a zero field means its default.
 type Config struct {
-	// Dial opens connections; nil means a net.Dialer with DialTimeout and KeepAlive.
+	// Dial opens connections; nil means a net.Dialer with KeepAlive. Its context ends after DialTimeout.
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
@@ -81,7 +86,7 @@
 		cfg.HeadTimeout = DefaultHeadTimeout
 	}
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: KeepAlive}
+		d := &net.Dialer{KeepAliveConfig: KeepAlive}
 		cfg.Dial = d.DialContext
 	}
 	return &Pool{cfg: cfg, upstreams: make(map[string]*upstreamConns)}
@@ -129,10 +134,15 @@
 
 // dial opens a connection that has been counted as open.
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
-	defer cancel()
+	dialCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := timekeeper.Start(timekeeper.Config{Expired: func() { cancel(errDialTimeout) }}, p.cfg.DialTimeout)
+	defer timer.Stop()
 	start := time.Now()
-	nc, err := p.cfg.Dial(ctx, "tcp", t.Address)
+	nc, err := p.cfg.Dial(dialCtx, "tcp", t.Address)
+	if err != nil && errors.Is(context.Cause(dialCtx), errDialTimeout) {
+		err = fmt.Errorf("dial %s: %w", t.Address, errDialTimeout)
+	}
 	if p.cfg.OnDial != nil {
 		p.cfg.OnDial(t.Upstream, time.Since(start), err)
 	}
--- /dev/null
+++ b/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper provides timers that tell the silence of a peer from a pause of this process.
+package timekeeper
