proxier: a silent upstream is given up only once it can be replaced

When an upstream was silent for 0.7 s (streams) or 0.12 s and more, its attempt was ended first; only then the retry budget was asked, another upstream chosen and a connection to it opened. If one of these failed, callers got half a stream or a 502, although the upstream may have been sound and would have gone on.

Now the timer first chooses another upstream, reserves a connection to it and deducts the retry, and then ends the attempt for this replacement. If there is none, it looks again every 0.2 s, and the attempt goes on up to the deadline. The first connection is still closed before the request is sent again, so two upstreams never work on it.

Before, all six cases of TestSilentUpstreamIsAwaitedWithoutReplacement failed: the streams with "unexpected EOF", the reads with 502 in place of 200.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -52,6 +52,8 @@
 	// Abandoned reports whether nobody waits for the response any more. It is called when the connection is there, right
 	// before the request is sent; nil means never.
 	Abandoned func() bool
+	// Reservation, if not nil, is a connection to the target that is used instead of another one.
+	Reservation *Reservation
 }
 
 // SendStatus says whether a failed exchange may have sent the request.
@@ -143,7 +145,7 @@
 // discarded. The connection is closed when ctx ends, even while the body of the response is read. A non-nil error is
 // an *Error.
 func (p *Pool) Do(ctx context.Context, t Target, req Request, match func(status int, h http.Header) bool) (*Exchange, error) {
-	c, err := p.get(ctx, t)
+	c, err := p.reservedOr(ctx, t, req.Reservation)
 	if err != nil {
 		return nil, &Error{SendStatus: NotSent, Err: err}
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -114,6 +114,41 @@
 	return p.dial(ctx, t)
 }
 
+// Reservation is an open connection that is kept for one exchange.
+type Reservation struct {
+	pool *Pool
+	conn *conn
+}
+
+// Reserve returns an idle or new connection to the target, which must be passed to Do or released.
+func (p *Pool) Reserve(ctx context.Context, t Target) (*Reservation, error) {
+	c, err := p.get(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return &Reservation{pool: p, conn: c}, nil
+}
+
+// Release returns a connection that has not been used. The idle time of one that had been used before goes on.
+func (r *Reservation) Release() {
+	if !r.conn.reused {
+		r.pool.release(r.conn, true)
+		return
+	}
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	u := r.pool.conns(r.conn.upstream)
+	u.idle = append(u.idle, r.conn)
+}
+
+// reservedOr returns the connection of r, or one from get if r is nil.
+func (p *Pool) reservedOr(ctx context.Context, t Target, r *Reservation) (*conn, error) {
+	if r != nil {
+		return r.conn, nil
+	}
+	return p.get(ctx, t)
+}
+
 // Connect opens a connection to the target and keeps it for later exchanges.
 func (p *Pool) Connect(ctx context.Context, t Target) error {
 	p.mu.Lock()
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -9,7 +9,6 @@
 	"clementineramp/appraiser"
 	"clementineramp/connector"
 	"clementineramp/judge"
-	"clementineramp/mapper"
 	"clementineramp/placer"
 	"clementineramp/registrar"
 )
@@ -27,6 +26,8 @@
 	gapFactor = 4
 	// minGap is the lower bound of this time; callers abandon a stream after a pause of two seconds or more.
 	minGap = 700 * time.Millisecond
+	// retryInterval is the interval at which a replacement is looked for while none is to be had.
+	retryInterval = 200 * time.Millisecond
 	// connectionShare is the share of an upstream's connection limit that all routers together may use.
 	connectionShare = 0.9
 	// maxUnrepeatableIdle is the longest idle time of a connection that is reused for a request that must not be
@@ -55,20 +56,17 @@
 
 // run sends the request to one upstream after another until the caller has a final response.
 func (j *job) run() {
+	defer func() { j.replacement.release() }()
 	turnedAwayCount := 0
 	var buffered *bufferedResponse
 	for {
-		choice, ok := j.p.cfg.Placer.Choose(placer.Request{
-			Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(),
-			// Once an upstream has turned it away, an unrepeatable request may be sent to a suspect upstream too.
-			Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: j.tried,
-		}, time.Now())
+		next, ok := j.next()
 		if !ok {
 			break
 		}
-		j.choice = choice
-		v, response, err := j.attempt(choice)
-		j.tried = append(j.tried, choice.Upstream.ID)
+		j.choice = next.choice
+		v, response, err := j.attempt(next)
+		j.tried = append(j.tried, next.choice.Upstream.ID)
 		if v == done {
 			return
 		}
@@ -78,8 +76,8 @@
 		if v == turnedAway {
 			turnedAwayCount++
 		}
-		retry := j.mayRepeat(v, turnedAwayCount)
-		j.logAttempt(choice, v, err, retry)
+		retry := j.replaces() || j.mayRepeat(v, turnedAwayCount)
+		j.logAttempt(next.choice, v, err, retry)
 		if !retry {
 			break
 		}
@@ -87,6 +85,34 @@
 	j.finish(buffered)
 }
 
+// next returns the replacement of the last attempt, or chooses an upstream; the result is false if none is left.
+func (j *job) next() (*replacement, bool) {
+	if r := j.replacement; r != nil {
+		j.replacement = nil
+		return r, true
+	}
+	choice, ok := j.p.cfg.Placer.Choose(j.placement(j.tried), time.Now())
+	return &replacement{choice: choice}, ok
+}
+
+// placement returns the properties of the request that the choice of an upstream depends on.
+func (j *job) placement(tried []string) placer.Request {
+	return placer.Request{
+		Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(),
+		// Once an upstream has turned it away, an unrepeatable request may be sent to a suspect upstream too.
+		Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: tried,
+	}
+}
+
+// replaces reports whether the last attempt was given up for a replacement, for which the retry has been deducted.
+func (j *job) replaces() bool {
+	if j.replacement == nil || j.ctx.Err() != nil || j.abandoned {
+		return false
+	}
+	j.p.instruments.retries.Inc(1)
+	return true
+}
+
 // mayRepeat reports whether the request may be sent to another upstream, and deducts a retry from the budget unless the
 // attempt ended before anything was sent.
 func (j *job) mayRepeat(v verdict, turnedAwayCount int) bool {
@@ -152,7 +178,8 @@
 }
 
 // attempt sends the request to one upstream and relays its response.
-func (j *job) attempt(choice placer.Choice) (verdict, *bufferedResponse, error) {
+func (j *job) attempt(next *replacement) (verdict, *bufferedResponse, error) {
+	choice := next.choice
 	u := choice.Upstream
 	now := time.Now()
 	j.p.cfg.Health.Begin(u.ID, now)
@@ -173,11 +200,12 @@
 
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	timer := j.startResponseTimer(cancel)
-	defer timer.stop()
+	timer := j.startResponseTimer(ctx, u, cancel)
+	defer func() { j.replacement = timer.end() }()
 	exchange, err := j.p.cfg.Pool.Do(ctx, j.target(u), connector.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
-		Abandoned: func() bool { return j.p.cfg.CallerLeft(j.r.Context()) },
+		Abandoned:   func() bool { return j.p.cfg.CallerLeft(j.r.Context()) },
+		Reservation: next.connection,
 	}, func(status int, h http.Header) bool { return j.matchesRequest(status, h) })
 	if err != nil {
 		return j.handleNoResponse(ctx, u, err)
@@ -212,7 +240,6 @@
 	j.runs++
 	switch {
 	case errors.Is(context.Cause(ctx), errUnresponsive):
-		j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
 		if j.r.Context().Err() == nil {
@@ -236,36 +263,3 @@
 func Incarnation(u registrar.Upstream) string {
 	return u.ID + "/" + u.Address + "/" + time.UnixMilli(u.Born).UTC().Format("150405.000")
 }
-
-// responseTimer cancels an attempt at an unresponsive upstream if the request may be sent to another one. Its timer is
-// nil if the request may not.
-type responseTimer struct {
-	timer *time.Timer
-	gap   time.Duration
-}
-
-func (j *job) startResponseTimer(cancel context.CancelCauseFunc) *responseTimer {
-	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
-		return &responseTimer{}
-	}
-	s := &responseTimer{gap: max(gapFactor*j.route.Gap, minGap)}
-	first := max(firstResponseFactor*j.route.Target, minFirstResponse)
-	if j.route.Kind == mapper.Stream {
-		first = max(first, minGap)
-	}
-	s.timer = time.AfterFunc(first, func() { cancel(errUnresponsive) })
-	return s
-}
-
-// reset restarts the timer when data of a stream arrives.
-func (s *responseTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.gap)
-	}
-}
-
-func (s *responseTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -73,6 +73,7 @@
 			{Name: "short", Host: "h", Prefix: "/short/", Kind: mapper.Idempotent, Attempts: 1, Timeout: 100 * time.Millisecond, Shares: share},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: mapper.Stream, Attempts: 2, Timeout: time.Minute, Target: time.Minute, Shares: share},
 			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: mapper.Stream, Resumable: true, Attempts: 2, Timeout: time.Minute, Target: time.Minute, Gap: time.Minute, Shares: share},
+			{Name: "live", Host: "h", Prefix: "/live/", Kind: mapper.Stream, Resumable: true, Attempts: 2, Timeout: time.Minute, Target: time.Millisecond, Gap: time.Millisecond, Shares: share},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: mapper.Idempotent, Attempts: 1, Anonymous: true, Shares: share},
 		},
 		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -252,7 +252,6 @@
 		j.recordOutcome(e.StatusCode, "", "")
 		return done, nil, nil
 	case errors.Is(context.Cause(ctx), errUnresponsive):
-		j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
 		return mayHaveRun, nil, j.ctx.Err()
--- /dev/null
+++ b/proxier/replace.go
@@ -0,0 +1,159 @@
+package proxier
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"clementineramp/appraiser"
+	"clementineramp/connector"
+	"clementineramp/mapper"
+	"clementineramp/placer"
+	"clementineramp/registrar"
+)
+
+// replacement is the upstream that a request is sent to next.
+type replacement struct {
+	choice placer.Choice
+	// connection is an open connection to it, or nil.
+	connection *connector.Reservation
+	done       func(upstream string)
+}
+
+// release gives up a replacement that is not used; r may be nil.
+func (r *replacement) release() {
+	if r != nil {
+		r.connection.Release()
+		r.done(r.choice.Upstream.ID)
+	}
+}
+
+// responseTimer bounds the silence of an upstream. When it expires, it looks for a replacement and ends the attempt only
+// once there is one with an open connection and a retry is allowed. Until then the attempt goes on: the upstream may be
+// sound, and its response is worth more than none.
+type responseTimer struct {
+	job *job
+	ctx context.Context
+	// timer is nil if the request may not be sent to another upstream.
+	timer    *time.Timer
+	gap      time.Duration
+	upstream registrar.Upstream
+	// placement selects the replacement.
+	placement placer.Request
+	cancel    context.CancelCauseFunc
+
+	mu sync.Mutex
+	// resets counts the calls of reset, to notice data that arrives while a replacement is looked for.
+	resets      int
+	searching   bool
+	reported    bool
+	stopped     bool
+	replacement *replacement
+}
+
+// startResponseTimer starts the timer of an attempt at u, whose context is ctx and which cancel ends.
+func (j *job) startResponseTimer(ctx context.Context, u registrar.Upstream, cancel context.CancelCauseFunc) *responseTimer {
+	s := &responseTimer{job: j, ctx: ctx, upstream: u, cancel: cancel}
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
+		return s
+	}
+	s.placement = j.placement(append(slices.Clone(j.tried), u.ID))
+	s.gap = max(gapFactor*j.route.Gap, minGap)
+	first := max(firstResponseFactor*j.route.Target, minFirstResponse)
+	if j.route.Kind == mapper.Stream {
+		first = max(first, minGap)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(first, s.replace)
+	return s
+}
+
+// reset restarts the timer when data of a stream arrives.
+func (s *responseTimer) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil && !s.stopped {
+		s.resets++
+		s.timer.Reset(s.gap)
+	}
+}
+
+// stop ends the timer.
+func (s *responseTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// end ends the timer and returns the replacement for which the attempt was given up, or nil.
+func (s *responseTimer) end() *replacement {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replacement
+}
+
+// replace looks for a replacement of the silent upstream, and looks again later if there is none.
+func (s *responseTimer) replace() {
+	s.mu.Lock()
+	if s.stopped || s.searching {
+		s.mu.Unlock()
+		return
+	}
+	s.searching = true
+	resets, reported := s.resets, s.reported
+	s.reported = true
+	s.mu.Unlock()
+	if !reported {
+		s.job.p.cfg.Health.Record(s.upstream.ID, appraiser.Silent, time.Now())
+	}
+	r := s.find()
+	if !s.use(r, resets) {
+		r.release()
+	}
+}
+
+// find chooses another upstream and opens a connection to it; it returns nil if that fails.
+func (s *responseTimer) find() *replacement {
+	p := s.job.p
+	choice, ok := p.cfg.Placer.Choose(s.placement, time.Now())
+	if !ok {
+		return nil
+	}
+	u := choice.Upstream
+	connection, err := p.cfg.Pool.Reserve(s.ctx, s.job.target(u))
+	if err != nil {
+		p.cfg.Placer.Done(u.ID)
+		if !errors.Is(err, connector.ErrTooManyConnections) && s.ctx.Err() == nil {
+			p.cfg.Health.Record(u.ID, appraiser.Refused, time.Now())
+		}
+		return nil
+	}
+	return &replacement{choice: choice, connection: connection, done: p.cfg.Placer.Done}
+}
+
+// use ends the attempt in favour of r, unless data has arrived since the given number of resets or no retry is allowed.
+func (s *responseTimer) use(r *replacement, resets int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.searching = false
+	if s.stopped || s.resets != resets {
+		return false
+	}
+	if r != nil && s.job.p.cfg.AllowRetry(s.job.service) {
+		s.replacement, s.stopped = r, true
+		s.cancel(errUnresponsive)
+		return true
+	}
+	if r != nil {
+		s.job.p.instruments.budgetRefused.Inc(1)
+	}
+	s.timer.Reset(retryInterval)
+	return false
+}
--- /dev/null
+++ b/proxier/silent_test.go
@@ -0,0 +1,94 @@
+package proxier_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/platform/imitator"
+)
+
+// silence is longer than the time after which a replacement is looked for, and shorter than callers wait.
+const silence = 1200 * time.Millisecond
+
+// eventsWithPause streams nine events, and is silent for d after the fourth.
+func eventsWithPause(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rest := imitator.Events(9, 0)
+		if r.Header.Get(imitator.HeaderLastEvent) != "" {
+			rest(w, r)
+			return
+		}
+		imitator.Events(4, 0)(w, r)
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(d):
+		}
+		r.Header.Set(imitator.HeaderLastEvent, "4")
+		rest(w, r)
+	}
+}
+
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token-%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// Guards against giving up an attempt at an upstream that is sound and silent for a second, although no other one can be
+// sent the request: its caller then got half a stream, or a failure.
+func TestSilentUpstreamIsAwaitedWithoutReplacement(t *testing.T) {
+	late := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(silence / 2)
+		imitator.Plain("late")(w, r)
+	}
+	for name, prepare := range map[string]func(f *fixture){
+		"no other upstream":          func(f *fixture) { f.view.ByService["s"] = f.view.ByService["s"][:1] },
+		"other upstream unreachable": func(f *fixture) { f.upstreams[1].Close() },
+		"no retry allowed":           func(f *fixture) { f.budget.Store(0) },
+	} {
+		t.Run("stream, "+name, func(t *testing.T) {
+			f := newFixture(t, eventsWithPause(silence), imitator.Events(9, 0))
+			prepare(f)
+			r := f.do("POST", "/live/", "")
+			require.NoError(t, r.err, f.log.String())
+			require.Equal(t, events(9), r.body)
+			require.Equal(t, 1, f.runs())
+		})
+		t.Run("read, "+name, func(t *testing.T) {
+			f := newFixture(t, late, nil)
+			prepare(f)
+			r := f.do("GET", "/quick/", "")
+			require.NoError(t, r.err)
+			require.Equal(t, 200, r.status, f.log.String())
+			require.Equal(t, "late", r.body)
+			require.Equal(t, 1, f.runs())
+		})
+	}
+}
+
+// Guards against waiting for a silent upstream although another one takes the request, and against two upstreams working
+// on one stream.
+func TestSilentUpstreamIsReplaced(t *testing.T) {
+	var left atomic.Int64
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		eventsWithPause(time.Minute)(w, r)
+		left.Store(time.Now().UnixMilli())
+	}, imitator.Events(9, 0))
+	r := f.do("POST", "/live/", "")
+	require.NoError(t, r.err)
+	require.Equal(t, events(9), r.body)
+	resumed := f.upstreams[1].Runs()[0]
+	require.Equal(t, "4", resumed.Header.Get(imitator.HeaderLastEvent))
+	require.Eventually(t, func() bool { return left.Load() > 0 }, time.Second, time.Millisecond)
+	require.Less(t, left.Load()-resumed.Start.UnixMilli(), int64(200), "both upstreams work on the stream")
+	require.EqualValues(t, 99, f.budget.Load(), "one retry costs one")
+}
