--- a/proxier/replace.go
+++ b/proxier/replace.go
@@ -12,6 +12,7 @@
 	"clementineramp/mapper"
 	"clementineramp/placer"
 	"clementineramp/registrar"
+	"clementineramp/timekeeper"
 )
 
 // replacement is the upstream that a request is sent to next.
@@ -37,7 +38,7 @@
 	job *job
 	ctx context.Context
 	// timer is nil if the request may not be sent to another upstream.
-	timer    *time.Timer
+	timer    *timekeeper.Timer
 	gap      time.Duration
 	upstream registrar.Upstream
 	// placement selects the replacement.
@@ -67,7 +68,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(first, s.replace)
+	s.timer = timekeeper.Start(timekeeper.Config{Expired: s.replace}, first)
 	return s
 }
 
--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -92,3 +95,36 @@
 	require.Less(t, left.Load()-resumed.Start.UnixMilli(), int64(200), "both upstreams work on the stream")
 	require.EqualValues(t, 99, f.budget.Load(), "one retry costs one")
 }
+
+// Guards against taking a pause of this process for the silence of an upstream.
+func TestPauseOfThisProcessIsNoSilence(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const n = 10
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: attempt-1\r\n%s: signed\r\nContent-Type: text/event-stream\r\n",
+			imitator.HeaderAttempt, imitator.HeaderSignature)
+		_, _ = io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n")
+		event := "id: 1\ndata: token-1\n\n"
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		_, _ = io.WriteString(c, chunk)
+		time.Sleep(50 * time.Millisecond)
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			return
+		}
+		var socket uintptr
+		_ = raw.Control(func(fd uintptr) { socket = fd })
+		imitator.Pause(n, 100*time.Millisecond, socket, []byte(chunk))
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}, imitator.Events(1, 0))
+	r := f.do("POST", "/live/", "")
+	require.NoError(t, r.err)
+	require.Equal(t, n+1, strings.Count(r.body, "data: "), f.log.String())
+	require.Equal(t, 1, f.runs(), "the stream was resumed at another upstream")
+}
