proxier: a begun stream waits for an upstream that resumes it

If the upstreams turned the rest of a begun stream away, none was left to choose, or no retry was allowed, the stream was cut at once, although its caller waits for up to two seconds between two events.

Now it looks for an upstream again every 0.2 s, within the attempts of its route and the retry budget, up to 1.5 s after the last event. Upstreams that turned it away may be asked again, those that may have run it are not.

Before, TestBegunStreamIsResumedAfterRefusals failed with "unexpected EOF" after 0.7 s.

--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -28,6 +28,9 @@
 	minGap = 700 * time.Millisecond
 	// retryInterval is the interval at which a replacement is looked for while none is to be had.
 	retryInterval = 200 * time.Millisecond
+	// maxResumePause is the pause of a stream up to which another upstream is looked for. The rest of the two seconds of the
+	// callers is left for its first event.
+	maxResumePause = 1500 * time.Millisecond
 	// connectionShare is the share of an upstream's connection limit that all routers together may use.
 	connectionShare = 0.9
 	// maxUnrepeatableIdle is the longest idle time of a connection that is reused for a request that must not be
@@ -62,6 +65,9 @@
 	for {
 		next, ok := j.next()
 		if !ok {
+			if j.awaitRetry(notSent) {
+				continue
+			}
 			break
 		}
 		j.choice = next.choice
@@ -76,10 +82,16 @@
 		if v == turnedAway {
 			turnedAwayCount++
 		}
+		if v == mayHaveRun || v == failed {
+			j.mayHaveRunAt = append(j.mayHaveRunAt, next.choice.Upstream.ID)
+		}
 		retry := j.replaces() || j.mayRepeat(v, turnedAwayCount)
 		j.logAttempt(next.choice, v, err, retry)
 		if !retry {
-			break
+			if !j.awaitRetry(v) {
+				break
+			}
+			turnedAwayCount = 0
 		}
 	}
 	j.finish(buffered)
@@ -113,6 +125,27 @@
 	return true
 }
 
+// awaitRetry waits until a stream that has begun may be sent to another upstream, although none takes it at the moment or
+// no retry is allowed. It returns false if the rest of the stream would come too late for its caller.
+func (j *job) awaitRetry(v verdict) bool {
+	if !j.stream.started || !j.route.Repeatable() || j.runs >= j.route.Attempts || j.abandoned {
+		return false
+	}
+	for time.Since(j.stream.lastWrite) < maxResumePause {
+		select {
+		case <-j.ctx.Done():
+			return false
+		case <-time.After(retryInterval):
+		}
+		// Those that turned it away may take it now.
+		j.tried = append(j.tried[:0], j.mayHaveRunAt...)
+		if v == notSent || j.p.cfg.AllowRetry(j.service) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRepeat reports whether the request may be sent to another upstream, and deducts a retry from the budget unless the
 // attempt ended before anything was sent.
 func (j *job) mayRepeat(v verdict, turnedAwayCount int) bool {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -150,6 +150,8 @@
 	// firstByte is the time to the first byte of the response.
 	firstByte time.Duration
 	choice    placer.Choice
+	// mayHaveRunAt lists the upstreams that were tried and may have run the request.
+	mayHaveRunAt []string
 	// replacement is where the request is sent next, if the last attempt was given up for it.
 	replacement *replacement
 	// abandoned is set if the caller had left when an attempt was about to be sent.
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -48,6 +48,8 @@
 	lastEvent string
 	// events counts the writes to the caller, each of one or more complete events.
 	events int
+	// lastWrite is the time of the last write.
+	lastWrite time.Time
 }
 
 // relay forwards the response to the caller, or classifies it if the request may be retried.
@@ -277,6 +279,7 @@
 		j.stream.lastEvent = id
 	}
 	j.stream.events++
+	j.stream.lastWrite = time.Now()
 	if _, err := j.w.Write(events); err != nil {
 		return false
 	}
--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -96,6 +96,29 @@
 	require.EqualValues(t, 99, f.budget.Load(), "one retry costs one")
 }
 
+// Guards against ending a stream that has begun when the upstreams turn it away, as long as its caller still waits.
+func TestBegunStreamIsResumedAfterRefusals(t *testing.T) {
+	f := newFixture(t, eventsWithPause(time.Minute), imitator.Events(9, 0))
+	var refusals atomic.Int64
+	f.upstreams[1].ShouldShed = func(*http.Request) bool { return refusals.Add(1) <= 2 }
+	r := f.do("POST", "/live/", "")
+	require.NoError(t, r.err, f.log.String())
+	require.Equal(t, events(9), r.body)
+	require.EqualValues(t, 3, refusals.Load())
+	require.EqualValues(t, 97, f.budget.Load(), "each arrival at another upstream costs a retry")
+}
+
+// Guards against holding on to a begun stream that no upstream resumes before its caller leaves.
+func TestBegunStreamEndsIfNoUpstreamResumesIt(t *testing.T) {
+	f := newFixture(t, eventsWithPause(time.Minute), nil)
+	f.upstreams[1].ShouldShed = func(*http.Request) bool { return true }
+	start := time.Now()
+	r := f.do("POST", "/live/", "")
+	require.Error(t, r.err)
+	require.Equal(t, events(4), r.body)
+	require.Less(t, time.Since(start), 2*time.Second)
+}
+
 // Guards against taking a pause of this process for the silence of an upstream.
 func TestPauseOfThisProcessIsNoSilence(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
