gatekeeper: a pipelined request keeps its connection

A caller that sends its next request before the response to the last has both read at once. No read marked the connection busy for the second one, so it counted as idle while the request was served, and was closed once that lasted longer than the idle time: the request was cancelled and got no answer. A configuration with a shorter idle time closed such connections at once.

A connection is also marked busy when the handler of a request begins.

--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -56,7 +56,7 @@
 	net.Conn
 
 	mu sync.Mutex
-	// busy is set from the first byte of a request until the end of its response.
+	// busy is set from the first byte of a request, or from its handler on, until the end of its response.
 	busy bool
 	// closing makes Read return io.EOF, so that http.Server closes the connection, unless a request has arrived.
 	closing bool
@@ -92,6 +92,17 @@
 	return n == 0, c.Conn.SetReadDeadline(time.Time{})
 }
 
+// markBusy records that a request is served, and cancels closing.
+func (c *callerConn) markBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // This fails only if the connection is closed already.
+	}
+}
+
 // markIdle records the end of a response.
 func (c *callerConn) markIdle() {
 	c.mu.Lock()
@@ -141,6 +152,17 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
+// Handler returns a handler that marks the connection of a request busy, and then calls next. A request that was read
+// together with the one before it has not been noticed by a read of its own.
+func (c *CallerConns) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			conn.markBusy()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Disconnected reports whether the caller of a request has closed its connection. It asks the operating system, because
 // http.Server learns of it late while the process gets too little processor time. ctx is the context of the request.
 func (c *CallerConns) Disconnected(ctx context.Context) bool {
--- a/gatekeeper/conns_test.go
+++ b/gatekeeper/conns_test.go
@@ -151,3 +151,46 @@
 	require.True(t, <-left, "the context of the request has not ended")
 	require.False(t, conns.Disconnected(t.Context()), "a context without a connection")
 }
+
+// Guards against closing the connection of a caller that sends requests without waiting for the responses: the second one
+// is read together with the first, so no read marks the connection busy.
+func TestPipelinedRequestIsServed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(10)
+	entered, release, cancelled := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		ConnState: conns.OnConnState, ConnContext: conns.ConnContext,
+		Handler: conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			entered <- struct{}{}
+			select {
+			case <-release:
+				w.WriteHeader(http.StatusNoContent)
+			case <-r.Context().Done():
+				close(cancelled)
+			}
+		})),
+	}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	for n := range 2 {
+		<-entered
+		conns.CloseIdle(time.Now().Add(time.Hour), 0)
+		select {
+		case <-cancelled:
+			require.Fail(t, "the request was cancelled", "request %d", n)
+		case <-time.After(100 * time.Millisecond):
+			release <- struct{}{}
+		}
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, "request %d", n)
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+	require.Eventually(t, func() bool { return conns.Busy() == 0 }, waitTimeout, time.Millisecond)
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -242,7 +242,7 @@
 	s := g.cfg.Settings
 	started := time.Now()
 	callerServer := &http.Server{
-		Handler: g.proxier, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: g.callers.Handler(g.proxier), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.callers.OnConnState, ConnContext: g.callers.ConnContext, ErrorLog: g.log.Named("callers").StandardLogger(nil),
 	}
 	readyServer, metricsServer := newStatusServer(g.readinessHandler()), newStatusServer(g.metricsHandler())
