proxier: a waiting stream gives up its round at the first refusal

A begun stream that no upstream resumed sent up to three requests in each round of 0.2 s, each of which costs a retry. With three upstreams that turned it away it used up 15 retries of the budget; now it uses at most 10.

Before, TestBegunStreamEndsIfNoUpstreamResumesIt failed: 85 retries of 100 were left.

--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -91,7 +91,7 @@
 			if !j.awaitRetry(v) {
 				break
 			}
-			turnedAwayCount = 0
+			turnedAwayCount = maxTurnedAway - 1 // One refusal ends each further round.
 		}
 	}
 	j.finish(buffered)
--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -108,15 +108,19 @@
 	require.EqualValues(t, 97, f.budget.Load(), "each arrival at another upstream costs a retry")
 }
 
-// Guards against holding on to a begun stream that no upstream resumes before its caller leaves.
+// Guards against holding on to a begun stream that no upstream resumes before its caller leaves, and against using up the
+// retry budget for it.
 func TestBegunStreamEndsIfNoUpstreamResumesIt(t *testing.T) {
-	f := newFixture(t, eventsWithPause(time.Minute), nil)
-	f.upstreams[1].ShouldShed = func(*http.Request) bool { return true }
+	f := newFixture(t, eventsWithPause(time.Minute), nil, nil, nil)
+	for _, u := range f.upstreams[1:] {
+		u.ShouldShed = func(*http.Request) bool { return true }
+	}
 	start := time.Now()
 	r := f.do("POST", "/live/", "")
 	require.Error(t, r.err)
 	require.Equal(t, events(4), r.body)
 	require.Less(t, time.Since(start), 2*time.Second)
+	require.GreaterOrEqual(t, f.budget.Load(), int64(90))
 }
 
 // Guards against taking a pause of this process for the silence of an upstream.
