timekeeper: time that goroutines wait for the processor is no silence

Callbacks of timers run before goroutines that are ready. In a starved gateway a timer was called back in time and found nothing read, while the goroutine that had to read it waited for the processor. Now the callback waits its turn first, which counts as lateness.

Before, TestWaitForProcessorIsNoSilence failed 5 times of 5.

--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -1,6 +1,7 @@
 package timekeeper
 
 import (
+	"runtime"
 	"sync"
 	"time"
 )
@@ -72,6 +73,9 @@
 }
 
 func (t *Timer) expire() {
+	// Callbacks run before the goroutines that are ready, among them those that wait for the processor to read what has
+	// arrived. The time they take then counts as lateness.
+	runtime.Gosched()
 	if t.expired() {
 		t.cfg.Expired()
 	}
--- a/timekeeper/timekeeper_test.go
+++ b/timekeeper/timekeeper_test.go
@@ -1,6 +1,7 @@
 package timekeeper_test
 
 import (
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"clementineramp/platform/imitator"
 	"clementineramp/timekeeper"
 )
 
@@ -72,3 +74,22 @@
 		require.Zero(t, f.expired.Load())
 	})
 }
+
+// Guards against taking the time for which ready goroutines wait for the processor for the silence of a peer.
+func TestWaitForProcessorIsNoSilence(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var expired atomic.Bool
+	timer := timekeeper.Start(timekeeper.Config{Expired: func() { expired.Store(true) }}, 100*time.Millisecond)
+	time.Sleep(95 * time.Millisecond)
+	for range 20 {
+		go imitator.Pause(1, 9*time.Millisecond, 0, nil)
+	}
+	read := make(chan struct{})
+	go func() { // It stands for the goroutine that reads what has arrived.
+		timer.Stop()
+		close(read)
+	}()
+	go func() {}() // The goroutine that was started last runs first.
+	<-read
+	require.False(t, expired.Load())
+}
