proxier: a stream whose caller has left is logged so

If the caller of a begun stream had left when the next attempt was about to be sent, the log said that the stream could not be resumed.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -289,7 +289,7 @@
 // abort closes the connection of a response that has begun, so that the caller does not take it as complete. It panics
 // with http.ErrAbortHandler.
 func (j *job) abort(reason judge.Reason, text string) {
-	if j.r.Context().Err() != nil {
+	if j.abandoned || j.r.Context().Err() != nil {
 		reason, text = judge.ReasonBroken, "caller disconnected"
 	} else if j.ctx.Err() != nil {
 		reason, text = judge.ReasonTimeout, "response not complete in time"
--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -155,3 +155,16 @@
 	require.Equal(t, n+1, strings.Count(r.body, "data: "), f.log.String())
 	require.Equal(t, 1, f.runs(), "the stream was resumed at another upstream")
 }
+
+// Guards against logging that a stream could not be resumed when its caller had left.
+func TestStreamOfCallerThatLeftIsLoggedSo(t *testing.T) {
+	f := newFixture(t, nil, imitator.Events(9, 0))
+	f.upstreams[0].Handle = func(w http.ResponseWriter, r *http.Request) {
+		f.callerLeft.Store(true)
+		eventsWithPause(time.Minute)(w, r)
+	}
+	require.Error(t, f.do("POST", "/live/", "").err)
+	require.Zero(t, len(f.upstreams[1].Runs()))
+	require.Contains(t, f.log.String(), `text="caller disconnected"`)
+	require.NotContains(t, f.log.String(), "could not be resumed")
+}
