--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -48,6 +48,8 @@
 	lastEvent string
 	// events counts the writes to the caller, each of one or more complete events.
 	events int
+	// lastWrite is the time of the last write.
+	lastWrite time.Time
 }
 
 // relay forwards the response to the caller, or classifies it if the request may be retried.
@@ -252,7 +254,6 @@
 		j.recordOutcome(e.StatusCode, "", "")
 		return done, nil, nil
 	case errors.Is(context.Cause(ctx), errUnresponsive):
-		j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
 		return mayHaveRun, nil, j.ctx.Err()
@@ -278,6 +279,7 @@
 		j.stream.lastEvent = id
 	}
 	j.stream.events++
+	j.stream.lastWrite = time.Now()
 	if _, err := j.w.Write(events); err != nil {
 		return false
 	}
@@ -287,7 +289,7 @@
 // abort closes the connection of a response that has begun, so that the caller does not take it as complete. It panics
 // with http.ErrAbortHandler.
 func (j *job) abort(reason judge.Reason, text string) {
-	if j.r.Context().Err() != nil {
+	if j.abandoned || j.r.Context().Err() != nil {
 		reason, text = judge.ReasonBroken, "caller disconnected"
 	} else if j.ctx.Err() != nil {
 		reason, text = judge.ReasonTimeout, "response not complete in time"
