logger: lines dropped after the last accepted one are counted

The log of a process that had exceeded its rate ended without a log_lines_dropped line, and TestDroppedLinesAreCounted failed once beside load. The count was written only after a further accepted line, so lines that were dropped after the queue had been written, at the end of a second or before Close, were not reported. TestDropsAfterTheLastAcceptedLineAreCounted failed in both of its cases (nothing written in place of the count). The count is now written once a second while no line is accepted, and at Close.

--- a/logger/async.go
+++ b/logger/async.go
@@ -13,6 +13,8 @@
 	maxQueuedLines = 4096
 	// maxLinesPerSecond bounds the lines that are accepted per second; a router handles about 100 requests per second.
 	maxLinesPerSecond = 400
+	// dropReportInterval is the longest time until dropped lines are reported while no line is accepted.
+	dropReportInterval = time.Second
 )
 
 // Async is an io.Writer that never blocks. It drops lines beyond a rate and while its queue is full, and writes the
@@ -64,14 +66,32 @@
 
 func (a *Async) run() {
 	defer close(a.done)
-	for line := range a.lines {
-		a.write(line)
-		if n := a.dropped.Swap(0); n > 0 {
-			a.write(fmt.Appendf(nil, "time=%s level=warn event=log_lines_dropped lines=%d\n", time.Now().UTC().Format(timeFormat), n))
+	// Lines may be dropped after the last accepted one; without the ticker, their number would be written only with the
+	// next accepted line.
+	t := time.NewTicker(dropReportInterval)
+	defer t.Stop()
+	for {
+		select {
+		case line, ok := <-a.lines:
+			if !ok {
+				a.reportDropped()
+				return
+			}
+			a.write(line)
+			a.reportDropped()
+		case <-t.C:
+			a.reportDropped()
 		}
 	}
 }
 
+// reportDropped writes the number of lines that have been dropped since the last report, if there are any.
+func (a *Async) reportDropped() {
+	if n := a.dropped.Swap(0); n > 0 {
+		a.write(fmt.Appendf(nil, "time=%s level=warn event=log_lines_dropped lines=%d\n", time.Now().UTC().Format(timeFormat), n))
+	}
+}
+
 func (a *Async) write(line []byte) {
 	// A failure to write the log must not stop the work that is logged.
 	_, _ = a.out.Write(line)
--- a/logger/async_test.go
+++ b/logger/async_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -50,3 +52,34 @@
 	require.Contains(t, out.String(), "event=log_lines_dropped lines=")
 	require.Less(t, strings.Count(out.String(), "\n"), 10_000)
 }
+
+// Guards against lines that are dropped after the last accepted one and never counted: those at the end of a second
+// before a quiet time, and those before Close.
+func TestDropsAfterTheLastAcceptedLineAreCounted(t *testing.T) {
+	for name, end := range map[string]func(a *logger.Async){
+		"quiet time": func(*logger.Async) {
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+		},
+		"close": func(a *logger.Async) { a.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var out bytes.Buffer
+				a := logger.NewAsync(&out)
+				defer a.Close()
+				for range 400 { // the lines that are accepted per second
+					_, _ = a.Write([]byte("line\n"))
+				}
+				synctest.Wait() // for the queue to be empty
+				require.Equal(t, 400, strings.Count(out.String(), "\n"))
+				out.Reset()
+				for range 7 {
+					_, _ = a.Write([]byte("line\n"))
+				}
+				end(a)
+				require.Regexp(t, `^time=\S+ level=warn event=log_lines_dropped lines=7\n$`, out.String())
+			})
+		})
+	}
+}
