proxier: a refusal is believed only if it names the request

A caller was told that its request had not run (503), or a second upstream ran it too, when an upstream in trouble sent a refusal of an earlier request once more on a kept connection, without a request ID, while it ran the request. A signed response with another status and without an ID was even forwarded as the answer. The check whether an upstream states "not run" came before the check of the ID, and responses without an ID pass the match of the connector, which discards those with the ID of another request. The ID is now checked first: a response without it means that the request may have run. Refusals that name the request are believed as before, with their bodies cut or not (TestRefusalOfThisRequest).

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -61,13 +61,14 @@
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
 	switch {
-	case reply.NotRun:
-		return j.handleTurnedAway(u, e, reply)
-	case !reply.Signed && reply.RequestID == "":
-		// Responses of upstreams contain the request ID. Without it, another server may have the address by now.
+	case reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed:
+		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
+		// server may have the address by now: even a refusal then says nothing about this request.
 		j.runs++
 		j.recordBroken(u, now)
 		return mayHaveRun, nil, errors.New("upstream response does not name the request")
+	case reply.NotRun:
+		return j.handleTurnedAway(u, e, reply)
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		j.runs++
 		j.recordBroken(u, now)
@@ -88,7 +89,8 @@
 	return j.relayBuffered(ctx, u, e)
 }
 
-// handleTurnedAway classifies a response that states that the upstream has not run the request.
+// handleTurnedAway classifies a response that states that the upstream has not run the request. The head states it, so the
+// body need not be complete.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
 	// The body is read only so that the connection can be reused.
 	if err := e.Drain(); err != nil {
--- /dev/null
+++ b/proxier/reply_test.go
@@ -0,0 +1,88 @@
+package proxier_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/platform/imitator"
+	"clementineramp/registrar"
+)
+
+// scripted puts an upstream that responds with the given bytes before those of the fixture.
+func (f *fixture) scripted(respond func(n int, r *http.Request) (string, imitator.End)) {
+	s := &imitator.Scripted{Respond: respond}
+	require.NoError(f.t, s.Start())
+	f.t.Cleanup(s.Close)
+	f.view.ByService["s"] = append([]registrar.Upstream{{ID: "scripted", Service: "s", Address: s.Address(), Slots: 8}},
+		f.view.ByService["s"]...)
+}
+
+const (
+	namedLine  = imitator.HeaderAttempt + ": {id}\r\n"
+	signedLine = imitator.HeaderSignature + ": signed\r\n"
+	notRunLine = imitator.HeaderNotExecuted + ": 1\r\n"
+	wholeReply = "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n\r\nok"
+)
+
+// Guards against a refusal of an earlier request that an upstream in trouble sends once more on a kept connection: the
+// caller of the next request, which the upstream runs, was told that it has not run, or another upstream ran it too.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for _, c := range []struct {
+			name, lines string
+			status      int
+		}{
+			{"named", imitator.HeaderAttempt + ": old\r\n" + notRunLine, 200},
+			{"not named", notRunLine, 502},
+			{"not named, signed", signedLine + notRunLine, 502},
+			{"without statement", signedLine, 502},
+		} {
+			for _, path := range []string{"/order/", "/stream/"} {
+				t.Run(strconv.Itoa(status)+" "+c.name+path, func(t *testing.T) {
+					f := newFixture(t)
+					var runs atomic.Int64
+					f.scripted(func(n int, _ *http.Request) (string, imitator.End) {
+						runs.Add(1)
+						if n == 0 {
+							return wholeReply, imitator.KeepOpen
+						}
+						refusal := "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n" + c.lines + "Content-Length: 4\r\n\r\nfull"
+						return refusal + wholeReply, imitator.KeepOpen
+					})
+					require.Equal(t, 200, f.do("POST", "/order/", "first", imitator.HeaderAttempt, "old").status)
+					sound := &imitator.Upstream{ID: "sound", Service: "s"}
+					sound.Start()
+					t.Cleanup(sound.Close)
+					f.view.ByService["s"] = append(f.view.ByService["s"],
+						registrar.Upstream{ID: "sound", Service: "s", Address: sound.Address(), Slots: 8})
+					r := f.do("POST", path, "second", imitator.HeaderAttempt, "new")
+					require.NoError(t, r.err)
+					require.Equal(t, c.status, r.status, f.log.String())
+					require.EqualValues(t, 2, runs.Load())
+					require.Empty(t, sound.Runs())
+				})
+			}
+		}
+	}
+}
+
+// Guards against disbelief in a refusal that names its request, which may be sent to another upstream.
+func TestRefusalOfThisRequest(t *testing.T) {
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for _, framing := range []string{"Content-Length: 4\r\n", "", "Content-Length: 10\r\n"} {
+			t.Run(strconv.Itoa(status)+" "+framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n" + namedLine + notRunLine + framing + "\r\nfull",
+						imitator.CloseConnection
+				})
+				require.Equal(t, 200, f.do("POST", "/order/", "body").status)
+				require.Equal(t, 1, f.runs())
+			})
+		}
+	}
+}
