proxier: a resumed stream without length and without events is broken

A caller got a stream that ended early as a complete one when it was resumed at an upstream that closed the connection after the head of a response without length. Any closed connection counted as the end of a stream that had begun, whereas one that had not begun needed an event or a length. TestRestOfABrokenStream failed in this case (no error for the caller). A response without length and without an event with an ID now never ends a stream. A resumed stream that has a length and no event still does: the upstream may have had nothing left. The other cases of the test, answers of another kind after the first events, passed before, as did TestFailureBeforeABrokenStream: the status and the text of a failed attempt do not reach the caller of a stream.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -208,7 +208,7 @@
 		j.stream.lastEvent = j.LastEvent
 	}
 	var pending []byte
-	stray := 0
+	stray, progress := 0, false
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
@@ -218,7 +218,7 @@
 			if end := endOfEvents(pending); end > 0 {
 				if lastID(pending[:end]) != "" {
 					// Only events with an ID are progress: comments and blank lines may come without end.
-					stray = len(pending) - end
+					stray, progress = len(pending)-end, true
 					timer.reset()
 				}
 				if !j.forwardEvents(e, pending[:end]) {
@@ -233,20 +233,31 @@
 		if err == nil {
 			continue
 		}
-		return j.handleStreamEnd(ctx, u, e, pending, err)
+		if errors.Is(err, io.EOF) && !isWhole(pending, progress || e.Framed()) {
+			err = errEndedEarly
+		}
+		return j.handleStreamEnd(ctx, u, e, err)
 	}
 }
 
-var errStrayBytes = errors.New("the stream carries bytes that are no events")
+// isWhole reports whether a stream whose connection was closed after the bytes pending is complete. An upstream that has
+// crashed closes its connection too, so the end counts only if the stream has a length or an event came; known says so.
+func isWhole(pending []byte, known bool) bool {
+	return known && len(bytes.TrimSpace(pending)) == 0
+}
 
-// handleStreamEnd classifies the end of a stream; err is the error of the last read and pending an incomplete event.
+var (
+	errStrayBytes = errors.New("the stream carries bytes that are no events")
+	errEndedEarly = errors.New("stream ended early")
+)
+
+// handleStreamEnd classifies the end of a stream; err is io.EOF if the stream is complete.
 func (j *job) handleStreamEnd(
-	ctx context.Context, u registrar.Upstream, e *connector.Exchange, pending []byte, err error,
+	ctx context.Context, u registrar.Upstream, e *connector.Exchange, err error,
 ) (verdict, *bufferedResponse, error) {
 	now := time.Now()
-	complete := errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0
 	switch {
-	case complete && (j.stream.started || e.Framed()):
+	case errors.Is(err, io.EOF):
 		if !j.stream.started {
 			j.startStream(e)
 		}
@@ -260,9 +271,6 @@
 		return mayHaveRun, nil, j.ctx.Err()
 	}
 	j.recordBroken(u, now)
-	if complete || errors.Is(err, io.EOF) {
-		err = errors.New("stream ended early")
-	}
 	return mayHaveRun, nil, err
 }
 
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -86,3 +87,64 @@
 		}
 	}
 }
+
+// event is a response part with one event.
+func event(id string) string {
+	return "id: " + id + "\ndata: token-" + id + "\n\n"
+}
+
+const (
+	streamHead  = "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Type: text/event-stream\r\n"
+	errorHeader = "HTTP/1.1 500 Internal Server Error\r\n" + namedLine + signedLine + "Content-Type: text/event-stream\r\n"
+)
+
+// chunked returns the text as one chunk and the end of the body.
+func chunked(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n0\r\n\r\n"
+}
+
+// Guards against anything but the rest of a stream after its first events: the text of an error, events that the caller
+// has, or an end that is none.
+func TestRestOfABrokenStream(t *testing.T) {
+	chunkedHead := streamHead + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, second string
+		body         string
+		complete     bool
+	}{
+		{"rest", chunkedHead + chunked(event("3")+event("4")), event("3") + event("4"), true},
+		{"nothing left", chunkedHead + "0\r\n\r\n", "", true},
+		{"unframed rest", streamHead + "\r\n" + event("3") + event("4"), event("3") + event("4"), true},
+		{"unframed, inside an event", streamHead + "\r\n" + event("3") + "id: 4\nda", event("3"), false},
+		{"unframed, no event", streamHead + "\r\n", "", false},
+		{"error with events as its text", errorHeader + "Content-Length: 40\r\n\r\n" + event("3") + event("4"), "", false},
+		{"error of unknown length", errorHeader + "\r\n" + event("3"), "", false},
+		{"refusal", "HTTP/1.1 503 Full\r\n" + namedLine + notRunLine + "Content-Length: 6\r\n\r\nfull\n\n", "", false},
+		{"unsigned stream", strings.Replace(chunkedHead, signedLine, "", 1) + chunked(event("3")), "", false},
+		{"stream of another request", strings.Replace(chunkedHead, namedLine, "", 1) + chunked(event("3")), "", false},
+		{"plain success", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length: 6\r\n\r\nfull\n\n", "", false},
+		{"part", strings.Replace(chunkedHead, "200 OK", "206 Partial Content", 1) + chunked(event("3")), "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) { return c.second, imitator.CloseConnection })
+			f.scripted(func(int, *http.Request) (string, imitator.End) {
+				return chunkedHead + "100\r\n" + event("1") + event("2") + "id: 3\nda", imitator.CloseConnection
+			})
+			f.view.ByService["s"][0].ID = "first"
+			r := f.do("POST", "/resume/", "body")
+			require.Equal(t, 200, r.status)
+			require.Equal(t, event("1")+event("2")+c.body, r.body, f.log.String())
+			require.Equal(t, c.complete, r.err == nil, "%v", r.err)
+		})
+	}
+}
+
+// Guards against the answer of an attempt before the stream began being sent after the first events of it.
+func TestFailureBeforeABrokenStream(t *testing.T) {
+	f := newFixture(t, imitator.Status(500), imitator.Events(9, 4))
+	r := f.do("POST", "/resume/", "body")
+	require.Error(t, r.err)
+	require.Equal(t, event("1")+event("2")+event("3")+event("4"), r.body)
+	require.Equal(t, 2, f.runs())
+}
