proxier: a stream whose event IDs do not increase is broken

A caller got events that it had once more when the upstream that resumed its stream started from the beginning or repeated the last event, or when an upstream sent an event twice. Events were forwarded without a look at their IDs, which increase on this platform. A stream is now taken as broken at an event whose ID is no number above the last one, as long as IDs are numbers, and is resumed or cut there. IDs that skip numbers pass: an event may hold several tokens.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -1,7 +1,6 @@
 package proxier
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,9 +21,6 @@
 	// maxBufferedResponse is the size up to which a response that is no stream is buffered before any of it is sent to
 	// the caller.
 	maxBufferedResponse = 64 << 10
-	// maxStrayBytes bounds the bytes of a stream since the last complete event with an ID. Typical events have a few
-	// hundred bytes.
-	maxStrayBytes = 64 << 10
 	// maxUnsizedResponse bounds a response that is no stream and whose length the upstream has not declared.
 	maxUnsizedResponse = 4 << 20
 	// relayBuffer is the size of the read buffer, which holds several events.
@@ -207,50 +203,32 @@
 	if !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
-	var pending []byte
-	stray, progress := 0, false
+	var events eventBuffer
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
 		if n > 0 {
-			pending = append(pending, chunk[:n]...)
-			stray += n
-			if end := endOfEvents(pending); end > 0 {
-				if lastID(pending[:end]) != "" {
-					// Only events with an ID are progress: comments and blank lines may come without end.
-					stray, progress = len(pending)-end, true
-					timer.reset()
-				}
-				if !j.forwardEvents(e, pending[:end]) {
-					return mayHaveRun, nil, errors.New("caller disconnected")
-				}
-				pending = append(pending[:0], pending[end:]...)
+			whole, id, invalid := events.add(chunk[:n], j.stream.lastEvent)
+			if id != j.stream.lastEvent {
+				timer.reset()
 			}
-			if stray > maxStrayBytes {
-				err = errStrayBytes
+			if len(whole) > 0 && !j.forwardEvents(e, whole, id) {
+				return mayHaveRun, nil, errors.New("caller disconnected")
+			}
+			if invalid != nil {
+				err = invalid
 			}
 		}
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && !isWhole(pending, progress || e.Framed()) {
+		if errors.Is(err, io.EOF) && !events.complete(e.Framed()) {
 			err = errEndedEarly
 		}
 		return j.handleStreamEnd(ctx, u, e, err)
 	}
 }
 
-// isWhole reports whether a stream whose connection was closed after the bytes pending is complete. An upstream that has
-// crashed closes its connection too, so the end counts only if the stream has a length or an event came; known says so.
-func isWhole(pending []byte, known bool) bool {
-	return known && len(bytes.TrimSpace(pending)) == 0
-}
-
-var (
-	errStrayBytes = errors.New("the stream carries bytes that are no events")
-	errEndedEarly = errors.New("stream ended early")
-)
-
 // handleStreamEnd classifies the end of a stream; err is io.EOF if the stream is complete.
 func (j *job) handleStreamEnd(
 	ctx context.Context, u registrar.Upstream, e *connector.Exchange, err error,
@@ -279,14 +257,13 @@
 	j.writeHeader(e.StatusCode, EndToEnd(e.Header), -1)
 }
 
-// forwardEvents sends complete events to the caller and returns false if the caller cannot be reached.
-func (j *job) forwardEvents(e *connector.Exchange, events []byte) bool {
+// forwardEvents sends complete events, of which lastID is the last ID, to the caller. It returns false if the caller cannot
+// be reached.
+func (j *job) forwardEvents(e *connector.Exchange, events []byte, lastID string) bool {
 	if !j.stream.started {
 		j.startStream(e)
 	}
-	if id := lastID(events); id != "" {
-		j.stream.lastEvent = id
-	}
+	j.stream.lastEvent = lastID
 	j.stream.events++
 	if _, err := j.w.Write(events); err != nil {
 		return false
@@ -305,31 +282,3 @@
 	j.recordOutcome(0, reason, text)
 	panic(http.ErrAbortHandler)
 }
-
-// endOfEvents returns the length of the complete events at the start of b.
-func endOfEvents(b []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
-		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
-		}
-	}
-	return end
-}
-
-// lastID returns the last event ID among complete events, or "" if none has one.
-func lastID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		events = events[i+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return ""
-	}
-	if end := bytes.IndexAny(events, "\r\n"); end >= 0 {
-		events = events[:end]
-	}
-	return string(bytes.TrimSpace(events))
-}
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -124,6 +125,10 @@
 		{"stream of another request", strings.Replace(chunkedHead, namedLine, "", 1) + chunked(event("3")), "", false},
 		{"plain success", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length: 6\r\n\r\nfull\n\n", "", false},
 		{"part", strings.Replace(chunkedHead, "200 OK", "206 Partial Content", 1) + chunked(event("3")), "", false},
+		{"from the start", chunkedHead + chunked(event("1")+event("2")+event("3")), "", false},
+		{"last event again", chunkedHead + chunked(event("2")+event("3")), "", false},
+		{"an event twice", chunkedHead + chunked(event("3")+event("3")), event("3"), false},
+		{"other fields", chunkedHead + chunked(otherEvents), otherEvents, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t)
@@ -140,6 +145,27 @@
 	}
 }
 
+// otherEvents has all fields and line ends that the events of a stream may have.
+const otherEvents = ": comment\n\nweight-versions: 7\nevent: x\nretry: 5\nid: 3\ndata: HTTP/1.1 500 Error\ndata\n\n" +
+	"id: 5\r\ndata: a\r\n\r\nid: 6\rdata: b\r\r\n\nid:7\ndata: c\n\n"
+
+// Guards against events that are changed, held back or taken as broken when they arrive in pieces.
+func TestEventsInPieces(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 7} {
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(imitator.HeaderSignature, "signed")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for piece := range slices.Chunk([]byte(otherEvents), size) {
+				_, _ = w.Write(piece)
+				_ = http.NewResponseController(w).Flush()
+			}
+		})
+		r := f.do("POST", "/stream/", "body")
+		require.NoError(t, r.err, f.log.String())
+		require.Equal(t, otherEvents, r.body)
+	}
+}
+
 // Guards against the answer of an attempt before the stream began being sent after the first events of it.
 func TestFailureBeforeABrokenStream(t *testing.T) {
 	f := newFixture(t, imitator.Status(500), imitator.Events(9, 4))
