proxier: a stream that contains the head of another response is broken

A caller got the whole head and the text of an error in the middle of its stream when an upstream wrote them into a stream without length or into a chunk, after an event or inside one. The blank line after a head looks like the end of an event, and lines were not examined. TestRestOfABrokenStream failed in these four cases (the head was in the body of the stream). A line whose field name is not in lower case, as all fields of events are and a status line and canonical header names are not, now breaks the stream there. TestEventsInPieces holds that comments, other fields and all line ends pass unchanged.

--- a/proxier/event.go
+++ b/proxier/event.go
@@ -13,6 +13,7 @@
 var (
 	errStrayBytes = errors.New("the stream carries bytes that are no events")
 	errEndedEarly = errors.New("stream ended early")
+	errNotField   = errors.New("the stream contains a line that is no field of an event")
 	errEventOrder = errors.New("the IDs of the events do not increase")
 )
 
@@ -50,7 +51,8 @@
 }
 
 // scanEvents returns the length of the complete events at the start of b and the last event ID up to their end; last is
-// the ID before them. It fails at an event whose ID does not follow.
+// the ID before them. It fails at an event that does not belong to the stream: its ID does not follow, or one of its lines
+// is no field, such as those of the head of another response that was written into the stream.
 func scanEvents(b []byte, last string) (end int, id string, err error) {
 	id = last
 	for next, at := last, 0; ; {
@@ -73,6 +75,9 @@
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
+		if !isFieldName(name) {
+			return end, id, errNotField
+		}
 		if string(name) == "id" {
 			v := string(bytes.TrimSpace(value))
 			if !follows(v, next) {
@@ -83,6 +88,16 @@
 	}
 }
 
+// isFieldName reports whether a name may be that of a field of an event, which is in lower case; it is empty for comments.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // follows reports whether an event ID may come after the ID last. IDs increase if they are numbers; others are not checked.
 func follows(id, last string) bool {
 	before, err := strconv.ParseUint(last, 10, 64)
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -129,6 +129,10 @@
 		{"last event again", chunkedHead + chunked(event("2")+event("3")), "", false},
 		{"an event twice", chunkedHead + chunked(event("3")+event("3")), event("3"), false},
 		{"other fields", chunkedHead + chunked(otherEvents), otherEvents, true},
+		{"head after the events", streamHead + "\r\n" + event("3") + errorHeader + "\r\nfull\n\n", event("3"), false},
+		{"head in a value", streamHead + "\r\n" + "id: 3\ndata: tok" + errorHeader + "\r\nfull\n\n", "", false},
+		{"head in an ID", streamHead + "\r\n" + "id: 3" + "HTTP/1.1 503 Full\r\n\r\nfull\n\n", "", false},
+		{"head inside a chunk", chunkedHead + "200\r\nid: 3\nda" + errorHeader + "\r\nfull\n\n", "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t)
