proxier: a success without length and without body is broken

A caller got a complete 200 with an empty body when an upstream closed the connection right after the head of a response without length. A close is the end of such a response, so nothing told an upstream that had crashed from one with an empty body. TestCutResponses, which cuts responses after each byte on new and kept connections and closes or resets them, failed in these two cases (200 with an empty body in place of 502). Such a success now counts as broken. In all other cases the test passed before: a cut head, chunk, trailer or body never became a complete success, and a cut head never a refusal. A longer part of a response without length still counts as complete when its upstream closes in order; HTTP offers no means to tell.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -110,6 +110,10 @@
 	if err == nil && len(body) == maxBufferedResponse {
 		return j.relayUnbuffered(u, e, body)
 	}
+	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices {
+		// An upstream that crashes after the head closes its connection too; an empty body usually has a length of zero.
+		err = errNoBody
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			j.recordBroken(u, now)
@@ -144,7 +148,10 @@
 	return done, nil, nil
 }
 
-var errResponseTooLong = errors.New("the response has no declared length and does not end")
+var (
+	errResponseTooLong = errors.New("the response has no declared length and does not end")
+	errNoBody          = errors.New("the response has neither a length nor a body")
+)
 
 // copyRest forwards the rest of a body, up to maxUnsizedResponse if its length is not declared.
 func (j *job) copyRest(e *connector.Exchange) error {
