soaker: upstreams that send a part of a response, or a refusal that names no request

The soak had no upstream that breaks off in the head of a response, writes another response into a stream or refuses a request that it runs.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -46,8 +46,10 @@
 // laterFaults lists further kinds, from which a run draws only if its configuration says so: seeds that once revealed a
 // fault of the gateways keep the faults that they had.
 var laterFaults = []fault{
-	{"flood", floodFromUpstream},
-	{"flood", floodFromUpstream},
+	{"flood", upstreamFault(Flooding)},
+	{"flood", upstreamFault(Flooding)},
+	{"misanswer", upstreamFault(Misanswering)},
+	{"misanswer", upstreamFault(Misanswering)},
 	{"store_flood", floodFromStore},
 	{"reset_all", resetAllLinks},
 	{"group", crashGroup},
@@ -247,12 +249,14 @@
 	return fmt.Sprint(u.ID, " behaviour ", m, " ", d)
 }
 
-// floodFromUpstream makes a random upstream respond to every second request with bytes without end for a while.
-func floodFromUpstream(ctx context.Context, s *soak, random *rand.Rand) string {
-	u := s.any(random)
-	d := randomDuration(random, 300*time.Millisecond, 3*time.Second)
-	s.withFaultWindow(ctx, u.ID, d, func() { u.behaviour.Store(int32(Flooding)) }, func() { u.behaviour.Store(int32(Healthy)) })
-	return fmt.Sprint(u.ID, " ", d)
+// upstreamFault returns a fault that gives a random upstream a behaviour for a while.
+func upstreamFault(m Behaviour) func(ctx context.Context, s *soak, random *rand.Rand) string {
+	return func(ctx context.Context, s *soak, random *rand.Rand) string {
+		u := s.any(random)
+		d := randomDuration(random, 300*time.Millisecond, 3*time.Second)
+		s.withFaultWindow(ctx, u.ID, d, func() { u.behaviour.Store(int32(m)) }, func() { u.behaviour.Store(int32(Healthy)) })
+		return fmt.Sprint(u.ID, " ", d)
+	}
 }
 
 func floodFromStore(ctx context.Context, s *soak, random *rand.Rand) string {
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 	behaviours
 	// Flooding upstreams send bytes without end in response to every second request.
 	Flooding
+	// Misanswering upstreams run every second request, but respond with a part of a response, or with a refusal that does
+	// not name the request.
+	Misanswering
 )
 
 const (
@@ -49,6 +53,18 @@
 	"head", "header lines", "interim heads", "no HTTP", "stale responses", "silence after a partial head",
 }
 
+// partialHead is the start of a response of which misanswer sends the first bytes only.
+const partialHead = "HTTP/1.1 200 OK\r\n" + imitator.HeaderAttempt + ": {id}\r\n" + imitator.HeaderSignature + ": signed\r\n"
+
+// misanswers are the responses of a Misanswering upstream, after which it closes the connection; {id} and {event} stand for
+// the request's ID and the next event of its stream.
+var misanswers = []string{
+	partialHead, partialHead + "Content-Type: text/event-stream\r\n\r\n", partialHead + "\r\n",
+	partialHead + "Content-Type: text/event-stream\r\n\r\n{event}HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nfail\n\n",
+	"HTTP/1.1 503 Full\r\n" + imitator.HeaderNotExecuted + ": 1\r\nContent-Length: 4\r\n\r\nfull",
+	"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+}
+
 // lengthHeader is the request header with the number of events of the stream that an upstream sends.
 const lengthHeader = "X-Events"
 
@@ -134,6 +150,8 @@
 		imitator.ResetConnection(w, r)
 	case m == Flooding && second:
 		imitator.FloodResponse(floodKinds[int(n/2)%len(floodKinds)])(w, r)
+	case m == Misanswering && second:
+		misanswer(w, r, int(n/2))
 	case m == Duplicating && r.Header.Get(lengthHeader) == "":
 		serveDuplicate(w, r)
 	case r.Header.Get(lengthHeader) != "":
@@ -174,6 +192,23 @@
 	}
 }
 
+// misanswer sends one of misanswers; requests for which no event is left get none that holds one.
+func misanswer(w http.ResponseWriter, r *http.Request, n int) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	id, response := r.Header.Get(imitator.HeaderAttempt), misanswers[n%len(misanswers)]
+	// Without the headers, the caller has no event yet, and the request is plain.
+	last, _ := strconv.Atoi(r.Header.Get(imitator.HeaderLastEvent))
+	length, _ := strconv.Atoi(r.Header.Get(lengthHeader))
+	if last >= length && strings.Contains(response, "{event}") {
+		response = partialHead
+	}
+	_, _ = strings.NewReplacer("{id}", id, "{event}", streamEvent(id, last+1)).WriteString(c, response)
+}
+
 // serveDuplicate sends the response and, on the same connection, a second response that belongs to another request.
 func serveDuplicate(w http.ResponseWriter, r *http.Request) {
 	c, _, err := http.NewResponseController(w).Hijack()
