--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -1,7 +1,6 @@
 package proxier
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,9 +21,6 @@
 	// maxBufferedResponse is the size up to which a response that is no stream is buffered before any of it is sent to
 	// the caller.
 	maxBufferedResponse = 64 << 10
-	// maxStrayBytes bounds the bytes of a stream since the last complete event with an ID. Typical events have a few
-	// hundred bytes.
-	maxStrayBytes = 64 << 10
 	// maxUnsizedResponse bounds a response that is no stream and whose length the upstream has not declared.
 	maxUnsizedResponse = 4 << 20
 	// relayBuffer is the size of the read buffer, which holds several events.
@@ -63,13 +59,14 @@
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
 	switch {
-	case reply.NotRun:
-		return j.handleTurnedAway(u, e, reply)
-	case !reply.Signed && reply.RequestID == "":
-		// Responses of upstreams contain the request ID. Without it, another server may have the address by now.
+	case reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed:
+		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
+		// server may have the address by now: even a refusal then says nothing about this request.
 		j.runs++
 		j.recordBroken(u, now)
 		return mayHaveRun, nil, errors.New("upstream response does not name the request")
+	case reply.NotRun:
+		return j.handleTurnedAway(u, e, reply)
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		j.runs++
 		j.recordBroken(u, now)
@@ -90,7 +87,8 @@
 	return j.relayBuffered(ctx, u, e)
 }
 
-// handleTurnedAway classifies a response that states that the upstream has not run the request.
+// handleTurnedAway classifies a response that states that the upstream has not run the request. The head states it, so the
+// body need not be complete.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
 	// The body is read only so that the connection can be reused.
 	if err := e.Drain(); err != nil {
@@ -114,6 +112,10 @@
 	if err == nil && len(body) == maxBufferedResponse {
 		return j.relayUnbuffered(u, e, body)
 	}
+	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices {
+		// An upstream that crashes after the head closes its connection too; an empty body usually has a length of zero.
+		err = errNoBody
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			j.recordBroken(u, now)
@@ -148,7 +150,10 @@
 	return done, nil, nil
 }
 
-var errResponseTooLong = errors.New("the response has no declared length and does not end")
+var (
+	errResponseTooLong = errors.New("the response has no declared length and does not end")
+	errNoBody          = errors.New("the response has neither a length nor a body")
+)
 
 // copyRest forwards the rest of a body, up to maxUnsizedResponse if its length is not declared.
 func (j *job) copyRest(e *connector.Exchange) error {
@@ -207,46 +212,39 @@
 	if !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
-	var pending []byte
-	stray := 0
+	var events eventBuffer
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
 		if n > 0 {
-			pending = append(pending, chunk[:n]...)
-			stray += n
-			if end := endOfEvents(pending); end > 0 {
-				if lastID(pending[:end]) != "" {
-					// Only events with an ID are progress: comments and blank lines may come without end.
-					stray = len(pending) - end
-					timer.reset()
-				}
-				if !j.forwardEvents(e, pending[:end]) {
-					return mayHaveRun, nil, errors.New("caller disconnected")
-				}
-				pending = append(pending[:0], pending[end:]...)
+			whole, id, invalid := events.add(chunk[:n], j.stream.lastEvent)
+			if id != j.stream.lastEvent {
+				timer.reset()
+			}
+			if len(whole) > 0 && !j.forwardEvents(e, whole, id) {
+				return mayHaveRun, nil, errors.New("caller disconnected")
 			}
-			if stray > maxStrayBytes {
-				err = errStrayBytes
+			if invalid != nil {
+				err = invalid
 			}
 		}
 		if err == nil {
 			continue
 		}
-		return j.handleStreamEnd(ctx, u, e, pending, err)
+		if errors.Is(err, io.EOF) && !events.complete(e.Framed()) {
+			err = errEndedEarly
+		}
+		return j.handleStreamEnd(ctx, u, e, err)
 	}
 }
 
-var errStrayBytes = errors.New("the stream carries bytes that are no events")
-
-// handleStreamEnd classifies the end of a stream; err is the error of the last read and pending an incomplete event.
+// handleStreamEnd classifies the end of a stream; err is io.EOF if the stream is complete.
 func (j *job) handleStreamEnd(
-	ctx context.Context, u registrar.Upstream, e *connector.Exchange, pending []byte, err error,
+	ctx context.Context, u registrar.Upstream, e *connector.Exchange, err error,
 ) (verdict, *bufferedResponse, error) {
 	now := time.Now()
-	complete := errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0
 	switch {
-	case complete && (j.stream.started || e.Framed()):
+	case errors.Is(err, io.EOF):
 		if !j.stream.started {
 			j.startStream(e)
 		}
@@ -259,9 +257,6 @@
 		return mayHaveRun, nil, j.ctx.Err()
 	}
 	j.recordBroken(u, now)
-	if complete || errors.Is(err, io.EOF) {
-		err = errors.New("stream ended early")
-	}
 	return mayHaveRun, nil, err
 }
 
@@ -270,14 +265,13 @@
 	j.writeHeader(e.StatusCode, EndToEnd(e.Header), -1)
 }
 
-// forwardEvents sends complete events to the caller and returns false if the caller cannot be reached.
-func (j *job) forwardEvents(e *connector.Exchange, events []byte) bool {
+// forwardEvents sends complete events, of which lastID is the last ID, to the caller. It returns false if the caller cannot
+// be reached.
+func (j *job) forwardEvents(e *connector.Exchange, events []byte, lastID string) bool {
 	if !j.stream.started {
 		j.startStream(e)
 	}
-	if id := lastID(events); id != "" {
-		j.stream.lastEvent = id
-	}
+	j.stream.lastEvent = lastID
 	j.stream.events++
 	j.stream.lastWrite = time.Now()
 	if _, err := j.w.Write(events); err != nil {
@@ -297,31 +291,3 @@
 	j.recordOutcome(0, reason, text)
 	panic(http.ErrAbortHandler)
 }
-
-// endOfEvents returns the length of the complete events at the start of b.
-func endOfEvents(b []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
-		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
-		}
-	}
-	return end
-}
-
-// lastID returns the last event ID among complete events, or "" if none has one.
-func lastID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		events = events[i+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return ""
-	}
-	if end := bytes.IndexAny(events, "\r\n"); end >= 0 {
-		events = events[:end]
-	}
-	return string(bytes.TrimSpace(events))
-}
--- /dev/null
+++ b/proxier/reply_test.go
@@ -0,0 +1,180 @@
+package proxier_test
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/platform/imitator"
+	"clementineramp/registrar"
+)
+
+// scripted puts an upstream that responds with the given bytes before those of the fixture.
+func (f *fixture) scripted(respond func(n int, r *http.Request) (string, imitator.End)) {
+	s := &imitator.Scripted{Respond: respond}
+	require.NoError(f.t, s.Start())
+	f.t.Cleanup(s.Close)
+	f.view.ByService["s"] = append([]registrar.Upstream{{ID: "scripted", Service: "s", Address: s.Address(), Slots: 8}},
+		f.view.ByService["s"]...)
+}
+
+const (
+	namedLine  = imitator.HeaderAttempt + ": {id}\r\n"
+	signedLine = imitator.HeaderSignature + ": signed\r\n"
+	notRunLine = imitator.HeaderNotExecuted + ": 1\r\n"
+	wholeReply = "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n\r\nok"
+)
+
+// Guards against a refusal of an earlier request that an upstream in trouble sends once more on a kept connection: the
+// caller of the next request, which the upstream runs, was told that it has not run, or another upstream ran it too.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for _, c := range []struct {
+			name, lines string
+			status      int
+		}{
+			{"named", imitator.HeaderAttempt + ": old\r\n" + notRunLine, 200},
+			{"not named", notRunLine, 502},
+			{"not named, signed", signedLine + notRunLine, 502},
+			{"without statement", signedLine, 502},
+		} {
+			for _, path := range []string{"/order/", "/stream/"} {
+				t.Run(strconv.Itoa(status)+" "+c.name+path, func(t *testing.T) {
+					f := newFixture(t)
+					var runs atomic.Int64
+					f.scripted(func(n int, _ *http.Request) (string, imitator.End) {
+						runs.Add(1)
+						if n == 0 {
+							return wholeReply, imitator.KeepOpen
+						}
+						refusal := "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n" + c.lines + "Content-Length: 4\r\n\r\nfull"
+						return refusal + wholeReply, imitator.KeepOpen
+					})
+					require.Equal(t, 200, f.do("POST", "/order/", "first", imitator.HeaderAttempt, "old").status)
+					sound := &imitator.Upstream{ID: "sound", Service: "s"}
+					sound.Start()
+					t.Cleanup(sound.Close)
+					f.view.ByService["s"] = append(f.view.ByService["s"],
+						registrar.Upstream{ID: "sound", Service: "s", Address: sound.Address(), Slots: 8})
+					r := f.do("POST", path, "second", imitator.HeaderAttempt, "new")
+					require.NoError(t, r.err)
+					require.Equal(t, c.status, r.status, f.log.String())
+					require.EqualValues(t, 2, runs.Load())
+					require.Empty(t, sound.Runs())
+				})
+			}
+		}
+	}
+}
+
+// Guards against disbelief in a refusal that names its request, which may be sent to another upstream.
+func TestRefusalOfThisRequest(t *testing.T) {
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for _, framing := range []string{"Content-Length: 4\r\n", "", "Content-Length: 10\r\n"} {
+			t.Run(strconv.Itoa(status)+" "+framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n" + namedLine + notRunLine + framing + "\r\nfull",
+						imitator.CloseConnection
+				})
+				require.Equal(t, 200, f.do("POST", "/order/", "body").status)
+				require.Equal(t, 1, f.runs())
+			})
+		}
+	}
+}
+
+// event is a response part with one event.
+func event(id string) string {
+	return "id: " + id + "\ndata: token-" + id + "\n\n"
+}
+
+const (
+	streamHead  = "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Type: text/event-stream\r\n"
+	errorHeader = "HTTP/1.1 500 Internal Server Error\r\n" + namedLine + signedLine + "Content-Type: text/event-stream\r\n"
+)
+
+// chunked returns the text as one chunk and the end of the body.
+func chunked(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n0\r\n\r\n"
+}
+
+// Guards against anything but the rest of a stream after its first events: the text of an error, events that the caller
+// has, or an end that is none.
+func TestRestOfABrokenStream(t *testing.T) {
+	chunkedHead := streamHead + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, second string
+		body         string
+		complete     bool
+	}{
+		{"rest", chunkedHead + chunked(event("3")+event("4")), event("3") + event("4"), true},
+		{"nothing left", chunkedHead + "0\r\n\r\n", "", true},
+		{"unframed rest", streamHead + "\r\n" + event("3") + event("4"), event("3") + event("4"), true},
+		{"unframed, inside an event", streamHead + "\r\n" + event("3") + "id: 4\nda", event("3"), false},
+		{"unframed, no event", streamHead + "\r\n", "", false},
+		{"error with events as its text", errorHeader + "Content-Length: 40\r\n\r\n" + event("3") + event("4"), "", false},
+		{"error of unknown length", errorHeader + "\r\n" + event("3"), "", false},
+		{"refusal", "HTTP/1.1 503 Full\r\n" + namedLine + notRunLine + "Content-Length: 6\r\n\r\nfull\n\n", "", false},
+		{"unsigned stream", strings.Replace(chunkedHead, signedLine, "", 1) + chunked(event("3")), "", false},
+		{"stream of another request", strings.Replace(chunkedHead, namedLine, "", 1) + chunked(event("3")), "", false},
+		{"plain success", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length: 6\r\n\r\nfull\n\n", "", false},
+		{"part", strings.Replace(chunkedHead, "200 OK", "206 Partial Content", 1) + chunked(event("3")), "", false},
+		{"from the start", chunkedHead + chunked(event("1")+event("2")+event("3")), "", false},
+		{"last event again", chunkedHead + chunked(event("2")+event("3")), "", false},
+		{"an event twice", chunkedHead + chunked(event("3")+event("3")), event("3"), false},
+		{"other fields", chunkedHead + chunked(otherEvents), otherEvents, true},
+		{"head after the events", streamHead + "\r\n" + event("3") + errorHeader + "\r\nfull\n\n", event("3"), false},
+		{"head in a value", streamHead + "\r\n" + "id: 3\ndata: tok" + errorHeader + "\r\nfull\n\n", "", false},
+		{"head in an ID", streamHead + "\r\n" + "id: 3" + "HTTP/1.1 503 Full\r\n\r\nfull\n\n", "", false},
+		{"head inside a chunk", chunkedHead + "200\r\nid: 3\nda" + errorHeader + "\r\nfull\n\n", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) { return c.second, imitator.CloseConnection })
+			f.scripted(func(int, *http.Request) (string, imitator.End) {
+				return chunkedHead + "100\r\n" + event("1") + event("2") + "id: 3\nda", imitator.CloseConnection
+			})
+			f.view.ByService["s"][0].ID = "first"
+			r := f.do("POST", "/resume/", "body")
+			require.Equal(t, 200, r.status)
+			require.Equal(t, event("1")+event("2")+c.body, r.body, f.log.String())
+			require.Equal(t, c.complete, r.err == nil, "%v", r.err)
+		})
+	}
+}
+
+// otherEvents has all fields and line ends that the events of a stream may have.
+const otherEvents = ": comment\n\nweight-versions: 7\nevent: x\nretry: 5\nid: 3\ndata: HTTP/1.1 500 Error\ndata\n\n" +
+	"id: 5\r\ndata: a\r\n\r\nid: 6\rdata: b\r\r\n\nid:7\ndata: c\n\n"
+
+// Guards against events that are changed, held back or taken as broken when they arrive in pieces.
+func TestEventsInPieces(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 7} {
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(imitator.HeaderSignature, "signed")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for piece := range slices.Chunk([]byte(otherEvents), size) {
+				_, _ = w.Write(piece)
+				_ = http.NewResponseController(w).Flush()
+			}
+		})
+		r := f.do("POST", "/stream/", "body")
+		require.NoError(t, r.err, f.log.String())
+		require.Equal(t, otherEvents, r.body)
+	}
+}
+
+// Guards against the answer of an attempt before the stream began being sent after the first events of it.
+func TestFailureBeforeABrokenStream(t *testing.T) {
+	f := newFixture(t, imitator.Status(500), imitator.Events(9, 4))
+	r := f.do("POST", "/resume/", "body")
+	require.Error(t, r.err)
+	require.Equal(t, event("1")+event("2")+event("3")+event("4"), r.body)
+	require.Equal(t, 2, f.runs())
+}
