imitator: a pause writes events whose IDs increase

The test of a paused process wrote one event ten times, which is a broken stream since the order of events is checked. It writes ten events now, and requires the same.

--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -136,9 +136,12 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: attempt-1\r\n%s: signed\r\nContent-Type: text/event-stream\r\n",
 			imitator.HeaderAttempt, imitator.HeaderSignature)
 		_, _ = io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n")
-		event := "id: 1\ndata: token-1\n\n"
-		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
-		_, _ = io.WriteString(c, chunk)
+		var chunks [][]byte
+		for i := range n + 1 {
+			event := fmt.Sprintf("id: %d\ndata: token-%d\n\n", i+1, i+1)
+			chunks = append(chunks, fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event))
+		}
+		_, _ = c.Write(chunks[0])
 		time.Sleep(50 * time.Millisecond)
 		raw, err := c.(*net.TCPConn).SyscallConn()
 		if err != nil {
@@ -146,7 +149,7 @@
 		}
 		var socket uintptr
 		_ = raw.Control(func(fd uintptr) { socket = fd })
-		imitator.Pause(n, 100*time.Millisecond, socket, []byte(chunk))
+		imitator.Pause(n, 100*time.Millisecond, socket, chunks[1:])
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}, imitator.Events(1, 0))
