proxier: the search for a replacement neither loses the timer nor mistakes others for a silent upstream

Callers of a stream waited until they left when data had arrived while a slow connection to a replacement was opened: the timer expired during the search and was not started again. A caller that read slowly had its stream cut, because the timer ran while an event was written to it and gave up the sound upstream. An attempt that was replaced while its connection was being opened cost a retry although nothing was sent, and its upstream counted as unreachable.

The timer is started again after each search, is suspended while events are written, and deducts a retry, before it looks for another upstream, only once the request may have been read. A reserved connection is checked again before it is used.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -141,11 +141,15 @@
 	u.idle = append(u.idle, r.conn)
 }
 
-// reservedOr returns the connection of r, or one from get if r is nil.
+// reservedOr returns the connection of r, or one from get if r is nil or the upstream has closed its connection.
 func (p *Pool) reservedOr(ctx context.Context, t Target, r *Reservation) (*conn, error) {
-	if r != nil {
+	if r == nil {
+		return p.get(ctx, t)
+	}
+	if Reusable(r.conn.nc) {
 		return r.conn, nil
 	}
+	p.release(r.conn, false)
 	return p.get(ctx, t)
 }
 
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -237,7 +237,10 @@
 	defer func() { j.replacement = timer.end() }()
 	exchange, err := j.p.cfg.Pool.Do(ctx, j.target(u), connector.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
-		Abandoned:   func() bool { return j.p.cfg.CallerLeft(j.r.Context()) },
+		Abandoned: func() bool {
+			timer.markSent()
+			return j.p.cfg.CallerLeft(j.r.Context())
+		},
 		Reservation: next.connection,
 	}, func(status int, h http.Header) bool { return j.matchesRequest(status, h) })
 	if err != nil {
@@ -264,7 +267,7 @@
 			j.abandoned = true
 			return notSent, nil, err
 		}
-		if !errors.Is(err, connector.ErrTooManyConnections) && j.ctx.Err() == nil {
+		if !errors.Is(err, connector.ErrTooManyConnections) && ctx.Err() == nil {
 			j.p.cfg.Health.Record(u.ID, appraiser.Refused, now)
 		}
 		return notSent, nil, err
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -218,11 +218,17 @@
 		n, err := e.Read(chunk)
 		if n > 0 {
 			whole, id, invalid := events.add(chunk[:n], j.stream.lastEvent)
-			if id != j.stream.lastEvent {
+			progress := id != j.stream.lastEvent
+			if progress {
 				timer.reset()
 			}
-			if len(whole) > 0 && !j.forwardEvents(e, whole, id) {
-				return mayHaveRun, nil, errors.New("caller disconnected")
+			if len(whole) > 0 {
+				timer.suspend()
+				written := j.forwardEvents(e, whole, id)
+				timer.resume(progress)
+				if !written {
+					return mayHaveRun, nil, errors.New("caller disconnected")
+				}
 			}
 			if invalid != nil {
 				err = invalid
--- a/proxier/replace.go
+++ b/proxier/replace.go
@@ -46,8 +46,14 @@
 	cancel    context.CancelCauseFunc
 
 	mu sync.Mutex
-	// resets counts the calls of reset, to notice data that arrives while a replacement is looked for.
-	resets      int
+	// resetAt is the time of the last call of reset, and resets counts them, to notice data that arrives while a replacement
+	// is looked for.
+	resetAt time.Time
+	resets  int
+	// sent is set once the upstream may have read the request, and paid once a retry has been deducted.
+	sent, paid bool
+	// writing is set while data is written to the caller: a caller that reads slowly is no silence of the upstream.
+	writing     bool
 	searching   bool
 	reported    bool
 	stopped     bool
@@ -76,12 +82,41 @@
 func (s *responseTimer) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.resetLocked()
+}
+
+func (s *responseTimer) resetLocked() {
 	if s.timer != nil && !s.stopped {
 		s.resets++
+		s.resetAt = time.Now()
 		s.timer.Reset(s.gap)
 	}
 }
 
+// suspend makes the timer wait until resume is called.
+func (s *responseTimer) suspend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing = true
+}
+
+// resume ends a suspension; the timer restarts if the data that was written was progress of the stream.
+func (s *responseTimer) resume(progress bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing = false
+	if progress {
+		s.resetLocked()
+	}
+}
+
+// markSent records that the upstream may have read the request from now on.
+func (s *responseTimer) markSent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = true
+}
+
 // stop ends the timer.
 func (s *responseTimer) stop() {
 	s.mu.Lock()
@@ -107,11 +142,16 @@
 		s.mu.Unlock()
 		return
 	}
+	if s.writing || !s.payRetry() {
+		s.timer.Reset(retryInterval)
+		s.mu.Unlock()
+		return
+	}
 	s.searching = true
-	resets, reported := s.resets, s.reported
-	s.reported = true
+	resets, report := s.resets, s.sent && !s.reported
+	s.reported = s.reported || report
 	s.mu.Unlock()
-	if !reported {
+	if report {
 		s.job.p.cfg.Health.Record(s.upstream.ID, appraiser.Silent, time.Now())
 	}
 	r := s.find()
@@ -120,6 +160,19 @@
 	}
 }
 
+// payRetry deducts a retry, once for each attempt and not before the request may have been read. It returns false if none
+// is allowed. The caller holds s.mu.
+func (s *responseTimer) payRetry() bool {
+	if !s.sent || s.paid {
+		return true
+	}
+	s.paid = s.job.p.cfg.AllowRetry(s.job.service)
+	if !s.paid {
+		s.job.p.instruments.budgetRefused.Inc(1)
+	}
+	return s.paid
+}
+
 // find chooses another upstream and opens a connection to it; it returns nil if that fails.
 func (s *responseTimer) find() *replacement {
 	p := s.job.p
@@ -144,17 +197,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.searching = false
-	if s.stopped || s.resets != resets {
+	switch {
+	case s.stopped:
+		return false
+	case s.resets != resets || s.writing:
+		// The timer may have expired again during the search.
+		s.timer.Reset(max(s.gap-time.Since(s.resetAt), 0))
+		return false
+	case r == nil || !s.payRetry():
+		s.timer.Reset(retryInterval)
 		return false
 	}
-	if r != nil && s.job.p.cfg.AllowRetry(s.job.service) {
-		s.replacement, s.stopped = r, true
-		s.cancel(errUnresponsive)
-		return true
-	}
-	if r != nil {
-		s.job.p.instruments.budgetRefused.Inc(1)
-	}
-	s.timer.Reset(retryInterval)
-	return false
+	s.replacement, s.stopped = r, true
+	s.cancel(errUnresponsive)
+	return true
 }
