blocker: parts of prompts that crash upstreams

One part of a prompt may crash each engine that begins to answer, whatever else the request holds.

A report of a crash now also holds the parts of the prompt but the last. A begin of an answer clears the crashes of its parts; routers that saw one report it to those that still suspect them. A part with uncleared crashes of three incarnations is blocked 1.5 s after the first of them (2.5 s after a crash of many upstreams at once), since sound parts begin meanwhile. The part with the most crashes explains them, so that neither the other parts of the request nor those of bystanders are blamed. The block lasts 1 to 2 minutes and doubles with each crash after it; reports with parts are kept for 10 minutes. A full log now loses its oldest report in place of the newest.

The tests in fleet_test.go play up to 100 gateways without network: rare and frequent deadly parts, a deadly first part, a crash of 40% of the upstreams, broken connections, a bad gateway, a cut and restarts.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -23,6 +23,9 @@
 	maxSuspected = 4096
 	// maxLogs bounds the routers whose reports are kept.
 	maxLogs = 4096
+	// maxReports bounds the reports of all routers together. A router that starts receives all of them in one exchange: with
+	// maxParts parts each they have 1.6 MB.
+	maxReports = 4 * maxSuspected
 )
 
 // Fingerprint identifies a request by the parts that stay the same when its caller retries it.
@@ -46,16 +49,38 @@
 	Upstreams []uint32
 	// AgesMS holds the times since the crashes in milliseconds.
 	AgesMS []uint32
+	// PartCounts holds the numbers of suspected parts of the requests, and Parts the parts of all requests one after the
+	// other. Both are empty if no request has any. A report whose upstream is zero is no crash: its parts have begun.
+	PartCounts []uint8
+	Parts      []Part
 }
 
-// valid reports whether the columns of a batch have the same length, which is within the bound of a log.
+// valid reports whether the columns of a batch fit together and are within the bound of a log.
 func (b *Batch) valid() bool {
 	n := len(b.Requests)
-	return b.Origin != 0 && n <= maxSuspected && len(b.Upstreams) == n && len(b.AgesMS) == n
+	if b.Origin == 0 || n > maxSuspected || len(b.Upstreams) != n || len(b.AgesMS) != n {
+		return false
+	}
+	if len(b.PartCounts) == 0 {
+		return len(b.Parts) == 0
+	}
+	parts := 0
+	for _, c := range b.PartCounts {
+		if c > maxParts {
+			return false
+		}
+		parts += int(c)
+	}
+	return len(b.PartCounts) == n && len(b.Parts) == parts
 }
 
-// Blocker keeps the crash reports of suspected requests; it is safe for concurrent use.
+// Blocker keeps the crash reports of suspected requests and parts of prompts; it is safe for concurrent use.
 type Blocker struct {
+	// OnSuspicion is called when peers should hear of a report without delay; nil means no call. OnPart is called when a
+	// part becomes blocked or is no longer. Both must be set before the first use.
+	OnSuspicion func()
+	OnPart      func(PartEvent)
+
 	// origin identifies the reports that this Blocker records itself.
 	origin uint64
 
@@ -65,6 +90,9 @@
 	crashes map[Fingerprint]map[uint32]time.Time
 	// logs holds the reports of each router, so that peers are sent only those that they lack.
 	logs map[uint64]*crashLog
+	// reports is the number of reports in all logs.
+	reports int
+	parts   partTracker
 }
 
 // crashLog holds the reports of one router in the order of their numbers.
@@ -79,6 +107,15 @@
 	request  Fingerprint
 	upstream uint32
 	at       time.Time
+	parts    []Part
+}
+
+// ttl returns the time for which a report is kept.
+func (r *crashReport) ttl() time.Duration {
+	if len(r.parts) > 0 {
+		return partTTL
+	}
+	return reportTTL
 }
 
 // New returns a Blocker without crash reports.
@@ -86,18 +123,33 @@
 	return &Blocker{
 		origin:  rand.Uint64() | 1, // Zero is no origin.
 		crashes: make(map[Fingerprint]map[uint32]time.Time), logs: make(map[uint64]*crashLog),
+		parts: newPartTracker(),
 	}
 }
 
-// RecordCrash records that a request was running at an upstream when its connection broke. It returns the number of
-// crashes that the request is now suspected of.
-func (t *Blocker) RecordCrash(f Fingerprint, upstream string, now time.Time) int {
+// RecordCrash records that a request was running at an upstream when its connection broke. The parts are those of its
+// prompt that are suspected of the crash, as PartsOf returns them; there are none if the upstream had begun to write the
+// answer. It returns the number of crashes that the request is now suspected of.
+func (t *Blocker) RecordCrash(f Fingerprint, upstream string, now time.Time, parts ...Part) int {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.appendOwn(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
+	t.parts.computed = time.Time{} // The request may be about to be repeated, which must not reach another upstream.
+	n := len(t.crashes[f])
+	t.unlockAndCall(now)
+	return n
+}
+
+// incarnationHash returns the hash of an incarnation, which is never zero.
+func incarnationHash(upstream string) uint32 {
+	return max(uint32(xxhash.Sum64String(upstream)), 1)
+}
+
+// appendOwn adds a report to the log of this router.
+func (t *Blocker) appendOwn(r crashReport) {
 	own := t.log(t.origin)
 	own.last++
-	t.add(own, crashReport{number: own.last, request: f, upstream: uint32(xxhash.Sum64String(upstream)), at: now})
-	return len(t.crashes[f])
+	r.number = own.last
+	t.add(own, r)
 }
 
 // log returns the log of a router, which is created on first use.
@@ -110,13 +162,22 @@
 	return l
 }
 
-// add appends a report to a log and records its crash. There is no room for further requests until expire removes old
-// ones.
+// add appends a report to a log and records its crash. A full log loses its oldest report, so that a flood of harmless
+// reports doesn't keep out those of a part that crashes upstreams.
 func (t *Blocker) add(l *crashLog, r crashReport) {
-	if len(l.reports) >= maxSuspected || len(t.crashes) >= maxSuspected && t.crashes[r.request] == nil {
+	if t.reports >= maxReports && len(l.reports) == 0 {
 		return
 	}
+	if len(l.reports) >= maxSuspected || t.reports >= maxReports {
+		l.reports = l.reports[1:]
+		t.reports--
+	}
 	l.reports = append(l.reports, r)
+	t.reports++
+	t.parts.add(r)
+	if r.upstream == 0 || len(t.crashes) >= maxSuspected && t.crashes[r.request] == nil {
+		return
+	}
 	if t.crashes[r.request] == nil {
 		t.crashes[r.request] = make(map[uint32]time.Time)
 	}
@@ -145,8 +206,9 @@
 // Known returns the number of the last report of each router, for a peer's ReportsSince. It removes expired reports.
 func (t *Blocker) Known(now time.Time) map[uint64]uint64 {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlockAndCall(now)
 	t.expire(now)
+	t.publishBegins(now)
 	known := make(map[uint64]uint64, len(t.logs))
 	for origin, l := range t.logs {
 		known[origin] = l.last
@@ -157,8 +219,9 @@
 // ReportsSince returns the reports that a peer lacks, which has those up to the given number of each router.
 func (t *Blocker) ReportsSince(known map[uint64]uint64, now time.Time) []Batch {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlockAndCall(now)
 	t.expire(now)
+	t.publishBegins(now)
 	var batches []Batch
 	for origin, l := range t.logs {
 		if l.last <= known[origin] {
@@ -170,6 +233,11 @@
 			b.Requests = append(b.Requests, r.request)
 			b.Upstreams = append(b.Upstreams, r.upstream)
 			b.AgesMS = append(b.AgesMS, uint32(max(now.Sub(r.at), 0).Milliseconds()))
+			b.PartCounts = append(b.PartCounts, uint8(len(r.parts)))
+			b.Parts = append(b.Parts, r.parts...)
+		}
+		if len(b.Parts) == 0 {
+			b.PartCounts = nil
 		}
 		if len(b.Requests) > 0 {
 			batches = append(batches, b)
@@ -181,7 +249,7 @@
 // Merge adds the reports of another router. It returns an error for malformed batches, which it leaves out.
 func (t *Blocker) Merge(batches []Batch, now time.Time) error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlockAndCall(now)
 	malformed := 0
 	for _, b := range batches {
 		if !b.valid() {
@@ -191,16 +259,7 @@
 		if t.logs[b.Origin] == nil && len(t.logs) >= maxLogs {
 			continue // There is room again once the logs of routers that are gone have expired.
 		}
-		l := t.log(b.Origin)
-		first := b.Last - uint64(len(b.Requests)) // Number of the report before the first; exact if none was left out.
-		known := l.last
-		for i, f := range b.Requests {
-			age := time.Duration(b.AgesMS[i]) * time.Millisecond
-			if number := first + uint64(i) + 1; number > known && age < reportTTL {
-				t.add(l, crashReport{number: number, request: f, upstream: b.Upstreams[i], at: now.Add(-age)})
-			}
-		}
-		l.last = max(l.last, b.Last)
+		t.merge(&b, now)
 	}
 	if malformed > 0 {
 		return fmt.Errorf("%d of %d batches of crash reports are malformed", malformed, len(batches))
@@ -208,13 +267,47 @@
 	return nil
 }
 
+// merge adds the reports of a valid batch that are not known yet.
+func (t *Blocker) merge(b *Batch, now time.Time) {
+	l := t.log(b.Origin)
+	first := b.Last - uint64(len(b.Requests)) // Number of the report before the first; exact if none was left out.
+	known := l.last
+	parts := b.Parts
+	for i, f := range b.Requests {
+		age := time.Duration(b.AgesMS[i]) * time.Millisecond
+		r := crashReport{number: first + uint64(i) + 1, request: f, upstream: b.Upstreams[i], at: now.Add(-age)}
+		if len(b.PartCounts) > 0 {
+			n := int(b.PartCounts[i])
+			r.parts, parts = parts[:n:n], parts[n:]
+		}
+		if r.number > known && age < r.ttl() {
+			t.add(l, r)
+		}
+	}
+	l.last = max(l.last, b.Last)
+}
+
+// Lacks reports whether a peer that knows the given numbers has reports that are missing here.
+func (t *Blocker) Lacks(known map[uint64]uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for origin, n := range known {
+		if l := t.logs[origin]; l == nil || n > l.last {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Blocker) expire(now time.Time) {
+	t.parts.expire(now)
 	for origin, l := range t.logs {
 		expired := 0
-		for expired < len(l.reports) && now.Sub(l.reports[expired].at) >= reportTTL {
+		for expired < len(l.reports) && now.Sub(l.reports[expired].at) >= l.reports[expired].ttl() {
 			expired++
 		}
 		l.reports = l.reports[expired:]
+		t.reports -= expired
 		if len(l.reports) == 0 && origin != t.origin {
 			delete(t.logs, origin)
 		}
--- /dev/null
+++ b/blocker/fleet_test.go
@@ -0,0 +1,289 @@
+package blocker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/blocker"
+)
+
+const (
+	fleetStep = 10 * time.Millisecond
+	// fleetSlots is the number of engines; one that crashes is back after 3 s as a new incarnation.
+	fleetSlots = 30
+	fleetBack  = 3 * time.Second
+	// contact is the time after the fifth crash from which deadly requests that reach upstreams count.
+	contact = 3 * time.Second
+)
+
+// fleetCase is a model of gateways that send requests to engines, without network: reports take up to a second.
+type fleetCase struct {
+	gateways int
+	// rate is the number of requests a second of all gateways, and share that of the deadly ones from 2 s on.
+	rate, share float64
+	// chats is the number of second parts in use; deadlyFirst makes the deadly part the first one, with the chats of sound
+	// ones behind it.
+	chats       int
+	deadlyFirst bool
+	// massCrash crashes that share of the engines at 5 s, and resets breaks all connections at 5 s without a crash.
+	massCrash float64
+	resets    bool
+	// faulty is the number of gateways whose connections break before each answer; cut separates half of the gateways from
+	// the others until 15 s; restart replaces one gateway in two at 10 s.
+	faulty  int
+	cut     bool
+	restart bool
+}
+
+type engine struct {
+	incarnation int
+	backAt      time.Time
+	waiting     []*fleetRequest
+}
+
+type fleetRequest struct {
+	gateway int
+	parts   []blocker.Part
+	deadly  bool
+	sentAt  time.Time
+	beginAt time.Time
+}
+
+type fleetResult struct {
+	crashes []time.Time
+	// late counts the deadly requests that were sent later than contact after the fifth crash.
+	late int
+	// asked and refused count sound requests, and those of the first part of the deadly ones from 6 s after the fifth crash.
+	asked, refused, askedLate, refusedLate int
+}
+
+type fleetModel struct {
+	c        fleetCase
+	r        *rand.Rand
+	gateways []*blocker.Blocker
+	engines  []engine
+	// pulls holds the times of the next exchanges of each gateway, and urgent those that OnSuspicion started.
+	pulls  []time.Time
+	urgent [][2]int
+	result fleetResult
+}
+
+func (m *fleetModel) newGateway(i int) *blocker.Blocker {
+	b := blocker.New()
+	b.OnSuspicion = func() {
+		for range 2 {
+			m.urgent = append(m.urgent, [2]int{i, m.r.IntN(len(m.gateways))})
+		}
+	}
+	return b
+}
+
+func runFleet(t *testing.T, c fleetCase, seed uint64) fleetResult {
+	t.Helper()
+	m := &fleetModel{c: c, r: rand.New(rand.NewPCG(seed, 1)), engines: make([]engine, fleetSlots)}
+	for i := range c.gateways {
+		m.gateways = append(m.gateways, m.newGateway(i))
+		m.pulls = append(m.pulls, start.Add(time.Duration(m.r.IntN(700))*time.Millisecond))
+	}
+	for now := start; now.Before(after(30)); now = now.Add(fleetStep) {
+		m.disrupt(now)
+		m.send(now)
+		m.begin(now)
+		m.exchange(t, now)
+	}
+	return m.result
+}
+
+// disrupt applies what happens at a set time.
+func (m *fleetModel) disrupt(now time.Time) {
+	if now.Equal(after(5)) {
+		for i := range m.engines {
+			if m.c.massCrash > 0 && float64(i) < m.c.massCrash*fleetSlots {
+				m.crash(i, now)
+			} else if m.c.resets {
+				m.breakConnections(i, now)
+			}
+		}
+	}
+	if now.Equal(after(10)) && m.c.restart {
+		for i := 0; i < len(m.gateways); i += 2 {
+			m.gateways[i] = m.newGateway(i)
+		}
+	}
+}
+
+// send makes a step's share of the requests arrive.
+func (m *fleetModel) send(now time.Time) {
+	for n := m.c.rate * fleetStep.Seconds(); n > 0; n-- {
+		if n < 1 && m.r.Float64() > n {
+			break
+		}
+		req := m.request(now)
+		late := len(m.result.crashes) >= 5 && now.Sub(m.result.crashes[4]) > contact
+		settled := len(m.result.crashes) >= 5 && now.Sub(m.result.crashes[4]) > 2*contact
+		_, _, refused := m.gateways[req.gateway].BlockedPart(req.parts, now)
+		if !req.deadly {
+			m.result.asked++
+			if settled {
+				m.result.askedLate++
+			}
+			if refused {
+				m.result.refused++
+				if settled {
+					m.result.refusedLate++
+				}
+			}
+		}
+		if refused {
+			continue
+		}
+		if req.deadly && late {
+			m.result.late++
+		}
+		for range 20 {
+			if e := &m.engines[m.r.IntN(fleetSlots)]; !now.Before(e.backAt) {
+				e.waiting = append(e.waiting, req)
+				break
+			}
+		}
+	}
+}
+
+func (m *fleetModel) request(now time.Time) *fleetRequest {
+	req := &fleetRequest{gateway: m.r.IntN(len(m.gateways)), sentAt: now, beginAt: now.Add(time.Duration(50+m.r.IntN(350)) * time.Millisecond)}
+	// A third of the requests have the most frequent first part.
+	first := fmt.Sprint("first-", max(0, m.r.IntN(9)-2))
+	chat := fmt.Sprint("chat-", int(float64(m.c.chats)*m.r.Float64()*m.r.Float64()))
+	req.deadly = !now.Before(after(2)) && m.r.Float64() < m.c.share
+	ids := []string{first, chat}
+	switch {
+	case req.deadly && m.c.deadlyFirst:
+		ids = []string{"deadly", chat}
+	case req.deadly:
+		ids = []string{"first-8", "deadly", chat} // No frequent one.
+	}
+	req.parts = parts(ids...)
+	return req
+}
+
+// begin makes engines write the first events of requests that are due, and crash on deadly ones.
+func (m *fleetModel) begin(now time.Time) {
+	for i := range m.engines {
+		var waiting []*fleetRequest
+		var deadly bool
+		for _, req := range m.engines[i].waiting {
+			switch {
+			case now.Before(req.beginAt):
+				waiting = append(waiting, req)
+			case req.deadly:
+				deadly = true
+				waiting = append(waiting, req)
+			case req.gateway < m.c.faulty:
+				m.gateways[req.gateway].RecordCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts...)
+			default:
+				m.gateways[req.gateway].RecordBegin(req.parts, now)
+			}
+		}
+		m.engines[i].waiting = waiting
+		if deadly {
+			m.result.crashes = append(m.result.crashes, now)
+			m.crash(i, now)
+		}
+	}
+}
+
+func (m *fleetModel) name(i int) string {
+	return fmt.Sprint("u", i, "/", m.engines[i].incarnation)
+}
+
+func (m *fleetModel) crash(i int, now time.Time) {
+	m.breakConnections(i, now)
+	m.engines[i].incarnation++
+	m.engines[i].backAt = now.Add(fleetBack)
+}
+
+func (m *fleetModel) breakConnections(i int, now time.Time) {
+	for _, req := range m.engines[i].waiting {
+		m.gateways[req.gateway].RecordCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts...)
+	}
+	m.engines[i].waiting = nil
+}
+
+// exchange makes gateways pull reports from peers: each every 0.35 to 1.05 s, and at once after a suspicion, in both directions.
+func (m *fleetModel) exchange(t *testing.T, now time.Time) {
+	t.Helper()
+	urgent := m.urgent
+	m.urgent = nil
+	for _, pair := range urgent {
+		m.pull(t, pair[0], pair[1], now)
+		m.pull(t, pair[1], pair[0], now)
+	}
+	for i := range m.gateways {
+		if !now.Before(m.pulls[i]) {
+			m.pulls[i] = now.Add(time.Duration(350+m.r.IntN(700)) * time.Millisecond)
+			m.pull(t, i, m.r.IntN(len(m.gateways)), now)
+		}
+	}
+}
+
+func (m *fleetModel) pull(t *testing.T, to, from int, now time.Time) {
+	t.Helper()
+	if to != from && !(m.c.cut && now.Before(after(15)) && to%2 != from%2) {
+		pull(t, m.gateways[to], m.gateways[from], now.Add(-fleetStep), now)
+	}
+}
+
+// Guards against parts that crash upstream after upstream in a fleet, each gateway of which sees some of the crashes, and
+// against sound parts that are blocked with them. The bounds are those of the rules BUDGET and LOST.
+func TestFleetBlocksDeadlyPart(t *testing.T) {
+	for name, c := range map[string]fleetCase{
+		"few":           {gateways: 4, rate: 100, share: 0.01, chats: 100},
+		"usual":         {gateways: 4, rate: 100, share: 0.05, chats: 100},
+		"many":          {gateways: 4, rate: 100, share: 0.2, chats: 100},
+		"rare chats":    {gateways: 4, rate: 50, share: 0.05, chats: 5000},
+		"hot chat":      {gateways: 4, rate: 100, share: 0.05, chats: 2},
+		"first part":    {gateways: 4, rate: 100, share: 0.05, chats: 100, deadlyFirst: true},
+		"large fleet":   {gateways: 100, rate: 600, share: 0.02, chats: 1000},
+		"mass crash":    {gateways: 10, rate: 200, share: 0.02, chats: 200, massCrash: 0.4},
+		"resets":        {gateways: 10, rate: 200, share: 0.02, chats: 200, resets: true},
+		"bad gateway":   {gateways: 10, rate: 200, share: 0.02, chats: 200, faulty: 1},
+		"restart":       {gateways: 10, rate: 200, share: 0.02, chats: 200, restart: true},
+		"cut in halves": {gateways: 10, rate: 200, share: 0.05, chats: 200, cut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(max(1, min(5, 50/c.gateways))) {
+				got := runFleet(t, c, seed)
+				t.Logf("seed %d: %d crashes, %d late, %d of %d sound requests refused, %d of %d after 6 s",
+					seed, len(got.crashes), got.late, got.refused, got.asked, got.refusedLate, got.askedLate)
+				require.LessOrEqual(t, got.late, 3, "seed %d", seed)
+				require.LessOrEqual(t, 50*got.refusedLate, got.askedLate, "seed %d", seed)
+				require.LessOrEqual(t, 20*got.refused, got.asked, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// Guards against sound parts that are blocked although no part crashes upstreams.
+func TestFleetBlocksNoSoundPart(t *testing.T) {
+	for name, c := range map[string]fleetCase{
+		"mass crash":          {gateways: 10, rate: 200, chats: 200, massCrash: 0.4},
+		"mass crash at large": {gateways: 100, rate: 600, chats: 1000, massCrash: 0.4},
+		"resets":              {gateways: 10, rate: 200, chats: 200, resets: true},
+		"resets, few chats":   {gateways: 10, rate: 200, chats: 5, resets: true},
+		"bad gateway":         {gateways: 10, rate: 200, chats: 200, faulty: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(max(1, min(5, 50/c.gateways))) {
+				got := runFleet(t, c, seed)
+				t.Logf("seed %d: %d of %d sound requests refused", seed, got.refused, got.asked)
+				require.LessOrEqual(t, 100*got.refused, got.asked, "seed %d", seed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/blocker/parts.go
@@ -0,0 +1,493 @@
+package blocker
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxParts is the maximum number of parts in a report: the first and the last ones of a longer prompt.
+	maxParts = 16
+	// partTTL is the time for which reports with parts are kept. It is longer than the longest hold, so that a single
+	// crash after a hold blocks the part again.
+	partTTL = 10 * time.Minute
+	// settleTime is the time from the first crash of a part to its block. Sound parts that were in the same crashes begin
+	// meanwhile, and the reports of that reach all routers within a second.
+	settleTime = 1500 * time.Millisecond
+	// massSettleTime replaces settleTime after a crash of many upstreams at once: sound parts are then in the crashes of
+	// several of them, and the upstreams that remain take longer to begin. It is less than the 3 s that a router may take to
+	// block a part.
+	massSettleTime = 2500 * time.Millisecond
+	// massSpan is the time within which the first three crashes of a part count as a crash of many upstreams at once.
+	massSpan = 200 * time.Millisecond
+	// beginSlack is added to the time of a begin: times of other routers are inexact by the time that their reports take.
+	beginSlack = time.Second
+	// beginMemory is the time for which all begins are remembered at least, for reports of crashes that arrive later.
+	beginMemory = 5 * time.Second
+	// maxBegins bounds the parts whose begins are remembered in each period of beginMemory.
+	maxBegins = 16384
+	// maxBeginDelay bounds the random time until a router reports a begin: routers that hear of another's report first need
+	// no report of their own.
+	maxBeginDelay = 400 * time.Millisecond
+	// beginInterval is the minimum time between reports of begins of the same part.
+	beginInterval = 500 * time.Millisecond
+	// baseHold is the shortest time for which a part remains blocked after its last crash; the random share of a router adds
+	// up to the same again, so that not all routers let a request pass at the same time.
+	baseHold = time.Minute
+	// maxDoublings is how many times the hold doubles: once for each crash after a hold.
+	maxDoublings = 2
+	// holdGap is the time without crashes after which a crash counts as one after a hold.
+	holdGap = 30 * time.Second
+	// computeInterval is the minimum time between evaluations of new reports.
+	computeInterval = 20 * time.Millisecond
+	// suspicionInterval is the minimum time between calls of OnSuspicion. Each makes the router exchange state with a few
+	// peers, which takes a kilobyte each in a large fleet.
+	suspicionInterval = time.Second
+	// maxSuspects and maxIncarnations bound the suspected parts and the crashes of each.
+	maxSuspects     = 16384
+	maxIncarnations = 64
+)
+
+// Part is the hash of the ID of a part of prompts. A router sees up to a million different parts within partTTL: the
+// chance that one of them has the hash of a part that crashes upstreams is 1 in 4,000.
+type Part uint32
+
+// PartOf returns the hash of the ID of a part.
+func PartOf(id string) Part {
+	return Part(xxhash.Sum64String(id))
+}
+
+// PartsOf returns the parts of a prompt that may be suspected of crashes: all but the last, which belongs to one request
+// alone, and at most maxParts.
+func PartsOf(ids []string) []Part {
+	if len(ids) < 2 {
+		return nil
+	}
+	ids = ids[:len(ids)-1]
+	if len(ids) > maxParts {
+		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
+	}
+	parts := make([]Part, 0, len(ids))
+	for _, id := range ids {
+		if p := PartOf(id); !slices.Contains(parts, p) {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+// PartEvent describes a part that becomes blocked or is no longer.
+type PartEvent struct {
+	Part    Part
+	Blocked bool
+	// Crashes is the number of upstreams whose crashes are explained by the part.
+	Crashes int
+	// Hold is the time for which it remains blocked unless it begins or crashes another upstream.
+	Hold time.Duration
+}
+
+// suspect holds what is known of a part that was in crashes.
+type suspect struct {
+	// crashes maps the incarnations that crashed to the times of their crashes.
+	crashes map[uint32]time.Time
+	// begun is the time of the last begin that was reported, and seen that of the last one at this router.
+	begun, seen time.Time
+	// publishAt is when this router reports the begin that it has seen; zero means that none is due.
+	publishAt time.Time
+	// depth is the largest position that the part had in a prompt.
+	depth int
+}
+
+// addCrash records a crash. One beyond maxIncarnations replaces the oldest.
+func (s *suspect) addCrash(incarnation uint32, at time.Time) {
+	known, ok := s.crashes[incarnation]
+	if ok && !at.After(known) {
+		return
+	}
+	if !ok && len(s.crashes) >= maxIncarnations {
+		oldest := incarnation
+		for other, otherAt := range s.crashes {
+			if oldest == incarnation || otherAt.Before(s.crashes[oldest]) {
+				oldest = other
+			}
+		}
+		delete(s.crashes, oldest)
+	}
+	s.crashes[incarnation] = at
+}
+
+// isCleared reports whether a crash at the given time is cleared by a begin.
+func isCleared(crash, begin time.Time) bool {
+	return !begin.IsZero() && !crash.After(begin.Add(beginSlack))
+}
+
+// uncleared returns the times of the crashes that begins have not cleared, by incarnation.
+func (s *suspect) uncleared(begin time.Time, explained map[uint32]bool) map[uint32]time.Time {
+	left := make(map[uint32]time.Time, len(s.crashes))
+	for incarnation, at := range s.crashes {
+		if !isCleared(at, begin) && !explained[incarnation] {
+			left[incarnation] = at
+		}
+	}
+	return left
+}
+
+// lastBegin returns the time of the last begin that is known here.
+func (s *suspect) lastBegin() time.Time {
+	if s.seen.After(s.begun) {
+		return s.seen
+	}
+	return s.begun
+}
+
+// block is a part that is blamed for crashes.
+type block struct {
+	until   time.Time
+	crashes int
+}
+
+// partTracker computes from the reports which parts are blocked. The mutex of its Blocker guards it.
+type partTracker struct {
+	suspects map[Part]*suspect
+	// crashed holds the times of the last crashes of all incarnations.
+	crashed map[uint32]time.Time
+	// begins and earlier hold the times of the begins at this router since rotated, and those of the period before.
+	begins, earlier map[Part]time.Time
+	rotated         time.Time
+	// holdShare is this router's random share of the hold, in [0, 1).
+	holdShare float64
+
+	blocked map[Part]block
+	// changed is set if reports or begins have been added since the last evaluation.
+	changed  bool
+	computed time.Time
+	expired  time.Time
+	// next is when the passing of time changes the result of the last evaluation; zero means never.
+	next time.Time
+
+	suspicion     bool
+	suspicionTime time.Time
+	events        []PartEvent
+}
+
+func newPartTracker() partTracker {
+	return partTracker{
+		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), begins: make(map[Part]time.Time),
+		blocked: make(map[Part]block), holdShare: rand.Float64(),
+	}
+}
+
+// RecordBegin records that an upstream has sent the first event of the answer to a request with the given parts.
+func (t *Blocker) RecordBegin(parts []Part, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	p := &t.parts
+	if len(p.begins) >= maxBegins || now.Sub(p.rotated) >= beginMemory {
+		p.begins, p.earlier, p.rotated = make(map[Part]time.Time), p.begins, now
+	}
+	published := false
+	for _, part := range parts {
+		p.begins[part] = now
+		s := p.suspects[part]
+		if s == nil {
+			continue
+		}
+		s.seen = now
+		p.changed = p.changed || len(s.crashes) >= blockThreshold
+		if _, ok := p.blocked[part]; ok {
+			s.publishAt, published = now, true
+		}
+	}
+	if published {
+		t.publishBegins(now)
+	}
+	t.unlockAndCall(now)
+}
+
+// BlockedPart returns the first blocked part among the given ones and the time for which it remains blocked, or false.
+func (t *Blocker) BlockedPart(parts []Part, now time.Time) (Part, time.Duration, bool) {
+	if len(parts) == 0 {
+		return 0, 0, false
+	}
+	t.mu.Lock()
+	defer t.unlockAndCall(now)
+	t.parts.update(now)
+	if len(t.parts.blocked) == 0 {
+		return 0, 0, false
+	}
+	for _, part := range parts {
+		if b, ok := t.parts.blocked[part]; ok {
+			return part, b.until.Sub(now), true
+		}
+	}
+	return 0, 0, false
+}
+
+// BlockedParts returns the number of parts that are blocked.
+func (t *Blocker) BlockedParts(now time.Time) int {
+	t.mu.Lock()
+	defer t.unlockAndCall(now)
+	t.parts.update(now)
+	return len(t.parts.blocked)
+}
+
+// unlockAndCall unlocks t.mu and calls the functions of what has happened since it was locked.
+func (t *Blocker) unlockAndCall(now time.Time) {
+	p := &t.parts
+	suspicion := p.suspicion && now.Sub(p.suspicionTime) >= suspicionInterval
+	if suspicion {
+		p.suspicion, p.suspicionTime = false, now
+	}
+	events := p.events
+	p.events = nil
+	t.mu.Unlock()
+	if suspicion && t.OnSuspicion != nil {
+		t.OnSuspicion()
+	}
+	if t.OnPart != nil {
+		for _, e := range events {
+			t.OnPart(e)
+		}
+	}
+}
+
+// add records the crash or the begin of a report.
+func (p *partTracker) add(r crashReport) {
+	if len(r.parts) == 0 {
+		return
+	}
+	p.changed = true
+	if r.upstream != 0 && r.at.After(p.crashed[r.upstream]) {
+		p.crashed[r.upstream] = r.at
+	}
+	for depth, part := range r.parts {
+		s := p.suspects[part]
+		if s == nil {
+			if len(p.suspects) >= maxSuspects {
+				continue
+			}
+			s = &suspect{crashes: make(map[uint32]time.Time), seen: p.lastSeen(part)}
+			p.suspects[part] = s
+		}
+		if r.upstream == 0 {
+			if r.at.After(s.begun) {
+				s.begun = r.at
+			}
+			continue
+		}
+		s.depth = max(s.depth, depth)
+		s.addCrash(r.upstream, r.at)
+		if len(s.crashes) >= blockThreshold-1 && len(s.uncleared(s.lastBegin(), nil)) >= blockThreshold-1 {
+			p.suspicion = true
+		}
+	}
+}
+
+// lastSeen returns the time of the last begin of a part at this router that is remembered.
+func (p *partTracker) lastSeen(part Part) time.Time {
+	if at, ok := p.begins[part]; ok {
+		return at
+	}
+	return p.earlier[part]
+}
+
+// publishBegins reports the begins at this router that clear parts of which other routers may still suspect.
+func (t *Blocker) publishBegins(now time.Time) {
+	p := &t.parts
+	var due []Part
+	var oldest time.Time
+	for part, s := range p.suspects {
+		if !s.seen.After(s.begun) || len(s.crashes) < blockThreshold-1 {
+			s.publishAt = time.Time{}
+			continue
+		}
+		left := len(s.uncleared(s.begun, nil))
+		if left < blockThreshold-1 || left == len(s.uncleared(s.seen, nil)) {
+			s.publishAt = time.Time{}
+			continue
+		}
+		if s.publishAt.IsZero() {
+			s.publishAt = now.Add(rand.N(maxBeginDelay))
+			if next := s.begun.Add(beginInterval); next.After(s.publishAt) {
+				s.publishAt = next
+			}
+		}
+		if now.Before(s.publishAt) {
+			continue
+		}
+		due = append(due, part)
+		if oldest.IsZero() || s.seen.Before(oldest) {
+			oldest = s.seen
+		}
+		s.publishAt = time.Time{}
+	}
+	slices.Sort(due)
+	for parts := range slices.Chunk(due, maxParts) {
+		// An upstream of zero makes a router that does not know parts count a request that does not exist.
+		t.appendOwn(crashReport{request: Fingerprint(parts[0]), at: oldest, parts: parts})
+	}
+	if len(due) > 0 {
+		p.suspicion = true
+	}
+}
+
+// candidate is a part that may be blamed.
+type candidate struct {
+	part  Part
+	s     *suspect
+	times map[uint32]time.Time
+}
+
+// update evaluates the reports again if the result may have changed.
+func (p *partTracker) update(now time.Time) {
+	due := !p.next.IsZero() && !now.Before(p.next)
+	if !due && (!p.changed || now.Sub(p.computed) < computeInterval) {
+		return
+	}
+	p.changed, p.computed, p.next = false, now, time.Time{}
+	blocked := make(map[Part]block)
+	for _, c := range p.blamed(now) {
+		last := slices.MaxFunc(values(c.times), time.Time.Compare)
+		b := block{until: last.Add(p.hold(c.times)), crashes: len(c.times)}
+		if now.Before(b.until) {
+			blocked[c.part] = b
+			p.wake(b.until)
+		}
+	}
+	for part, b := range blocked {
+		if _, ok := p.blocked[part]; !ok {
+			p.events = append(p.events, PartEvent{Part: part, Blocked: true, Crashes: b.crashes, Hold: b.until.Sub(now)})
+		}
+	}
+	for part, b := range p.blocked {
+		if _, ok := blocked[part]; !ok {
+			p.events = append(p.events, PartEvent{Part: part, Crashes: b.crashes})
+		}
+	}
+	p.blocked = blocked
+}
+
+// wake makes update evaluate the reports again at the given time.
+func (p *partTracker) wake(at time.Time) {
+	if p.next.IsZero() || at.Before(p.next) {
+		p.next = at
+	}
+}
+
+// blamed returns the parts that explain the crashes, with those that each explains. The part with the most crashes comes
+// first, and among several the one that is latest in the prompt: parts before it occur in other prompts too. Crashes
+// that are explained no longer count against other parts, neither against those of the same request nor against those
+// of other requests that ran at the upstream.
+func (p *partTracker) blamed(now time.Time) []candidate {
+	var candidates, blamed []candidate
+	for part, s := range p.suspects {
+		if len(s.crashes) < blockThreshold {
+			continue
+		}
+		c := candidate{part: part, s: s, times: s.uncleared(s.lastBegin(), nil)}
+		if len(c.times) < blockThreshold {
+			continue
+		}
+		if settled := p.settled(c.times); now.Before(settled) {
+			p.wake(settled)
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	explained := make(map[uint32]bool)
+	for len(candidates) > 0 {
+		best := slices.MaxFunc(candidates, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), cmp.Compare(a.s.depth, b.s.depth), cmp.Compare(a.part, b.part))
+		})
+		blamed = append(blamed, best)
+		for incarnation := range best.times {
+			explained[incarnation] = true
+		}
+		left := candidates[:0]
+		for _, c := range candidates {
+			c.times = c.s.uncleared(c.s.lastBegin(), explained)
+			if len(c.times) >= blockThreshold {
+				left = append(left, c)
+			}
+		}
+		candidates = left
+	}
+	return blamed
+}
+
+// settled returns the time from which a part with crashes at the given times may be blamed.
+func (p *partTracker) settled(times map[uint32]time.Time) time.Time {
+	sorted := values(times)
+	slices.SortFunc(sorted, time.Time.Compare)
+	first := sorted[0]
+	if sorted[blockThreshold-1].Sub(first) < massSpan {
+		return first.Add(massSettleTime)
+	}
+	within := func(at time.Time) bool { return !at.Before(first.Add(-massSpan)) && at.Before(first.Add(settleTime)) }
+	all, own := 0, 0
+	for _, at := range p.crashed {
+		if within(at) {
+			all++
+		}
+	}
+	for _, at := range sorted {
+		if within(at) {
+			own++
+		}
+	}
+	if 2*own < all {
+		return first.Add(massSettleTime)
+	}
+	return first.Add(settleTime)
+}
+
+// hold returns the time for which a part remains blocked after the last of its crashes.
+func (p *partTracker) hold(times map[uint32]time.Time) time.Duration {
+	sorted := values(times)
+	slices.SortFunc(sorted, time.Time.Compare)
+	doublings := 0
+	for i := blockThreshold; i < len(sorted); i++ {
+		if sorted[i].Sub(sorted[i-1]) >= holdGap {
+			doublings++
+		}
+	}
+	return time.Duration((1 + p.holdShare) * float64(baseHold<<min(doublings, maxDoublings)))
+}
+
+// expire removes what is older than partTTL, at most once a second.
+func (p *partTracker) expire(now time.Time) {
+	if now.Sub(p.expired) < time.Second {
+		return
+	}
+	p.expired = now
+	for part, s := range p.suspects {
+		for incarnation, at := range s.crashes {
+			if now.Sub(at) >= partTTL {
+				delete(s.crashes, incarnation)
+				p.changed = true
+			}
+		}
+		if len(s.crashes) == 0 && now.Sub(s.lastBegin()) >= partTTL {
+			delete(p.suspects, part)
+		}
+	}
+	for incarnation, at := range p.crashed {
+		if now.Sub(at) >= partTTL {
+			delete(p.crashed, incarnation)
+		}
+	}
+}
+
+func values(m map[uint32]time.Time) []time.Time {
+	l := make([]time.Time, 0, len(m))
+	for _, v := range m {
+		l = append(l, v)
+	}
+	return l
+}
--- /dev/null
+++ b/blocker/parts_test.go
@@ -0,0 +1,238 @@
+package blocker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/blocker"
+)
+
+func parts(ids ...string) []blocker.Part {
+	return blocker.PartsOf(append(ids, "own"))
+}
+
+// crash records a crash on the given parts for a request that is like no other.
+func crash(b *blocker.Blocker, upstream string, at time.Time, ids ...string) {
+	b.RecordCrash(blocker.FingerprintOf("POST", upstream, fmt.Sprint(ids), nil), upstream, at, parts(ids...)...)
+}
+
+func blocked(b *blocker.Blocker, id string, at time.Time) bool {
+	_, _, ok := b.BlockedPart([]blocker.Part{blocker.PartOf(id)}, at)
+	return ok
+}
+
+func after(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func TestPartsOf(t *testing.T) {
+	require.Empty(t, blocker.PartsOf(nil))
+	require.Empty(t, blocker.PartsOf([]string{"own"}))
+	require.Equal(t, []blocker.Part{blocker.PartOf("a"), blocker.PartOf("b")}, blocker.PartsOf([]string{"a", "b", "a", "own"}))
+	var long []string
+	for i := range 100 {
+		long = append(long, fmt.Sprint(i))
+	}
+	got := blocker.PartsOf(long)
+	require.Len(t, got, 16)
+	require.Equal(t, blocker.PartOf("0"), got[0])
+	require.Equal(t, blocker.PartOf("98"), got[15], "the last part belongs to the request")
+}
+
+// Guards against the incident: requests that have only a part in common crash one upstream after the other.
+func TestPartThatCrashesUpstreamsIsBlocked(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// crashes lists the parts of the requests that crash upstreams, one every 0.4 s from the start; begins lists
+		// parts that begin at the given times.
+		crashes [][]string
+		begins  map[string]float64
+		at      float64
+		want    string
+		sound   []string
+	}{
+		{"before the settle time", [][]string{{"a", "x"}, {"a", "x"}, {"a", "x"}}, nil, 1.4, "", []string{"a", "x"}},
+		{"two crashes", [][]string{{"a", "x"}, {"a", "x"}}, nil, 9, "", []string{"a", "x"}},
+		{"first part is used by others", [][]string{{"a", "x"}, {"a", "x"}, {"a", "x"}}, map[string]float64{"a": 1}, 2, "x", []string{"a"}},
+		{"rare first part", [][]string{{"a", "x"}, {"a", "x"}, {"a", "x"}}, nil, 2, "x", []string{"a"}},
+		{"first part crashes", [][]string{{"x", "b"}, {"x", "c"}, {"x", "d"}}, nil, 2, "x", []string{"b", "c", "d"}},
+		{"first part crashes in one chat, then in another", [][]string{{"x", "b"}, {"x", "b"}, {"x", "b"}, {"x", "c"}}, nil, 2, "x", []string{"b", "c"}},
+		{"part without other parts", [][]string{{"x"}, {"x"}, {"x"}}, nil, 2, "x", nil},
+		{"begins after the crashes", [][]string{{"a", "x"}, {"a", "x"}, {"a", "x"}}, map[string]float64{"a": 1, "x": 1}, 9, "", []string{"a", "x"}},
+		{"begins between crashes", [][]string{{"x"}, {"x"}, {"x"}, {"x"}, {"x"}, {"x"}}, map[string]float64{"x": 0.3}, 9, "", []string{"x"}},
+		{"crashes after the last begin", [][]string{{"x"}, {"x"}, {"x"}, {"x"}, {"x"}, {"x"}, {"x"}}, map[string]float64{"x": 0.1}, 9, "x", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := blocker.New()
+			for i, ids := range c.crashes {
+				crash(b, fmt.Sprint("u", i), after(0.4*float64(i)), ids...)
+			}
+			for id, at := range c.begins {
+				b.RecordBegin(parts(id), after(at))
+			}
+			if c.want != "" {
+				require.True(t, blocked(b, c.want, after(c.at)))
+			}
+			for _, id := range c.sound {
+				require.False(t, blocked(b, id, after(c.at)), id)
+			}
+		})
+	}
+}
+
+// Guards against a part that was in three broken connections to the same incarnation, or in a crash of several upstreams at
+// once, where sound parts need longer to begin.
+func TestCrashesOfOneIncarnationOrMoment(t *testing.T) {
+	b := blocker.New()
+	for i := range 5 {
+		crash(b, "u", after(float64(i)), "x")
+	}
+	require.False(t, blocked(b, "x", after(9)))
+	b = blocker.New()
+	for i := range 5 {
+		crash(b, fmt.Sprint("u", i), after(0.02*float64(i)), "x")
+	}
+	require.False(t, blocked(b, "x", after(2.4)))
+	require.True(t, blocked(b, "x", after(2.6)))
+}
+
+// Guards against sound parts that are blamed because their requests waited at the upstreams that another part crashed: a
+// crash that is explained does not count against other parts.
+func TestBystanderIsNotBlamed(t *testing.T) {
+	b := blocker.New()
+	for i := range 4 {
+		crash(b, fmt.Sprint("u", i), after(float64(i)), "a", "x")
+		if i < 3 {
+			crash(b, fmt.Sprint("u", i), after(float64(i)), "c", "bystander", "d")
+		}
+	}
+	require.True(t, blocked(b, "x", after(5)))
+	for _, id := range []string{"a", "c", "bystander", "d"} {
+		require.False(t, blocked(b, id, after(5)), id)
+	}
+}
+
+func TestHoldOfPart(t *testing.T) {
+	b := blocker.New()
+	for i := range 3 {
+		crash(b, fmt.Sprint("u", i), after(float64(i)), "x")
+	}
+	require.True(t, blocked(b, "x", after(2+59)))
+	require.False(t, blocked(b, "x", after(2+121)))
+	crash(b, "u3", after(150), "x")
+	require.True(t, blocked(b, "x", after(150.1)), "a single crash after the hold blocks again")
+	require.True(t, blocked(b, "x", after(150+119)), "the hold doubles")
+	b.RecordBegin(parts("x"), after(200))
+	require.False(t, blocked(b, "x", after(200.1)), "a begin unblocks")
+	crash(b, "u4", after(210), "x")
+	require.False(t, blocked(b, "x", after(240)), "crashes before the begin count no more")
+}
+
+// Guards against gateways that know only their own begins: the one that saw a sound part begin reports it to the others.
+func TestBeginIsReported(t *testing.T) {
+	a, b, late := blocker.New(), blocker.New(), blocker.New()
+	urgent := 0
+	a.OnSuspicion = func() { urgent++ }
+	crash(b, "u0", after(0), "s")
+	crash(b, "u1", after(0.3), "s")
+	a.RecordBegin(parts("s"), after(0.5))
+	pull(t, a, b, after(0.6), after(0.6)) // The reports arrive after the begin.
+	crash(b, "u2", after(0.6), "s")
+	for i := range 5 {
+		pull(t, b, a, after(0.7+0.2*float64(i)), after(0.7+0.2*float64(i)))
+	}
+	pull(t, late, b, after(1.8), after(1.8))
+	for name, x := range map[string]*blocker.Blocker{"a": a, "b": b, "late": late} {
+		require.False(t, blocked(x, "s", after(2)), name)
+		require.False(t, blocked(x, "s", after(30)), name)
+	}
+	require.Positive(t, urgent)
+}
+
+// Guards against a gateway that starts again and lets requests pass until it has seen three crashes itself.
+func TestGatewayThatStartsBlocksKnownPart(t *testing.T) {
+	a, b := blocker.New(), blocker.New()
+	for i := range 3 {
+		crash(a, fmt.Sprint("u", i), after(float64(i)), "a", "x")
+	}
+	pull(t, b, a, after(40), after(40))
+	require.True(t, blocked(b, "x", after(40)))
+	require.False(t, blocked(b, "a", after(40)))
+	require.False(t, b.Lacks(a.Known(after(40))))
+	crash(a, "u3", after(41), "a", "x")
+	require.True(t, b.Lacks(a.Known(after(41))))
+}
+
+func TestEventsOfPart(t *testing.T) {
+	b := blocker.New()
+	var events []blocker.PartEvent
+	b.OnPart = func(e blocker.PartEvent) { events = append(events, e) }
+	for i := range 3 {
+		crash(b, fmt.Sprint("u", i), after(float64(i)), "x")
+	}
+	require.Equal(t, 1, b.BlockedParts(after(3)))
+	require.Equal(t, 1, b.BlockedParts(after(4)))
+	require.Zero(t, b.BlockedParts(after(130)))
+	require.Len(t, events, 2)
+	require.Equal(t, blocker.PartOf("x"), events[0].Part)
+	require.True(t, events[0].Blocked)
+	require.Equal(t, 3, events[0].Crashes)
+	require.False(t, events[1].Blocked)
+}
+
+// Guards against a flood of reports that keeps out those of a part that crashes upstreams, and against reports without
+// bound: a router that starts receives them in one reply of at most 4 MiB.
+func TestPartReportsAreBounded(t *testing.T) {
+	all := make([]*blocker.Blocker, 8)
+	for g := range all {
+		all[g] = blocker.New()
+		for i := range 6000 {
+			crash(all[g], fmt.Sprint("u", i%40), start, fmt.Sprint("s", g, i), fmt.Sprint("t", g, i))
+		}
+	}
+	for _, b := range all[1:] {
+		pull(t, all[0], b, start, start)
+	}
+	require.LessOrEqual(t, count(all[0].ReportsSince(nil, start)), 16384)
+	b := all[1]
+	for i := range 3 {
+		crash(b, fmt.Sprint("v", i), after(300+float64(i)), "x")
+	}
+	require.True(t, blocked(b, "x", after(304)))
+}
+
+func TestMalformedParts(t *testing.T) {
+	for name, change := range map[string]func(*blocker.Batch){
+		"too few parts":  func(b *blocker.Batch) { b.Parts = b.Parts[:2] },
+		"too many parts": func(b *blocker.Batch) { b.Parts = append(b.Parts, 1) },
+		"missing counts": func(b *blocker.Batch) { b.PartCounts = nil },
+		"too few counts": func(b *blocker.Batch) { b.PartCounts, b.Parts = b.PartCounts[:2], b.Parts[:2] },
+		"long prompt":    func(b *blocker.Batch) { b.PartCounts[0], b.Parts = 200, make([]blocker.Part, 202) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := blocker.Batch{
+				Origin: 1, Last: 3, Requests: []blocker.Fingerprint{1, 2, 3}, Upstreams: []uint32{1, 2, 3},
+				AgesMS: []uint32{3000, 2000, 1000}, PartCounts: []uint8{1, 1, 1}, Parts: parts("x", "y", "z"),
+			}
+			require.NoError(t, blocker.New().Merge([]blocker.Batch{b}, start))
+			change(&b)
+			c := blocker.New()
+			require.Error(t, c.Merge([]blocker.Batch{b}, start))
+			require.Zero(t, count(c.ReportsSince(nil, start)))
+		})
+	}
+}
+
+// Guards against gateways of an earlier version, which neither send the columns of parts nor know them.
+func TestBatchWithoutParts(t *testing.T) {
+	old := blocker.Batch{Origin: 5, Last: 3, Requests: []blocker.Fingerprint{7, 7, 7}, Upstreams: []uint32{1, 2, 3}, AgesMS: []uint32{0, 0, 0}}
+	c := blocker.New()
+	require.NoError(t, c.Merge([]blocker.Batch{old}, start))
+	require.Positive(t, c.BlockedFor(7, start))
+	require.Zero(t, c.BlockedParts(after(5)))
+	for _, b := range c.ReportsSince(nil, start) {
+		require.Empty(t, b.PartCounts)
+		require.Empty(t, b.Parts)
+	}
+}
