proxier: refuse requests with a part that crashes upstreams

When a connection breaks before the first event of the answer, the parts of the prompt but the last are reported as suspected of the crash; the first event of a stream, or a complete answer of another kind, clears them. A request with a blocked part is refused at once with 503 and Retry-After, and is not repeated if the part becomes blocked between two attempts.

TestRequestsWithPartThatCrashesUpstreamsAreRefused failed before: the fourth request with the part had status 200 from the fourth upstream, want 503.

--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementineramp/appraiser"
+	"clementineramp/blocker"
 	"clementineramp/connector"
 	"clementineramp/judge"
 	"clementineramp/mapper"
@@ -58,6 +59,12 @@
 	turnedAwayCount := 0
 	var buffered *bufferedResponse
 	for {
+		if j.arrivals > 0 || len(j.tried) > 0 {
+			// The part may have become blocked during the last attempt.
+			if j.blocked = j.refuseBlockedPart(); j.blocked != nil {
+				break
+			}
+		}
 		choice, ok := j.p.cfg.Placer.Choose(placer.Request{
 			Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(),
 			// Once an upstream has turned it away, an unrepeatable request may be sent to a suspect upstream too.
@@ -128,6 +135,8 @@
 	case j.abandoned || j.r.Context().Err() != nil:
 		j.recordOutcome(0, judge.ReasonBroken, "caller disconnected")
 		panic(http.ErrAbortHandler)
+	case j.blocked != nil && j.runs == 0:
+		j.refuse(j.blocked)
 	case j.runs > 0 && j.ctx.Err() != nil:
 		j.refuse(newRefusal(http.StatusGatewayTimeout, judge.ReasonTimeout, "no answer in time"))
 	case j.runs > 0:
@@ -155,6 +164,7 @@
 func (j *job) attempt(choice placer.Choice) (verdict, *bufferedResponse, error) {
 	u := choice.Upstream
 	now := time.Now()
+	j.begun = false
 	j.p.cfg.Health.Begin(u.ID, now)
 	defer j.p.cfg.Placer.Done(u.ID)
 
@@ -220,15 +230,23 @@
 		}
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	j.recordBroken(u, now)
+	j.recordBroken(u, now, j.parts...)
 	return mayHaveRun, nil, err
 }
 
 // recordBroken records that a connection broke while the upstream may have been running the request, which counts as a
-// crash of the upstream for which the request is suspected.
-func (j *job) recordBroken(u registrar.Upstream, now time.Time) {
+// crash of the upstream for which the request is suspected, and so are the given parts of its prompt.
+func (j *job) recordBroken(u registrar.Upstream, now time.Time, parts ...blocker.Part) {
 	j.p.cfg.Health.Record(u.ID, appraiser.Broken, now)
-	j.p.cfg.Crashes.RecordCrash(j.print, Incarnation(u), now)
+	j.p.cfg.Crashes.RecordCrash(j.print, Incarnation(u), now, parts...)
+}
+
+// recordBegin records, once an attempt, that the upstream has begun to answer.
+func (j *job) recordBegin() {
+	if !j.begun {
+		j.begun = true
+		j.p.cfg.Crashes.RecordBegin(j.parts, time.Now())
+	}
 }
 
 // Incarnation returns a name for one lifetime of an upstream, which includes its start time: a later process may have
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -138,8 +138,14 @@
 	// bodyBroken is set if only a part of the body was read.
 	bodyBroken bool
 	// print is the fingerprint that identifies the request in crash reports.
-	print  blocker.Fingerprint
-	header http.Header
+	print blocker.Fingerprint
+	// parts are the parts of the prompt that may crash upstreams, and begun is set when the upstream of the current attempt
+	// has begun to answer, which clears them.
+	parts []blocker.Part
+	begun bool
+	// blocked is the refusal if a part became blocked between two attempts.
+	blocked error
+	header  http.Header
 
 	// tried lists the upstreams that were tried, arrivals counts those that may have read the request and runs those that
 	// may have run it.
@@ -213,6 +219,11 @@
 			text: "this request crashes the upstreams that run it",
 		}
 	}
+	j.parts = blocker.PartsOf(j.promptIDs())
+	if err := j.refuseBlockedPart(); err != nil {
+		j.p.bodyBytes.Add(-int64(len(j.body)))
+		return err
+	}
 	if err := j.shed(); err != nil {
 		j.p.bodyBytes.Add(-int64(len(j.body)))
 		return err
@@ -221,6 +232,33 @@
 	return nil
 }
 
+func (j *job) promptIDs() []string {
+	ids := make([]string, len(j.Prompt))
+	for i, part := range j.Prompt {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
+// refuseBlockedPart refuses the request if its prompt has a part that crashes the upstreams that begin to answer.
+func (j *job) refuseBlockedPart() error {
+	part, left, blocked := j.p.cfg.Crashes.BlockedPart(j.parts, time.Now())
+	if !blocked {
+		return nil
+	}
+	id := ""
+	for _, p := range j.Prompt {
+		if blocker.PartOf(p.ID) == part {
+			id = p.ID
+			break
+		}
+	}
+	return &localResponse{
+		status: http.StatusServiceUnavailable, reason: judge.ReasonCrashesUpstream, retryAfter: left,
+		text: fmt.Sprintf("the part %s of the prompt (hash %08x) crashes the upstreams that begin to answer", id, uint32(part)),
+	}
+}
+
 // shed refuses the request if its service is overloaded and other requests have priority.
 func (j *job) shed() error {
 	now := time.Now()
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -114,7 +114,11 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			j.recordBroken(u, now)
+			if len(body) == 0 {
+				j.recordBroken(u, now, j.parts...)
+			} else {
+				j.recordBroken(u, now)
+			}
 		}
 		return mayHaveRun, nil, err
 	}
@@ -124,6 +128,9 @@
 		return failed, buffered, errors.New("upstream failed with status " + strconv.Itoa(e.StatusCode))
 	}
 	j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
+	if e.StatusCode < http.StatusMultipleChoices {
+		j.recordBegin()
+	}
 	j.writeBuffered(buffered)
 	return done, nil, nil
 }
@@ -218,6 +225,7 @@
 					// Only events with an ID are progress: comments and blank lines may come without end.
 					stray = len(pending) - end
 					timer.reset()
+					j.recordBegin()
 				}
 				if !j.forwardEvents(e, pending[:end]) {
 					return mayHaveRun, nil, errors.New("caller disconnected")
@@ -257,7 +265,12 @@
 	case j.ctx.Err() != nil:
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	j.recordBroken(u, now)
+	if j.begun || errors.Is(err, errStrayBytes) {
+		j.recordBroken(u, now)
+	} else {
+		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
+		j.recordBroken(u, now, j.parts...)
+	}
 	if complete || errors.Is(err, io.EOF) {
 		err = errors.New("stream ended early")
 	}
