relayer, gatekeeper: crash reports of a suspected part spread at once

An exchange brings crash reports only to the gateway that starts it, so those of a gateway that no peer asks for wait up to a second at each step. The gatekeeper logs part_blocked and part_unblocked and counts them.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -120,6 +121,8 @@
 		budgets: make(map[string]*limiter.RetryBudget),
 	}
 	g.settings.Store(cfg.Settings)
+	g.crashes.OnSuspicion = func() { g.relayer.NotifyCrash() }
+	g.crashes.OnPart = g.logPart
 	g.assemble()
 	return g
 }
@@ -460,6 +463,15 @@
 		"outcome", c.Outcome.String(), "failures", c.Failures, "rest_ms", c.Backoff.Milliseconds())
 }
 
+func (g *Gateway) logPart(e blocker.PartEvent) {
+	event := "part_unblocked"
+	if e.Blocked {
+		event = "part_blocked"
+	}
+	metrics.GetOrRegisterCounter(event, g.registry).Inc(1)
+	g.log.Warn(event, "part", fmt.Sprintf("%08x", uint32(e.Part)), "crashes", e.Crashes, "hold_ms", e.Hold.Milliseconds())
+}
+
 // RunFile runs the gateway of a settings file until ctx ends, and logs to out. It reloads the file at each value
 // received from reload.
 func RunFile(ctx context.Context, file string, reload <-chan os.Signal, out io.Writer) error {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -514,3 +514,53 @@
 		require.Zero(t, known(), "a report outlives its cause")
 	})
 }
+
+// Guards against gateways that hear too late of crashes on the same part of prompts, each of which another gateway saw, and
+// against the traffic of reports with parts when a quarter of the upstreams crashes at the same moment.
+func TestCrashesOnPartAreKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			gateways, upstreams, requests = 100, 45, 20
+			// bound is the time for reports: a part settles 2.5 s after its first crash at most, and a gateway must block it
+			// 3 s after the fifth.
+			bound = 1500 * time.Millisecond
+		)
+		f := newFleet(t, gateways, 5, 0)
+		for _, n := range f.nodes {
+			n.crashes.OnSuspicion = n.relayer.NotifyCrash
+		}
+		time.Sleep(5 * time.Second)
+		f.bytes.Store(0)
+		time.Sleep(10 * time.Second)
+		calm := f.bytes.Load()
+		f.bytes.Store(0)
+		deadly := blocker.PartOf("deadly")
+		early := time.Now().Add(-3 * time.Second) // The part has settled by now.
+		for i := range 3 {
+			f.nodes[i*31].crashes.RecordCrash(blocker.Fingerprint(i), fmt.Sprint("x-", i), early.Add(time.Duration(i)*time.Second), deadly)
+		}
+		for i := range upstreams * requests {
+			f.nodes[i%gateways].crashes.RecordCrash(blocker.Fingerprint(1e15+i), fmt.Sprint("i-", i%upstreams), time.Now(),
+				blocker.PartOf(fmt.Sprint("first-", i%7)), blocker.PartOf(fmt.Sprint("chat-", i)), blocker.PartOf(fmt.Sprint("turn-", i)))
+		}
+		begin := time.Now()
+		known := func() (n int) {
+			for _, g := range f.nodes {
+				if _, _, blocked := g.crashes.BlockedPart([]blocker.Part{deadly}, time.Now()); blocked {
+					n++
+				}
+			}
+			return n
+		}
+		for known() < gateways {
+			require.Less(t, time.Since(begin), bound, "%d of %d gateways block the part", known(), gateways)
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Logf("blocked everywhere after %v", time.Since(begin))
+		time.Sleep(10*time.Second - time.Since(begin))
+		each := (f.bytes.Load() - calm) / gateways / 10
+		t.Logf("%d B/s more for each gateway over 10 s, %d B/s in a calm time", each, calm/gateways/10)
+		const reportBytes = 64 // A report with three parts takes 33 bytes; some arrive twice.
+		require.Less(t, each, int64(upstreams*requests*2*reportBytes/10))
+	})
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -41,6 +41,9 @@
 	// highLoadPeers that for a high load, which is of no use to gateways that hear of it late.
 	notifiedPeers = 2
 	highLoadPeers = 3
+	// crashNewsTime is the time after NotifyCrash in which exchanges make peers ask for crash reports without delay: the
+	// exchanges that it starts, and one with a hub.
+	crashNewsTime = 500 * time.Millisecond
 	// wakeQueueSize bounds the queue of immediate exchanges.
 	wakeQueueSize = 8
 	// peerTTL is the time since the last exchange of any gateway with a peer after which the peer no longer counts as live.
@@ -86,6 +89,9 @@
 	OtherPeers PeerList
 	// KnownCrashes holds, by origin, the number of the last crash report that the sender has.
 	KnownCrashes map[uint64]uint64
+	// CrashNews is set if the peer should ask without delay for crash reports that it lacks: several upstreams have crashed
+	// on the same part of prompts.
+	CrashNews bool
 	// WithLoads is set if the exchange carries loads; LoadColumns are those of the sender.
 	WithLoads   bool
 	LoadColumns Loads
@@ -192,6 +198,8 @@
 	compressed CompressedDocument
 
 	upstreams upstreamCodec
+	// crashNews is the time of the last call of NotifyCrash, in nanoseconds since 1970.
+	crashNews atomic.Int64
 
 	mu sync.Mutex
 	// members maps the address of each peer to its last reported state.
@@ -256,6 +264,9 @@
 	if req.Configuration > current.Revision || req.Newest > state.Registry.NewestRevision() {
 		r.requestExchange(req.From)
 	}
+	if req.CrashNews && state.Crashes.Lacks(req.KnownCrashes) {
+		r.requestExchange(req.From)
+	}
 	reply.Reached, reply.ConfirmedAge = state.Reached(), now.Sub(state.Confirmed())
 	reply.OutageAge = state.Registry.TimeSinceOutage(now)
 	reply.CrashBatches = state.Crashes.ReportsSince(req.KnownCrashes, now)
@@ -324,6 +335,12 @@
 	}
 }
 
+// NotifyCrash starts exchanges with a few peers without delay, which then ask for the crash reports that they lack.
+func (r *Relayer) NotifyCrash() {
+	r.crashNews.Store(time.Now().UnixNano())
+	r.NotifyPeers()
+}
+
 // Serve serves the exchanges of peers until the listener is closed, and then returns nil.
 func (r *Relayer) Serve(l net.Listener) error {
 	s := rpc.NewServer()
@@ -416,7 +433,7 @@
 		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
 		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeUnreachable(state.Health.Reports(now)),
-		HotChats: encodeHotChats(state.HotChats(now)),
+		HotChats: encodeHotChats(state.HotChats(now)), CrashNews: now.UnixNano()-r.crashNews.Load() < int64(crashNewsTime),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
