--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -118,7 +118,11 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			j.recordBroken(u, now)
+			if len(body) == 0 {
+				j.recordBroken(u, now, j.parts...)
+			} else {
+				j.recordBroken(u, now)
+			}
 		}
 		return mayHaveRun, nil, err
 	}
@@ -128,6 +132,9 @@
 		return failed, buffered, errors.New("upstream failed with status " + strconv.Itoa(e.StatusCode))
 	}
 	j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
+	if e.StatusCode < http.StatusMultipleChoices {
+		j.recordBegin()
+	}
 	j.writeBuffered(buffered)
 	return done, nil, nil
 }
@@ -221,6 +228,7 @@
 			progress := id != j.stream.lastEvent
 			if progress {
 				timer.reset()
+				j.recordBegin()
 			}
 			if len(whole) > 0 {
 				timer.suspend()
@@ -262,7 +270,12 @@
 	case j.ctx.Err() != nil:
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	j.recordBroken(u, now)
+	if j.begun || errors.Is(err, errStrayBytes) {
+		j.recordBroken(u, now)
+	} else {
+		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
+		j.recordBroken(u, now, j.parts...)
+	}
 	return mayHaveRun, nil, err
 }
 
--- a/proxier/replace.go
+++ b/proxier/replace.go
@@ -176,6 +176,9 @@
 // find chooses another upstream and opens a connection to it; it returns nil if that fails.
 func (s *responseTimer) find() *replacement {
 	p := s.job.p
+	if _, _, blocked := p.cfg.Crashes.BlockedPart(s.job.parts, time.Now()); blocked {
+		return nil // The request is sent nowhere else, and the upstream may only be slow.
+	}
 	choice, ok := p.cfg.Placer.Choose(s.placement, time.Now())
 	if !ok {
 		return nil
