proxier: a long failure is not relayed with a status that promises that the request has not run

The caller of an order got 503 (or 408, 429) when the upstream ran the order and answered so with 64 KiB or more: responses of this length were relayed without the check that shorter ones pass. TestLongFailure failed before with these statuses in place of 502, and a long 500 or 503 on an idempotent or resumable route was not retried (500 and 503 in place of 200). Such a response now counts as a failed attempt: its connection is closed, it may be retried where the route allows it, and otherwise the caller gets 502 of the router. A long 500 therefore reaches callers as 502 without its text. Other long responses, and a long 429 of an idempotent route, are relayed as before.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -108,6 +108,11 @@
 	body, err := io.ReadAll(io.LimitReader(e, maxBufferedResponse))
 	now := time.Now()
 	if err == nil && len(body) == maxBufferedResponse {
+		if e.StatusCode >= http.StatusInternalServerError || j.isFalsePromise(e.StatusCode) {
+			// A failure that may be retried is kept for the caller, which this one is too long for.
+			j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
+			return failed, nil, errors.New("upstream failed with a long response of status " + strconv.Itoa(e.StatusCode))
+		}
 		return j.relayUnbuffered(u, e, body)
 	}
 	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices {
@@ -168,8 +173,7 @@
 
 // writeBuffered sends the caller a complete response of an upstream.
 func (j *job) writeBuffered(b *bufferedResponse) {
-	if impliesNotRun(b.status) && b.ran && !j.idempotent() {
-		// The status would guarantee that the request has not run, although it has.
+	if b.ran && j.isFalsePromise(b.status) {
 		j.refuse(newRefusal(http.StatusBadGateway, judge.ReasonBroken, "the upstream failed; the request may have run"))
 		return
 	}
@@ -181,8 +185,9 @@
 	j.recordOutcome(b.status, "", "")
 }
 
-func (j *job) idempotent() bool {
-	return j.route.Kind == mapper.Idempotent
+// isFalsePromise reports whether the status would guarantee to the caller that a request has not run which may have run.
+func (j *job) isFalsePromise(status int) bool {
+	return impliesNotRun(status) && j.route.Kind != mapper.Idempotent
 }
 
 // writeHeader sends the status and header of an upstream's response; a negative length means chunked encoding.
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -178,3 +178,44 @@
 	require.Equal(t, event("1")+event("2")+event("3")+event("4"), r.body)
 	require.Equal(t, 2, f.runs())
 }
+
+// Guards against a failure that is too long to be buffered and whose status tells the caller of a request which ran that it
+// has not, or which is not retried although the route allows it.
+func TestLongFailure(t *testing.T) {
+	text := strings.Repeat("x", 70_000)
+	for framing, body := range map[string]string{
+		"Content-Length: 70000\r\n": text, "Transfer-Encoding: chunked\r\n": chunked(text), "": text,
+	} {
+		for _, c := range []struct {
+			path                    string
+			upstream, status, sound int
+		}{
+			{"/order/", 408, 502, 0},
+			{"/order/", 429, 502, 0},
+			{"/order/", 500, 502, 0},
+			{"/order/", 503, 502, 0},
+			{"/order/", 404, 404, 0},
+			{"/stream/", 429, 502, 0},
+			{"/stream/", 503, 502, 0},
+			{"/read/", 500, 200, 1},
+			{"/read/", 503, 200, 1},
+			{"/read/", 429, 429, 0},
+			{"/resume/", 503, 200, 1},
+		} {
+			t.Run(strconv.Itoa(c.upstream)+c.path+framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + strconv.Itoa(c.upstream) + " Error\r\n" + namedLine + signedLine + framing + "\r\n" + body,
+						imitator.CloseConnection
+				})
+				r := f.do("POST", c.path, "body")
+				require.NoError(t, r.err)
+				require.Equal(t, c.status, r.status, f.log.String())
+				require.Equal(t, c.sound, f.runs())
+				if c.status == c.upstream {
+					require.Equal(t, text, r.body)
+				}
+			})
+		}
+	}
+}
