proxier: a response to HEAD without length is complete

A HEAD request that an upstream answered with 200 and no Content-Length got 502, was retried on idempotent routes and counted as a crash, since a success without length and body counts as broken. On streaming routes, a response of the type text/event-stream counted as a stream that ended early. TestSuccessWithoutBody failed in these cases before (502 in place of 200, and a run at a second upstream). A response to HEAD has no body, so that nothing can be missing. 204 was accepted before too, as its length is always zero, and the test holds it.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -69,7 +69,7 @@
 		j.runs++
 		j.recordBroken(u, now)
 		return mayHaveRun, nil, errors.New("upstream response has no signature")
-	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream:
+	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream && j.r.Method != http.MethodHead:
 		j.runs++
 		return j.relayStream(ctx, u, e, timer)
 	case j.stream.started:
@@ -115,7 +115,7 @@
 		}
 		return j.relayUnbuffered(u, e, body)
 	}
-	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices {
+	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices && j.r.Method != http.MethodHead {
 		// An upstream that crashes after the head closes its connection too; an empty body usually has a length of zero.
 		err = errNoBody
 	}
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -219,3 +220,39 @@
 		}
 	}
 }
+
+// Guards against a response that has no body by its method or status, and so need not have a length, being taken as broken.
+func TestSuccessWithoutBody(t *testing.T) {
+	for _, path := range []string{"/order/", "/read/", "/stream/"} {
+		for _, c := range []struct {
+			method, status, framing string
+			code                    int
+		}{
+			{http.MethodHead, "200 OK", "", 200},
+			{http.MethodHead, "200 OK", "Content-Length: 12\r\n", 200},
+			{http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n", 200},
+			{http.MethodHead, "200 OK", "Content-Type: text/event-stream\r\n", 200},
+			{http.MethodPost, "204 No Content", "", 204},
+		} {
+			t.Run(c.method+path+c.status+c.framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + c.status + "\r\n" + namedLine + signedLine + c.framing + "\r\n", imitator.CloseConnection
+				})
+				r := f.do(c.method, path, "body")
+				require.NoError(t, r.err)
+				require.Equal(t, c.code, r.status, f.log.String())
+				require.Zero(t, f.runs(), "it was retried")
+				require.Zero(t, f.crashCount())
+			})
+		}
+	}
+}
+
+// crashCount returns the number of crash reports.
+func (f *fixture) crashCount() (n int) {
+	for _, b := range f.crashes.ReportsSince(nil, time.Now()) {
+		n += len(b.Requests)
+	}
+	return n
+}
