proxier: the caller's Last-Event-Id counts only where streams may be resumed

A caller that sent Last-Event-Id on a streaming route without resumption got 502, and a crash was recorded, when the upstream started its stream at the first event. The check that event IDs increase started from the caller's ID on all routes. TestLastEventIDOfCaller failed in this case before (502 in place of 200). The check now starts from that ID only where the route may be resumed; elsewhere it starts with the first event, and the header is forwarded unchanged as before.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -212,7 +212,7 @@
 func (j *job) relayStream(
 	ctx context.Context, u registrar.Upstream, e *connector.Exchange, timer *responseTimer,
 ) (verdict, *bufferedResponse, error) {
-	if !j.stream.started && j.stream.lastEvent == "" {
+	if j.route.Repeatable() && !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
 	var events eventBuffer
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -249,6 +249,36 @@
 	}
 }
 
+// Guards against the order of event IDs being checked from the caller's Last-Event-Id where streams cannot be resumed, so that
+// upstreams ignore it and start from the first event.
+func TestLastEventIDOfCaller(t *testing.T) {
+	for _, c := range []struct {
+		path, first string
+		complete    bool
+	}{
+		{"/stream/", "1", true},
+		{"/stream/", "8", true},
+		{"/resume/", "8", true},
+		{"/resume/", "1", false},
+	} {
+		t.Run(c.path+c.first, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) {
+				return streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunked(event(c.first)+event("9")), imitator.CloseConnection
+			})
+			r := f.do("POST", c.path, "body", imitator.HeaderLastEvent, "7")
+			require.NoError(t, r.err)
+			if !c.complete {
+				require.Equal(t, 502, r.status)
+				return
+			}
+			require.Equal(t, 200, r.status, f.log.String())
+			require.Equal(t, event(c.first)+event("9"), r.body)
+			require.Zero(t, f.crashCount())
+		})
+	}
+}
+
 // crashCount returns the number of crash reports.
 func (f *fixture) crashCount() (n int) {
 	for _, b := range f.crashes.ReportsSince(nil, time.Now()) {
