proxier: lines of a stream are fields of server-sent events

A caller got the text of an error in the middle of its stream when it was in lower case: "overloaded", a blank line and "error: internal" passed as fields of two events, as any name in lower case did. Only the fields data, event, id and retry and comments now pass, and the line by which an upstream announces changed weights; other lines break the stream there. The name of this line is in package platform and reaches proxier through Codec.IsEventField. TestStreamOfChangedWeights fails if the gateway does not pass it on.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -166,6 +166,7 @@
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
 			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
+			IsEventField: platform.IsEventField,
 		},
 		Placer: g.placer, Health: g.health, Crashes: g.crashes,
 		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Pool: g.pool,
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -170,6 +170,32 @@
 	require.Contains(t, body, "requests.non_idempotent.served")
 }
 
+// Guards against a stream that is taken as broken at an event with which the weights of its upstream change.
+func TestStreamOfChangedWeights(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\n\n"
+	f := newFleet(t)
+	f.store.Configure(&mapper.Table{
+		Version: 1, Services: map[string]mapper.Service{"s": {}}, Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
+		Routes: []mapper.Route{{
+			Name: "a", Host: "h", Prefix: "/a/", Kind: mapper.Stream, Timeout: 20 * time.Second, Attempts: 1,
+			Shares: []mapper.Share{{Service: "s"}},
+		}},
+	})
+	u := f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(imitator.HeaderSignature, "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, events)
+	})
+	f.eventually("no request is sent to the upstream", func() bool {
+		f.status("/a/1")
+		return len(u.Runs()) > 0
+	})
+	status, body, err := f.get(http.DefaultClient, f.settings.Listen, "/a/1")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, events, body)
+}
+
 func TestGracefulShutdownCompletesRequests(t *testing.T) {
 	f := newFleet(t)
 	release := make(chan struct{})
--- a/proxier/event.go
+++ b/proxier/event.go
@@ -19,6 +19,8 @@
 
 // eventBuffer splits the bytes of a stream from one upstream into events.
 type eventBuffer struct {
+	// isField reports whether a field name is allowed in addition to those of all server-sent events; it may be nil.
+	isField func(name string) bool
 	pending []byte
 	// taken is the number of bytes at the start of pending that the last call of add returned.
 	taken int
@@ -33,7 +35,7 @@
 func (s *eventBuffer) add(b []byte, last string) (events []byte, id string, err error) {
 	left := copy(s.pending, s.pending[s.taken:])
 	s.pending = append(s.pending[:left], b...)
-	s.taken, id, err = scanEvents(s.pending, last)
+	s.taken, id, err = scanEvents(s.pending, last, s.isField)
 	s.stray += len(b)
 	if id != last {
 		s.stray, s.progress = len(s.pending)-s.taken, true
@@ -52,8 +54,8 @@
 
 // scanEvents returns the length of the complete events at the start of b and the last event ID up to their end; last is
 // the ID before them. It fails at an event that does not belong to the stream: its ID does not follow, or one of its lines
-// is no field, such as those of the head of another response that was written into the stream.
-func scanEvents(b []byte, last string) (end int, id string, err error) {
+// is no field, such as those of another response that was written into the stream.
+func scanEvents(b []byte, last string, isField func(name string) bool) (end int, id string, err error) {
 	id = last
 	for next, at := last, 0; ; {
 		n := bytes.IndexAny(b[at:], "\r\n")
@@ -75,7 +77,7 @@
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
-		if !isFieldName(name) {
+		if !isFieldName(string(name)) && (isField == nil || !isField(string(name))) {
 			return end, id, errNotField
 		}
 		if string(name) == "id" {
@@ -88,14 +90,13 @@
 	}
 }
 
-// isFieldName reports whether a name may be that of a field of an event, which is in lower case; it is empty for comments.
-func isFieldName(name []byte) bool {
-	for _, c := range name {
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
-			return false
-		}
+// isFieldName reports whether a name is that of a field of all server-sent events; it is empty for comments.
+func isFieldName(name string) bool {
+	switch name {
+	case "", "data", "event", "id", "retry":
+		return true
 	}
-	return true
+	return false
 }
 
 // follows reports whether an event ID may come after the ID last. IDs increase if they are numbers; others are not checked.
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -80,7 +80,7 @@
 	p := proxier.New(proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
-			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
+			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID, IsEventField: platform.IsEventField,
 		},
 		Placer: placer.New(placer.Config{
 			View: func() *registrar.View { return &f.view }, Health: f.health.Health, Random: func(int) int { return 0 },
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -215,7 +215,7 @@
 	if j.route.Repeatable() && !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
-	var events eventBuffer
+	events := eventBuffer{isField: j.p.cfg.Codec.IsEventField}
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -95,6 +95,9 @@
 	ForwardHeaders func(http.Header) http.Header
 	SetAttempt     func(http.Header, Attempt)
 	DecodeReply    func(status int, h http.Header) Reply
+	// IsEventField reports whether events may have a field of this name in addition to those of all server-sent events; nil
+	// means that there is none.
+	IsEventField func(name string) bool
 	// SetRequestID names the request in a response that the router itself generates.
 	SetRequestID func(h http.Header, id string)
 }
