proxier: the load counts only in a response that names the request

The load and the idle timeout in an old response, or in that of another server at the address, were taken for those of the upstream, since they were recorded before the check of the request ID. TestLoadOfAnotherResponse failed before (the placer had a load report of the upstream). Both are now recorded after the check.

--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -45,6 +45,7 @@
 	callerLeft atomic.Bool
 	upstreams  []*imitator.Upstream
 	view       registrar.View
+	placer     *placer.Placer
 	health     *appraiser.Appraiser
 	crashes    *blocker.Blocker
 	log        imitator.Log
@@ -77,15 +78,15 @@
 		},
 		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
 	}).Build()
+	f.placer = placer.New(placer.Config{
+		View: func() *registrar.View { return &f.view }, Health: f.health.Health, Random: func(int) int { return 0 },
+	})
 	p := proxier.New(proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID, IsEventField: platform.IsEventField,
 		},
-		Placer: placer.New(placer.Config{
-			View: func() *registrar.View { return &f.view }, Health: f.health.Health, Random: func(int) int { return 0 },
-		}),
-		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{}),
+		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
 			if f.table == nil && f.nextTable != nil {
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -52,17 +52,18 @@
 ) (verdict, *bufferedResponse, error) {
 	now := time.Now()
 	reply := j.p.cfg.Codec.DecodeReply(e.StatusCode, e.Header)
+	if reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed {
+		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
+		// server may have the address by now: even a refusal or a load then says nothing about this request or upstream.
+		j.runs++
+		j.recordBroken(u, now)
+		return mayHaveRun, nil, errors.New("upstream response does not name the request")
+	}
 	if reply.HasLoad {
 		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), now)
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
 	switch {
-	case reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed:
-		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
-		// server may have the address by now: even a refusal then says nothing about this request.
-		j.runs++
-		j.recordBroken(u, now)
-		return mayHaveRun, nil, errors.New("upstream response does not name the request")
 	case reply.NotRun:
 		return j.handleTurnedAway(u, e, reply)
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// Guards against the load in a response that does not name the request, which may be an old one or that of another server.
+func TestLoadOfAnotherResponse(t *testing.T) {
+	for line, known := range map[string]bool{"": false, namedLine: true} {
+		f := newFixture(t)
+		f.scripted(func(int, *http.Request) (string, imitator.End) {
+			return "HTTP/1.1 500 Error\r\n" + line + imitator.HeaderLoad + ": 8,0,8\r\nContent-Length: 0\r\n\r\n", imitator.CloseConnection
+		})
+		r := f.do("POST", "/order/", "body")
+		require.NoError(t, r.err)
+		require.GreaterOrEqual(t, r.status, 500)
+		require.Equal(t, known, !f.placer.Heard("scripted").IsZero(), "%q", line)
+	}
+}
+
 // Guards against disbelief in a refusal that names its request, which may be sent to another upstream.
 func TestRefusalOfThisRequest(t *testing.T) {
 	for _, status := range []int{400, 408, 421, 429, 503} {
