proxier: a response of another request is no crash of this one

A request could be blocked as one that crashes upstreams after responses that do not name it or are not signed, although no connection broke: each was recorded as a crash. The upstream still counts as broken, and a connection that breaks still counts as a crash.

--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -56,7 +56,7 @@
 		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
 		// server may have the address by now: even a refusal or a load then says nothing about this request or upstream.
 		j.runs++
-		j.recordBroken(u, now)
+		j.p.cfg.Health.Record(u.ID, appraiser.Broken, now) // No connection broke, so that it is no crash.
 		return mayHaveRun, nil, errors.New("upstream response does not name the request")
 	}
 	if reply.HasLoad {
@@ -68,7 +68,7 @@
 		return j.handleTurnedAway(u, e, reply)
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		j.runs++
-		j.recordBroken(u, now)
+		j.p.cfg.Health.Record(u.ID, appraiser.Broken, now) // No connection broke, so that it is no crash.
 		return mayHaveRun, nil, errors.New("upstream response has no signature")
 	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream && j.r.Method != http.MethodHead:
 		j.runs++
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -87,6 +87,31 @@
 	}
 }
 
+// Guards against a request that is blocked as one that crashes upstreams because responses to it are not those of its upstream,
+// while a connection that broke still counts.
+func TestCrashesOfForeignResponses(t *testing.T) {
+	const text = "Content-Length: 2\r\n\r\nok"
+	for _, c := range []struct {
+		name, id, response string
+		status, crashes    int
+	}{
+		{"not named", "new", "HTTP/1.1 500 Error\r\n" + signedLine + text, 502, 0},
+		{"not named, request without ID", "", "HTTP/1.1 404 Not Found\r\n" + text, 502, 0},
+		{"no signature", "new", "HTTP/1.1 200 OK\r\n" + namedLine + text, 502, 0},
+		{"cut", "new", strings.TrimSuffix(wholeReply, "k"), 502, 1},
+		{"failure", "new", "HTTP/1.1 500 Error\r\n" + namedLine + signedLine + text, 500, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) { return c.response, imitator.CloseConnection })
+			r := f.do("POST", "/order/", "body", imitator.HeaderAttempt, c.id)
+			require.NoError(t, r.err)
+			require.Equal(t, c.status, r.status, f.log.String())
+			require.Equal(t, c.crashes, f.crashCount())
+		})
+	}
+}
+
 // Guards against disbelief in a refusal that names its request, which may be sent to another upstream.
 func TestRefusalOfThisRequest(t *testing.T) {
 	for _, status := range []int{400, 408, 421, 429, 503} {
