--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -54,24 +54,25 @@
 ) (verdict, *bufferedResponse, error) {
 	now := time.Now()
 	reply := j.p.cfg.Codec.DecodeReply(e.StatusCode, e.Header)
+	if reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed {
+		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
+		// server may have the address by now: even a refusal or a load then says nothing about this request or upstream.
+		j.runs++
+		j.p.cfg.Health.Record(u.ID, appraiser.Broken, now) // No connection broke, so that it is no crash.
+		return mayHaveRun, nil, errors.New("upstream response does not name the request")
+	}
 	if reply.HasLoad {
 		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), now)
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
 	switch {
-	case reply.RequestID != j.ID || reply.RequestID == "" && !reply.Signed:
-		// Upstreams repeat the request ID. A response without it may be an earlier one that is sent once more, or another
-		// server may have the address by now: even a refusal then says nothing about this request.
-		j.runs++
-		j.recordBroken(u, now)
-		return mayHaveRun, nil, errors.New("upstream response does not name the request")
 	case reply.NotRun:
 		return j.handleTurnedAway(u, e, reply)
 	case e.StatusCode < http.StatusMultipleChoices && !reply.Signed:
 		j.runs++
-		j.recordBroken(u, now)
+		j.p.cfg.Health.Record(u.ID, appraiser.Broken, now) // No connection broke, so that it is no crash.
 		return mayHaveRun, nil, errors.New("upstream response has no signature")
-	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream:
+	case e.StatusCode == http.StatusOK && isEventStream(e.Header) && j.route.Kind == mapper.Stream && j.r.Method != http.MethodHead:
 		j.runs++
 		return j.relayStream(ctx, u, e, timer)
 	case j.stream.started:
@@ -110,9 +111,14 @@
 	body, err := io.ReadAll(io.LimitReader(e, maxBufferedResponse))
 	now := time.Now()
 	if err == nil && len(body) == maxBufferedResponse {
+		if e.StatusCode >= http.StatusInternalServerError || j.isFalsePromise(e.StatusCode) {
+			// A failure that may be retried is kept for the caller, which this one is too long for.
+			j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
+			return failed, nil, errors.New("upstream failed with a long response of status " + strconv.Itoa(e.StatusCode))
+		}
 		return j.relayUnbuffered(u, e, body)
 	}
-	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices {
+	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices && j.r.Method != http.MethodHead {
 		// An upstream that crashes after the head closes its connection too; an empty body usually has a length of zero.
 		err = errNoBody
 	}
@@ -177,8 +183,7 @@
 
 // writeBuffered sends the caller a complete response of an upstream.
 func (j *job) writeBuffered(b *bufferedResponse) {
-	if impliesNotRun(b.status) && b.ran && !j.idempotent() {
-		// The status would guarantee that the request has not run, although it has.
+	if b.ran && j.isFalsePromise(b.status) {
 		j.refuse(newRefusal(http.StatusBadGateway, judge.ReasonBroken, "the upstream failed; the request may have run"))
 		return
 	}
@@ -190,8 +195,9 @@
 	j.recordOutcome(b.status, "", "")
 }
 
-func (j *job) idempotent() bool {
-	return j.route.Kind == mapper.Idempotent
+// isFalsePromise reports whether the status would guarantee to the caller that a request has not run which may have run.
+func (j *job) isFalsePromise(status int) bool {
+	return impliesNotRun(status) && j.route.Kind != mapper.Idempotent
 }
 
 // writeHeader sends the status and header of an upstream's response; a negative length means chunked encoding.
@@ -216,10 +222,10 @@
 func (j *job) relayStream(
 	ctx context.Context, u registrar.Upstream, e *connector.Exchange, timer *responseTimer,
 ) (verdict, *bufferedResponse, error) {
-	if !j.stream.started && j.stream.lastEvent == "" {
+	if j.route.Repeatable() && !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
-	var events eventBuffer
+	events := eventBuffer{isField: j.p.cfg.Codec.IsEventField}
 	chunk := make([]byte, relayBuffer)
 	for {
 		n, err := e.Read(chunk)
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -72,6 +73,45 @@
 	}
 }
 
+// Guards against the load in a response that does not name the request, which may be an old one or that of another server.
+func TestLoadOfAnotherResponse(t *testing.T) {
+	for line, known := range map[string]bool{"": false, namedLine: true} {
+		f := newFixture(t)
+		f.scripted(func(int, *http.Request) (string, imitator.End) {
+			return "HTTP/1.1 500 Error\r\n" + line + imitator.HeaderLoad + ": 8,0,8\r\nContent-Length: 0\r\n\r\n", imitator.CloseConnection
+		})
+		r := f.do("POST", "/order/", "body")
+		require.NoError(t, r.err)
+		require.GreaterOrEqual(t, r.status, 500)
+		require.Equal(t, known, !f.placer.Heard("scripted").IsZero(), "%q", line)
+	}
+}
+
+// Guards against a request that is blocked as one that crashes upstreams because responses to it are not those of its upstream,
+// while a connection that broke still counts.
+func TestCrashesOfForeignResponses(t *testing.T) {
+	const text = "Content-Length: 2\r\n\r\nok"
+	for _, c := range []struct {
+		name, id, response string
+		status, crashes    int
+	}{
+		{"not named", "new", "HTTP/1.1 500 Error\r\n" + signedLine + text, 502, 0},
+		{"not named, request without ID", "", "HTTP/1.1 404 Not Found\r\n" + text, 502, 0},
+		{"no signature", "new", "HTTP/1.1 200 OK\r\n" + namedLine + text, 502, 0},
+		{"cut", "new", strings.TrimSuffix(wholeReply, "k"), 502, 1},
+		{"failure", "new", "HTTP/1.1 500 Error\r\n" + namedLine + signedLine + text, 500, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) { return c.response, imitator.CloseConnection })
+			r := f.do("POST", "/order/", "body", imitator.HeaderAttempt, c.id)
+			require.NoError(t, r.err)
+			require.Equal(t, c.status, r.status, f.log.String())
+			require.Equal(t, c.crashes, f.crashCount())
+		})
+	}
+}
+
 // Guards against disbelief in a refusal that names its request, which may be sent to another upstream.
 func TestRefusalOfThisRequest(t *testing.T) {
 	for _, status := range []int{400, 408, 421, 429, 503} {
@@ -130,6 +170,10 @@
 		{"an event twice", chunkedHead + chunked(event("3")+event("3")), event("3"), false},
 		{"other fields", chunkedHead + chunked(otherEvents), otherEvents, true},
 		{"head after the events", streamHead + "\r\n" + event("3") + errorHeader + "\r\nfull\n\n", event("3"), false},
+		{"text after the events", chunkedHead + chunked(event("3")+"overloaded\n\nerror: internal\n\n"), event("3"), false},
+		{"error after the events", chunkedHead + chunked(event("3")+"error: internal\n\n"), event("3"), false},
+		{"text in place of events", streamHead + "\r\n" + "overloaded\n\n", "", false},
+		{"header in lower case", chunkedHead + chunked("content-length: 7\n\n"+event("3")), "", false},
 		{"head in a value", streamHead + "\r\n" + "id: 3\ndata: tok" + errorHeader + "\r\nfull\n\n", "", false},
 		{"head in an ID", streamHead + "\r\n" + "id: 3" + "HTTP/1.1 503 Full\r\n\r\nfull\n\n", "", false},
 		{"head inside a chunk", chunkedHead + "200\r\nid: 3\nda" + errorHeader + "\r\nfull\n\n", "", false},
@@ -178,3 +222,110 @@
 	require.Equal(t, event("1")+event("2")+event("3")+event("4"), r.body)
 	require.Equal(t, 2, f.runs())
 }
+
+// Guards against a failure that is too long to be buffered and whose status tells the caller of a request which ran that it
+// has not, or which is not retried although the route allows it.
+func TestLongFailure(t *testing.T) {
+	text := strings.Repeat("x", 70_000)
+	for framing, body := range map[string]string{
+		"Content-Length: 70000\r\n": text, "Transfer-Encoding: chunked\r\n": chunked(text), "": text,
+	} {
+		for _, c := range []struct {
+			path                    string
+			upstream, status, sound int
+		}{
+			{"/order/", 408, 502, 0},
+			{"/order/", 429, 502, 0},
+			{"/order/", 500, 502, 0},
+			{"/order/", 503, 502, 0},
+			{"/order/", 404, 404, 0},
+			{"/stream/", 429, 502, 0},
+			{"/stream/", 503, 502, 0},
+			{"/read/", 500, 200, 1},
+			{"/read/", 503, 200, 1},
+			{"/read/", 429, 429, 0},
+			{"/resume/", 503, 200, 1},
+		} {
+			t.Run(strconv.Itoa(c.upstream)+c.path+framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + strconv.Itoa(c.upstream) + " Error\r\n" + namedLine + signedLine + framing + "\r\n" + body,
+						imitator.CloseConnection
+				})
+				r := f.do("POST", c.path, "body")
+				require.NoError(t, r.err)
+				require.Equal(t, c.status, r.status, f.log.String())
+				require.Equal(t, c.sound, f.runs())
+				if c.status == c.upstream {
+					require.Equal(t, text, r.body)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a response that has no body by its method or status, and so need not have a length, being taken as broken.
+func TestSuccessWithoutBody(t *testing.T) {
+	for _, path := range []string{"/order/", "/read/", "/stream/"} {
+		for _, c := range []struct {
+			method, status, framing string
+			code                    int
+		}{
+			{http.MethodHead, "200 OK", "", 200},
+			{http.MethodHead, "200 OK", "Content-Length: 12\r\n", 200},
+			{http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n", 200},
+			{http.MethodHead, "200 OK", "Content-Type: text/event-stream\r\n", 200},
+			{http.MethodPost, "204 No Content", "", 204},
+		} {
+			t.Run(c.method+path+c.status+c.framing, func(t *testing.T) {
+				f := newFixture(t, nil)
+				f.scripted(func(int, *http.Request) (string, imitator.End) {
+					return "HTTP/1.1 " + c.status + "\r\n" + namedLine + signedLine + c.framing + "\r\n", imitator.CloseConnection
+				})
+				r := f.do(c.method, path, "body")
+				require.NoError(t, r.err)
+				require.Equal(t, c.code, r.status, f.log.String())
+				require.Zero(t, f.runs(), "it was retried")
+				require.Zero(t, f.crashCount())
+			})
+		}
+	}
+}
+
+// Guards against the order of event IDs being checked from the caller's Last-Event-Id where streams cannot be resumed, so that
+// upstreams ignore it and start from the first event.
+func TestLastEventIDOfCaller(t *testing.T) {
+	for _, c := range []struct {
+		path, first string
+		complete    bool
+	}{
+		{"/stream/", "1", true},
+		{"/stream/", "8", true},
+		{"/resume/", "8", true},
+		{"/resume/", "1", false},
+	} {
+		t.Run(c.path+c.first, func(t *testing.T) {
+			f := newFixture(t)
+			f.scripted(func(int, *http.Request) (string, imitator.End) {
+				return streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunked(event(c.first)+event("9")), imitator.CloseConnection
+			})
+			r := f.do("POST", c.path, "body", imitator.HeaderLastEvent, "7")
+			require.NoError(t, r.err)
+			if !c.complete {
+				require.Equal(t, 502, r.status)
+				return
+			}
+			require.Equal(t, 200, r.status, f.log.String())
+			require.Equal(t, event(c.first)+event("9"), r.body)
+			require.Zero(t, f.crashCount())
+		})
+	}
+}
+
+// crashCount returns the number of crash reports.
+func (f *fixture) crashCount() (n int) {
+	for _, b := range f.crashes.ReportsSince(nil, time.Now()) {
+		n += len(b.Requests)
+	}
+	return n
+}
