--- a/proxier/types.go
+++ b/proxier/types.go
@@ -87,6 +87,8 @@
 	HasLoad       bool
 	// IdleTimeout is the time after which the upstream closes an idle connection; zero means unknown.
 	IdleTimeout time.Duration
+	// Leaving means that the upstream states that it is leaving.
+	Leaving bool
 }
 
 // Codec encodes and decodes the headers that callers and upstreams use.
