registrar: an upstream's own word that it is leaving

The list knew of leaving upstreams only from the store, which may say so later, or never while it is down. MarkLeaving records the upstream's own statement with its source and time. The mark belongs to the incarnation (ID, address, start time), outlives what the store says of it, and goes with it. Peers still receive the store's records unchanged. The event of a record carries the age of the mark, so that the log shows how much earlier it was.

With MarkLeaving that stores nothing, TestMarkOfLeavingUpstream and TestMarkDuringGracePeriod fail; with marks compared by ID only, and with a grace period for marked upstreams, the first of them fails.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,6 +29,24 @@
 	Born int64
 }
 
+// incarnation identifies one lifetime of an upstream: a later one may have the same ID or address.
+type incarnation struct {
+	id, address string
+	born        int64
+}
+
+func (u *Upstream) incarnation() incarnation {
+	return incarnation{id: u.ID, address: u.Address, born: u.Born}
+}
+
+// mark says that an upstream itself stated that it is leaving.
+type mark struct {
+	incarnation incarnation
+	// source says where the statement came from, and at when it was received.
+	source string
+	at     time.Time
+}
+
 // Record is the store's entry for one upstream, or its removal, at a revision.
 type Record struct {
 	ID       string
@@ -51,6 +69,10 @@
 	// Change is joined, leaving, changed, removed or lapsed; lapsed means that the entry may have expired during an
 	// outage of the store, and that the upstream stays in use for the grace period.
 	Change string
+	// MarkAge is the time since the upstream itself stated that it is leaving, and MarkSource says where; MarkAge is -1 if it
+	// did not.
+	MarkAge    time.Duration
+	MarkSource string
 }
 
 // Config sets up a Registry.
@@ -65,6 +87,9 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// marks holds the statements of upstreams that they are leaving, by ID. The store may say so later or never, and a mark
+	// stays until the incarnation is gone from entries.
+	marks map[string]mark
 	// outageEnd is the end of the latest outage of the store, zero if there was none.
 	outageEnd time.Time
 	// completeRevision is the revision up to which the registry has all records.
@@ -82,9 +107,19 @@
 	Revision uint64
 }
 
+// IsLeaving reports whether this incarnation of the upstream is listed as leaving.
+func (v *View) IsLeaving(u Upstream) bool {
+	for _, l := range v.Leaving[u.Service] {
+		if l.incarnation() == u.incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
 // New returns an empty registry.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, entries: make(map[string]*entry)}
+	r := &Registry{cfg: cfg, entries: make(map[string]*entry), marks: make(map[string]mark)}
 	r.view.Store(&View{ByService: map[string][]Upstream{}})
 	return r
 }
@@ -120,6 +155,26 @@
 	return max(now.Sub(r.outageEnd), 0)
 }
 
+// MarkLeaving records that an upstream itself stated that it is leaving, so that it accepts no new requests whatever the
+// store says. It returns false if that incarnation is not listed, or had stated so before.
+func (r *Registry) MarkLeaving(u Upstream, source string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[u.ID]
+	if e == nil || e.Upstream.incarnation() != u.incarnation() || r.isMarked(&e.Upstream) {
+		return false
+	}
+	r.marks[u.ID] = mark{incarnation: u.incarnation(), source: source, at: now}
+	r.rebuild(now)
+	return true
+}
+
+// isMarked reports whether this incarnation of the upstream has stated that it is leaving.
+func (r *Registry) isMarked(u *Upstream) bool {
+	m, ok := r.marks[u.ID]
+	return ok && m.incarnation == u.incarnation()
+}
+
 // Merge adds records from any source and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
@@ -188,7 +243,7 @@
 			e.graceUntil = old.graceUntil
 			break
 		}
-		if until := r.graceEnd(); now.Before(until) && !old.Upstream.Leaving {
+		if until := r.graceEnd(); now.Before(until) && !old.Upstream.Leaving && !r.isMarked(&old.Upstream) {
 			change = "lapsed"
 			e.graceUntil = until
 		}
@@ -198,11 +253,19 @@
 		change = "leaving"
 	}
 	r.entries[rec.ID] = e
+	marked := r.isMarked(&e.Upstream)
+	if !marked {
+		delete(r.marks, rec.ID)
+	}
 	if old != nil && !old.Removed && !rec.Removed && old.Upstream == rec.Upstream {
 		return false
 	}
 	if r.cfg.OnEvent != nil && (old != nil || !rec.Removed) {
-		r.cfg.OnEvent(Event{Record: e.Record, Change: change})
+		event := Event{Record: e.Record, Change: change, MarkAge: -1}
+		if marked {
+			event.MarkAge, event.MarkSource = now.Sub(r.marks[rec.ID].at), r.marks[rec.ID].source
+		}
+		r.cfg.OnEvent(event)
 	}
 	return true
 }
@@ -232,6 +295,7 @@
 		}
 		if now.Sub(e.removedAt) > tombstoneTTL {
 			delete(r.entries, id)
+			delete(r.marks, id)
 		}
 	}
 	if changed {
@@ -270,13 +334,15 @@
 	for _, e := range r.entries {
 		v.Revision = max(v.Revision, e.Revision)
 		inGrace := e.Removed && now.Before(e.graceUntil)
-		if e.Upstream.Leaving && !e.Removed {
-			v.Leaving[e.Upstream.Service] = append(v.Leaving[e.Upstream.Service], e.Upstream)
+		u := e.Upstream
+		u.Leaving = u.Leaving || r.isMarked(&u)
+		if u.Leaving && !e.Removed {
+			v.Leaving[u.Service] = append(v.Leaving[u.Service], u)
 		}
-		if e.Removed && !inGrace || e.Upstream.Leaving {
+		if e.Removed && !inGrace || u.Leaving {
 			continue
 		}
-		v.ByService[e.Upstream.Service] = append(v.ByService[e.Upstream.Service], e.Upstream)
+		v.ByService[u.Service] = append(v.ByService[u.Service], u)
 	}
 	for _, list := range v.ByService {
 		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -129,3 +129,64 @@
 		}
 	})
 }
+
+// Guards against new requests to an upstream that has itself said that it is leaving, and against a mark that another
+// incarnation with the same ID or address inherits.
+func TestMarkOfLeavingUpstream(t *testing.T) {
+	var events []registrar.Event
+	r := registrar.New(registrar.Config{OnEvent: func(e registrar.Event) { events = append(events, e) }})
+	rec := func(id, address string, born int64, revision uint64, leaving bool) registrar.Record {
+		u := registrar.Upstream{ID: id, Service: "s", Address: address, Born: born, Leaving: leaving}
+		return registrar.Record{ID: id, Revision: revision, Upstream: u}
+	}
+	first := rec("a", "10.0.0.1:1", 1, 1, false)
+	r.MergeList([]registrar.Record{first, rec("b", "10.0.0.2:1", 1, 1, false)}, 1, start)
+	other := first.Upstream
+	other.Born = 2
+	require.False(t, r.MarkLeaving(other, "response", start), "a response of another incarnation")
+	require.False(t, r.MarkLeaving(registrar.Upstream{ID: "none"}, "response", start), "an upstream that is not listed")
+	require.True(t, r.MarkLeaving(first.Upstream, "response", start))
+	require.False(t, r.MarkLeaving(first.Upstream, "response", start), "the mark is not new")
+	require.Equal(t, []string{"b"}, ids(r))
+	require.Len(t, r.View().Leaving["s"], 1)
+	require.True(t, r.View().IsLeaving(first.Upstream))
+	require.False(t, r.View().IsLeaving(other))
+	records, _ := r.RecordsSince(0)
+	for _, forwarded := range records {
+		require.False(t, forwarded.Upstream.Leaving, "peers receive what the store says")
+	}
+
+	r.Merge([]registrar.Record{rec("a", "10.0.0.1:1", 1, 2, false)}, start.Add(time.Second))
+	require.Equal(t, []string{"b"}, ids(r), "the store says otherwise, and the mark is forgotten")
+	r.Merge([]registrar.Record{rec("a", "10.0.0.1:1", 1, 3, true)}, start.Add(2*time.Second))
+	last := events[len(events)-1]
+	require.Equal(t, "leaving", last.Change)
+	require.Equal(t, 2*time.Second, last.MarkAge)
+	require.Equal(t, "response", last.MarkSource)
+	r.OutageEnded(start.Add(3 * time.Second))
+	r.Merge([]registrar.Record{removed("a", 4)}, start.Add(3*time.Second))
+	require.Equal(t, "removed", events[len(events)-1].Change, "an upstream that leaves stays in use as if its entry had expired")
+	r.Merge([]registrar.Record{rec("a", "10.0.0.1:1", 1, 5, false)}, start.Add(4*time.Second))
+	require.Equal(t, []string{"b"}, ids(r), "the entry is back, and the mark is forgotten")
+	r.Merge([]registrar.Record{removed("a", 6)}, start.Add(4*time.Second))
+	require.Equal(t, "removed", events[len(events)-1].Change, "a removal of an upstream that only its mark makes leave")
+
+	r.Merge([]registrar.Record{rec("c", "10.0.0.1:1", 2, 6, false)}, start.Add(5*time.Second))
+	require.Equal(t, []string{"b", "c"}, ids(r), "another upstream at the address inherits the mark")
+	r.Merge([]registrar.Record{rec("a", "10.0.0.1:1", 3, 7, false)}, start.Add(5*time.Second))
+	require.Equal(t, []string{"a", "b", "c"}, ids(r), "a later incarnation inherits the mark")
+	require.False(t, r.MarkLeaving(first.Upstream, "response", start.Add(6*time.Second)), "a late response of the one before")
+	require.Equal(t, []string{"a", "b", "c"}, ids(r))
+}
+
+// Guards against an upstream in the grace period after an outage of the store that is used although it has said that it is
+// leaving.
+func TestMarkDuringGracePeriod(t *testing.T) {
+	r := registrar.New(registrar.Config{})
+	r.MergeList([]registrar.Record{record("a", 1)}, 1, start)
+	r.OutageEnded(start)
+	r.MergeList(nil, 5, start)
+	require.Equal(t, []string{"a"}, ids(r))
+	require.True(t, r.MarkLeaving(record("a", 1).Upstream, "response", start))
+	require.Empty(t, ids(r))
+}
