proxier, placer: no new requests to upstreams that say they are leaving

A request that waits for its connection while the mark arrives is sent to another upstream, without cost to the retry budget. If all upstreams of a service leave, requests are refused at once. Streams run to their end.

Seen to fail without the call of markLeaving: TestLeavingMarkOfResponse (four cases), TestServiceWhoseUpstreamsAllLeave and TestStreamOfLeavingUpstreamEndsWhole; with a mark of any response, three cases of the first; without the check before sending, TestMarkLearntWhileConnecting; with MarkLeaving that stores nothing, TestUpstreamsThatLeaveWhileTheStoreIsSilent (model of 100 gateways).

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -31,7 +31,7 @@
 )
 
 // ErrAbandoned means that a request was not sent because Request.Abandoned returned true.
-var ErrAbandoned = errors.New("nobody waits for the response")
+var ErrAbandoned = errors.New("the request is not to be sent any more")
 
 var (
 	errHeadTooLong   = errors.New("the head of the response is too long")
@@ -49,8 +49,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Abandoned reports whether nobody waits for the response any more. It is called when the connection is there, right
-	// before the request is sent; nil means never.
+	// Abandoned reports whether the request is not to be sent any more, because nobody waits for the response or because of
+	// what the upstream has stated since it was chosen. It is called when the connection is there, right before the request
+	// is sent; nil means never.
 	Abandoned func() bool
 }
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -174,6 +174,7 @@
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
 		Routers:      g.gateways, Closing: func() bool { return g.stopping.Load() || g.divertsCallers() },
 		Refusing:     func() proxier.RefusalMode { return proxier.RefusalMode(g.refusing.Load()) },
+		MarkLeaving:  func(u registrar.Upstream) bool { return g.upstreams.MarkLeaving(u, "response", time.Now()) },
 		CallerLeft:   func(ctx context.Context) bool { return g.callers.Disconnected(ctx) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
 		Log: g.log.Named("proxier"), Metrics: g.registry,
@@ -444,7 +445,8 @@
 func (g *Gateway) logUpstream(e registrar.Event) {
 	u := e.Record.Upstream
 	g.log.Info("upstream_"+e.Change, "upstream", e.Record.ID, "service", u.Service, "address", u.Address,
-		"revision", e.Record.Revision, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born)
+		"revision", e.Record.Revision, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born,
+		"mark_age_ms", e.MarkAge.Milliseconds(), "mark_source", e.MarkSource)
 }
 
 func (g *Gateway) logOverload(o shedder.OverloadEvent) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -99,6 +100,8 @@
 	// Candidates if all of them are at the load limit, so that the least loaded one is chosen.
 	Position   int
 	Candidates int
+	// Leaving is the number of upstreams of the service that are leaving, which are no candidates.
+	Leaving int
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
 	Source registrar.Upstream
 	// ReportAge is the age of the upstream's latest load report, or -1 if there is none.
@@ -221,8 +224,9 @@
 	defer p.mu.Unlock()
 	p.gateways = gateways
 	usable := p.usable(listed, r, now)
+	leaving := len(view.Leaving[r.Service])
 	if len(usable) == 0 {
-		return Choice{}, false
+		return Choice{Leaving: leaving}, false
 	}
 	mean := 0.0
 	for _, c := range usable {
@@ -232,7 +236,7 @@
 	c := usable[index]
 	choice := Choice{
 		Upstream: c.Upstream, Health: c.health, Load: c.load, Mean: mean, Position: position,
-		Candidates: len(usable), ReportAge: -1,
+		Candidates: len(usable), Leaving: leaving, ReportAge: -1,
 	}
 	if r.Chat != "" {
 		choice.Source = p.cacheSource(usable, index, view.Leaving[r.Service], r.Chat, now)
@@ -245,6 +249,17 @@
 	return choice, true
 }
 
+// ErrLeaving means that an upstream has come to leave since it was chosen.
+var ErrLeaving = errors.New("the upstream is leaving")
+
+// CheckAccepts returns an error if a chosen upstream accepts no new requests any more.
+func (p *Placer) CheckAccepts(u registrar.Upstream) error {
+	if p.cfg.View().IsLeaving(u) {
+		return ErrLeaving
+	}
+	return nil
+}
+
 // Occupancy returns the requests at the upstreams of a service as a fraction of their slots. The second result is
 // false as long as no upstream has reported its load.
 func (p *Placer) Occupancy(service string, now time.Time) (utilisation float64, reported bool) {
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -64,6 +64,7 @@
 			Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: j.tried,
 		}, time.Now())
 		if !ok {
+			j.choice.Leaving = choice.Leaving
 			break
 		}
 		j.choice = choice
@@ -135,7 +136,11 @@
 	case j.ctx.Err() != nil:
 		j.refuse(newRefusal(http.StatusServiceUnavailable, judge.ReasonDeadline, "no upstream took the request in time; it has not run"))
 	default:
-		j.refuse(newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, "no upstream takes the request now; it has not run"))
+		text := "no upstream takes the request now; it has not run"
+		if j.choice.Candidates == 0 && j.choice.Leaving > 0 {
+			text = "all upstreams of the service are leaving; it has not run"
+		}
+		j.refuse(newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, text))
 	}
 }
 
@@ -175,10 +180,18 @@
 	defer cancel(nil)
 	timer := j.startResponseTimer(cancel)
 	defer timer.stop()
+	withdrawn := error(nil)
 	exchange, err := j.p.cfg.Pool.Do(ctx, j.target(u), connector.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
-		Abandoned: func() bool { return j.p.cfg.CallerLeft(j.r.Context()) },
+		Abandoned: func() bool {
+			// What other requests learnt while this one waited for its connection counts for it, too.
+			withdrawn = j.p.cfg.Placer.CheckAccepts(u)
+			return withdrawn != nil || j.p.cfg.CallerLeft(j.r.Context())
+		},
 	}, func(status int, h http.Header) bool { return j.matchesRequest(status, h) })
+	if withdrawn != nil {
+		return notSent, nil, withdrawn
+	}
 	if err != nil {
 		return j.handleNoResponse(ctx, u, err)
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -21,6 +21,7 @@
 	"clementineramp/judge"
 	"clementineramp/mapper"
 	"clementineramp/placer"
+	"clementineramp/registrar"
 	"clementineramp/shedder"
 )
 
@@ -86,6 +87,8 @@
 	Closing func() bool
 	// CallerLeft reports whether the caller of the request with the given context has closed its connection.
 	CallerLeft func(ctx context.Context) bool
+	// MarkLeaving records that an upstream stated in a response that it is leaving, and returns whether that is new.
+	MarkLeaving func(u registrar.Upstream) bool
 	// Refusing returns which new requests are refused because the process is shutting down.
 	Refusing func() RefusalMode
 	// MaxBodyBytes bounds the total size of the bodies that are in memory at the same time, and that of a single body
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -45,9 +45,13 @@
 	callerLeft atomic.Bool
 	upstreams  []*imitator.Upstream
 	view       registrar.View
-	health     *appraiser.Appraiser
-	crashes    *blocker.Blocker
-	log        imitator.Log
+	// dialed, if not nil, is called when a connection to an upstream is open.
+	dialed func()
+	// registry replaces view unless it is nil.
+	registry *registrar.Registry
+	health   *appraiser.Appraiser
+	crashes  *blocker.Blocker
+	log      imitator.Log
 }
 
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
@@ -77,15 +81,27 @@
 		},
 		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
 	}).Build()
+	f.serve()
+	return f
+}
+
+// serve starts the Proxier.
+func (f *fixture) serve() {
 	p := proxier.New(proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
 		},
 		Placer: placer.New(placer.Config{
-			View: func() *registrar.View { return &f.view }, Health: f.health.Health, Random: func(int) int { return 0 },
+			View: func() *registrar.View {
+				if f.registry != nil {
+					return f.registry.View()
+				}
+				return &f.view
+			},
+			Health: f.health.Health, Random: func(int) int { return 0 },
 		}),
-		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{}),
+		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{Dial: f.dial}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
 			if f.table == nil && f.nextTable != nil {
@@ -99,11 +115,21 @@
 		Closing: func() bool { return false }, Refusing: func() proxier.RefusalMode { return f.refusing },
 		CallerLeft:   func(context.Context) bool { return f.callerLeft.Load() },
 		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
+		MarkLeaving: func(u registrar.Upstream) bool {
+			return f.registry != nil && f.registry.MarkLeaving(u, "response", time.Now())
+		},
 		Log: logger.New(logger.Config{Output: &f.log}), Metrics: metrics.NewRegistry(),
 	})
 	f.server = httptest.NewServer(p)
-	t.Cleanup(f.server.Close)
-	return f
+	f.t.Cleanup(f.server.Close)
+}
+
+func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if f.dialed != nil {
+		f.dialed()
+	}
+	return c, err
 }
 
 // result is what a caller receives.
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -26,6 +26,7 @@
 	budgetRefused  metrics.Counter
 	upstreamBroken metrics.Counter
 	writeErrors    metrics.Counter
+	leavingMarks   metrics.Counter
 	latency        map[string]metrics.Histogram
 }
 
@@ -36,6 +37,7 @@
 		budgetRefused:  metrics.GetOrRegisterCounter("second_tries_refused_by_budget", r),
 		upstreamBroken: metrics.GetOrRegisterCounter("upstream_answers_broken", r),
 		writeErrors:    metrics.GetOrRegisterCounter("caller_write_errors", r),
+		leavingMarks:   metrics.GetOrRegisterCounter("leaving_marks", r),
 		latency:        make(map[string]metrics.Histogram),
 	}
 	for _, kind := range []string{"stream", "idempotent", "non_idempotent"} {
@@ -81,6 +83,7 @@
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
+		"leaving", j.choice.Leaving,
 		"occupancy", j.occupancy, "excess", j.refusedShare, "arrivals", j.arrivals, "runs", j.runs,
 		"events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.current.Confirmed).Milliseconds(),
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -60,6 +60,9 @@
 		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), now)
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
+	if reply.Leaving && j.isReplyOf(e.StatusCode, reply) {
+		j.markLeaving(u, e.StatusCode)
+	}
 	switch {
 	case reply.NotRun:
 		return j.handleTurnedAway(u, e, reply)
@@ -88,6 +91,23 @@
 	return j.relayBuffered(ctx, u, e)
 }
 
+// isReplyOf reports whether a response is certainly one of the upstream that the attempt names, to this request. A success
+// must be signed for that; refusals are not.
+func (j *job) isReplyOf(status int, reply Reply) bool {
+	signed := reply.Signed || j.ID != "" && status >= http.StatusMultipleChoices
+	return reply.RequestID == j.ID && signed && !reply.WrongUpstream
+}
+
+// markLeaving records that the upstream stated in a response with the given status that it is leaving.
+func (j *job) markLeaving(u registrar.Upstream, status int) {
+	if !j.p.cfg.MarkLeaving(u) {
+		return
+	}
+	j.p.instruments.leavingMarks.Inc(1)
+	j.p.cfg.Log.Info("upstream_marked_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born,
+		"source", "response", "request", j.ID, "status", status)
+}
+
 // handleTurnedAway classifies a response that states that the upstream has not run the request.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
 	// The body is read only so that the connection can be reused.
