--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -69,8 +69,8 @@
 	// Change is joined, leaving, changed, removed or lapsed; lapsed means that the entry may have expired during an
 	// outage of the store, and that the upstream stays in use for the grace period.
 	Change string
-	// MarkAge is the time since the upstream itself stated that it is leaving, and MarkSource says where; MarkAge is -1 if it
-	// did not.
+	// MarkAge is the time since the upstream itself stated that it is leaving, and MarkSource says where; MarkAge is negative if
+	// it did not.
 	MarkAge    time.Duration
 	MarkSource string
 }
@@ -261,7 +261,7 @@
 		return false
 	}
 	if r.cfg.OnEvent != nil && (old != nil || !rec.Removed) {
-		event := Event{Record: e.Record, Change: change, MarkAge: -1}
+		event := Event{Record: e.Record, Change: change, MarkAge: -time.Millisecond}
 		if marked {
 			event.MarkAge, event.MarkSource = now.Sub(r.marks[rec.ID].at), r.marks[rec.ID].source
 		}
