--- a/judge/judge.go
+++ b/judge/judge.go
@@ -58,6 +58,7 @@
 	ReasonCachedElsewhere  Reason = "cached_elsewhere"
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonOverload         Reason = "overload"
+	ReasonPaused           Reason = "upstreams_paused"
 	ReasonDeadline         Reason = "deadline"
 	ReasonLeaving          Reason = "leaving"
 	ReasonNotReady         Reason = "not_ready"
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,19 +29,20 @@
 	Born int64
 }
 
-// incarnation identifies one lifetime of an upstream: a later one may have the same ID or address.
-type incarnation struct {
-	id, address string
-	born        int64
+// Incarnation identifies one lifetime of an upstream: a later one may have the same ID or address.
+type Incarnation struct {
+	ID, Address string
+	Born        int64
 }
 
-func (u *Upstream) incarnation() incarnation {
-	return incarnation{id: u.ID, address: u.Address, born: u.Born}
+// Incarnation returns the incarnation of the upstream.
+func (u *Upstream) Incarnation() Incarnation {
+	return Incarnation{ID: u.ID, Address: u.Address, Born: u.Born}
 }
 
 // mark says that an upstream itself stated that it is leaving.
 type mark struct {
-	incarnation incarnation
+	incarnation Incarnation
 	// source says where the statement came from, and at when it was received.
 	source string
 	at     time.Time
@@ -110,7 +111,7 @@
 // IsLeaving reports whether this incarnation of the upstream is listed as leaving.
 func (v *View) IsLeaving(u Upstream) bool {
 	for _, l := range v.Leaving[u.Service] {
-		if l.incarnation() == u.incarnation() {
+		if l.Incarnation() == u.Incarnation() {
 			return true
 		}
 	}
@@ -161,10 +162,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[u.ID]
-	if e == nil || e.Upstream.incarnation() != u.incarnation() || r.isMarked(&e.Upstream) {
+	if e == nil || e.Upstream.Incarnation() != u.Incarnation() || r.isMarked(&e.Upstream) {
 		return false
 	}
-	r.marks[u.ID] = mark{incarnation: u.incarnation(), source: source, at: now}
+	r.marks[u.ID] = mark{incarnation: u.Incarnation(), source: source, at: now}
 	r.rebuild(now)
 	return true
 }
@@ -172,7 +173,7 @@
 // isMarked reports whether this incarnation of the upstream has stated that it is leaving.
 func (r *Registry) isMarked(u *Upstream) bool {
 	m, ok := r.marks[u.ID]
-	return ok && m.incarnation == u.incarnation()
+	return ok && m.incarnation == u.Incarnation()
 }
 
 // Merge adds records from any source and reports whether the upstreams in use changed.
