proxier, placer: upstreams that ask for a pause get no requests until its end

The placer now holds the end of the pause for each incarnation, and leaves the upstream out of all choices until then: first attempts, retries, hot chats, trials and the choice among upstreams that are not good. A request that waits for its connection when the pause arrives is sent to another one. A pause is no failure of health. If all upstreams of a service pause, the request is refused at once with the rest of the shortest pause and 0.15 to 0.6 s, at most a third of the caller's remaining time.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -362,7 +362,7 @@
 	}
 	g.pool.Sweep(func(name string) bool { return incarnations[name] })
 	g.health.Prune(func(id string) bool { return known[id] })
-	g.placer.Prune(func(id string) bool { return known[id] })
+	g.placer.Prune(func(id string) bool { return known[id] }, now)
 	if table := g.follower.Current().Table; table != nil && table.Limits.IdleTime > 0 {
 		g.callers.CloseIdle(now, time.Duration(idleFactor*float64(table.Limits.IdleTime)))
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -100,8 +101,9 @@
 	// Candidates if all of them are at the load limit, so that the least loaded one is chosen.
 	Position   int
 	Candidates int
-	// Leaving is the number of upstreams of the service that are leaving, which are no candidates.
-	Leaving int
+	// Leaving is the number of upstreams of the service that are leaving, and Paused that of those that want no requests for
+	// a time; both are no candidates.
+	Leaving, Paused int
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
 	Source registrar.Upstream
 	// ReportAge is the age of the upstream's latest load report, or -1 if there is none.
@@ -143,6 +145,8 @@
 	gateways int
 	// hot holds the hot chats by the hashes of their names.
 	hot map[uint32]*hotChat
+	// pauses holds the ends of the pauses that upstreams asked for.
+	pauses map[registrar.Incarnation]time.Time
 }
 
 // upstreamLoad is the load of one upstream, in requests.
@@ -193,7 +197,10 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Placer{cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64), hot: make(map[uint32]*hotChat)}
+	return &Placer{
+		cfg: cfg, loads: make(map[string]*upstreamLoad), limits: make(map[string]float64), hot: make(map[uint32]*hotChat),
+		pauses: make(map[registrar.Incarnation]time.Time),
+	}
 }
 
 // candidate is an upstream with its load and health.
@@ -223,10 +230,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gateways = gateways
+	listed, paused := p.unpaused(listed, now)
 	usable := p.usable(listed, r, now)
 	leaving := len(view.Leaving[r.Service])
 	if len(usable) == 0 {
-		return Choice{Leaving: leaving}, false
+		return Choice{Leaving: leaving, Paused: paused}, false
 	}
 	mean := 0.0
 	for _, c := range usable {
@@ -236,7 +244,7 @@
 	c := usable[index]
 	choice := Choice{
 		Upstream: c.Upstream, Health: c.health, Load: c.load, Mean: mean, Position: position,
-		Candidates: len(usable), Leaving: leaving, ReportAge: -1,
+		Candidates: len(usable), Leaving: leaving, Paused: paused, ReportAge: -1,
 	}
 	if r.Chat != "" {
 		choice.Source = p.cacheSource(usable, index, view.Leaving[r.Service], r.Chat, now)
@@ -252,20 +260,13 @@
 // ErrLeaving means that an upstream has come to leave since it was chosen.
 var ErrLeaving = errors.New("the upstream is leaving")
 
-// CheckAccepts returns an error if a chosen upstream accepts no new requests any more.
-func (p *Placer) CheckAccepts(u registrar.Upstream) error {
-	if p.cfg.View().IsLeaving(u) {
-		return ErrLeaving
-	}
-	return nil
-}
-
 // Occupancy returns the requests at the upstreams of a service as a fraction of their slots. The second result is
 // false as long as no upstream has reported its load.
 func (p *Placer) Occupancy(service string, now time.Time) (utilisation float64, reported bool) {
 	listed := p.cfg.View().ByService[service]
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	listed, _ = p.unpaused(listed, now)
 	load, slots := 0.0, 0
 	for _, c := range p.usable(listed, Request{}, now) {
 		load += c.load
@@ -573,10 +574,12 @@
 	}
 }
 
-// Prune removes the state of upstreams for which keep returns false, except those with requests of this process.
-func (p *Placer) Prune(keep func(upstream string) bool) {
+// Prune removes the state of upstreams for which keep returns false, except those with requests of this process, and the
+// pauses that have passed.
+func (p *Placer) Prune(keep func(upstream string) bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.pauses, func(_ registrar.Incarnation, until time.Time) bool { return !now.Before(until) })
 	for name, l := range p.loads {
 		if l.local <= 0 && !keep(name) {
 			delete(p.loads, name)
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -64,7 +66,7 @@
 			Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: j.tried,
 		}, time.Now())
 		if !ok {
-			j.choice.Leaving = choice.Leaving
+			j.choice.Leaving, j.choice.Paused = choice.Leaving, choice.Paused
 			break
 		}
 		j.choice = choice
@@ -136,12 +138,30 @@
 	case j.ctx.Err() != nil:
 		j.refuse(newRefusal(http.StatusServiceUnavailable, judge.ReasonDeadline, "no upstream took the request in time; it has not run"))
 	default:
-		text := "no upstream takes the request now; it has not run"
-		if j.choice.Candidates == 0 && j.choice.Leaving > 0 {
-			text = "all upstreams of the service are leaving; it has not run"
+		j.refuse(j.noUpstream(time.Now()))
+	}
+}
+
+// noUpstream returns the refusal of a request that has not run because no upstream is left for it.
+func (j *job) noUpstream(now time.Time) error {
+	if pause := j.p.cfg.Placer.PausedFor(j.service, now); pause > 0 {
+		j.p.instruments.pausedRefusals.Inc(1)
+		wait := pause + minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+		if most := max(j.deadline.Sub(now)/3, 0); wait > most {
+			// Callers wait no longer than a third of their remaining time; those with the same deadline are spread below it.
+			wait = max(most-rand.N(most/4+1), time.Millisecond)
 		}
-		j.refuse(newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, text))
+		return &localResponse{
+			status: http.StatusServiceUnavailable, reason: judge.ReasonPaused, retryAfter: wait,
+			text: fmt.Sprintf("all %d upstreams of the service want no requests for %.3f s or more; it has not run",
+				j.choice.Paused, pause.Seconds()),
+		}
+	}
+	text := "no upstream takes the request now; it has not run"
+	if j.choice.Candidates == 0 && j.choice.Leaving > 0 {
+		text = "all upstreams of the service are leaving; it has not run"
 	}
+	return newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, text)
 }
 
 // target returns the address and the connection limits for an upstream.
@@ -185,7 +205,7 @@
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
 		Abandoned: func() bool {
 			// What other requests learnt while this one waited for its connection counts for it, too.
-			withdrawn = j.p.cfg.Placer.CheckAccepts(u)
+			withdrawn = j.p.cfg.Placer.CheckAccepts(u, time.Now())
 			return withdrawn != nil || j.p.cfg.CallerLeft(j.r.Context())
 		},
 	}, func(status int, h http.Header) bool { return j.matchesRequest(status, h) })
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -50,6 +50,7 @@
 	// registry replaces view unless it is nil.
 	registry *registrar.Registry
 	health   *appraiser.Appraiser
+	placer   *placer.Placer
 	crashes  *blocker.Blocker
 	log      imitator.Log
 }
@@ -87,20 +88,21 @@
 
 // serve starts the Proxier.
 func (f *fixture) serve() {
+	f.placer = placer.New(placer.Config{
+		View: func() *registrar.View {
+			if f.registry != nil {
+				return f.registry.View()
+			}
+			return &f.view
+		},
+		Health: f.health.Health, Random: func(int) int { return 0 },
+	})
 	p := proxier.New(proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
 		},
-		Placer: placer.New(placer.Config{
-			View: func() *registrar.View {
-				if f.registry != nil {
-					return f.registry.View()
-				}
-				return &f.view
-			},
-			Health: f.health.Health, Random: func(int) int { return 0 },
-		}),
+		Placer: f.placer,
 		Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{Dial: f.dial}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -27,6 +27,8 @@
 	upstreamBroken metrics.Counter
 	writeErrors    metrics.Counter
 	leavingMarks   metrics.Counter
+	pauses         metrics.Counter
+	pausedRefusals metrics.Counter
 	latency        map[string]metrics.Histogram
 }
 
@@ -38,6 +40,8 @@
 		upstreamBroken: metrics.GetOrRegisterCounter("upstream_answers_broken", r),
 		writeErrors:    metrics.GetOrRegisterCounter("caller_write_errors", r),
 		leavingMarks:   metrics.GetOrRegisterCounter("leaving_marks", r),
+		pauses:         metrics.GetOrRegisterCounter("upstream_pauses", r),
+		pausedRefusals: metrics.GetOrRegisterCounter("refused_while_upstreams_pause", r),
 		latency:        make(map[string]metrics.Histogram),
 	}
 	for _, kind := range []string{"stream", "idempotent", "non_idempotent"} {
@@ -83,7 +87,7 @@
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
-		"leaving", j.choice.Leaving,
+		"leaving", j.choice.Leaving, "paused", j.choice.Paused,
 		"occupancy", j.occupancy, "excess", j.refusedShare, "arrivals", j.arrivals, "runs", j.runs,
 		"events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.current.Confirmed).Milliseconds(),
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -108,18 +109,33 @@
 		"source", "response", "request", j.ID, "status", status)
 }
 
+// pause records that the upstream wants no further requests for the time in its reply.
+func (j *job) pause(u registrar.Upstream, reply Reply) {
+	j.p.cfg.Placer.Pause(u, time.Now().Add(reply.Pause))
+	j.p.instruments.pauses.Inc(1)
+	j.p.cfg.Log.Info("upstream_paused", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born,
+		"source", "response", "request", j.ID, "pause_ms", reply.Pause.Milliseconds(), "load", j.choice.Load,
+		"reported_running", reply.Load.Running, "reported_waiting", reply.Load.Waiting, "slots", u.Slots)
+}
+
 // handleTurnedAway classifies a response that states that the upstream has not run the request.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
 	// The body is read only so that the connection can be reused.
 	if err := e.Drain(); err != nil {
 		j.p.instruments.upstreamBroken.Inc(1)
 	}
+	refusal := errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
+	if reply.Pause > 0 && j.isReplyOf(e.StatusCode, reply) {
+		// It has said when it takes requests again, so it is not unhealthy.
+		j.pause(u, reply)
+		return turnedAway, nil, fmt.Errorf("%w and wants no further ones for %v", refusal, reply.Pause)
+	}
 	// An upstream that refuses because its slots are in use is not unhealthy.
 	hasFreeSlots := !reply.HasLoad || reply.Load.Running < reply.Load.Slots
 	if reply.WrongUpstream || hasFreeSlots && j.choice.Load < float64(max(u.Slots, 1)) {
 		j.p.cfg.Health.Record(u.ID, appraiser.Shed, time.Now())
 	}
-	return turnedAway, nil, errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
+	return turnedAway, nil, refusal
 }
 
 // relayBuffered reads the whole response before any of it is sent to the caller, so that the request can be retried if
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -89,6 +89,9 @@
 	IdleTimeout time.Duration
 	// Leaving means that the upstream states that it is leaving.
 	Leaving bool
+	// Pause is the time for which an upstream that refused the request wants no further ones from this router; zero means
+	// that it has not asked for any.
+	Pause time.Duration
 }
 
 // Codec encodes and decodes the headers that callers and upstreams use.
