--- a/proxier/leaving_test.go
+++ b/proxier/leaving_test.go
@@ -95,11 +95,11 @@
 func TestMarkLearntWhileConnecting(t *testing.T) {
 	f := newFixture(t, nil, nil)
 	f.list()
-	f.dialed = func() {
+	f.connected = func() {
 		u := f.registry.View().ByService["s"][0]
 		require.Equal(t, "u0", u.ID)
 		require.True(t, f.registry.MarkLeaving(u, "response", time.Now()))
-		f.dialed = nil
+		f.connected = nil
 	}
 	r := f.do("POST", "/order/", "body")
 	require.Equal(t, 200, r.status, f.log.String())
--- a/proxier/pause_test.go
+++ b/proxier/pause_test.go
@@ -100,8 +100,8 @@
 // sent all the same.
 func TestPauseLearntWhileConnecting(t *testing.T) {
 	f := newFixture(t, nil, nil)
-	f.dialed = func() {
-		f.dialed = nil
+	f.connected = func() {
+		f.connected = nil
 		f.placer.Pause(f.view.ByService["s"][0], time.Now().Add(5*time.Second))
 	}
 	require.Equal(t, 200, f.do("POST", "/order/", "body").status, f.log.String())
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -45,8 +45,8 @@
 	callerLeft atomic.Bool
 	upstreams  []*imitator.Upstream
 	view       registrar.View
-	// dialed, if not nil, is called when a connection to an upstream is open.
-	dialed func()
+	// connected, if not nil, is called when a connection to an upstream is open.
+	connected func()
 	// registry replaces view unless it is nil.
 	registry *registrar.Registry
 	health   *appraiser.Appraiser
@@ -128,8 +128,8 @@
 
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if f.dialed != nil {
-		f.dialed()
+	if f.connected != nil {
+		f.connected()
 	}
 	return c, err
 }
