--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -200,7 +200,7 @@
 	defer cancel(nil)
 	timer := j.startResponseTimer(cancel)
 	defer timer.stop()
-	withdrawn := error(nil)
+	var withdrawn error
 	exchange, err := j.p.cfg.Pool.Do(ctx, j.target(u), connector.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
 		Abandoned: func() bool {
