soaker: leaving marks and pauses of upstreams, and the checks of both

The soak had no upstreams that say in their responses that they are leaving or that ask for a pause. Upstreams that leave now say so in all responses, one kind of fault leaves without any notice in the store, and another makes an upstream ask for pauses. Timed soaks check that no request runs at an upstream more than 2 s after its gateway has passed on the mark, and that at most two reach it from half a second after a refusal until the end of the pause; only faults of that gateway or upstream excuse it.

Shedding upstreams rejected at most one request, not every second one: two counts of one counter for each request left its parity as it was. Requests that may be rejected are counted on their own now.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -51,6 +51,8 @@
 	if s.cfg.Timed {
 		s.checkRetryBudget(runs)
 		s.checkRecovery(finalStart)
+		s.checkMarks(runs)
+		s.checkPauses(sent)
 	}
 	for _, g := range s.gateways {
 		if !g.process.Running() {
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -51,6 +51,8 @@
 	{"store_flood", floodFromStore},
 	{"reset_all", resetAllLinks},
 	{"group", crashGroup},
+	{"leave_unlisted", drainUnlisted},
+	{"pausing", makeUpstreamPause},
 }
 
 // randomDuration returns a random duration of at least low and less than high.
@@ -322,6 +324,27 @@
 	})
 }
 
+// drainUnlisted makes an upstream say that it is leaving in its responses only, serve for twice drainTime, and stop.
+func drainUnlisted(ctx context.Context, s *soak, random *rand.Rand) string {
+	return s.replaceUpstream(random, func(u *upstream) {
+		u.leavingInResponses.Store(true)
+		pause(ctx, 2*drainTime)
+		s.addFaultWindow(u.ID, time.Now(), time.Now())
+		s.store.Delete(u.Key())
+		u.stop()
+	})
+}
+
+// makeUpstreamPause makes a random upstream ask for pauses for a while.
+func makeUpstreamPause(ctx context.Context, s *soak, random *rand.Rand) string {
+	u := s.any(random)
+	d := randomDuration(random, 2*time.Second, 5*time.Second)
+	u.behaviour.Store(int32(Pausing))
+	pause(ctx, d)
+	u.behaviour.Store(int32(Healthy))
+	return fmt.Sprint(u.ID, " ", d)
+}
+
 // removeEntry deletes an upstream's store entry without an announcement; the upstream stops after drainTime.
 func removeEntry(ctx context.Context, s *soak, random *rand.Rand) string {
 	return s.replaceUpstream(random, func(u *upstream) {
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -31,12 +31,19 @@
 	behaviours
 	// Flooding upstreams send bytes without end in response to every second request.
 	Flooding
+	// Pausing upstreams reject some requests and want no further ones for pauseTime after each.
+	Pausing
 )
 
 const (
 	// drainTime is the time for which an upstream serves after it has announced that it is leaving, or after its entry was
 	// deleted.
 	drainTime = maxLeaveDelay + 1500*time.Millisecond
+	// pauseTime is the time for which a Pausing upstream wants no requests from a gateway after it has rejected one.
+	pauseTime = 1500 * time.Millisecond
+	// pausingInterval is the number of requests of which a Pausing upstream rejects one: so few that it does not count as
+	// unhealthy, which would keep requests away, too.
+	pausingInterval = 8
 	// eventInterval is the time between two events of a stream.
 	eventInterval = 15 * time.Millisecond
 	// workTime is the processing time of a plain request.
@@ -65,7 +72,10 @@
 	imitator.Upstream
 	link      *link
 	behaviour atomic.Int32
-	count     atomic.Int64
+	// leavingInResponses is set if the upstream says in its responses that it is leaving.
+	leavingInResponses atomic.Bool
+	// count counts the requests that it handled, and offered those that it might have rejected.
+	count, offered atomic.Int64
 
 	mu           sync.Mutex
 	leavingSince time.Time
@@ -76,8 +86,22 @@
 	u := &upstream{Upstream: imitator.Upstream{ID: id, Service: service}}
 	u.Handle = u.handle
 	u.ShouldShed = func(*http.Request) bool {
-		return Behaviour(u.behaviour.Load()) == Shedding && u.count.Add(1)%2 == 0
+		switch Behaviour(u.behaviour.Load()) {
+		case Shedding:
+			return u.offered.Add(1)%2 == 0
+		case Pausing:
+			return u.offered.Add(1)%pausingInterval == 0
+		default:
+			return false
+		}
+	}
+	u.ShedPause = func() time.Duration {
+		if Behaviour(u.behaviour.Load()) == Pausing {
+			return pauseTime
+		}
+		return 0
 	}
+	u.Leaving = u.leavingInResponses.Load
 	u.Start()
 	l, err := newLink(u.Address())
 	if err != nil {
@@ -96,6 +120,7 @@
 	if u.leavingSince.IsZero() {
 		u.leavingSince = now
 	}
+	u.leavingInResponses.Store(true)
 }
 
 // stop stops the upstream and breaks its connections. Further calls do nothing.
