proxier: a pause begins with the head of the refusal

The pause was recorded after the body of the refusal had been read, which may take two seconds, while the upstream wants no requests from half a second after its response on. It is recorded before now; without the change, TestPauseBeginsWithTheHeadOfARefusal fails after half a second.

--- a/proxier/pause_test.go
+++ b/proxier/pause_test.go
@@ -109,3 +109,25 @@
 	require.Len(t, f.upstreams[1].Runs(), 1)
 	require.Equal(t, int64(100), f.budget.Load(), "a request that was not sent has cost a retry")
 }
+
+// Guards against a pause that begins only when the body of the refusal has been read, which may take two seconds.
+func TestPauseBeginsWithTheHeadOfARefusal(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(imitator.HeaderNotExecuted, "1")
+		w.Header().Set(imitator.HeaderRetryAfter, "5")
+		w.Header().Set("Content-Length", "10")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}, nil)
+	ended := make(chan result, 1)
+	t.Cleanup(func() {
+		close(release)
+		<-ended
+	})
+	go func() { ended <- f.do("POST", "/order/", "first") }()
+	require.Eventually(t, func() bool {
+		return f.placer.CheckAccepts(f.view.ByService["s"][0], time.Now()) != nil
+	}, 500*time.Millisecond, 5*time.Millisecond)
+}
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -120,14 +120,16 @@
 
 // handleTurnedAway classifies a response that states that the upstream has not run the request.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
+	pauses := reply.Pause > 0 && j.isReplyOf(e.StatusCode, reply)
+	if pauses {
+		j.pause(u, reply)
+	}
 	// The body is read only so that the connection can be reused.
 	if err := e.Drain(); err != nil {
 		j.p.instruments.upstreamBroken.Inc(1)
 	}
 	refusal := errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
-	if reply.Pause > 0 && j.isReplyOf(e.StatusCode, reply) {
-		// It has said when it takes requests again, so it is not unhealthy.
-		j.pause(u, reply)
+	if pauses { // It has said when it takes requests again, so it is not unhealthy.
 		return turnedAway, nil, fmt.Errorf("%w and wants no further ones for %v", refusal, reply.Pause)
 	}
 	// An upstream that refuses because its slots are in use is not unhealthy.
