--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -46,10 +46,14 @@
 	callerLeft atomic.Bool
 	upstreams  []*imitator.Upstream
 	view       registrar.View
-	placer     *placer.Placer
-	health     *appraiser.Appraiser
-	crashes    *blocker.Blocker
-	log        imitator.Log
+	// connected, if not nil, is called when a connection to an upstream is open.
+	connected func()
+	// registry replaces view unless it is nil.
+	registry *registrar.Registry
+	health   *appraiser.Appraiser
+	placer   *placer.Placer
+	crashes  *blocker.Blocker
+	log      imitator.Log
 }
 
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
@@ -80,8 +84,20 @@
 		},
 		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
 	}).Build()
+	f.serve()
+	return f
+}
+
+// serve starts the Proxier.
+func (f *fixture) serve() {
 	f.placer = placer.New(placer.Config{
-		View: func() *registrar.View { return &f.view }, Health: f.health.Health, Random: func(int) int { return 0 },
+		View: func() *registrar.View {
+			if f.registry != nil {
+				return f.registry.View()
+			}
+			return &f.view
+		},
+		Health: f.health.Health, Random: func(int) int { return 0 },
 	})
 	p := proxier.New(proxier.Config{
 		Codec: proxier.Codec{
@@ -102,11 +118,13 @@
 		Closing: func() bool { return false }, Refusing: func() proxier.RefusalMode { return f.refusing },
 		CallerLeft:   func(context.Context) bool { return f.callerLeft.Load() },
 		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
+		MarkLeaving: func(u registrar.Upstream) bool {
+			return f.registry != nil && f.registry.MarkLeaving(u, "response", time.Now())
+		},
 		Log: logger.New(logger.Config{Output: &f.log}), Metrics: metrics.NewRegistry(),
 	})
 	f.server = httptest.NewServer(p)
-	t.Cleanup(f.server.Close)
-	return f
+	f.t.Cleanup(f.server.Close)
 }
 
 // dial opens a connection to an upstream after dialDelay, if the test sets one for it.
@@ -114,7 +132,11 @@
 	if f.dialDelay != nil {
 		time.Sleep(f.dialDelay(address))
 	}
-	return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	if f.connected != nil {
+		f.connected()
+	}
+	return c, err
 }
 
 // result is what a caller receives.
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -65,6 +66,9 @@
 		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), now)
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
+	if reply.Leaving && j.isReplyOf(e.StatusCode, reply) {
+		j.markLeaving(u, e.StatusCode)
+	}
 	switch {
 	case reply.NotRun:
 		return j.handleTurnedAway(u, e, reply)
@@ -88,19 +92,53 @@
 	return j.relayBuffered(ctx, u, e)
 }
 
+// isReplyOf reports whether a response is certainly one of the upstream that the attempt names, to this request. A success
+// must be signed for that; refusals are not.
+func (j *job) isReplyOf(status int, reply Reply) bool {
+	signed := reply.Signed || j.ID != "" && status >= http.StatusMultipleChoices
+	return reply.RequestID == j.ID && signed && !reply.WrongUpstream
+}
+
+// markLeaving records that the upstream stated in a response with the given status that it is leaving.
+func (j *job) markLeaving(u registrar.Upstream, status int) {
+	if !j.p.cfg.MarkLeaving(u) {
+		return
+	}
+	j.p.instruments.leavingMarks.Inc(1)
+	j.p.cfg.Log.Info("upstream_marked_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born,
+		"source", "response", "request", j.ID, "status", status)
+}
+
+// pause records that the upstream wants no further requests for the time in its reply.
+func (j *job) pause(u registrar.Upstream, reply Reply) {
+	j.p.cfg.Placer.Pause(u, time.Now().Add(reply.Pause))
+	j.p.instruments.pauses.Inc(1)
+	j.p.cfg.Log.Info("upstream_paused", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born,
+		"source", "response", "request", j.ID, "pause_ms", reply.Pause.Milliseconds(), "load", j.choice.Load,
+		"reported_running", reply.Load.Running, "reported_waiting", reply.Load.Waiting, "slots", u.Slots)
+}
+
 // handleTurnedAway classifies a response that states that the upstream has not run the request. The head states it, so the
 // body need not be complete.
 func (j *job) handleTurnedAway(u registrar.Upstream, e *connector.Exchange, reply Reply) (verdict, *bufferedResponse, error) {
+	pauses := reply.Pause > 0 && j.isReplyOf(e.StatusCode, reply)
+	if pauses {
+		j.pause(u, reply)
+	}
 	// The body is read only so that the connection can be reused.
 	if err := e.Drain(); err != nil {
 		j.p.instruments.upstreamBroken.Inc(1)
 	}
+	refusal := errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
+	if pauses { // It has said when it takes requests again, so it is not unhealthy.
+		return turnedAway, nil, fmt.Errorf("%w and wants no further ones for %v", refusal, reply.Pause)
+	}
 	// An upstream that refuses because its slots are in use is not unhealthy.
 	hasFreeSlots := !reply.HasLoad || reply.Load.Running < reply.Load.Slots
 	if reply.WrongUpstream || hasFreeSlots && j.choice.Load < float64(max(u.Slots, 1)) {
 		j.p.cfg.Health.Record(u.ID, appraiser.Shed, time.Now())
 	}
-	return turnedAway, nil, errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
+	return turnedAway, nil, refusal
 }
 
 // relayBuffered reads the whole response before any of it is sent to the caller, so that the request can be retried if
--- a/proxier/types.go
+++ b/proxier/types.go
@@ -87,6 +87,11 @@
 	HasLoad       bool
 	// IdleTimeout is the time after which the upstream closes an idle connection; zero means unknown.
 	IdleTimeout time.Duration
+	// Leaving means that the upstream states that it is leaving.
+	Leaving bool
+	// Pause is the time for which an upstream that refused the request wants no further ones from this router; zero means
+	// that it has not asked for any.
+	Pause time.Duration
 }
 
 // Codec encodes and decodes the headers that callers and upstreams use.
