proxier: the loop over attempts in smaller steps

The linter found run too complex once the silent upstreams and the blocked parts had been joined. The check for parts that became blocked during an attempt has a function of its own; nothing else changes. go test -race ./proxier passes.

--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -65,13 +65,7 @@
 	defer func() { j.replacement.release() }()
 	turnedAwayCount := 0
 	var buffered *bufferedResponse
-	for {
-		if j.arrivals > 0 || len(j.tried) > 0 {
-			// The part may have become blocked during the last attempt.
-			if j.blocked = j.refuseBlockedPart(); j.blocked != nil {
-				break
-			}
-		}
+	for !j.blockedSinceAdmission() {
 		next, ok := j.next()
 		if !ok {
 			if j.awaitRetry(notSent) {
@@ -97,16 +91,25 @@
 		}
 		retry := j.replaces() || j.mayRepeat(v, turnedAwayCount)
 		j.logAttempt(next.choice, v, err, retry)
-		if !retry {
-			if !j.awaitRetry(v) {
-				break
-			}
-			turnedAwayCount = maxTurnedAway - 1 // One refusal ends each further round.
+		if retry {
+			continue
+		}
+		if !j.awaitRetry(v) {
+			break
 		}
+		turnedAwayCount = maxTurnedAway - 1 // One refusal ends each further round.
 	}
 	j.finish(buffered)
 }
 
+// blockedSinceAdmission reports whether a part of the prompt has become blocked during the last attempt.
+func (j *job) blockedSinceAdmission() bool {
+	if j.arrivals > 0 || len(j.tried) > 0 {
+		j.blocked = j.refuseBlockedPart()
+	}
+	return j.blocked != nil
+}
+
 // next returns the replacement of the last attempt, or chooses an upstream; the result is false if none is left.
 func (j *job) next() (*replacement, bool) {
 	if r := j.replacement; r != nil {
