Suspect no parts when a host is lost

When hosts lost their power or network, keep-alive ended their connections with a time-out, and each counted as a crash on the parts of the prompts that were waiting. If a whole service went, the parts that most prompts share were blocked and callers were refused for 1 to 2 minutes.

A process that crashes closes or resets its connections; one that times out or cannot be reached says nothing of the prompt. Such connections still count for the health of the upstream and against the request itself.

The test failed before with "connection timed out": the part was blocked.

--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"clementineramp/appraiser"
@@ -293,7 +294,7 @@
 		}
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	j.recordBroken(u, now, j.parts...)
+	j.recordBroken(u, now, j.suspectedParts(err)...)
 	return mayHaveRun, nil, err
 }
 
@@ -304,6 +305,18 @@
 	j.p.cfg.Crashes.RecordCrash(j.print, Incarnation(u), now, parts...)
 }
 
+// suspectedParts returns the parts of the prompt that may have crashed an upstream whose connection ended with err. The
+// connections of a process that crashes are closed or reset. One that times out or cannot be reached belongs to a host that
+// has lost its power or network: if all hosts of a service do, the parts that most prompts share would be blocked.
+func (j *job) suspectedParts(err error) []blocker.Part {
+	for _, lost := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		if errors.Is(err, lost) {
+			return nil
+		}
+	}
+	return j.parts
+}
+
 // recordBegin records, once an attempt, that the upstream has begun to answer.
 func (j *job) recordBegin() {
 	if !j.begun {
--- a/proxier/parts_test.go
+++ b/proxier/parts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,6 +94,23 @@
 	}
 }
 
+// Guards against parts that are suspected because hosts have lost their power or network, in which nothing crashes.
+func TestPartsOfLostHostAreNotSuspected(t *testing.T) {
+	for _, handler := range []http.HandlerFunc{imitator.ResetConnection, crashBeforeEvent} {
+		for err, want := range map[error]bool{
+			syscall.ECONNRESET: true, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ENETUNREACH: false,
+		} {
+			f := newFixture(t, handler)
+			f.readErr = err
+			f.suspect("bad", 2)
+			f.do("POST", "/stream/1", "body", imitator.HeaderPrompt, "a:100,bad:50,1:20")
+			require.Equal(t, 1, f.runs())
+			_, _, blocked := f.crashes.BlockedPart([]blocker.Part{blocker.PartOf("bad")}, time.Now().Add(time.Second))
+			require.Equal(t, want, blocked, err)
+		}
+	}
+}
+
 // Guards against a block that a sound part does not leave: the first event of any request with it ends the block.
 func TestFirstEventEndsBlock(t *testing.T) {
 	release := make(chan struct{})
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -34,9 +35,11 @@
 // fixture is a Proxier with simulated upstreams.
 type fixture struct {
 	dialDelay func(address string) time.Duration
-	t         *testing.T
-	server    *httptest.Server
-	table     *mapper.Table
+	// readErr is the error that replaces those of connections to upstreams; nil means none.
+	readErr error
+	t       *testing.T
+	server  *httptest.Server
+	table   *mapper.Table
 	// nextTable is the configuration that becomes available while a request waits for the first one.
 	nextTable *mapper.Table
 	confirmed time.Time
@@ -108,12 +111,30 @@
 	return f
 }
 
+// failingConn is a connection whose reads fail with err once its peer has closed it.
+type failingConn struct {
+	net.Conn
+	err error
+}
+
+func (c failingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", c.err)}
+	}
+	return n, err
+}
+
 // dial opens a connection to an upstream after dialDelay, if the test sets one for it.
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if f.dialDelay != nil {
 		time.Sleep(f.dialDelay(address))
 	}
-	return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	if err == nil && f.readErr != nil {
+		c = failingConn{c, f.readErr}
+	}
+	return c, err
 }
 
 // result is what a caller receives.
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			if len(body) == 0 {
-				j.recordBroken(u, now, j.parts...)
+				j.recordBroken(u, now, j.suspectedParts(err)...)
 			} else {
 				j.recordBroken(u, now)
 			}
@@ -274,7 +274,7 @@
 		j.recordBroken(u, now)
 	} else {
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
-		j.recordBroken(u, now, j.parts...)
+		j.recordBroken(u, now, j.suspectedParts(err)...)
 	}
 	return mayHaveRun, nil, err
 }
