Shorten the first hold of parts that had begun

When all engines of a service went at once, the parts that most prompts share were in the crashes of three or more. All gateways blocked them, so no request could begin and clear them, and callers were refused for 1 to 2 minutes after the service was back.

A part that had begun before its crashes is now held for 4 to 10 s until a crash follows a hold. Begins are remembered for 30 s for this.

--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -31,8 +32,9 @@
 	massSpan = 200 * time.Millisecond
 	// beginSlack is added to the time of a begin: times of other routers are inexact by the time that their reports take.
 	beginSlack = time.Second
-	// beginMemory is the time for which all begins are remembered at least, for reports of crashes that arrive later.
-	beginMemory = 5 * time.Second
+	// beginMemory is the time for which all begins are remembered at least: for reports of crashes that arrive later, and to
+	// know of a part in crashes whether it had begun before. Rare chats begin a few times a minute at one router.
+	beginMemory = 30 * time.Second
 	// maxBegins bounds the parts whose begins are remembered in each period of beginMemory.
 	maxBegins = 16384
 	// maxBeginDelay bounds the random time until a router reports a begin: routers that hear of another's report first need
@@ -43,6 +45,14 @@
 	// baseHold is the shortest time for which a part remains blocked after its last crash; the random share of a router adds
 	// up to the same again, so that not all routers let a request pass at the same time.
 	baseHold = time.Minute
+	// firstHold and firstHoldShare replace baseHold until the first crash after a hold, for a part that had begun before its
+	// crashes. If a whole service goes away at once, the parts that most prompts share are in its crashes, nothing is
+	// left to begin and clear them, and baseHold would keep the service closed for 1 to 2 minutes after its return. With the
+	// short hold the first router lets requests pass after 4 to 10 s, and their begin clears the part everywhere. For a part
+	// that crashes upstreams after it had begun, as with a change of model, this costs the requests that pass until the
+	// routers have heard of the crash; a part that has crashed upstreams from its first request on keeps the long hold.
+	firstHold      = 4 * time.Second
+	firstHoldShare = 6 * time.Second
 	// maxDoublings is how many times the hold doubles: once for each crash after a hold.
 	maxDoublings = 2
 	// holdGap is the time without crashes after which a crash counts as one after a hold.
@@ -368,7 +378,7 @@
 	blocked := make(map[Part]block)
 	for _, c := range p.blamed(now) {
 		last := slices.MaxFunc(values(c.times), time.Time.Compare)
-		b := block{until: last.Add(p.hold(c.times)), crashes: len(c.times)}
+		b := block{until: last.Add(p.hold(c.times, !c.s.lastBegin().IsZero())), crashes: len(c.times)}
 		if now.Before(b.until) {
 			blocked[c.part] = b
 			p.wake(b.until)
@@ -479,15 +489,24 @@
 	return first.Add(settleTime)
 }
 
-// hold returns the time for which a part remains blocked after the last of its crashes.
-func (p *partTracker) hold(times map[uint32]time.Time) time.Duration {
+// hold returns the time for which a part remains blocked after the last of its crashes; begun means that it has begun, which
+// was before the crashes, because begins clear the crashes before them.
+func (p *partTracker) hold(times map[uint32]time.Time, begun bool) time.Duration {
 	sorted := values(times)
 	slices.SortFunc(sorted, time.Time.Compare)
 	doublings := 0
 	for i := blockThreshold; i < len(sorted); i++ {
-		if sorted[i].Sub(sorted[i-1]) >= holdGap {
+		gap := sorted[i].Sub(sorted[i-1])
+		if gap >= holdGap {
 			doublings++
 		}
+		if gap >= firstHold-beginSlack {
+			begun = false
+		}
+	}
+	if begun {
+		// The root makes the first routers few, so that the others hear of a crash before they let requests pass.
+		return firstHold + time.Duration(math.Sqrt(p.holdShare)*float64(firstHoldShare))
 	}
 	return time.Duration((1 + p.holdShare) * float64(baseHold<<min(doublings, maxDoublings)))
 }
