--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -34,9 +35,11 @@
 // fixture is a Proxier with simulated upstreams.
 type fixture struct {
 	dialDelay func(address string) time.Duration
-	t         *testing.T
-	server    *httptest.Server
-	table     *mapper.Table
+	// readErr is the error that replaces those of connections to upstreams; nil means none.
+	readErr error
+	t       *testing.T
+	server  *httptest.Server
+	table   *mapper.Table
 	// nextTable is the configuration that becomes available while a request waits for the first one.
 	nextTable *mapper.Table
 	confirmed time.Time
@@ -127,6 +130,20 @@
 	f.t.Cleanup(f.server.Close)
 }
 
+// failingConn is a connection whose reads fail with err once its peer has closed it.
+type failingConn struct {
+	net.Conn
+	err error
+}
+
+func (c failingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", c.err)}
+	}
+	return n, err
+}
+
 // dial opens a connection to an upstream after dialDelay, if the test sets one for it.
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if f.dialDelay != nil {
@@ -136,6 +153,9 @@
 	if f.connected != nil {
 		f.connected()
 	}
+	if err == nil && f.readErr != nil {
+		c = failingConn{c, f.readErr}
+	}
 	return c, err
 }
 
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			if len(body) == 0 {
-				j.recordBroken(u, now, j.parts...)
+				j.recordBroken(u, now, j.suspectedParts(err)...)
 			} else {
 				j.recordBroken(u, now)
 			}
@@ -318,7 +318,7 @@
 		j.recordBroken(u, now)
 	} else {
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
-		j.recordBroken(u, now, j.parts...)
+		j.recordBroken(u, now, j.suspectedParts(err)...)
 	}
 	return mayHaveRun, nil, err
 }
