--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -121,7 +121,12 @@
 
 // New returns a Blocker without crash reports.
 func New() *Blocker {
-	origin := rand.Uint64() | 1 // Zero is no origin.
+	return NewWithOrigin(rand.Uint64() | 1) // Zero is no origin.
+}
+
+// NewWithOrigin returns a Blocker whose own reports have the given origin, which must not be zero. Its random delays follow
+// from the origin, so that runs of a model with the same origins are the same.
+func NewWithOrigin(origin uint64) *Blocker {
 	return &Blocker{
 		origin:  origin,
 		crashes: make(map[Fingerprint]map[uint32]time.Time), logs: make(map[uint64]*crashLog),
--- a/blocker/fleet_test.go
+++ b/blocker/fleet_test.go
@@ -86,7 +86,7 @@
 }
 
 func (m *fleetModel) newGateway(i int) *blocker.Blocker {
-	b := blocker.New()
+	b := blocker.NewWithOrigin(m.r.Uint64() | 1)
 	b.OnSuspicion = func() {
 		for range 2 {
 			m.urgent = append(m.urgent, [2]int{i, m.r.IntN(len(m.gateways))})
@@ -318,10 +318,11 @@
 // Guards against a short first hold that lets too many requests pass with a part that had begun before it became deadly.
 func TestFleetBlocksPartThatBecomesDeadly(t *testing.T) {
 	for name, c := range map[string]fleetCase{
-		"4 gateways":   {gateways: 4, rate: 100, share: 0.05, chats: 100},
-		"24 gateways":  {gateways: 24, rate: 200, share: 0.05, chats: 200},
-		"100 gateways": {gateways: 100, rate: 600, share: 0.02, chats: 1000},
-		"first part":   {gateways: 24, rate: 200, share: 0.05, chats: 200, deadlyFirst: true},
+		"4 gateways":               {gateways: 4, rate: 100, share: 0.05, chats: 100},
+		"24 gateways":              {gateways: 24, rate: 200, share: 0.05, chats: 200},
+		"100 gateways":             {gateways: 100, rate: 600, share: 0.02, chats: 1000},
+		"first part":               {gateways: 24, rate: 200, share: 0.05, chats: 200, deadlyFirst: true},
+		"100 gateways 30 a second": {gateways: 100, rate: 600, share: 0.05, chats: 1000},
 	} {
 		c.soundUntil, c.seconds = 4, 60
 		t.Run(name, func(t *testing.T) {
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -197,11 +197,19 @@
 	events        []PartEvent
 }
 
+// shareOf returns a number in [0, 1) that differs between routers and parts.
+func shareOf(origin uint64, part Part) float64 {
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:], origin)
+	binary.LittleEndian.PutUint32(b[8:], uint32(part))
+	return float64(xxhash.Sum64(b[:])>>11) / (1 << 53)
+}
+
 func newPartTracker(origin uint64) partTracker {
 	return partTracker{
 		origin:   origin,
 		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), begins: make(map[Part]time.Time),
-		blocked: make(map[Part]block), holdShare: rand.Float64(),
+		blocked: make(map[Part]block), holdShare: shareOf(origin, 0),
 	}
 }
 
@@ -337,7 +345,7 @@
 			continue
 		}
 		if s.publishAt.IsZero() {
-			s.publishAt = now.Add(rand.N(maxBeginDelay))
+			s.publishAt = now.Add(time.Duration(shareOf(p.origin, part) * float64(maxBeginDelay)))
 			if next := s.begun.Add(beginInterval); next.After(s.publishAt) {
 				s.publishAt = next
 			}
