connector: a request whose time has ended is not sent, and says so

Callers got 504, which promises nothing, for a request whose time ended while it waited for its connection to an upstream: Do sent it on a connection that the end of the context had closed already, and reported that it may have been sent. Do now checks the context before it sends, and reports NotSent, so that the caller gets 503 and may repeat the request.

Before: TestRequestIsNotSentAfterItsTime got "may have been sent: ... use of closed network connection". After: passes with -race, as do the other tests of the package.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -335,6 +335,30 @@
 	require.Empty(t, received)
 }
 
+// Guards against a request that counts as sent although its time ended while it waited for its connection: a caller that
+// could have repeated it was told that it may have run.
+func TestRequestIsNotSentAfterItsTime(t *testing.T) {
+	received := make(chan struct{}, 1)
+	u := serve(t, func(_ int, c net.Conn) {
+		if n, _ := c.Read(make([]byte, 1)); n > 0 {
+			received <- struct{}{}
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	p := connector.New(connector.Config{Dial: func(_ context.Context, network, address string) (net.Conn, error) {
+		c, err := net.Dial(network, address)
+		cancel()
+		return c, err
+	}})
+	_, err := p.Do(ctx, u.target(), request("1"), matchID("1"))
+	require.ErrorIs(t, err, context.Canceled)
+	var failure *connector.Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, connector.NotSent, failure.SendStatus)
+	require.Zero(t, p.OpenConnections())
+	require.Empty(t, received)
+}
+
 // Guards against taking unread bytes for an end, and an end for silence.
 func TestClosedByPeer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -161,6 +161,9 @@
 		p.release(c, stop() && !c.reused)
 		return nil, &Error{SendStatus: NotSent, Reused: c.reused, Err: ErrAbandoned}
 	}
+	if err := ctx.Err(); err != nil { // The connection was opened too late.
+		return nil, fail(NotSent, err)
+	}
 	if err := c.send(req); err != nil {
 		return nil, fail(MayHaveBeenSent, err)
 	}
