gatekeeper, proxier: a stop accepts what can end in time and answers the rest

Callers saw requests that came late in the grace period, or before it with a slow upstream, cut without an answer at its end, among them requests that may not be repeated. The decision went by fixed times since the signal: streams until 2.9 s, all others until 1.8 s before the end, whatever their route or caller allowed. At 0.3 s before the end the server closed all connections.

The schedule of a shutdown now decides by the time that a request may take: the earlier of the deadlines of its caller and its route must lie before the time at which answers are due, up to 0.2 s before the end. Otherwise it is refused at once with 503. The decision is taken before and after the body is read and before each further attempt. When answers are due, all requests without a response get one: 504 if they may have run, 503 if not, also if they wait for a connection or their body. Responses that have begun go on until 80 ms before the end. Before the connections are closed, new requests are refused for one interval, so that none is passed on and then cut.

TestStoppingRouterRefusesStreamsFirst asserted the fixed order of refusals; TestStoppingRouterRefuses checks the same requests against the schedule, and TestShutdownAccepts and TestShutdownNeverCutsOrders the decision itself.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -104,8 +104,6 @@
 	budgets map[string]*limiter.RetryBudget
 
 	stopping atomic.Bool
-	// refusing holds a proxier.RefusalMode.
-	refusing atomic.Int32
 }
 
 // New returns a gateway that is not running; call Run to start it.
@@ -177,7 +175,6 @@
 		AllowRetry:   func(service string) bool { return g.budget(service).AllowRetry(time.Now()) },
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
 		Routers:      g.gateways, Closing: func() bool { return g.stopping.Load() || g.divertsCallers() },
-		Refusing:     func() proxier.RefusalMode { return proxier.RefusalMode(g.refusing.Load()) },
 		MarkLeaving:  func(u registrar.Upstream) bool { return g.upstreams.MarkLeaving(u, "response", time.Now()) },
 		CallerLeft:   func(ctx context.Context) bool { return g.callers.Disconnected(ctx) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -55,6 +55,12 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, func(*loader.Gateway) {})
+}
+
+// newFleetWith returns a fleet whose gateway has the settings that adjust makes of the usual ones.
+func newFleetWith(t *testing.T, adjust func(*loader.Gateway)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: &imitator.Store{}, log: &imitator.Log{}, done: make(chan error, 1)}
 	server := httptest.NewServer(f.store)
@@ -69,6 +75,7 @@
 		Store: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Propagation: 2 * time.Second, Grace: 3 * time.Second,
 		Retries: loader.Retries{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 	}
+	adjust(f.settings)
 	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: open.listen})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -15,13 +15,6 @@
 	// deregisterTime is the time from the start of the shutdown until the load balancer has removed the process: it
 	// checks readiness each second and requires two failures.
 	deregisterTime = 2500 * time.Millisecond
-	// streamAcceptTime is the time from the start of the shutdown during which new streams are accepted; later ones
-	// might not end within the grace period.
-	streamAcceptTime = 2900 * time.Millisecond
-	// refuseAllMargin is the time before the end of the shutdown from which all requests are refused, not only streams.
-	refuseAllMargin = 1500 * time.Millisecond
-	// exitMargin is the time before the end of the grace period at which the shutdown ends in any case.
-	exitMargin = 300 * time.Millisecond
 	// idleCloseTime is the time allowed for idle connections to close; a request that has just arrived on one is served.
 	idleCloseTime = 500 * time.Millisecond
 	// drainPollInterval is the interval between checks for requests in progress.
@@ -30,38 +23,50 @@
 	filePollInterval = 2 * time.Second
 )
 
-// stop shuts the gateway down gracefully: it reports not ready, continues to serve until the load balancer has removed
-// the process, and then waits until the last request has ended or the grace period is over.
+// stop shuts the gateway down gracefully: it reports not ready, continues to serve what can end in time until the load
+// balancer has removed the process, and then waits until the last request has ended. Shortly before the end of the grace
+// period, the requests that still run get a final answer.
 func (g *Gateway) stop(ctx context.Context, callerServer *http.Server) {
-	started := time.Now()
-	grace := g.settings.Load().Grace
+	schedule := proxier.Shutdown{Started: time.Now(), Grace: g.settings.Load().Grace}
 	g.stopping.Store(true)
-	g.log.Info("stopping", "running", g.proxier.Running(), "grace_ms", grace.Milliseconds())
-	end := started.Add(grace - exitMargin)
+	g.proxier.BeginShutdown(schedule)
+	g.log.Info("stopping", "running", g.proxier.Running(), "grace_ms", schedule.Grace.Milliseconds())
+	g.awaitRequests(ctx, schedule)
+	g.proxier.EndRequests()
+	_ = callerServer.Close()
+	g.log.Info("drained", "running", g.proxier.Running(), "after_ms", time.Since(schedule.Started).Milliseconds())
+}
+
+// awaitRequests returns when the load balancer has removed the process and no request is left, and at the latest when the
+// connections are to be closed.
+func (g *Gateway) awaitRequests(ctx context.Context, schedule proxier.Shutdown) {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	deregisterAfter := min(deregisterTime, grace/2)
-	for now := started; now.Before(end); now = <-t.C {
-		since := now.Sub(started)
-		if since >= min(streamAcceptTime, grace/2) {
-			g.refusing.Store(int32(proxier.RefuseStreams))
+	deregisterAfter := min(deregisterTime, schedule.Grace/2)
+	refused := false
+	for now := schedule.Started; now.Before(schedule.ExitAt()); now = <-t.C {
+		if ctx.Err() != nil {
+			return
 		}
-		if now.After(end.Add(-refuseAllMargin)) {
-			g.refusing.Store(int32(proxier.RefuseAll))
+		if !now.Before(schedule.AnswerAt()) {
+			g.proxier.EndRequests()
 		}
-		if since >= deregisterAfter {
-			g.callers.CloseIdle(now, 0)
-			closed := g.callers.Open() == 0 || since >= deregisterAfter+idleCloseTime
-			if closed && g.proxier.Running() == 0 && g.callers.Busy() == 0 {
-				break
-			}
+		since := now.Sub(schedule.Started)
+		if since < deregisterAfter {
+			continue
 		}
-		if ctx.Err() != nil {
+		g.callers.CloseIdle(now, 0)
+		closed := g.callers.Open() == 0 || since >= deregisterAfter+idleCloseTime
+		if !closed || g.proxier.Running() > 0 || g.callers.Busy() > 0 {
+			continue
+		}
+		if refused {
 			return
 		}
+		// A request that arrives while the connections are closed must not have been sent to an upstream.
+		g.proxier.RefuseAll()
+		refused = true
 	}
-	_ = callerServer.Close()
-	g.log.Info("drained", "running", g.proxier.Running(), "after_ms", time.Since(started).Milliseconds())
 }
 
 // watchFile reloads the settings on a signal and when the file has changed, until ctx ends. Invalid settings are logged
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -145,7 +145,7 @@
 	if !j.stream.started || !j.route.Repeatable() || j.runs >= j.route.Attempts || j.abandoned {
 		return false
 	}
-	for time.Since(j.stream.lastWrite) < maxResumePause {
+	for time.Since(j.stream.lastWrite) < maxResumePause && j.mayStart() {
 		select {
 		case <-j.ctx.Done():
 			return false
@@ -163,7 +163,7 @@
 // mayRepeat reports whether the request may be sent to another upstream, and deducts a retry from the budget unless the
 // attempt ended before anything was sent.
 func (j *job) mayRepeat(v verdict, turnedAwayCount int) bool {
-	if j.ctx.Err() != nil || j.abandoned {
+	if j.ctx.Err() != nil || j.abandoned || !j.mayStart() {
 		return false
 	}
 	switch v {
@@ -203,6 +203,10 @@
 		panic(http.ErrAbortHandler)
 	case j.blocked != nil && j.runs == 0:
 		j.refuse(j.blocked)
+	case j.runs == 0 && !j.mayStart():
+		j.refuse(stoppingRefusal())
+	case j.runs > 0 && j.endedByShutdown():
+		j.refuse(newRefusal(http.StatusGatewayTimeout, judge.ReasonLeaving, "this router is stopping; the request may have run"))
 	case j.runs > 0 && j.ctx.Err() != nil:
 		j.refuse(newRefusal(http.StatusGatewayTimeout, judge.ReasonTimeout, "no answer in time"))
 	case j.runs > 0:
@@ -326,7 +330,7 @@
 	case errors.Is(context.Cause(ctx), errUnresponsive):
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
-		if j.r.Context().Err() == nil {
+		if j.r.Context().Err() == nil && !j.endedByShutdown() {
 			j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		}
 		return mayHaveRun, nil, j.ctx.Err()
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -36,18 +36,6 @@
 	maxRetryAfter = 600 * time.Millisecond
 )
 
-// RefusalMode says which requests a process that is shutting down no longer accepts.
-type RefusalMode int32
-
-const (
-	// RefuseNone accepts all requests; it is the zero value.
-	RefuseNone RefusalMode = iota
-	// RefuseStreams refuses streams; other requests are still accepted, as they end soon.
-	RefuseStreams
-	// RefuseAll accepts no requests.
-	RefuseAll
-)
-
 const (
 	// startupTimeout is the time for which a request waits for the first configuration, which takes about 100 ms after
 	// the start to be read from the store.
@@ -89,8 +77,6 @@
 	CallerLeft func(ctx context.Context) bool
 	// MarkLeaving records that an upstream stated in a response that it is leaving, and returns whether that is new.
 	MarkLeaving func(u registrar.Upstream) bool
-	// Refusing returns which new requests are refused because the process is shutting down.
-	Refusing func() RefusalMode
 	// MaxBodyBytes bounds the total size of the bodies that are in memory at the same time, and that of a single body
 	// if the configuration sets no limit for it.
 	MaxBodyBytes int64
@@ -108,13 +94,20 @@
 	// bodyBytes is the number of bytes of request bodies in memory.
 	bodyBytes atomic.Int64
 	running   atomic.Int64
+	// requests is the context that endRequests cancels at the end of a shutdown.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	shutdown    atomic.Pointer[Shutdown]
+	refusesAll  atomic.Bool
 	// successes counts the requests served at the first attempt, of which one in successSample is logged.
 	successes atomic.Uint64
 }
 
 // New returns a Proxier and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Proxier {
-	return &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
+	p := &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
+	p.requests, p.endRequests = context.WithCancelCause(context.Background())
+	return p
 }
 
 // Running returns the number of requests in progress, including refused ones that are still being answered.
@@ -149,6 +142,8 @@
 	// blocked is the refusal if a part became blocked between two attempts.
 	blocked error
 	header  http.Header
+	// phase says whether the response has begun, or EndRequests has ended the request.
+	phase atomic.Int32
 
 	// tried lists the upstreams that were tried, arrivals counts those that may have read the request and runs those that
 	// may have run it.
@@ -187,6 +182,9 @@
 	defer p.bodyBytes.Add(-int64(len(j.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer j.watchShutdown(end)()
 	j.ctx = ctx
 	p.cfg.CountRequest(j.service)
 	j.run()
@@ -200,6 +198,9 @@
 	if err != nil {
 		return newRefusal(http.StatusBadRequest, judge.ReasonInvalid, err.Error())
 	}
+	if j.p.stopping() && j.current.Table == nil {
+		return stoppingRefusal()
+	}
 	t := j.awaitTable()
 	if t == nil {
 		return &localResponse{
@@ -210,13 +211,17 @@
 	if err := j.authorise(t); err != nil {
 		return err
 	}
-	if n := j.p.cfg.Refusing(); n == RefuseAll || n == RefuseStreams && j.route.Kind == mapper.Stream {
-		return newRefusal(http.StatusServiceUnavailable, judge.ReasonLeaving, "this router is stopping")
-	}
 	j.setDeadline()
+	if !j.mayStart() {
+		return stoppingRefusal()
+	}
 	if err := j.readBody(t.Limits); err != nil {
 		return err
 	}
+	if !j.mayStart() { // The shutdown may have begun since.
+		j.p.bodyBytes.Add(-int64(len(j.body)))
+		return stoppingRefusal()
+	}
 	j.service = j.route.Service(j.splitSeed())
 	j.print = blocker.FingerprintOf(j.r.Method, j.r.RequestURI, j.Key, j.body)
 	if left := j.p.cfg.Crashes.BlockedFor(j.print, time.Now()); left > 0 {
@@ -372,6 +377,8 @@
 	readDeadline := time.Now().Add(min(bodyReadTimeout, time.Until(j.deadline)))
 	rc := http.NewResponseController(j.w)
 	_ = rc.SetReadDeadline(readDeadline) // It fails only on a connection that is already closed.
+	stop := context.AfterFunc(j.p.requests, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
 	var err error
 	if j.r.ContentLength > 0 {
 		j.body = make([]byte, j.r.ContentLength)
@@ -381,12 +388,15 @@
 		j.body, err = io.ReadAll(body)
 		reserved = body.reserved
 	}
-	if err == nil {
+	if err == nil && stop() {
 		_ = rc.SetReadDeadline(time.Time{})
 		return nil
 	}
 	j.p.bodyBytes.Add(-reserved)
 	j.body, j.bodyBroken = nil, true
+	if j.p.requests.Err() != nil {
+		return stoppingRefusal()
+	}
 	if errors.Is(err, errBodyMemory) {
 		return newRefusal(http.StatusServiceUnavailable, judge.ReasonQueueFull, "the memory for bodies is used up")
 	}
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -185,6 +185,9 @@
 
 // relayUnbuffered forwards a response that is too long to be buffered.
 func (j *job) relayUnbuffered(u registrar.Upstream, e *connector.Exchange, head []byte) (verdict, *bufferedResponse, error) {
+	if !j.beginResponse() {
+		return mayHaveRun, nil, errStopping
+	}
 	j.writeHeader(e.StatusCode, EndToEnd(e.Header), e.ContentLength)
 	_, err := j.w.Write(head)
 	if err == nil {
@@ -303,8 +306,8 @@
 	now := time.Now()
 	switch {
 	case errors.Is(err, io.EOF):
-		if !j.stream.started {
-			j.startStream(e)
+		if !j.stream.started && !j.startStream(e) {
+			return mayHaveRun, nil, errStopping
 		}
 		j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
 		j.recordOutcome(e.StatusCode, "", "")
@@ -323,16 +326,21 @@
 	return mayHaveRun, nil, err
 }
 
-func (j *job) startStream(e *connector.Exchange) {
+// startStream sends the header of a stream. It returns false if a shutdown has ended the request.
+func (j *job) startStream(e *connector.Exchange) bool {
+	if !j.beginResponse() {
+		return false
+	}
 	j.stream.started = true
 	j.writeHeader(e.StatusCode, EndToEnd(e.Header), -1)
+	return true
 }
 
 // forwardEvents sends complete events, of which lastID is the last ID, to the caller. It returns false if the caller cannot
-// be reached.
+// be reached, or if a shutdown has ended the request before its first event.
 func (j *job) forwardEvents(e *connector.Exchange, events []byte, lastID string) bool {
-	if !j.stream.started {
-		j.startStream(e)
+	if !j.stream.started && !j.startStream(e) {
+		return false
 	}
 	j.stream.lastEvent = lastID
 	j.stream.events++
@@ -346,9 +354,12 @@
 // abort closes the connection of a response that has begun, so that the caller does not take it as complete. It panics
 // with http.ErrAbortHandler.
 func (j *job) abort(reason judge.Reason, text string) {
-	if j.abandoned || j.r.Context().Err() != nil {
+	switch {
+	case j.p.requests.Err() != nil:
+		reason, text = judge.ReasonLeaving, "the response was not complete at the end of the shutdown"
+	case j.abandoned || j.r.Context().Err() != nil:
 		reason, text = judge.ReasonBroken, "caller disconnected"
-	} else if j.ctx.Err() != nil {
+	case j.ctx.Err() != nil:
 		reason, text = judge.ReasonTimeout, "response not complete in time"
 	}
 	j.recordOutcome(0, reason, text)
--- a/proxier/replace.go
+++ b/proxier/replace.go
@@ -176,6 +176,9 @@
 // find chooses another upstream and opens a connection to it; it returns nil if that fails.
 func (s *responseTimer) find() *replacement {
 	p := s.job.p
+	if !s.job.mayStart() {
+		return nil // The rest of a shutdown is too short for another attempt.
+	}
 	if _, _, blocked := p.cfg.Crashes.BlockedPart(s.job.parts, time.Now()); blocked {
 		return nil // The request is sent nowhere else, and the upstream may only be slow.
 	}
