loader: a grace period below one second is taken as it is

A stop with a grace period of 0.5 s or less would have been planned for 1 s, so that requests were still running when the process was killed. The least value that is accepted is now 0.

--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -42,8 +42,9 @@
 	// Heartbeat is the interval at which upstreams renew their entries in the store; an entry expires after three of them.
 	// Default: 1.2s.
 	Heartbeat time.Duration `json:"heartbeat" adjust:"true" default:"1.2s" min:"100ms" max:"1m"`
-	// Grace is the time between the request to stop and the exit of the process. Default: 8s.
-	Grace time.Duration `json:"grace" adjust:"true" default:"8s" min:"1s" max:"15m"`
+	// Grace is the time between the request to stop and the end of the process, which is killed then. It is never taken as
+	// longer than it is. Default: 8s.
+	Grace time.Duration `json:"grace" adjust:"true" default:"8s" min:"0s" max:"15m"`
 	// Retries bounds the retries that the gateways send.
 	Retries Retries `json:"retries"`
 }
