soaker: a leaving mark counts for the upstream that sent it

A soak reported "marked" for an upstream that never said that it was leaving: the header of a resumed stream is that of the upstream which began it, and the check took it for one of the last upstream. The mark now counts for the last of the request's upstreams that has said so.

--- a/soaker/promise.go
+++ b/soaker/promise.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"slices"
 	"time"
 
 	"clementineramp/platform/imitator"
@@ -24,8 +25,12 @@
 func (s *soak) checkMarks(runs map[string][]run) {
 	passedOn := make(map[way]time.Time)
 	for _, a := range s.attempts {
-		list := runs[a.id]
-		if a.header.Get(imitator.HeaderLeaving) == "" || len(list) == 0 {
+		if a.header.Get(imitator.HeaderLeaving) == "" {
+			continue
+		}
+		// The header of a resumed stream is that of the upstream which began it, not of the last one.
+		list := slices.DeleteFunc(slices.Clone(runs[a.id]), func(r run) bool { return !r.saysLeaving })
+		if len(list) == 0 {
 			continue
 		}
 		w := way{a.gateway, list[len(list)-1].upstream}
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -79,6 +79,8 @@
 type run struct {
 	imitator.Run
 	upstream, service string
+	// saysLeaving is set if the upstream has said in its responses that it is leaving, at any time.
+	saysLeaving bool
 	// leavingSince is when the upstream announced that it was leaving; it is zero if it did not.
 	leavingSince time.Time
 }
@@ -158,7 +160,9 @@
 	u.mu.Unlock()
 	var all []run
 	for _, r := range u.Runs() {
-		all = append(all, run{Run: r, upstream: u.ID, service: u.Service, leavingSince: leavingSince})
+		all = append(all, run{
+			Run: r, upstream: u.ID, service: u.Service, saysLeaving: u.leavingInResponses.Load(), leavingSince: leavingSince,
+		})
 	}
 	return all
 }
