soaker: gateways stop beside slow work

The stand-ins answered in 10 ms (streams in 0.2 s), so that nothing was running at the end of a grace period, and any fault anywhere excused a cut. The new kind slow_term stops a gateway while plain upstreams take up to 2.8 s and callers still use the gateway for 1.5 s, and every third request allows one second only.

Faults of the store and of other gateways and upstreams excuse a cut no more, and an order that ends with 504 before its deadline beside a stop is reported, too. Two kinds of requests do not count, as the users' rule has it: plain ones whose deadline was reached (upstreams may be slow now), and those that no upstream got and that failed within 0.25 s: a server may close a kept connection in the moment in which a request is sent on it.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -18,6 +18,10 @@
 const (
 	// callerTimeout is the time that a caller waits for the end of a response.
 	callerTimeout = 3 * time.Second
+	// hurriedTimeout is the time that callers wait for the end of one in hurriedOneIn requests, if all kinds of faults are
+	// drawn: a gateway that is shutting down accepts those for longer.
+	hurriedTimeout = time.Second
+	hurriedOneIn   = 3
 	// thinkTime is the mean pause of a caller between two requests; the pauses are exponentially distributed.
 	thinkTime = 60 * time.Millisecond
 	// disconnectOneIn sets the share of requests whose caller disconnects early: one in this many.
@@ -48,6 +52,7 @@
 	kind
 	id, target, body string
 	gateway          int
+	timeout          time.Duration
 	sent, ended      time.Time
 	// status is zero if no response header was received.
 	status int
@@ -96,8 +101,12 @@
 	c.sent++
 	id := fmt.Sprintf("seed%d-caller%d-%d", c.s.cfg.Seed, c.n, c.sent)
 	k := kinds[c.random.IntN(len(kinds))]
+	timeout := callerTimeout
+	if c.s.cfg.AllFaults && c.sent%hurriedOneIn == 0 {
+		timeout = hurriedTimeout
+	}
 	return &attempt{
-		kind: k, id: id, target: k.path + strconv.Itoa(c.sent) + "?caller=" + strconv.Itoa(c.n),
+		kind: k, id: id, timeout: timeout, target: k.path + strconv.Itoa(c.sent) + "?caller=" + strconv.Itoa(c.n),
 		body: "body of " + id, disconnects: c.random.IntN(disconnectOneIn) == 0,
 	}
 }
@@ -135,14 +144,14 @@
 			c.disconnect()
 		}
 	}()
-	timeout := callerTimeout
+	timeout := a.timeout
 	if a.disconnects {
 		timeout = time.Duration(c.random.Int64N(int64(callerTimeout / 20)))
 	}
 	_ = c.conn.SetDeadline(a.sent.Add(timeout)) // On a closed connection the write below fails.
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n", a.target, host,
-		imitator.HeaderAttempt, a.id, imitator.HeaderKey, key, imitator.HeaderRemaining, callerTimeout.Milliseconds(), len(a.body))
+		imitator.HeaderAttempt, a.id, imitator.HeaderKey, key, imitator.HeaderRemaining, a.timeout.Milliseconds(), len(a.body))
 	if a.events > 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n%s: 1:100,chat%d:50,%d:10\r\n", lengthHeader, a.events, imitator.HeaderPrompt, c.n%4, c.sent)
 	}
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -123,18 +123,50 @@
 	if a.status == http.StatusOK {
 		s.checkAnswer(a, runs)
 	}
-	if !s.cfg.Timed || a.disconnects || a.err == nil {
+	if s.cfg.Timed && !a.disconnects {
+		s.checkShutdowns(a, runs)
+	}
+}
+
+// checkShutdowns checks that no response was cut around a graceful shutdown, and that no order was ended before its deadline.
+// Requests whose gateway or upstreams were affected by a fault are not checked, nor plain ones whose time ended: their
+// upstreams may be Slow.
+func (s *soak) checkShutdowns(a *attempt, runs []run) {
+	took := a.ended.Sub(a.sent)
+	early := a.once && a.events == 0 && a.status == http.StatusGatewayTimeout && took < a.timeout-2*timeTolerance
+	late := a.events == 0 && took >= a.timeout-timeTolerance
+	// A kept connection may be closed in the moment in which a request is sent on it; the gateway has not read it then.
+	unread := len(runs) == 0 && took < timeTolerance
+	if !early && (a.err == nil || late || unread) {
 		return
 	}
+	name := s.gateways[a.gateway].process.Name
+	targets := []string{name, allLinks}
+	for _, r := range runs {
+		targets = append(targets, r.upstream)
+	}
 	for _, p := range s.shutdowns {
-		if p.target == s.gateways[a.gateway].process.Name && a.sent.Before(p.end) && a.ended.After(p.start) &&
-			s.faultFree(a.sent.Add(-reconnectTime), a.ended, "") {
-			s.addViolation("cut: %s was sent at %s and failed around the graceful shutdown of %s: %v", a.id,
-				a.sent.UTC().Format(timeFormat), p.target, a.err)
+		if p.target != name || !a.sent.Before(p.end) || !a.ended.After(p.start) ||
+			s.affected(a.sent.Add(-reconnectTime), a.ended, name) || s.affected(a.sent, a.ended, targets...) {
+			continue
 		}
+		if early {
+			s.addViolation("unfinished: %s was sent at %s and ended with status %d after %v around the graceful shutdown of %s", a.id,
+				a.sent.UTC().Format(timeFormat), a.status, took, p.target)
+			continue
+		}
+		s.addViolation("cut: %s was sent at %s and failed after %v around the graceful shutdown of %s: %v", a.id,
+			a.sent.UTC().Format(timeFormat), took, p.target, a.err)
 	}
 }
 
+// affected reports whether a fault affected one of the targets between start and end; those of the store do not count.
+func (s *soak) affected(start, end time.Time, targets ...string) bool {
+	return slices.ContainsFunc(s.faultWindows, func(d faultWindow) bool {
+		return slices.Contains(targets, d.target) && d.start.Before(end) && d.end.After(start)
+	})
+}
+
 // checkAnswer checks a response with status 200: it comes from an upstream, and its body is the expected one, or a
 // prefix of it if reading the response failed.
 func (s *soak) checkAnswer(a *attempt, runs []run) {
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -55,6 +55,8 @@
 	{"group", crashGroup},
 	{"leave_unlisted", drainUnlisted},
 	{"pausing", makeUpstreamPause},
+	{"slow_term", terminateBesideSlowWork},
+	{"slow_term", terminateBesideSlowWork},
 }
 
 // randomDuration returns a random duration of at least low and less than high.
@@ -139,9 +141,14 @@
 
 // terminateGateway shuts a gateway down gracefully with SIGTERM, and starts it again.
 func terminateGateway(_ context.Context, s *soak, random *rand.Rand) string {
-	g := s.randomGateway(random)
+	return s.terminate(s.randomGateway(random), 0)
+}
+
+// terminate shuts a gateway down like terminateGateway; callers still use it for the given time.
+func (s *soak) terminate(g *gateway, inRotation time.Duration) string {
 	return g.withFaultLock(func() string {
 		start := time.Now()
+		g.keepInRotation(inRotation)
 		s.mu.Lock()
 		at := len(s.shutdowns)
 		s.shutdowns = append(s.shutdowns, faultWindow{target: g.process.Name, start: start, end: start.Add(grace)})
@@ -160,6 +167,28 @@
 	})
 }
 
+// rotationTime is the time for which callers use a gateway that is shutting down beside slow work.
+const rotationTime = 1500 * time.Millisecond
+
+// terminateBesideSlowWork shuts a gateway down gracefully while plain upstreams are slow but sound, which no guarantee of a
+// shutdown excuses.
+func terminateBesideSlowWork(ctx context.Context, s *soak, random *rand.Rand) string {
+	s.mu.Lock()
+	var slow []*upstream
+	for _, u := range s.upstreams {
+		if u.Service == plainService && u.behaviour.CompareAndSwap(int32(Healthy), int32(Slow)) {
+			slow = append(slow, u)
+		}
+	}
+	s.mu.Unlock()
+	pause(ctx, randomDuration(random, 200*time.Millisecond, time.Second))
+	what := s.terminate(s.randomGateway(random), rotationTime)
+	for _, u := range slow {
+		u.behaviour.CompareAndSwap(int32(Slow), int32(Healthy))
+	}
+	return fmt.Sprint(what, " ", len(slow), " slow")
+}
+
 // pauseGateway stops a gateway with SIGSTOP for a while.
 func pauseGateway(ctx context.Context, s *soak, random *rand.Rand) string {
 	g := s.randomGateway(random)
@@ -267,10 +296,14 @@
 	return d.String()
 }
 
+// allLinks is the target of a fault of all connections; faults of the store have an empty target, too, but cut no response.
+const allLinks = "links"
+
 // resetAllLinks resets the connections of all callers, upstreams and gateways at the same moment.
 func resetAllLinks(_ context.Context, s *soak, _ *rand.Rand) string {
 	now := time.Now()
 	s.addFaultWindow("", now, now)
+	s.addFaultWindow(allLinks, now, now)
 	s.mu.Lock()
 	upstreams := slices.Clone(s.upstreams)
 	s.mu.Unlock()
--- a/soaker/gateway.go
+++ b/soaker/gateway.go
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// ready is the result of the latest readiness probe.
 	ready bool
+	// inRotation is the time until which callers are sent to the gateway whatever the probe says.
+	inRotation time.Time
 }
 
 func (s *soak) newGateway(n int) (*gateway, error) {
@@ -99,6 +101,20 @@
 	return g.ready
 }
 
+// keepInRotation makes callers use the gateway for d, as the platform does until its second readiness probe has failed.
+func (g *gateway) keepInRotation(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inRotation = time.Now().Add(d)
+}
+
+// receivesCallers reports whether new connections may be opened to the gateway.
+func (g *gateway) receivesCallers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ready || time.Now().Before(g.inRotation)
+}
+
 // probeReadiness requests the readiness of the gateway and stores the result.
 func (g *gateway) probeReadiness(client *http.Client) {
 	resp, err := client.Get("http://" + g.readyAddress + platform.ReadyPath)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -236,7 +236,7 @@
 func (s *soak) pickGateway(random *rand.Rand) (*gateway, bool) {
 	var ready []*gateway
 	for _, g := range s.gateways {
-		if g.isReady() {
+		if g.receivesCallers() {
 			ready = append(ready, g)
 		}
 	}
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -37,6 +37,8 @@
 	Misanswering
 	// Pausing upstreams reject some requests and want no further ones for pauseTime after each.
 	Pausing
+	// Slow upstreams serve every second plain request after a time of up to maxSlowTime, as sound upstreams with long work do.
+	Slow
 )
 
 const (
@@ -50,8 +52,11 @@
 	pausingInterval = 8
 	// eventInterval is the time between two events of a stream.
 	eventInterval = 15 * time.Millisecond
-	// workTime is the processing time of a plain request.
-	workTime = 10 * time.Millisecond
+	// workTime is the processing time of a plain request, and maxSlowTime the longest one at a Slow upstream. It is less than
+	// the time that most callers wait and, with slowSteps different times, more than the rest of a grace period.
+	workTime    = 10 * time.Millisecond
+	maxSlowTime = 2800 * time.Millisecond
+	slowSteps   = 3
 )
 
 // floodKinds are the kinds of responses without end that a Flooding upstream sends. None of them is signed, so that nothing
@@ -186,6 +191,9 @@
 	case r.Header.Get(lengthHeader) != "":
 		serveStream(w, r)
 	default:
+		if m == Slow && second {
+			time.Sleep(maxSlowTime * time.Duration(1+n/2%slowSteps) / slowSteps)
+		}
 		time.Sleep(workTime)
 		imitator.Plain(plainAnswer(r.Header.Get(imitator.HeaderAttempt)))(w, r)
 	}
