relayer: validate the records of peers

A peer of an older version that has read an odd entry of the store passes it on. Exchanges merged every record unexamined, so that a gateway used an upstream that it would refuse in the store's list; four names of 1 MB fill the largest reply of a peer, after which all exchanges fail.

Records are now checked by registrar.Record.Validate, as entries of the store are. An odd one becomes a removal, which ends the use of an upstream that it overwrites, or is left out if it has no possible ID; the others hold. One log line is written for each message with such records, and a record is sent again only until the peer's revision is complete.

The fixtures of the tests of this package had upstreams without an address, which no entry of the store can have; they now have one.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -111,7 +111,7 @@
 	var records []registrar.Record
 	for u := range upstreams {
 		id := fmt.Sprint("i-", u)
-		records = append(records, registrar.Record{ID: id, Revision: 1, Upstream: registrar.Upstream{ID: id, Service: "s", Slots: 16}})
+		records = append(records, registrar.Record{ID: id, Revision: 1, Upstream: registrar.Upstream{ID: id, Service: "s", Address: "10.1.0.1:1", Slots: 16}})
 	}
 	n.registry.MergeList(records, 1, time.Now())
 	n.follower = follower.New(follower.Config{
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -47,6 +47,6 @@
 		var reply relayer.Reply
 		require.NoError(t, client.Call("Gateways.Exchange", relayer.Request{}, &reply))
 		require.Len(t, reply.Records, 1)
-		require.Equal(t, registrar.Record{ID: "i-0", Revision: 1, Upstream: registrar.Upstream{ID: "i-0", Service: "s", Slots: 16}}, reply.Records[0])
+		require.Equal(t, registrar.Record{ID: "i-0", Revision: 1, Upstream: registrar.Upstream{ID: "i-0", Service: "s", Address: "10.1.0.1:1", Slots: 16}}, reply.Records[0])
 	})
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -470,7 +470,7 @@
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	state.MergeHotChats(reply.HotChats.decode(), time.Now())
-	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
+	updated = state.Registry.MergeChanges(r.usableRecords(peer, reply.Records), req.Upstreams, reply.Complete, time.Now()) || updated
 	if updated {
 		r.NotifyPeers()
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -37,8 +37,19 @@
 	reached bool
 }
 
+// upstreamRecord returns the record of a sound upstream of the service "s".
+func upstreamRecord(id string, revision uint64) registrar.Record {
+	return registrar.Record{ID: id, Revision: revision, Upstream: registrar.Upstream{ID: id, Service: "s", Address: "10.0.0.1:1"}}
+}
+
 // newGateway starts a gateway with the given seeds.
 func newGateway(t *testing.T, reached bool, seeds ...string) *gateway {
+	t.Helper()
+	return newLoggedGateway(t, hclog.NewNullLogger(), reached, seeds...)
+}
+
+// newLoggedGateway starts a gateway whose relayer writes to a log.
+func newLoggedGateway(t *testing.T, log hclog.Logger, reached bool, seeds ...string) *gateway {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -53,7 +64,7 @@
 		View: g.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good },
 	})
 	g.relayer = relayer.New(relayer.Config{
-		Address: g.address, Seeds: seeds, Readers: 2, Log: hclog.NewNullLogger(),
+		Address: g.address, Seeds: seeds, Readers: 2, Log: log,
 		State: relayer.State{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
 			Reached: func() bool { return g.reached }, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
@@ -90,7 +101,7 @@
 
 	data := append([]byte{7}, bytes.Repeat([]byte("route "), 100_000)...)
 	a.follower.Adopt(platform.Document{Revision: 10, Data: data}, time.Now(), "store")
-	a.registry.MergeList([]registrar.Record{{ID: "u", Revision: 9, Upstream: registrar.Upstream{ID: "u", Service: "s"}}}, 10, time.Now())
+	a.registry.MergeList([]registrar.Record{{ID: "u", Revision: 9, Upstream: registrar.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1"}}}, 10, time.Now())
 	for _, g := range []*gateway{b, c} {
 		eventually(t, "a gateway is not ready", func() bool { return g.follower.Ready() })
 		require.Equal(t, data, g.follower.Document().Data)
@@ -125,7 +136,7 @@
 	for _, g := range []*gateway{a, b} {
 		eventually(t, "a gateway did not receive the crash reports", func() bool { return g.crashes.BlockedFor(f, time.Now()) > 0 })
 	}
-	upstreams := []registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}
+	upstreams := []registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:1"}}}
 	a.registry.MergeList(upstreams, 1, time.Now())
 	eventually(t, "the load did not reach the other gateway", func() bool {
 		a.placer.RecordLoad("u1", placer.Load{Running: 5}, time.Now())
@@ -204,7 +215,7 @@
 // Guards against malformed columns in a message of a peer of another version, or in trouble.
 func TestMalformedColumns(t *testing.T) {
 	a := newGateway(t, true)
-	a.registry.MergeList([]registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}, 1, time.Now())
+	a.registry.MergeList([]registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:1"}}}, 1, time.Now())
 	client, err := rpc.Dial("tcp", a.address)
 	require.NoError(t, err)
 	defer client.Close()
