--- a/follower/follower.go
+++ b/follower/follower.go
@@ -84,6 +84,8 @@
 	// fallbackUntil the end of a fallback in progress. Only Run uses them.
 	fallbackAt    time.Time
 	fallbackUntil time.Time
+	// unreadable holds the revisions of the items of the store that were logged as unreadable, by key. Only Run uses it.
+	unreadable map[string]uint64
 	// lastRead is the start of the last successful call of this process. Only Run uses it.
 	lastRead time.Time
 
@@ -222,9 +224,7 @@
 // watched from, or zero after a full read.
 func (f *Follower) apply(c platform.Changes, revision uint64, started time.Time) (changed bool) {
 	now := time.Now()
-	for _, key := range c.Unreadable {
-		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
-	}
+	f.logUnreadable(c.Unreadable, revision == 0)
 	f.detectOutageEnd(started)
 	confirmed := started
 	if empty := c.Configuration == nil && len(c.Upstreams) == 0 && len(c.Unreadable) == 0; empty && revision != 0 && now.Sub(started) >= f.cfg.Wait {
