--- a/mapper/table.go
+++ b/mapper/table.go
@@ -1,8 +1,8 @@
 package mapper
 
 import (
-	"cmp"
 	"hash/fnv"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -138,8 +138,7 @@
 
 	// byHost holds the routes of each host, those with the longest prefix first.
 	byHost map[string][]*Route
-	// ranks holds each rank that a request can have, the most urgent first.
-	ranks []rank
+	ranks  ranks
 }
 
 // rank orders requests by the rank of the organisation, then by that of the route; lower ranks are more urgent.
@@ -147,10 +146,6 @@
 	organisation, route int
 }
 
-func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.organisation, b.organisation), cmp.Compare(a.route, b.route))
-}
-
 // rankOf returns the rank of a request; an organisation without a rank has that of the route.
 func rankOf(r *Route, o *Organisation) rank {
 	if o != nil && o.HasRank {
@@ -171,38 +166,66 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	t.ranks = t.allRanks()
+	t.ranks = t.collectRanks()
 	return t
 }
 
-// allRanks returns the distinct ranks of all pairs of route and organisation, the most urgent first.
-func (t *Table) allRanks() []rank {
-	routes := make(map[int]*Route)
+// ranks orders the ranks that a request can have: each pair of the rank of an organisation and that of a route, and the
+// pairs of the rank of a route with itself, for organisations without a rank. The pairs are not listed, as there may be
+// hundreds of millions in a configuration of 1 MB.
+type ranks struct {
+	// routes holds the ranks of routes, and firsts those of routes and organisations, each once and the most urgent first.
+	routes, firsts []int
+	// before holds, for each element of firsts, the number of pairs whose first rank is more urgent.
+	before []int
+	// organisations holds the ranks of organisations.
+	organisations map[int]bool
+}
+
+func (t *Table) collectRanks() ranks {
+	r := ranks{organisations: make(map[int]bool)}
 	for i := range t.Routes {
-		routes[t.Routes[i].Rank] = &t.Routes[i]
+		r.routes = append(r.routes, t.Routes[i].Rank)
 	}
-	organisations := map[int]*Organisation{}
 	for _, o := range t.Organisations {
 		if o.HasRank {
-			organisations[o.Rank] = o
+			r.organisations[o.Rank] = true
 		}
 	}
-	var all []rank
-	for _, r := range routes {
-		all = append(all, rankOf(r, nil))
-		for _, o := range organisations {
-			all = append(all, rankOf(r, o))
+	slices.Sort(r.routes)
+	r.routes = slices.Compact(r.routes)
+	r.firsts = slices.AppendSeq(slices.Clone(r.routes), maps.Keys(r.organisations))
+	slices.Sort(r.firsts)
+	r.firsts = slices.Compact(r.firsts)
+	n := 0
+	for _, first := range r.firsts {
+		r.before = append(r.before, n)
+		if r.organisations[first] {
+			n += len(r.routes)
+		} else {
+			n++
 		}
 	}
-	slices.SortFunc(all, compareRanks)
-	return slices.Compact(all)
+	return r
+}
+
+// position returns the number of ranks that are more urgent than the one of a request.
+func (r *ranks) position(of rank) int {
+	i, found := slices.BinarySearch(r.firsts, of.organisation)
+	if !found {
+		return 0
+	}
+	if !r.organisations[of.organisation] {
+		return r.before[i]
+	}
+	j, _ := slices.BinarySearch(r.routes, of.route)
+	return r.before[i] + j
 }
 
 // Urgency returns the position of a request among the ranks of the configuration; 0 is the most urgent. The organisation
 // may be nil.
 func (t *Table) Urgency(r *Route, o *Organisation) int {
-	i, _ := slices.BinarySearchFunc(t.ranks, rankOf(r, o), compareRanks)
-	return i
+	return t.ranks.position(rankOf(r, o))
 }
 
 // Match returns the route of host with the longest prefix that matches path; host may include a port. It is false if no
