placer: take a start far in the future as an unknown age

An upstream whose start is stated hours or years ahead of the gateway's clock counted as started a moment ago until then, and got 2 of 2,000 chats in place of a fair share of 111 (TestStartInTheFuture before the change: Max difference between 111 and 2 allowed is 55.5).

A start more than a minute ahead says nothing about the age and now counts as unknown, as a missing one does. Clocks that differ by seconds make no difference. The entry is not refused: the fault may as well be in the clock of the gateway, which would then refuse all upstreams.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,9 @@
 	DefaultRamp = time.Minute
 	// minAge is the least age used for the weight of an upstream, so that one that has just started has a weight above 0.
 	minAge = time.Second
+	// maxClockSkew is the time by which an upstream's start may be ahead of this host's clock. A start further ahead says
+	// nothing about the age, which then counts as unknown: the upstream would otherwise get hardly any chats until then.
+	maxClockSkew = time.Minute
 	// loadDecayTime is the time constant with which a reported load decays, falling to 1/e. Streams last one to two
 	// seconds, and an upstream that receives no requests sends no reports.
 	loadDecayTime = 1500 * time.Millisecond
@@ -454,8 +457,8 @@
 	const bits = 53 // the precision of a float64's mantissa
 	h := float64(xxhash.Sum64String(chat+"\x00"+u.ID)>>(64-bits)+1) / (1<<bits + 1)
 	weight := 1.0
-	if u.Born > 0 {
-		age := min(max(now.Sub(time.UnixMilli(u.Born)), minAge), p.cfg.Ramp)
+	if sinceStart := now.Sub(time.UnixMilli(u.Born)); u.Born > 0 && sinceStart >= -maxClockSkew {
+		age := min(max(sinceStart, minAge), p.cfg.Ramp)
 		weight = age.Seconds() / p.cfg.Ramp.Seconds()
 	}
 	return -weight / math.Log(h)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -116,6 +116,33 @@
 	require.InDelta(t, fair, share(start.Add(2*time.Minute)), float64(fair)/2)
 }
 
+// Guards against an upstream whose start is stated far ahead of this host's clock, so that it counts as just started for
+// hours or forever and gets no chats. Clocks that differ by seconds must not matter.
+func TestStartInTheFuture(t *testing.T) {
+	for ahead, few := range map[time.Duration]bool{
+		5 * time.Second: true, 30 * time.Second: true, 2 * time.Minute: false, time.Hour: false, 70 * 365 * 24 * time.Hour: false,
+	} {
+		v := engines(18)
+		odd := &v.ByService["pool"][4]
+		odd.Born = start.Add(ahead).UnixMilli()
+		p := newPlacer(v, good)
+		n := 0
+		for i := range 2000 {
+			c, ok := p.Choose(placer.Request{Service: "pool", Chat: fmt.Sprintf("chat-%d", i)}, start)
+			require.True(t, ok)
+			p.Done(c.Upstream.ID)
+			if c.Upstream.ID == odd.ID {
+				n++
+			}
+		}
+		if fair := 2000 / 18; few {
+			require.Less(t, n, fair/5, ahead)
+		} else {
+			require.InDelta(t, fair, n, float64(fair)/2, ahead)
+		}
+	}
+}
+
 // TestReportedLoadDecays guards against an estimate that falls in a step. Many gateways see the same stale loads, and
 // would all treat the upstream as idle at the same moment.
 func TestReportedLoadDecays(t *testing.T) {
