relayer: log an odd record of peers once

TestOddRecordsOfPeer failed in one run under -race on a busy machine: expected 1 line of peer_records_odd, actual 2. A gateway exchanges with two peers at a time, and until the complete revision is merged both send the same records. The odd records of a message that were logged before, by ID and revision, are no longer logged.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -198,6 +198,7 @@
 	compressed CompressedDocument
 
 	upstreams upstreamCodec
+	odd       oddRecords
 	// crashNews is the time of the last call of NotifyCrash, in nanoseconds since 1970.
 	crashNews atomic.Int64
 
