Follow a store that was restored from an older copy

What callers saw: after the store came back from a copy, a confirmed change of the configuration was not in force (requests went the way of the old version, or got 404 on an added route). Version 16 was written with revision 20 of the restored store; all gateways had watched up to the lost revision 20 and went on from there.

Cause: a revision alone said what is newer, at the store, in the list of upstreams and among peers, although the store gives revisions out again after a restore. Class: an order that holds within one history only was used across two.

Change: positions of the store hold its era (header Store-Era), and revisions are compared within one era only. - follower: a response of another era leads to a full read, which is applied if a second response in a row names the same era, higher or lower. One wrong, missing or huge header changes nothing, and a wrong one is left again. - Configurations are ordered by version, whatever the era. The same version written again in a later era replaces the one before. - registrar: the list of another era replaces all records. Upstreams that the copy lacks stay in use for the grace period after an outage; those that were leaving do so whatever the copy says; those that had been removed are not used until their entries are written again or would have expired. - relayer: requests and replies state the eras; a peer of a later era sends its whole list. An era does not count if the store has confirmed ours later than the peer's. Peers that know no eras exchange by revision as before. - Log: store_era_changed with both positions, the era beside each revision; counter store_eras.

The calls of MergeList and others in earlier tests take a Position now; what they check is unchanged.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -86,6 +86,9 @@
 	fallbackUntil time.Time
 	// lastRead is the start of the last successful call of this process. Only Run uses it.
 	lastRead time.Time
+	// namedEra is the era that the last response named, if it was another one than that of the list; nil otherwise. Only
+	// Run uses it.
+	namedEra *uint64
 
 	mu       sync.Mutex
 	document platform.Document
@@ -148,35 +151,48 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var revision uint64
+	var at registrar.Position // where the next watch begins; a revision of zero asks for a full read
 	backoff := minBackoff
+	retry := func() {
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
 	for ctx.Err() == nil {
+		known := f.cfg.Registry.Position()
 		if !f.shouldRead(time.Now()) {
-			revision = f.cfg.Registry.CompleteRevision()
+			at = known
 			pause(ctx, readerPollInterval)
 			continue
 		}
+		if at.Revision > 0 && at.Era != known.Era {
+			at = known // A peer has passed on the list of another era.
+		}
 		started := time.Now()
-		changes, err := f.call(ctx, revision)
+		changes, err := f.call(ctx, at.Revision)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			f.callFailed(err)
-			gap := revision != 0 && errors.Is(err, platform.ErrCompacted)
-			revision = 0
-			if gap {
-				continue // The store is reachable, so do a full read at once.
+			gap := at.Revision != 0 && errors.Is(err, platform.ErrCompacted)
+			at.Revision = 0
+			if !gap { // After a gap, the store is reachable, so do a full read at once.
+				retry()
+			}
+			continue
+		}
+		if !f.settleEra(&changes, at.Revision == 0) {
+			if at.Revision == 0 {
+				retry()
 			}
-			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			at.Revision = 0
 			continue
 		}
 		backoff = minBackoff
-		changed := f.apply(changes, revision, started)
+		changed := f.apply(changes, at.Revision, started)
 		f.callSucceeded(started)
 		f.lastRead = started
-		revision = changes.Revision
+		at = registrar.Position{Era: changes.Era, Revision: changes.Revision}
 		if changed {
 			pause(ctx, batchTime)
 		}
@@ -190,6 +206,30 @@
 	return f.cfg.Store.Watch(ctx, revision, f.cfg.Wait)
 }
 
+// settleEra reports whether a response may be applied, and sets its era if it does not state one. A response of another era
+// than the list is applied only if it is a full list and the response before it named the same era, so that a single wrong
+// header changes nothing; the era may then also be lower than before, so that a wrong one is not kept.
+func (f *Follower) settleEra(c *platform.Changes, full bool) bool {
+	known := f.cfg.Registry.Position()
+	if !c.HasEra {
+		c.Era = known.Era
+		if c.Configuration != nil {
+			c.Configuration.Era = known.Era
+		}
+	}
+	if c.Era == known.Era || full && known.Revision == 0 {
+		f.namedEra = nil
+		return true
+	}
+	if full && f.namedEra != nil && *f.namedEra == c.Era {
+		f.namedEra = nil
+		return true
+	}
+	era := c.Era
+	f.namedEra = &era
+	return false
+}
+
 // shouldRead reports whether this process should call the store now: because it reads on behalf of its peers, because
 // it has no list of upstreams yet, because the configuration has not been confirmed for too long, or because a fallback read is in progress.
 func (f *Follower) shouldRead(now time.Time) bool {
@@ -223,7 +263,7 @@
 func (f *Follower) apply(c platform.Changes, revision uint64, started time.Time) (changed bool) {
 	now := time.Now()
 	for _, key := range c.Unreadable {
-		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision)
+		f.cfg.Log.Warn("upstream_entry_unreadable", "key", key, "revision", c.Revision, "era", c.Era)
 	}
 	f.detectOutageEnd(started)
 	confirmed := started
@@ -237,10 +277,11 @@
 	if c.Configuration != nil {
 		updated = f.Adopt(*c.Configuration, started, "store")
 	}
+	to := registrar.Position{Era: c.Era, Revision: c.Revision}
 	if revision == 0 {
-		updated = f.cfg.Registry.MergeList(c.Upstreams, c.Revision, now) || updated
+		updated = f.cfg.Registry.MergeList(c.Upstreams, to, now) || updated
 	} else {
-		updated = f.cfg.Registry.MergeChanges(c.Upstreams, revision, c.Revision, now) || updated
+		updated = f.cfg.Registry.MergeChanges(c.Upstreams, registrar.Position{Era: c.Era, Revision: revision}, to, now) || updated
 	}
 	if updated && f.cfg.OnUpdate != nil {
 		f.cfg.OnUpdate()
@@ -304,25 +345,33 @@
 
 // Adopt replaces the current configuration if d is newer, and reports whether it did. Unreadable documents and older
 // versions are logged and ignored; source names the origin in the log.
+//
+// The version decides whatever the era: a store that was restored from an older copy may still hold an older version, or get
+// one again that was lost. A version that was written again in a later era replaces the one of the earlier era, whose contents
+// may have differed.
 func (f *Follower) Adopt(d platform.Document, at time.Time, source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if d.Revision <= f.document.Revision {
+	if d.Era == f.document.Era && d.Revision <= f.document.Revision {
 		return false
 	}
 	table, err := f.cfg.Decode(d.Data)
 	if err != nil {
-		f.cfg.Log.Error("configuration_refused", "revision", d.Revision, "source", source, "error", err.Error())
+		f.cfg.Log.Error("configuration_refused", "revision", d.Revision, "era", d.Era, "source", source, "error", err.Error())
 		return false
 	}
 	old := f.current.Load()
-	if old.Table != nil && table.Version <= old.Table.Version {
-		f.cfg.Log.Warn("configuration_older", "version", table.Version, "in_force", old.Table.Version, "source", source)
-		return false
+	if old.Table != nil {
+		again := table.Version == old.Table.Version && d.Era > f.document.Era
+		if table.Version <= old.Table.Version && !again {
+			f.cfg.Log.Warn("configuration_older", "version", table.Version, "in_force", old.Table.Version, "revision", d.Revision,
+				"era", d.Era, "source", source)
+			return false
+		}
 	}
-	f.document = d
+	f.document = platform.Document{Era: d.Era, Revision: d.Revision, Version: table.Version, Data: d.Data}
 	f.current.Store(&proxier.CurrentTable{Table: table, Confirmed: at})
-	f.cfg.Log.Info("configuration_adopted", "version", table.Version, "revision", d.Revision, "source", source,
+	f.cfg.Log.Info("configuration_adopted", "version", table.Version, "revision", d.Revision, "era", d.Era, "source", source,
 		"routes", len(table.Routes), "services", len(table.Services), "keys", len(table.Organisations))
 	return true
 }
@@ -333,7 +382,8 @@
 	defer f.mu.Unlock()
 	if f.reached || f.failingSince.IsZero() {
 		f.failingSince = time.Now()
-		f.cfg.Log.Warn("store_lost", "error", err.Error(), "configuration_revision", f.document.Revision)
+		f.cfg.Log.Warn("store_lost", "error", err.Error(), "configuration_revision", f.document.Revision,
+			"era", f.document.Era)
 	}
 	f.reached = false
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -25,7 +25,10 @@
 }
 
 type state struct {
-	err      error
+	err error
+	// era is the era that the store states; eras holds those of the next responses, of which zero means none.
+	era      uint64
+	eras     []uint64
 	revision uint64
 	all      platform.Changes
 	next     []platform.Changes
@@ -55,7 +58,22 @@
 	}
 	c := s.all
 	c.Revision = s.revision
-	return c, nil
+	return s.stamp(c), nil
+}
+
+// stamp sets the era of a response.
+func (s *state) stamp(c platform.Changes) platform.Changes {
+	c.Era = s.era
+	if len(s.eras) > 0 {
+		c.Era, s.eras = s.eras[0], s.eras[1:]
+	}
+	c.HasEra = c.Era > 0
+	if c.Configuration != nil {
+		d := *c.Configuration
+		d.Era = c.Era
+		c.Configuration = &d
+	}
+	return c
 }
 
 // poll returns the next pending changes, with ok set, or none and the current revision.
@@ -67,9 +85,9 @@
 	}
 	if len(s.next) > 0 {
 		c, s.next = s.next[0], s.next[1:]
-		return c, true, nil
+		return s.stamp(c), true, nil
 	}
-	return platform.Changes{Revision: max(after, s.revision)}, false, nil
+	return s.stamp(platform.Changes{Revision: max(after, s.revision)}), false, nil
 }
 
 func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
@@ -118,6 +136,12 @@
 	})
 }
 
+// newFollower returns a follower that does not run.
+func newFollower(t *testing.T) *follower.Follower {
+	t.Helper()
+	return follower.New(follower.Config{Registry: registrar.New(registrar.Config{}), Decode: decode, Log: hclog.NewNullLogger()})
+}
+
 func TestChangesAreApplied(t *testing.T) {
 	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1), Upstreams: []registrar.Record{record("a", 4)}}}}
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
@@ -198,7 +222,7 @@
 			f.PeerReachedStore(time.Now(), -1)
 			f.Confirm(time.Now())
 		}
-		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
+		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
 		require.Empty(t, r.View().ByService["s"])
 	})
 }
@@ -212,7 +236,7 @@
 		time.Sleep(4 * time.Second)
 		f.PeerReachedStore(time.Now(), -1)
 		f.Confirm(time.Now())
-		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
+		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
 		require.Empty(t, r.View().ByService["s"])
 	})
 }
@@ -224,7 +248,7 @@
 		time.Sleep(4 * time.Second)
 		f.PeerReachedStore(time.Now(), 100*time.Millisecond)
 		f.Confirm(time.Now())
-		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, 5, 9, time.Now())
+		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
 		require.Len(t, r.View().ByService["s"], 1)
 	})
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -130,7 +130,7 @@
 // assemble creates the components of the gateway and connects them.
 func (g *Gateway) assemble() {
 	s := g.cfg.Settings
-	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream})
+	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream, OnEra: g.logEra, Expiry: expiryHeartbeats * s.Heartbeat})
 	g.health = appraiser.New(appraiser.Config{
 		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
 		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
@@ -449,10 +449,15 @@
 func (g *Gateway) logUpstream(e registrar.Event) {
 	u := e.Record.Upstream
 	g.log.Info("upstream_"+e.Change, "upstream", e.Record.ID, "service", u.Service, "address", u.Address,
-		"revision", e.Record.Revision, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born,
+		"revision", e.Record.Revision, "era", e.Era, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born,
 		"mark_age_ms", e.MarkAge.Milliseconds(), "mark_source", e.MarkSource)
 }
 
+func (g *Gateway) logEra(old, new registrar.Position) {
+	metrics.GetOrRegisterCounter("store_eras", g.registry).Inc(1)
+	g.log.Warn("store_era_changed", "old_era", old.Era, "old_revision", old.Revision, "era", new.Era, "revision", new.Revision)
+}
+
 func (g *Gateway) logOverload(o shedder.OverloadEvent) {
 	event := "overload_ended"
 	if o.Began {
--- a/placer/departure_test.go
+++ b/placer/departure_test.go
@@ -40,7 +40,7 @@
 		for _, u := range d.upstreams {
 			records = append(records, registrar.Record{ID: u.ID, Revision: 1, Upstream: u})
 		}
-		r.MergeList(records, 1, start)
+		r.MergeList(records, registrar.Position{Revision: 1}, start)
 		d.registries = append(d.registries, r)
 		d.placers = append(d.placers, placer.New(placer.Config{
 			View: r.View, Health: good, Gateways: func() int { return gateways }, Random: d.random.IntN,
--- a/proxier/leaving_test.go
+++ b/proxier/leaving_test.go
@@ -20,7 +20,7 @@
 	for _, u := range f.view.ByService["s"] {
 		records = append(records, registrar.Record{ID: u.ID, Revision: 1, Upstream: u})
 	}
-	f.registry.MergeList(records, 1, time.Now())
+	f.registry.MergeList(records, registrar.Position{Revision: 1}, time.Now())
 }
 
 // marking returns a handler that marks its upstream as leaving with the given value, and otherwise calls next.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -48,7 +48,13 @@
 	at     time.Time
 }
 
-// Record is the store's entry for one upstream, or its removal, at a revision.
+// Position is a revision of the store in one of its eras. When the store is restored from an older copy, a new era
+// begins, and revisions that had been given out are given out again.
+type Position struct {
+	Era, Revision uint64
+}
+
+// Record is the store's entry for one upstream, or its removal, at a revision of the era of the list.
 type Record struct {
 	ID       string
 	Revision uint64
@@ -62,11 +68,23 @@
 	// graceUntil is the end of the grace period of a removal that may be due to expiry; zero if there is none.
 	graceUntil time.Time
 	removedAt  time.Time
+	// wasLeaving is set if the incarnation was leaving in an earlier era, whatever the store says since.
+	wasLeaving bool
+	// unusedUntil is the time until which the upstream is not used because it had been removed in an earlier era; zero if
+	// it had not.
+	unusedUntil time.Time
+}
+
+// inUse reports whether the upstream is used unless it is leaving.
+func (e *entry) inUse(now time.Time) bool {
+	return (!e.Removed || now.Before(e.graceUntil)) && !now.Before(e.unusedUntil)
 }
 
 // Event is a change of an upstream's record.
 type Event struct {
 	Record Record
+	// Era is the era of the record's revision.
+	Era uint64
 	// Change is joined, leaving, changed, removed or lapsed; lapsed means that the entry may have expired during an
 	// outage of the store, and that the upstream stays in use for the grace period.
 	Change string
@@ -80,6 +98,12 @@
 type Config struct {
 	// OnEvent is called for each change; it may be nil. The registry is locked during the call.
 	OnEvent func(Event)
+	// OnEra is called when a list of another era replaces that of the old one; it may be nil. The registry is locked during
+	// the call.
+	OnEra func(old, new Position)
+	// Expiry is the time after which the store has removed an entry that is no longer renewed. An upstream that had been
+	// removed in an earlier era and is listed again is not used for this time unless its entry is written again.
+	Expiry time.Duration
 }
 
 // Registry is the list of upstreams; it is safe for concurrent use.
@@ -93,9 +117,9 @@
 	marks map[string]mark
 	// outageEnd is the end of the latest outage of the store, zero if there was none.
 	outageEnd time.Time
-	// completeRevision is the revision up to which the registry has all records.
-	completeRevision uint64
-	view             atomic.Pointer[View]
+	// complete is the position up to which the registry has all records; its revision is zero before the first list.
+	complete Position
+	view     atomic.Pointer[View]
 }
 
 // View is an immutable list of the upstreams in use.
@@ -134,7 +158,7 @@
 func (r *Registry) Synced() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.completeRevision > 0
+	return r.complete.Revision > 0
 }
 
 // OutageEnded records the time at which an outage of the store ended, during which entries may have expired.
@@ -176,10 +200,14 @@
 	return ok && m.incarnation == u.Incarnation()
 }
 
-// Merge adds records from any source and reports whether the upstreams in use changed.
+// Merge adds records of the era of the list from any source, and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.mergeAll(records, now)
+}
+
+func (r *Registry) mergeAll(records []Record, now time.Time) bool {
 	changed := false
 	for _, rec := range records {
 		changed = r.merge(rec, now) || changed
@@ -190,37 +218,78 @@
 	return changed
 }
 
-// MergeList adds the records of a complete list that was read at a revision, and removes upstreams that are not listed.
-// It reports whether the upstreams in use changed.
-func (r *Registry) MergeList(records []Record, revision uint64, now time.Time) bool {
+// MergeList adds the records of a complete list that was read at a position, and removes upstreams that are not listed.
+// A list of another era replaces all records. It reports whether the upstreams in use changed.
+func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
+	var returned []string
+	if r.complete.Revision > 0 && at.Era != r.complete.Era {
+		records, returned = r.beginEra(records, at, now)
+		changed = true
+	}
+	r.complete.Era = at.Era
 	listed := make(map[string]bool, len(records))
 	for _, rec := range records {
 		listed[rec.ID] = true
 		changed = r.merge(rec, now) || changed
 	}
 	for id, e := range r.entries {
-		if !listed[id] && !e.Removed && e.Revision <= revision {
-			changed = r.merge(Record{ID: id, Revision: revision, Removed: true}, now) || changed
+		if !listed[id] && !e.Removed && e.Revision <= at.Revision {
+			changed = r.merge(Record{ID: id, Revision: at.Revision, Removed: true}, now) || changed
 		}
 	}
-	r.completeRevision = max(r.completeRevision, revision)
+	r.complete.Revision = max(r.complete.Revision, at.Revision)
+	for _, id := range returned {
+		r.entries[id].unusedUntil = now.Add(r.cfg.Expiry)
+	}
 	if changed {
 		r.rebuild(now)
 	}
 	return changed
 }
 
-// MergeChanges adds records, which must be all those after the revision since up to the given one. It reports whether
-// the upstreams in use changed. CompleteRevision does not advance if it is below since, as records between are missing.
-func (r *Registry) MergeChanges(records []Record, since, revision uint64, now time.Time) bool {
-	changed := r.Merge(records, now)
+// beginEra prepares the entries for the list of another era. It returns the listed records, and the IDs of the upstreams that
+// are listed again although they had been removed.
+//
+// The copy from which the store was restored may lack upstreams that have joined since, so that unlisted ones stay in use as
+// after an outage. It may have upstreams as ready that have left since: those that were leaving do so whatever the store
+// says, and those that had been removed are not used until their entries are written again or would have expired.
+func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, returned []string) {
+	if r.cfg.OnEra != nil {
+		r.cfg.OnEra(r.complete, at)
+	}
+	r.complete, r.outageEnd = at, now
+	for _, e := range r.entries {
+		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
+		e.Revision = 0 // It says nothing about the order of changes in this era.
+	}
+	for _, rec := range list {
+		if rec.Removed {
+			continue
+		}
+		records = append(records, rec)
+		e := r.entries[rec.ID]
+		if e != nil && !e.inUse(now) && e.Upstream.Incarnation() == rec.Upstream.Incarnation() {
+			returned = append(returned, rec.ID)
+		}
+	}
+	return records, returned
+}
+
+// MergeChanges adds records, which must be all those after the position since up to the given one. It reports whether the
+// upstreams in use changed. Records of another era than that of the list are ignored. Position does not advance if it is
+// before since, as records between are missing.
+func (r *Registry) MergeChanges(records []Record, since, to Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if since <= r.completeRevision {
-		r.completeRevision = max(r.completeRevision, revision)
+	if since.Era != to.Era || r.complete.Revision > 0 && to.Era != r.complete.Era {
+		return false
+	}
+	changed := r.mergeAll(records, now)
+	if since.Revision <= r.complete.Revision {
+		r.complete = Position{Era: to.Era, Revision: max(r.complete.Revision, to.Revision)}
 	}
 	return changed
 }
@@ -230,7 +299,10 @@
 	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && rec.Removed == old.Removed) {
 		return false
 	}
-	e := &entry{Record: rec}
+	if old != nil && old.wasLeaving && !rec.Removed && old.Upstream.Incarnation() == rec.Upstream.Incarnation() {
+		rec.Upstream.Leaving = true
+	}
+	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && old.wasLeaving}
 	change := "changed"
 	switch {
 	case rec.Removed:
@@ -239,16 +311,16 @@
 		if old == nil {
 			break
 		}
-		e.Upstream = old.Upstream
+		e.Upstream, e.wasLeaving = old.Upstream, old.wasLeaving
 		if old.Removed {
 			e.graceUntil = old.graceUntil
 			break
 		}
-		if until := r.graceEnd(); now.Before(until) && !old.Upstream.Leaving && !r.isMarked(&old.Upstream) {
+		if until := r.graceEnd(); now.Before(until) && old.inUse(now) && !old.Upstream.Leaving && !r.isMarked(&old.Upstream) {
 			change = "lapsed"
 			e.graceUntil = until
 		}
-	case old == nil || old.Removed:
+	case old == nil || old.Removed || !old.unusedUntil.IsZero():
 		change = "joined"
 	case rec.Upstream.Leaving && !old.Upstream.Leaving:
 		change = "leaving"
@@ -258,11 +330,11 @@
 	if !marked {
 		delete(r.marks, rec.ID)
 	}
-	if old != nil && !old.Removed && !rec.Removed && old.Upstream == rec.Upstream {
+	if change == "changed" && old.Upstream == rec.Upstream {
 		return false
 	}
 	if r.cfg.OnEvent != nil && (old != nil || !rec.Removed) {
-		event := Event{Record: e.Record, Change: change, MarkAge: -time.Millisecond}
+		event := Event{Record: e.Record, Era: r.complete.Era, Change: change, MarkAge: -time.Millisecond}
 		if marked {
 			event.MarkAge, event.MarkSource = now.Sub(r.marks[rec.ID].at), r.marks[rec.ID].source
 		}
@@ -280,13 +352,17 @@
 	return r.outageEnd.Add(ExpiryGrace)
 }
 
-// Refresh ends the grace periods that have passed and deletes old removals. It reports whether the upstreams in use
-// changed.
+// Refresh ends the grace periods, and those in which listed upstreams are not used, that have passed, and deletes old
+// removals. It reports whether the upstreams in use changed.
 func (r *Registry) Refresh(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
 	for id, e := range r.entries {
+		if !e.unusedUntil.IsZero() && !now.Before(e.unusedUntil) {
+			e.unusedUntil = time.Time{}
+			changed = true
+		}
 		if !e.Removed {
 			continue
 		}
@@ -305,11 +381,11 @@
 	return changed
 }
 
-// CompleteRevision returns the revision up to which the registry has all records.
-func (r *Registry) CompleteRevision() uint64 {
+// Position returns the position up to which the registry has all records; its revision is zero before the first list.
+func (r *Registry) Position() Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.completeRevision
+	return r.complete
 }
 
 // NewestRevision returns the revision of the newest record as of the last Refresh or merge that changed the upstreams
@@ -318,29 +394,29 @@
 	return r.View().Revision
 }
 
-// RecordsSince returns the records after a revision, including removals, and the revision up to which they are complete.
-func (r *Registry) RecordsSince(revision uint64) (records []Record, complete uint64) {
+// RecordsSince returns the records after a position, including removals, and the position up to which they are complete.
+// After a position in another era, these are all records.
+func (r *Registry) RecordsSince(since Position) (records []Record, complete Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
-		if e.Revision > revision {
+		if e.Revision > since.Revision || since.Era != r.complete.Era {
 			records = append(records, e.Record)
 		}
 	}
-	return records, r.completeRevision
+	return records, r.complete
 }
 
 func (r *Registry) rebuild(now time.Time) {
 	v := &View{ByService: make(map[string][]Upstream), Leaving: make(map[string][]Upstream)}
 	for _, e := range r.entries {
 		v.Revision = max(v.Revision, e.Revision)
-		inGrace := e.Removed && now.Before(e.graceUntil)
 		u := e.Upstream
 		u.Leaving = u.Leaving || r.isMarked(&u)
 		if u.Leaving && !e.Removed {
 			v.Leaving[u.Service] = append(v.Leaving[u.Service], u)
 		}
-		if e.Removed && !inGrace || u.Leaving {
+		if !e.inUse(now) || u.Leaving {
 			continue
 		}
 		v.ByService[u.Service] = append(v.ByService[u.Service], u)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -53,17 +53,17 @@
 
 func TestMergeListRemovesUnlistedUpstreams(t *testing.T) {
 	r := registrar.New(registrar.Config{})
-	r.MergeList([]registrar.Record{record("a", 1), record("b", 2)}, 10, start)
+	r.MergeList([]registrar.Record{record("a", 1), record("b", 2)}, registrar.Position{Revision: 10}, start)
 	r.Merge([]registrar.Record{record("c", 12)}, start)
-	r.MergeList([]registrar.Record{record("b", 2)}, 11, start)
+	r.MergeList([]registrar.Record{record("b", 2)}, registrar.Position{Revision: 11}, start)
 	require.Equal(t, []string{"b", "c"}, ids(r), "c was added after the list was read")
 }
 
 func TestExpiryDuringOutage(t *testing.T) {
 	r := registrar.New(registrar.Config{})
-	r.MergeList([]registrar.Record{record("a", 1), record("b", 1)}, 5, start)
+	r.MergeList([]registrar.Record{record("a", 1), record("b", 1)}, registrar.Position{Revision: 5}, start)
 	r.OutageEnded(start)
-	r.MergeList(nil, 20, start)
+	r.MergeList(nil, registrar.Position{Revision: 20}, start)
 	require.Equal(t, []string{"a", "b"}, ids(r), "entries that expired during the outage are removed at once")
 	r.Merge([]registrar.Record{record("a", 22)}, start.Add(time.Second))
 	r.Refresh(start.Add(registrar.ExpiryGrace))
@@ -72,7 +72,7 @@
 
 func TestRemovalAfterGracePeriodIsImmediate(t *testing.T) {
 	r := registrar.New(registrar.Config{})
-	r.MergeList([]registrar.Record{record("a", 1)}, 5, start)
+	r.MergeList([]registrar.Record{record("a", 1)}, registrar.Position{Revision: 5}, start)
 	r.OutageEnded(start)
 	r.Merge([]registrar.Record{removed("a", 9)}, start.Add(registrar.ExpiryGrace))
 	require.Empty(t, ids(r))
@@ -82,23 +82,23 @@
 	r := registrar.New(registrar.Config{})
 	leaving := record("a", 1)
 	leaving.Upstream.Leaving = true
-	r.MergeList([]registrar.Record{leaving}, 5, start)
+	r.MergeList([]registrar.Record{leaving}, registrar.Position{Revision: 5}, start)
 	r.OutageEnded(start)
-	r.MergeList(nil, 20, start)
+	r.MergeList(nil, registrar.Position{Revision: 20}, start)
 	require.Empty(t, ids(r))
 }
 
 func TestCompleteRevisionNeedsAllChanges(t *testing.T) {
 	r := registrar.New(registrar.Config{})
 	require.False(t, r.Synced())
-	r.MergeChanges([]registrar.Record{record("a", 8)}, 7, 9, start)
-	require.Zero(t, r.CompleteRevision(), "changes after a gap advance the complete revision")
-	r.MergeList(nil, 7, start)
-	r.MergeChanges(nil, 7, 9, start)
-	require.EqualValues(t, 9, r.CompleteRevision())
-	records, complete := r.RecordsSince(7)
+	r.MergeChanges([]registrar.Record{record("a", 8)}, registrar.Position{Revision: 7}, registrar.Position{Revision: 9}, start)
+	require.Zero(t, r.Position().Revision, "changes after a gap advance the complete revision")
+	r.MergeList(nil, registrar.Position{Revision: 7}, start)
+	r.MergeChanges(nil, registrar.Position{Revision: 7}, registrar.Position{Revision: 9}, start)
+	require.EqualValues(t, 9, r.Position().Revision)
+	records, complete := r.RecordsSince(registrar.Position{Revision: 7})
 	require.Len(t, records, 1)
-	require.EqualValues(t, 9, complete)
+	require.EqualValues(t, 9, complete.Revision)
 }
 
 // TestMergeOrder checks that the order in which records arrive does not matter.
@@ -140,7 +140,7 @@
 		return registrar.Record{ID: id, Revision: revision, Upstream: u}
 	}
 	first := rec("a", "10.0.0.1:1", 1, 1, false)
-	r.MergeList([]registrar.Record{first, rec("b", "10.0.0.2:1", 1, 1, false)}, 1, start)
+	r.MergeList([]registrar.Record{first, rec("b", "10.0.0.2:1", 1, 1, false)}, registrar.Position{Revision: 1}, start)
 	other := first.Upstream
 	other.Born = 2
 	require.False(t, r.MarkLeaving(other, "response", start), "a response of another incarnation")
@@ -151,7 +151,7 @@
 	require.Len(t, r.View().Leaving["s"], 1)
 	require.True(t, r.View().IsLeaving(first.Upstream))
 	require.False(t, r.View().IsLeaving(other))
-	records, _ := r.RecordsSince(0)
+	records, _ := r.RecordsSince(registrar.Position{Revision: 0})
 	for _, forwarded := range records {
 		require.False(t, forwarded.Upstream.Leaving, "peers receive what the store says")
 	}
@@ -183,9 +183,9 @@
 // leaving.
 func TestMarkDuringGracePeriod(t *testing.T) {
 	r := registrar.New(registrar.Config{})
-	r.MergeList([]registrar.Record{record("a", 1)}, 1, start)
+	r.MergeList([]registrar.Record{record("a", 1)}, registrar.Position{Revision: 1}, start)
 	r.OutageEnded(start)
-	r.MergeList(nil, 5, start)
+	r.MergeList(nil, registrar.Position{Revision: 5}, start)
 	require.Equal(t, []string{"a"}, ids(r))
 	require.True(t, r.MarkLeaving(record("a", 1).Upstream, "response", start))
 	require.Empty(t, ids(r))
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -113,7 +113,7 @@
 		id := fmt.Sprint("i-", u)
 		records = append(records, registrar.Record{ID: id, Revision: 1, Upstream: registrar.Upstream{ID: id, Service: "s", Slots: 16}})
 	}
-	n.registry.MergeList(records, 1, time.Now())
+	n.registry.MergeList(records, registrar.Position{Revision: 1}, time.Now())
 	n.follower = follower.New(follower.Config{
 		Registry: n.registry, Log: hclog.NewNullLogger(),
 		Decode: func(data []byte) (*mapper.Table, error) {
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -23,7 +23,7 @@
 			u.Leaving = true
 			records = append(records, registrar.Record{ID: u.ID, Revision: uint64(2 + i), Upstream: u})
 		}
-		reader.registry.MergeChanges(records, 1, 1+leave, time.Now())
+		reader.registry.MergeChanges(records, registrar.Position{Revision: 1}, registrar.Position{Revision: 1 + leave}, time.Now())
 		reader.relayer.NotifyPeers()
 		start := time.Now()
 		informed := func() (n int) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -84,6 +84,12 @@
 	// of upstreams.
 	Configuration uint64
 	Upstreams     uint64
+	// Era is the era of the sender's list of upstreams, and HasEra is set by versions that know of eras.
+	Era    uint64
+	HasEra bool
+	// Version is the operator's number of the sender's configuration, and ConfigurationEra the era in which it was read.
+	Version          uint64
+	ConfigurationEra uint64
 	// Newest is the revision of the newest change of an upstream that the sender has received.
 	Newest     uint64
 	OtherPeers PeerList
@@ -105,7 +111,9 @@
 
 // CompressedDocument is a configuration as published, compressed by gzip.
 type CompressedDocument struct {
+	Era      uint64
 	Revision uint64
+	Version  uint64
 	Data     []byte
 }
 
@@ -114,8 +122,11 @@
 	// Configuration is nil unless it is newer than that of the sender.
 	Configuration *CompressedDocument
 	Records       []registrar.Record
-	// Complete is the revision up to which the peer has all changes of upstreams.
+	// Complete is the revision up to which the peer has all changes of upstreams, and Era the era of its list; HasEra is set
+	// by versions that know of eras.
 	Complete uint64
+	Era      uint64
+	HasEra   bool
 	// Reached is set if the peer reaches the store. ConfirmedAge is the time since its configuration was last confirmed.
 	Reached      bool
 	ConfirmedAge time.Duration
@@ -252,16 +263,23 @@
 	state.MergeHotChats(req.HotChats.decode(), now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
-	reply.Records, reply.Complete = state.Registry.RecordsSince(req.Upstreams)
+	own := state.Registry.Position()
+	since := req.position(own.Era)
+	if since.Era <= own.Era {
+		reply.Records, own = state.Registry.RecordsSince(since)
+		reply.Complete = own.Revision
+	}
+	reply.Era, reply.HasEra = own.Era, true
 	current := state.Document()
-	if current.Revision > req.Configuration {
+	if idOf(current).replaces(req.document()) {
 		compressed, err := r.compress(current)
 		if err != nil {
 			return err
 		}
 		reply.Configuration = &compressed
 	}
-	if req.Configuration > current.Revision || req.Newest > state.Registry.NewestRevision() {
+	newerList := since.Era > own.Era || since.Era == own.Era && req.Newest > state.Registry.NewestRevision()
+	if newerList || req.document().replaces(idOf(current)) {
 		r.requestExchange(req.From)
 	}
 	if req.CrashNews && state.Crashes.Lacks(req.KnownCrashes) {
@@ -279,7 +297,7 @@
 func (r *Relayer) compress(d platform.Document) (CompressedDocument, error) {
 	r.compressMu.Lock()
 	defer r.compressMu.Unlock()
-	if r.compressed.Revision == d.Revision {
+	if c := &r.compressed; c.Data != nil && c.Era == d.Era && c.Revision == d.Revision && c.Version == d.Version {
 		return r.compressed, nil
 	}
 	var b bytes.Buffer
@@ -293,7 +311,7 @@
 	if err := w.Close(); err != nil {
 		return CompressedDocument{}, err
 	}
-	r.compressed = CompressedDocument{Revision: d.Revision, Data: b.Bytes()}
+	r.compressed = CompressedDocument{Era: d.Era, Revision: d.Revision, Version: d.Version, Data: b.Bytes()}
 	return r.compressed, nil
 }
 
@@ -309,7 +327,7 @@
 	if err != nil {
 		return platform.Document{}, err
 	}
-	return platform.Document{Revision: p.Revision, Data: data}, nil
+	return platform.Document{Era: p.Era, Revision: p.Revision, Data: data}, nil
 }
 
 // requestExchange makes Run exchange state with a peer without delay; an empty peer means any. It never blocks: the
@@ -427,10 +445,11 @@
 func (r *Relayer) exchange(ctx context.Context, peer string) {
 	state := r.cfg.State
 	now := time.Now()
+	document, since := state.Document(), state.Registry.Position()
 	req := Request{
 		From: r.cfg.Address, FailureDomain: r.cfg.FailureDomain, Link: r.cfg.Link, Saturated: r.saturated(),
-		Configuration: state.Document().Revision,
-		Upstreams:     state.Registry.CompleteRevision(), Newest: state.Registry.NewestRevision(),
+		Configuration: document.Revision, ConfigurationEra: document.Era, Version: document.Version,
+		Upstreams: since.Revision, Era: since.Era, HasEra: true, Newest: state.Registry.NewestRevision(),
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
 		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeUnreachable(state.Health.Reports(now)),
 		HotChats: encodeHotChats(state.HotChats(now)), CrashNews: now.UnixNano()-r.crashNews.Load() < int64(crashNewsTime),
@@ -451,26 +470,33 @@
 		return
 	}
 	r.exchangeSucceeded(peer)
-	if reply.Reached {
-		state.PeerReachedStore(now.Add(-reply.ConfirmedAge), reply.OutageAge)
+	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
+	isCurrent := r.isCurrent(to, since, confirmed)
+	if reply.Reached && isCurrent {
+		state.PeerReachedStore(confirmed, reply.OutageAge)
 	}
 	updated := false
 	if reply.Configuration != nil {
 		d, err := reply.Configuration.decompress()
 		if err != nil {
-			r.cfg.Log.Error("peer_configuration_unreadable", "peer", peer, "revision", reply.Configuration.Revision, "error", err.Error())
+			r.cfg.Log.Error("peer_configuration_unreadable", "peer", peer, "revision", reply.Configuration.Revision, "era", reply.Configuration.Era, "error", err.Error())
 			return
 		}
-		updated = state.Adopt(d, now.Add(-reply.ConfirmedAge), "peer "+peer)
+		if !reply.HasEra {
+			d.Era = document.Era
+		}
+		updated = state.Adopt(d, confirmed, "peer "+peer)
 	}
-	if reply.Reached {
-		state.Confirm(now.Add(-reply.ConfirmedAge))
+	if reply.Reached && isCurrent {
+		state.Confirm(confirmed)
 	}
 	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	state.MergeHotChats(reply.HotChats.decode(), time.Now())
-	updated = state.Registry.MergeChanges(reply.Records, req.Upstreams, reply.Complete, time.Now()) || updated
+	if isCurrent {
+		updated = r.mergeUpstreams(reply.Records, since, to, time.Now()) || updated
+	}
 	if updated {
 		r.NotifyPeers()
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -90,13 +90,13 @@
 
 	data := append([]byte{7}, bytes.Repeat([]byte("route "), 100_000)...)
 	a.follower.Adopt(platform.Document{Revision: 10, Data: data}, time.Now(), "store")
-	a.registry.MergeList([]registrar.Record{{ID: "u", Revision: 9, Upstream: registrar.Upstream{ID: "u", Service: "s"}}}, 10, time.Now())
+	a.registry.MergeList([]registrar.Record{{ID: "u", Revision: 9, Upstream: registrar.Upstream{ID: "u", Service: "s"}}}, registrar.Position{Revision: 10}, time.Now())
 	for _, g := range []*gateway{b, c} {
 		eventually(t, "a gateway is not ready", func() bool { return g.follower.Ready() })
 		require.Equal(t, data, g.follower.Document().Data)
 		require.Len(t, g.registry.View().ByService["s"], 1)
 	}
-	a.registry.MergeChanges([]registrar.Record{{ID: "u", Revision: 11, Removed: true}}, 10, 11, time.Now())
+	a.registry.MergeChanges([]registrar.Record{{ID: "u", Revision: 11, Removed: true}}, registrar.Position{Revision: 10}, registrar.Position{Revision: 11}, time.Now())
 	a.relayer.NotifyPeers()
 	for _, g := range []*gateway{b, c} {
 		eventually(t, "a gateway still lists the removed upstream", func() bool { return len(g.registry.View().ByService["s"]) == 0 })
@@ -126,7 +126,7 @@
 		eventually(t, "a gateway did not receive the crash reports", func() bool { return g.crashes.BlockedFor(f, time.Now()) > 0 })
 	}
 	upstreams := []registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}
-	a.registry.MergeList(upstreams, 1, time.Now())
+	a.registry.MergeList(upstreams, registrar.Position{Revision: 1}, time.Now())
 	eventually(t, "the load did not reach the other gateway", func() bool {
 		a.placer.RecordLoad("u1", placer.Load{Running: 5}, time.Now())
 		return len(b.placer.Reports(time.Now())) == 1
@@ -179,7 +179,7 @@
 		_ = c.Close()
 	}
 	a.follower.Adopt(platform.Document{Revision: 10, Data: []byte{1}}, time.Now(), "store")
-	a.registry.MergeList(nil, 10, time.Now())
+	a.registry.MergeList(nil, registrar.Position{Revision: 10}, time.Now())
 	eventually(t, "the configuration did not reach the gateway", func() bool { return b.follower.Ready() })
 }
 
@@ -204,7 +204,7 @@
 // Guards against malformed columns in a message of a peer of another version, or in trouble.
 func TestMalformedColumns(t *testing.T) {
 	a := newGateway(t, true)
-	a.registry.MergeList([]registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}, 1, time.Now())
+	a.registry.MergeList([]registrar.Record{{ID: "u1", Revision: 1, Upstream: registrar.Upstream{ID: "u1", Service: "s"}}}, registrar.Position{Revision: 1}, time.Now())
 	client, err := rpc.Dial("tcp", a.address)
 	require.NoError(t, err)
 	defer client.Close()
