follower: a short outage of the store is no longer taken for a long one

Seen: TestOutageDependsOnHeartbeat/400ms_300ms failed in 61 of 300 runs on; an upstream whose entry was removed right after an outage of 0.3 s stayed in use, as if the entry had expired. Entries that are renewed every 0.4 s expire in outages of 0.6 s and more.

Cause: the duration of an outage is measured until the first call that succeeds, and the backoff between calls grew to 0.5 s and more at random, whatever the heartbeat. A bound that fits one deployment was applied to all.

Change: the backoff is at most a quarter of the heartbeat, and 0.1 s at least (0.3 s with the usual heartbeat of 1.2 s, 0.5 s before).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,6 +24,9 @@
 	// within two seconds.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// backoffHeartbeats is the number of heartbeats that the backoff may last. An outage that is noticed to have ended
+	// later by more than a part of a heartbeat would seem long enough for entries to have expired.
+	backoffHeartbeats = 0.25
 	// DefaultHeartbeat is the default interval at which upstreams renew their entries.
 	DefaultHeartbeat = 1200 * time.Millisecond
 	// outageHeartbeats is the number of heartbeats without a confirmation from the store to any known process after which
@@ -155,7 +158,7 @@
 	backoff := minBackoff
 	retry := func() {
 		pause(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, f.maxBackoff())
 	}
 	for ctx.Err() == nil {
 		known := f.cfg.Registry.Position()
@@ -300,6 +303,11 @@
 	return at.Sub(last)
 }
 
+// maxBackoff returns the longest backoff after a failed call.
+func (f *Follower) maxBackoff() time.Duration {
+	return min(max(time.Duration(backoffHeartbeats*float64(f.cfg.Heartbeat)), minBackoff), maxBackoff)
+}
+
 // minOutage returns the time without a confirmation after which entries of upstreams may have expired.
 func (f *Follower) minOutage() time.Duration {
 	return outageHeartbeats*f.cfg.Heartbeat - outageMargin
