soaker: the store is restored from an older copy

Now a restore is one of the later kinds of faults, all gateways must know the newest configuration in the end, and a run with all kinds of faults ends with a restore and a configuration whose revision was given out before.

TestSoakDetectsBrokenGuarantees expects the new violation, too.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,6 +56,8 @@
 	{"group", crashGroup},
 	{"leave_unlisted", drainUnlisted},
 	{"pausing", makeUpstreamPause},
+	{"restore", restoreStore},
+	{"restore", restoreStore},
 }
 
 // randomDuration returns a random duration of at least low and less than high.
@@ -227,6 +230,40 @@
 	return fmt.Sprint(target, " mode ", m, " ", d)
 }
 
+// restoreStore makes the store unresponsive for a while and restores it from a copy that lacks some of the last changes.
+func restoreStore(ctx context.Context, s *soak, random *rand.Rand) string {
+	away, again := randomDuration(random, 100*time.Millisecond, 3*time.Second), randomDuration(random, 0, 2*time.Second)
+	behind := random.Uint64N(20)
+	if !s.restoring.TryLock() {
+		return "skipped: what an earlier restore lost is not written again yet"
+	}
+	defer s.restoring.Unlock()
+	rewritten := s.restore(ctx, behind, away, again)
+	return fmt.Sprint(away, " ", rewritten, " items written again after ", again)
+}
+
+// restore makes the store unresponsive for the duration away and restores it from a copy that lacks the last changes. Their
+// writers make those changes again, as far as they were not superseded, after the duration again.
+func (s *soak) restore(ctx context.Context, behind uint64, away, again time.Duration) (rewritten int) {
+	start := time.Now()
+	s.addFaultWindow("", start, start.Add(away+again+time.Second))
+	s.store.SetMode(imitator.Unresponsive)
+	pause(ctx, away)
+	revision := s.store.Revision()
+	lost := s.store.Restore(max(s.firstRevision, revision-min(behind, revision)))
+	s.store.SetMode(imitator.Up)
+	last := make(map[string]imitator.Item)
+	for _, it := range lost {
+		last[it.Key] = it
+	}
+	pause(ctx, again)
+	for _, key := range slices.Sorted(maps.Keys(last)) {
+		s.store.Rewrite(last[key])
+	}
+	s.addFaultWindow("", start, time.Now())
+	return len(last)
+}
+
 func disruptStoreLink(ctx context.Context, s *soak, random *rand.Rand) string {
 	g := s.randomGateway(random)
 	return s.disruptLink(ctx, g.process.Name, g.storeLink, random)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -50,6 +50,9 @@
 	// startTimeout bounds the start of the fleet, and settleTimeout the wait until all gateways are ready after the faults.
 	startTimeout  = 30 * time.Second
 	settleTimeout = 30 * time.Second
+	// configurationTimeout bounds the wait until a gateway knows the newest configuration after the faults. It is five times
+	// the time that the platform allows, as the machine may be overloaded.
+	configurationTimeout = 10 * time.Second
 	// finalPhase is the time for which callers continue to send requests after the recovery.
 	finalPhase = 2 * time.Second
 )
@@ -105,6 +108,10 @@
 	storeAddress string
 	gateways     []*gateway
 	startedAt    time.Time
+	// firstRevision is that of the store when the gateways were started; it is never restored from an earlier copy.
+	firstRevision uint64
+	// restoring is held while the store is restored, until what it has lost is written again.
+	restoring sync.Mutex
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -182,6 +189,7 @@
 		}
 	}
 	s.publishConfiguration()
+	s.firstRevision = s.store.Revision()
 	var seeds []string
 	for n := range s.cfg.Gateways {
 		g, err := s.newGateway(n)
@@ -330,7 +338,65 @@
 func (s *soak) settle(ctx context.Context) error {
 	s.store.SetMode(imitator.Up)
 	s.addFaultWindow("", time.Now(), time.Now())
-	return s.awaitReady(ctx, settleTimeout)
+	if err := s.awaitReady(ctx, settleTimeout); err != nil {
+		return err
+	}
+	s.awaitConfigurations(ctx)
+	if s.cfg.AllFaults {
+		s.restoreBesideConfigurations(ctx)
+	}
+	return nil
+}
+
+// restoreBesideConfigurations restores the store from a copy that lacks the last configurations, of which only the newest is
+// published again, and publishes the next one with a revision that the store has given out before.
+func (s *soak) restoreBesideConfigurations(ctx context.Context) {
+	const lost = 3
+	for range lost {
+		s.publishConfiguration()
+	}
+	s.awaitConfigurations(ctx)
+	s.restore(ctx, lost, 0, 0)
+	s.publishConfiguration()
+	s.awaitConfigurations(ctx)
+}
+
+// awaitConfigurations waits until all gateways know the newest configuration.
+func (s *soak) awaitConfigurations(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, g := range s.gateways {
+		group.Go(func() {
+			if !s.awaitConfiguration(ctx, g) {
+				s.addViolation("stale: %s does not know the newest configuration after %v", g.process.Name, configurationTimeout)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// awaitConfiguration waits until a gateway knows the route that only the newest configuration has. A request without a key
+// tells, and runs nowhere: it gets 401 if the route is known.
+func (s *soak) awaitConfiguration(ctx context.Context, g *gateway) bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(configurationTimeout); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, readinessInterval) {
+		s.mu.Lock()
+		path := s.extraPath
+		s.mu.Unlock()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.listenAddress+path, http.NoBody)
+		if err != nil {
+			return false
+		}
+		req.Host = host
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusUnauthorized {
+			return true
+		}
+	}
+	return ctx.Err() != nil
 }
 
 // shutDown stops all processes and stand-ins.
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -77,7 +77,7 @@
 	})
 	require.NoError(t, err)
 	found := strings.Join(report.Violations, "\n")
-	for _, violation := range []string{"identity:", "twice:", "refused:"} {
+	for _, violation := range []string{"identity:", "twice:", "refused:", "stale:"} {
 		require.Contains(t, found, violation)
 	}
 }
