--- a/follower/unreadable.go
+++ b/follower/unreadable.go
@@ -9,9 +9,10 @@
 	maxUnreadableKnown = 4096
 )
 
-// logUnreadable logs the unreadable items of a response. Each is logged once for each of its revisions, and not again when
+// logUnreadable logs the unreadable items that the store returned. Each is logged once for each of its revisions, and not again when
 // a list is read that still has it. complete is set for a list.
-func (f *Follower) logUnreadable(items []platform.Unreadable, complete bool) {
+func (f *Follower) logUnreadable(c *platform.Changes, complete bool) {
+	items := c.Unreadable
 	known := f.unreadable
 	if complete || len(known) > maxUnreadableKnown {
 		f.unreadable = make(map[string]uint64, len(items))
@@ -24,7 +25,7 @@
 			continue
 		}
 		if lines++; lines <= maxUnreadableLines {
-			f.cfg.Log.Warn("store_item_unreadable", "key", u.Key[:min(len(u.Key), maxLoggedKey)], "revision", u.Revision, "reason", u.Reason)
+			f.cfg.Log.Warn("store_item_unreadable", "key", u.Key[:min(len(u.Key), maxLoggedKey)], "revision", u.Revision, "era", c.Era, "reason", u.Reason)
 		}
 	}
 	if lines > maxUnreadableLines {
--- a/relayer/records_test.go
+++ b/relayer/records_test.go
@@ -39,7 +39,7 @@
 	a := newGateway(t, true)
 	b := newLoggedGateway(t, hclog.New(&hclog.LoggerOptions{Output: &log}), true, a.address)
 	overwritten := upstreamRecord("overwritten", 2)
-	b.registry.MergeList([]registrar.Record{overwritten}, 2, time.Now())
+	b.registry.MergeList([]registrar.Record{overwritten}, at(0, 2), time.Now())
 	records := []registrar.Record{upstreamRecord("a", 3), upstreamRecord("z", 10)}
 	for _, change := range []func(*registrar.Record){
 		func(r *registrar.Record) {
@@ -56,8 +56,8 @@
 		change(&r)
 		records = append(records, r)
 	}
-	a.registry.MergeList(records, 10, time.Now())
-	eventually(t, "the records did not reach the gateway", func() bool { return b.registry.CompleteRevision() == 10 })
+	a.registry.MergeList(records, at(0, 10), time.Now())
+	eventually(t, "the records did not reach the gateway", func() bool { return b.registry.Position() == at(0, 10) })
 	var ids []string
 	for _, list := range b.registry.View().ByService {
 		for _, u := range list {
@@ -65,7 +65,7 @@
 		}
 	}
 	require.Equal(t, []string{"a", "z"}, ids)
-	a.registry.MergeChanges([]registrar.Record{upstreamRecord("overwritten", 11)}, 10, 11, time.Now())
+	a.registry.MergeChanges([]registrar.Record{upstreamRecord("overwritten", 11)}, at(0, 10), at(0, 11), time.Now())
 	eventually(t, "an upstream whose own entry is back is not used", func() bool { return len(b.registry.View().ByService["s"]) == 3 })
 	require.Equal(t, 1, log.count("peer_records_odd"))
 }
