follower: a watch that an era change overtakes does not continue the new list

What callers saw: changes of the configuration and of upstreams that a gateway never applied, if it was watching while a peer passed on the list of a restored store.

Cause: the response was compared with the era of the list at its arrival, not with the one in which the watch began. A watch from revision 20 of era 1 that is answered in era 2 reports the changes after revision 20, while the list of the peer ends at 15: what lies between was skipped for good, and the position of the list stayed at 15.

Evidence: TestWatchThatAnEraChangeOvertakes before the fix: expected position {2 22}, actual {2 15}.

Fix: a response to a watch that began in another era, or behind the position of the list, is dropped, and the next watch begins at the list's position. It costs one call.

--- a/follower/era_test.go
+++ b/follower/era_test.go
@@ -1,10 +1,13 @@
 package follower_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"clementineramp/follower"
@@ -110,3 +113,30 @@
 	require.EqualValues(t, 15, f.Current().Table.Version)
 	require.EqualValues(t, 15, f.Document().Version)
 }
+
+// Guards against changes that are skipped because a watch that began in one era is answered in the next one, after a peer has
+// passed on the list of the next one: the revision that was watched from stands for another change by then.
+func TestWatchThatAnEraChangeOvertakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{state: state{era: 1, revision: 20, all: platform.Changes{Configuration: document(20, 13)}}}
+		watch := func(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
+			c, err := s.watch(ctx, after, wait)
+			if c.Era == 2 && after < 18 {
+				c.Configuration = document(18, 16)
+			}
+			return c, err
+		}
+		r := registrar.New(registrar.Config{})
+		f := follower.New(follower.Config{Store: follower.Store{ReadAll: s.readAll, Watch: watch}, Registry: r, Decode: decode, Log: hclog.NewNullLogger()})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		s.set(func(s *state) { s.era, s.revision = 2, 22 })
+		r.MergeList(nil, registrar.Position{Era: 2, Revision: 15}, time.Now())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, registrar.Position{Era: 2, Revision: 22}, r.Position())
+		require.EqualValues(t, 16, f.Current().Table.Version)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -164,8 +164,8 @@
 			pause(ctx, readerPollInterval)
 			continue
 		}
-		if at.Revision > 0 && at.Era != known.Era {
-			at = known // A peer has passed on the list of another era.
+		if overtaken(at, known) {
+			at = known
 		}
 		started := time.Now()
 		changes, err := f.call(ctx, at.Revision)
@@ -181,6 +181,9 @@
 			}
 			continue
 		}
+		if overtaken(at, f.cfg.Registry.Position()) {
+			continue // Between the position of the list and that of the watch there may be changes of the new era.
+		}
 		if !f.settleEra(&changes, at.Revision == 0) {
 			if at.Revision == 0 {
 				retry()
@@ -199,6 +202,12 @@
 	}
 }
 
+// overtaken reports whether a watch from the position at cannot continue the list at the position known, because a peer has
+// passed on the list of another era. A full read has a revision of zero, and is never overtaken.
+func overtaken(at, known registrar.Position) bool {
+	return at.Revision > 0 && (at.Era != known.Era || at.Revision > known.Revision)
+}
+
 func (f *Follower) call(ctx context.Context, revision uint64) (platform.Changes, error) {
 	if revision == 0 {
 		return f.cfg.Store.ReadAll(ctx)
