registrar: an earlier incarnation in the copy does not replace a later one

What callers saw: requests to the address of an incarnation that is gone, and new requests to one that had stated that it leaves, after an upstream had started again under its ID and the store had come back from a copy that still lists the incarnation before.

Cause: the list of another era was believed, unless it named the same incarnation as before. One that had left, been marked or been removed was used at once if the copy named an earlier one, and the mark was deleted.

Fix: an incarnation with an earlier start does not replace a later one until the entry is written again, or until the entry of one that is gone has expired. A known one that is in use stays so meanwhile. After that time the store is believed, so that a clock that was set back keeps no upstream out for ever.

--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -207,3 +207,71 @@
 		}
 	})
 }
+
+// Guards against requests to the address of an earlier incarnation, which is gone, because the copy from which the store was
+// restored lists it: the known one stays in use until its entry is written again, or its state is kept if it is not used. The
+// listed one is used once its entry would have expired.
+func TestCopyListsAnEarlierIncarnation(t *testing.T) {
+	address := func(r *registrar.Registry) (all []string) {
+		for _, u := range r.View().ByService["s"] {
+			all = append(all, u.Address)
+		}
+		return all
+	}
+	const earlier, later = "10.0.0.1:1", "10.0.0.1:2"
+	for _, c := range []struct {
+		name           string
+		before         registrar.Record
+		marked         bool
+		restored, last []string
+	}{
+		{"in use", instance("a", 2, 7, false), false, []string{later}, []string{earlier}},
+		{"leaving", instance("a", 2, 7, true), false, nil, []string{earlier}},
+		{"marked", instance("a", 2, 7, false), true, nil, []string{earlier}},
+		{"removed", removed("a", 7), false, nil, []string{earlier}},
+	} {
+		restored := func(t *testing.T) *registrar.Registry {
+			t.Helper()
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(1, 5), start)
+			r.MergeChanges([]registrar.Record{instance("a", 2, 6, false)}, at(1, 5), at(1, 6), start)
+			r.MergeChanges([]registrar.Record{c.before}, at(1, 6), at(1, 7), start)
+			if c.marked {
+				r.MarkLeaving(c.before.Upstream, "response", start)
+			}
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(2, 5), start)
+			require.Equal(t, c.restored, address(r))
+			return r
+		}
+		t.Run(c.name, func(t *testing.T) {
+			r := restored(t)
+			r.Refresh(start.Add(expiry - 1))
+			require.Equal(t, c.restored, address(r))
+			r.Refresh(start.Add(expiry))
+			require.Equal(t, c.last, address(r))
+		})
+		t.Run(c.name+", expires", func(t *testing.T) {
+			r := restored(t)
+			r.MergeChanges([]registrar.Record{removed("a", 6)}, at(2, 5), at(2, 6), start.Add(registrar.ExpiryGrace))
+			require.Empty(t, ids(r))
+			r.Refresh(start.Add(expiry))
+			require.Empty(t, ids(r))
+		})
+		t.Run(c.name+", written again", func(t *testing.T) {
+			r := restored(t)
+			again := instance("a", 2, 6, c.before.Upstream.Leaving)
+			r.MergeChanges([]registrar.Record{again}, at(2, 5), at(2, 6), start.Add(time.Second))
+			r.Refresh(start.Add(expiry))
+			if c.before.Upstream.Leaving || c.marked {
+				require.Empty(t, ids(r))
+			} else {
+				require.Equal(t, []string{later}, address(r))
+			}
+		})
+		t.Run(c.name+", a second restore", func(t *testing.T) {
+			r := restored(t)
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(3, 5), start)
+			require.Equal(t, c.restored, address(r))
+		})
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -70,14 +70,23 @@
 	removedAt  time.Time
 	// wasLeaving is set if the incarnation was leaving in an earlier era, whatever the store says since.
 	wasLeaving bool
-	// unusedUntil is the time until which the upstream is not used because it had been removed in an earlier era; zero if
-	// it had not.
-	unusedUntil time.Time
+	// doubtedUntil is the time until which the store's entry is not believed, because it contradicts what was known in an
+	// earlier era; zero if it does not. Until then the upstream is not used if unused is set. If listed is not nil, the entry
+	// names that earlier incarnation, which replaces Upstream at that time.
+	doubtedUntil time.Time
+	unused       bool
+	listed       *Upstream
 }
 
 // inUse reports whether the upstream is used unless it is leaving.
 func (e *entry) inUse(now time.Time) bool {
-	return (!e.Removed || now.Before(e.graceUntil)) && !now.Before(e.unusedUntil)
+	return (!e.Removed || now.Before(e.graceUntil)) && (!e.unused || !now.Before(e.doubtedUntil))
+}
+
+// doubt is how an entry of the list of another era contradicts what was known of the upstream; see entry.
+type doubt struct {
+	unused bool
+	listed *Upstream
 }
 
 // Event is a change of an upstream's record.
@@ -224,9 +233,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
-	var returned []string
+	var doubts map[string]doubt
 	if r.complete.Revision > 0 && at.Era != r.complete.Era {
-		records, returned = r.beginEra(records, at, now)
+		records, doubts = r.beginEra(records, at, now)
 		changed = true
 	}
 	r.complete.Era = at.Era
@@ -241,8 +250,9 @@
 		}
 	}
 	r.complete.Revision = max(r.complete.Revision, at.Revision)
-	for _, id := range returned {
-		r.entries[id].unusedUntil = now.Add(r.cfg.Expiry)
+	for id, d := range doubts {
+		e := r.entries[id]
+		e.doubtedUntil, e.unused, e.listed = now.Add(r.cfg.Expiry), d.unused, d.listed
 	}
 	if changed {
 		r.rebuild(now)
@@ -250,13 +260,13 @@
 	return changed
 }
 
-// beginEra prepares the entries for the list of another era. It returns the listed records, and the IDs of the upstreams that
-// are listed again although they had been removed.
+// beginEra prepares the entries for the list of another era. It returns the records to merge, and the doubts about them by ID.
 //
 // The copy from which the store was restored may lack upstreams that have joined since, so that unlisted ones stay in use as
 // after an outage. It may have upstreams as ready that have left since: those that were leaving do so whatever the store
-// says, and those that had been removed are not used until their entries are written again or would have expired.
-func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, returned []string) {
+// says, and those that had been removed are not used until their entries are written again or would have expired. For as long,
+// an incarnation that the copy lists does not replace a later one of the same upstream.
+func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, doubts map[string]doubt) {
 	if r.cfg.OnEra != nil {
 		r.cfg.OnEra(r.complete, at)
 	}
@@ -265,17 +275,24 @@
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
 		e.Revision = 0 // It says nothing about the order of changes in this era.
 	}
+	doubts = make(map[string]doubt)
 	for _, rec := range list {
 		if rec.Removed {
 			continue
 		}
-		records = append(records, rec)
 		e := r.entries[rec.ID]
-		if e != nil && !e.inUse(now) && e.Upstream.Incarnation() == rec.Upstream.Incarnation() {
-			returned = append(returned, rec.ID)
+		switch {
+		case e == nil:
+		case rec.Upstream.Born < e.Upstream.Born:
+			listed := rec.Upstream
+			doubts[rec.ID] = doubt{unused: !e.inUse(now), listed: &listed}
+			rec.Upstream = e.Upstream
+		case !e.inUse(now) && e.Upstream.Incarnation() == rec.Upstream.Incarnation():
+			doubts[rec.ID] = doubt{unused: true}
 		}
+		records = append(records, rec)
 	}
-	return records, returned
+	return records, doubts
 }
 
 // MergeChanges adds records, which must be all those after the position since up to the given one. It reports whether the
@@ -320,7 +337,7 @@
 			change = "lapsed"
 			e.graceUntil = until
 		}
-	case old == nil || old.Removed || !old.unusedUntil.IsZero():
+	case old == nil || old.Removed || old.unused:
 		change = "joined"
 	case rec.Upstream.Leaving && !old.Upstream.Leaving:
 		change = "leaving"
@@ -352,15 +369,17 @@
 	return r.outageEnd.Add(ExpiryGrace)
 }
 
-// Refresh ends the grace periods, and those in which listed upstreams are not used, that have passed, and deletes old
-// removals. It reports whether the upstreams in use changed.
+// Refresh ends the grace periods, and those in which entries are doubted, that have passed, and deletes old removals. It reports whether the upstreams in use changed.
 func (r *Registry) Refresh(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
 	for id, e := range r.entries {
-		if !e.unusedUntil.IsZero() && !now.Before(e.unusedUntil) {
-			e.unusedUntil = time.Time{}
+		if !e.doubtedUntil.IsZero() && !now.Before(e.doubtedUntil) {
+			if e.listed != nil {
+				e.Upstream, e.wasLeaving = *e.listed, false
+			}
+			e.doubtedUntil, e.unused, e.listed = time.Time{}, false, nil
 			changed = true
 		}
 		if !e.Removed {
