registrar: a gateway that hears late of a restore grants no second grace period

What callers saw: requests to upstreams that had been gone for long, for 2.3 s after a gateway that was cut off during a restore of the store had reached its peers again.

Cause: the grace period of upstreams that the copy lacks began when the list of the new era arrived, not when the store was restored.

Evidence: TestGatewayThatHearsLateOfTheRestore before the fix: should have 1 item, but has 3.

Fix: the list of a peer comes with the end of the outage that the peer recorded, and the period begins there. MergePeerList also checks under the lock of the list that the era is still the one in which the peer was asked; the check was made before the lock was taken, and a reply that was overtaken by a change of the era in between put the older era back (found by reading; TestReplyThatAnEraChangeOvertakes).

--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -275,3 +275,21 @@
 		})
 	}
 }
+
+// Guards against a way back to the list of an earlier era by the reply of a peer that was asked before the change of the era.
+func TestReplyThatAnEraChangeOvertakes(t *testing.T) {
+	r := registrar.New(registrar.Config{Expiry: expiry})
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(1, 7), start)
+	r.MergeList([]registrar.Record{instance("b", 2, 5, false)}, at(3, 6), start.Add(-time.Minute))
+	r.Refresh(start)
+	require.False(t, r.MergePeerList([]registrar.Record{instance("a", 1, 5, false)}, 1, at(2, 9), start, start))
+	require.Equal(t, at(3, 6), r.Position())
+	require.Equal(t, []string{"b"}, ids(r))
+	require.False(t, r.MergePeerList([]registrar.Record{instance("a", 1, 5, false)}, 3, at(4, 0), start, start), "no list")
+	require.True(t, r.MergePeerList([]registrar.Record{instance("b", 2, 5, false), instance("c", 1, 7, false)}, 1, at(3, 8), start, start), "of the same era")
+	require.Equal(t, []string{"b", "c"}, ids(r))
+	require.Equal(t, at(3, 8), r.Position())
+	require.False(t, r.MergePeerList([]registrar.Record{instance("b", 2, 5, false)}, 1, at(3, 6), start, start), "older than the list")
+	require.Equal(t, []string{"b", "c"}, ids(r))
+	require.Equal(t, at(3, 8), r.Position())
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -227,14 +227,32 @@
 	return changed
 }
 
-// MergeList adds the records of a complete list that was read at a position, and removes upstreams that are not listed.
-// A list of another era replaces all records. It reports whether the upstreams in use changed.
+// MergeList adds the records of a complete list that was read from the store at a position, and removes upstreams that are not
+// listed. A list of another era replaces all records. It reports whether the upstreams in use changed.
 func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.mergeList(records, at, now, now)
+}
+
+// MergePeerList is MergeList for the complete list of a peer, which replaces one of the era since only: the list may have
+// changed since the peer was asked. The store was restored at the given time, as far as the peer knows.
+func (r *Registry) MergePeerList(records []Record, since uint64, at Position, restored, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
+		return false
+	}
+	return r.mergeList(records, at, restored, now)
+}
+
+func (r *Registry) mergeList(records []Record, at Position, restored, now time.Time) bool {
 	changed := false
 	var doubts map[string]doubt
 	if r.complete.Revision > 0 && at.Era != r.complete.Era {
+		if restored.After(r.outageEnd) {
+			r.outageEnd = restored
+		}
 		records, doubts = r.beginEra(records, at, now)
 		changed = true
 	}
@@ -270,7 +288,7 @@
 	if r.cfg.OnEra != nil {
 		r.cfg.OnEra(r.complete, at)
 	}
-	r.complete, r.outageEnd = at, now
+	r.complete = at
 	for _, e := range r.entries {
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
 		e.Revision = 0 // It says nothing about the order of changes in this era.
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -62,13 +62,14 @@
 
 // mergeUpstreams merges the records of a reply to a gateway whose list was at the position since, and reports whether the
 // upstreams in use changed.
-func (r *Relayer) mergeUpstreams(records []registrar.Record, since, to registrar.Position, now time.Time) bool {
+func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
 	if to.Era == since.Era {
-		return registry.MergeChanges(records, since, to, now)
+		return registry.MergeChanges(reply.Records, since, to, now)
 	}
-	if to.Revision == 0 || registry.Position().Era != since.Era {
-		return false
+	restored := now
+	if reply.OutageAge > 0 {
+		restored = now.Add(-reply.OutageAge)
 	}
-	return registry.MergeList(records, to, now)
+	return registry.MergePeerList(reply.Records, since.Era, to, restored, now)
 }
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -106,6 +106,34 @@
 	})
 }
 
+// Guards against requests to upstreams that are gone for long: a gateway that hears late of a restore does not keep those that
+// the list lacks for another grace period.
+func TestGatewayThatHearsLateOfTheRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 1, 3)
+		time.Sleep(5 * time.Second)
+		late := f.nodes[0]
+		f.mu.Lock()
+		f.cut = func(a, b string) bool { return a == late.address || b == late.address }
+		for _, c := range f.conns {
+			_ = c.Close()
+		}
+		f.mu.Unlock()
+		for _, n := range f.nodes[1:] {
+			n.registry.MergeList([]registrar.Record{upstreamRecord("i-0", 1)}, at(2, 5), time.Now())
+		}
+		time.Sleep(10 * time.Second)
+		require.Len(t, late.registry.View().ByService["s"], 3)
+		f.mu.Lock()
+		f.cut = nil
+		f.mu.Unlock()
+		for late.registry.Position() != at(2, 5) {
+			time.Sleep(time.Millisecond)
+		}
+		require.Len(t, late.registry.View().ByService["s"], 1)
+	})
+}
+
 // Guards against a wrong era of the store that some gateways have believed and that spreads for ever, because it is higher than
 // the right one: it counts only until the store has confirmed the right one later.
 func TestWrongEraDoesNotSpreadForEver(t *testing.T) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -495,7 +495,7 @@
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	state.MergeHotChats(reply.HotChats.decode(), time.Now())
 	if isCurrent {
-		updated = r.mergeUpstreams(reply.Records, since, to, time.Now()) || updated
+		updated = r.mergeUpstreams(&reply, since, to, time.Now()) || updated
 	}
 	if updated {
 		r.NotifyPeers()
