registrar: a second restore begins the grace period of absent upstreams anew

What callers saw: refusals for want of an upstream that was sound, when the store came back from a copy twice within seconds and the copies lacked its entry.

Cause: the grace period of an upstream that the first copy lacked ended by the first restore, although its entry could not be written again before the second one.

Evidence: TestSecondRestoreInGracePeriod before the fix: expected a and b, actual a.

Fix: upstreams that are still in their grace period when an era begins get the one of the new era.

--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -293,3 +293,16 @@
 	require.Equal(t, []string{"b", "c"}, ids(r))
 	require.Equal(t, at(3, 8), r.Position())
 }
+
+// Guards against upstreams that are lost in a second restore while they still wait for their entries to be written again.
+func TestSecondRestoreInGracePeriod(t *testing.T) {
+	r := registrar.New(registrar.Config{Expiry: expiry})
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false), instance("b", 2, 6, false)}, at(1, 7), start)
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(2, 5), start)
+	second := start.Add(2 * time.Second)
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(3, 5), second)
+	r.Refresh(second.Add(registrar.ExpiryGrace - 1))
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	r.Refresh(second.Add(registrar.ExpiryGrace))
+	require.Equal(t, []string{"a"}, ids(r))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -291,6 +291,9 @@
 	r.complete = at
 	for _, e := range r.entries {
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
+		if end := r.graceEnd(); e.Removed && now.Before(e.graceUntil) && end.After(e.graceUntil) {
+			e.graceUntil = end // The entry may not have been written again before this restore.
+		}
 		e.Revision = 0 // It says nothing about the order of changes in this era.
 	}
 	doubts = make(map[string]doubt)
