relayer: after a restore, a peer that states no era neither changes nor confirms the list

What callers saw: nothing so far; it needs a restore of the store during a rollout. Records of the era before counted as those of the present one, the position of the list went ahead of the store's, and changes up to there were missed; a configuration of the era before kept out later ones, whose revisions are lower.

Cause: what a peer of the version that knew no eras sends was taken to be in the era of this gateway.

Evidence: TestPeerWithoutErasAfterARestore before the fix: position {2 10} expected, {2 60} actual; with the first half of the fix: the revision of a configuration without an era: should be true.

Fix: once the era of its list has changed, a gateway ignores lists and confirmations without an era, and reads the store itself if nobody else confirms its state; a configuration without an era is ordered by its version alone. Without a restore such peers exchange as before. A gateway that starts after the restore and has only such peers cannot tell.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -128,6 +128,8 @@
 	outageEnd time.Time
 	// complete is the position up to which the registry has all records; its revision is zero before the first list.
 	complete Position
+	// restored is set if the era of the list has changed.
+	restored bool
 	view     atomic.Pointer[View]
 }
 
@@ -288,7 +290,7 @@
 	if r.cfg.OnEra != nil {
 		r.cfg.OnEra(r.complete, at)
 	}
-	r.complete = at
+	r.complete, r.restored = at, true
 	for _, e := range r.entries {
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
 		if end := r.graceEnd(); e.Removed && now.Before(e.graceUntil) && end.After(e.graceUntil) {
@@ -428,6 +430,14 @@
 	return r.complete
 }
 
+// Restored reports whether the era of the list has changed since the start, so that a revision alone does not say what it
+// stands for.
+func (r *Registry) Restored() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restored
+}
+
 // NewestRevision returns the revision of the newest record as of the last Refresh or merge that changed the upstreams
 // in use.
 func (r *Registry) NewestRevision() uint64 {
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -52,8 +52,12 @@
 }
 
 // isCurrent reports whether the list of a peer at the position to, which was confirmed at the given time, is in the era of
-// this gateway's list at the position own, or in a later one.
-func (r *Relayer) isCurrent(to, own registrar.Position, confirmed time.Time) bool {
+// this gateway's list at the position own, or in a later one. That of a peer that states no era may be in any once the store
+// has been restored.
+func (r *Relayer) isCurrent(reply *Reply, to, own registrar.Position, confirmed time.Time) bool {
+	if !reply.HasEra && r.cfg.State.Registry.Restored() {
+		return false
+	}
 	if to.Era == own.Era || own.Revision == 0 {
 		return true
 	}
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -1,7 +1,11 @@
 package relayer_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,3 +214,65 @@
 	require.True(t, reply.HasEra)
 	require.EqualValues(t, 1, reply.Era)
 }
+
+// gatewayWithoutEras answers as a gateway of the version that knew no eras.
+type gatewayWithoutEras struct {
+	reply relayer.Reply // Without the fields that state the era.
+	calls atomic.Int64
+}
+
+// Exchange replies with the whole state.
+func (g *gatewayWithoutEras) Exchange(_ relayer.Request, reply *relayer.Reply) error {
+	*reply = g.reply
+	g.calls.Add(1)
+	return nil
+}
+
+// Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
+// version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
+func TestPeerWithoutErasAfterARestore(t *testing.T) {
+	var data bytes.Buffer
+	z := gzip.NewWriter(&data)
+	_, err := z.Write([]byte{8})
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	g := &gatewayWithoutEras{reply: relayer.Reply{Records: []registrar.Record{upstreamRecord("u", 50)}, Complete: 60, Reached: true}}
+	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := rpc.NewServer()
+	require.NoError(t, s.RegisterName("Gateways", g))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.ServeConn(c)
+		}
+	}()
+	for _, restored := range []bool{false, true} {
+		a := newGateway(t, true)
+		require.True(t, a.follower.Adopt(platform.Document{Era: 1, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
+		a.registry.MergeList([]registrar.Record{upstreamRecord("u", 9)}, at(1, 10), time.Now())
+		want := at(1, 60)
+		if restored {
+			a.registry.MergeList([]registrar.Record{upstreamRecord("u", 9)}, at(2, 10), time.Now())
+			require.True(t, a.follower.Adopt(platform.Document{Era: 2, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
+			want = at(2, 10)
+		}
+		client, err := rpc.Dial("tcp", a.address)
+		require.NoError(t, err)
+		var reply replyWithoutEras
+		require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: l.Addr().String(), Newest: 60}, &reply))
+		require.NoError(t, client.Close())
+		before := g.calls.Load()
+		eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+		require.Equal(t, want, a.registry.Position())
+		require.EqualValues(t, 8, a.follower.Document().Version)
+		if restored {
+			require.True(t, a.follower.Adopt(platform.Document{Era: 2, Revision: 31, Data: []byte{9}}, time.Now(), "store"), "the revision of a configuration without an era")
+		}
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -471,7 +471,7 @@
 	}
 	r.exchangeSucceeded(peer)
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
-	isCurrent := r.isCurrent(to, since, confirmed)
+	isCurrent := r.isCurrent(&reply, to, since, confirmed)
 	if reply.Reached && isCurrent {
 		state.PeerReachedStore(confirmed, reply.OutageAge)
 	}
@@ -482,7 +482,7 @@
 			r.cfg.Log.Error("peer_configuration_unreadable", "peer", peer, "revision", reply.Configuration.Revision, "era", reply.Configuration.Era, "error", err.Error())
 			return
 		}
-		if !reply.HasEra {
+		if !reply.HasEra && !state.Registry.Restored() {
 			d.Era = document.Era
 		}
 		updated = state.Adopt(d, confirmed, "peer "+peer)
