relayer: a gateway that starts after a restore learns which upstreams were leaving

What callers saw: new requests to upstreams that had stated before a restore that they leave, from gateways that started after it, until these upstreams had written their entries again.

Cause: the other gateways know from the earlier era who leaves, but hold that at the revision of the copy. A gateway that had read the copy itself asked for later revisions only, and would have ignored a record of the same revision.

Evidence: TestGatewayThatStartsAfterTheRestoreKnowsWhoLeaves before the fix: should have 2 items, but has 3.

Fix: the first three exchanges after a start ask for the whole list (the first peer may have just started, too), and of two records of one revision and incarnation the one that is leaving holds. Not passed on: that an upstream had been removed. Such a one cannot be reached, or answers 421.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -334,15 +334,29 @@
 	return changed
 }
 
+// isKnown reports whether a record says nothing new.
+func isKnown(rec Record, old *entry) bool {
+	if rec.Revision != old.Revision {
+		return rec.Revision < old.Revision
+	}
+	return rec.Removed == old.Removed && !saysLeaving(rec, old)
+}
+
+// saysLeaving reports whether a record that a peer passes on differs from that of the store at the same revision, because the
+// peer knows from an earlier era that the incarnation is leaving.
+func saysLeaving(rec Record, old *entry) bool {
+	return rec.Upstream.Leaving && !old.Upstream.Leaving && !rec.Removed && rec.Upstream.Incarnation() == old.Upstream.Incarnation()
+}
+
 func (r *Registry) merge(rec Record, now time.Time) bool {
 	old := r.entries[rec.ID]
-	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && rec.Removed == old.Removed) {
+	if old != nil && isKnown(rec, old) {
 		return false
 	}
 	if old != nil && old.wasLeaving && !rec.Removed && old.Upstream.Incarnation() == rec.Upstream.Incarnation() {
 		rec.Upstream.Leaving = true
 	}
-	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && old.wasLeaving}
+	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && (old.wasLeaving || rec.Revision == old.Revision && !old.Removed)}
 	change := "changed"
 	switch {
 	case rec.Removed:
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -138,6 +138,26 @@
 	})
 }
 
+// Guards against new requests to upstreams that were leaving before a restore by gateways that have started since and have read
+// the copy, which has them as ready.
+func TestGatewayThatStartsAfterTheRestoreKnowsWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 1, 3)
+		copied := listed(f.nodes[0])
+		for _, n := range f.nodes {
+			n.registry.MergeList(copied, at(7, 5), time.Now())
+			leaving := registrar.Record{ID: "i-0", Revision: 6, Upstream: registrar.Upstream{ID: "i-0", Service: "s", Slots: 16, Leaving: true}}
+			n.registry.MergeChanges([]registrar.Record{leaving}, at(7, 5), at(7, 6), time.Now())
+			n.registry.MergeList(copied, at(0, 1), time.Now()) // The first list of all gateways of this test is in era 0.
+			require.Len(t, n.registry.View().ByService["s"], 2)
+		}
+		f.kill(5)
+		f.start(5, 3)
+		time.Sleep(2 * time.Second)
+		require.Len(t, f.nodes[5].registry.View().ByService["s"], 2)
+	})
+}
+
 // Guards against a wrong era of the store that some gateways have believed and that spreads for ever, because it is higher than
 // the right one: it counts only until the store has confirmed the right one later.
 func TestWrongEraDoesNotSpreadForEver(t *testing.T) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,6 +46,10 @@
 	crashNewsTime = 500 * time.Millisecond
 	// wakeQueueSize bounds the queue of immediate exchanges.
 	wakeQueueSize = 8
+	// listsAtStart is the number of exchanges in which a gateway that has started asks for the whole list: after a restore of
+	// the store its peers know of upstreams that were leaving, and the list of the store may have them as ready. A peer may
+	// have started just before, too.
+	listsAtStart = 3
 	// peerTTL is the time since the last exchange of any gateway with a peer after which the peer no longer counts as live.
 	peerTTL = 8 * time.Second
 	// An exchange lists one in listedShare of the live peers, or one in hubListedShare if a hub sends it to another
@@ -209,6 +213,8 @@
 	compressed CompressedDocument
 
 	upstreams upstreamCodec
+	// listsAsked counts the exchanges that this gateway has begun and that succeeded.
+	listsAsked atomic.Int64
 	// crashNews is the time of the last call of NotifyCrash, in nanoseconds since 1970.
 	crashNews atomic.Int64
 
@@ -445,7 +451,11 @@
 func (r *Relayer) exchange(ctx context.Context, peer string) {
 	state := r.cfg.State
 	now := time.Now()
-	document, since := state.Document(), state.Registry.Position()
+	document, own := state.Document(), state.Registry.Position()
+	since := own
+	if r.listsAsked.Load() < listsAtStart {
+		since.Revision = 0
+	}
 	req := Request{
 		From: r.cfg.Address, FailureDomain: r.cfg.FailureDomain, Link: r.cfg.Link, Saturated: r.saturated(),
 		Configuration: document.Revision, ConfigurationEra: document.Era, Version: document.Version,
@@ -470,8 +480,9 @@
 		return
 	}
 	r.exchangeSucceeded(peer)
+	r.listsAsked.Add(1)
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
-	isCurrent := r.isCurrent(&reply, to, since, confirmed)
+	isCurrent := r.isCurrent(&reply, to, own, confirmed)
 	if reply.Reached && isCurrent {
 		state.PeerReachedStore(confirmed, reply.OutageAge)
 	}
