--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -35,6 +35,8 @@
 	conns     []net.Conn
 	// cut reports whether two gateways cannot reach each other; nil means that all can.
 	cut func(a, b string) bool
+	// store is what the gateways follow; nil means that tests feed them.
+	store *eraStore
 	// crossBytes counts the bytes between failure domains, and bytes all bytes, once for each message.
 	crossBytes, bytes atomic.Int64
 }
@@ -88,7 +90,12 @@
 
 // newFleet starts gateways that are spread evenly over failure domains; the first ones are the seeds.
 func newFleet(t *testing.T, gateways, domains, upstreams int) *fleet {
-	f := &fleet{t: t, listeners: map[string]*pipeListener{}}
+	return newFleetWithStore(t, gateways, domains, upstreams, nil)
+}
+
+// newFleetWithStore is newFleet with gateways that follow a store.
+func newFleetWithStore(t *testing.T, gateways, domains, upstreams int, store *eraStore) *fleet {
+	f := &fleet{t: t, listeners: map[string]*pipeListener{}, store: store}
 	for i := range gateways {
 		n := &node{address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1), domain: fmt.Sprint("domain-", i%domains)}
 		f.nodes = append(f.nodes, n)
@@ -113,9 +120,13 @@
 		id := fmt.Sprint("i-", u)
 		records = append(records, registrar.Record{ID: id, Revision: 1, Upstream: registrar.Upstream{ID: id, Service: "s", Slots: 16}})
 	}
-	n.registry.MergeList(records, registrar.Position{Revision: 1}, time.Now())
+	if f.store == nil {
+		n.registry.MergeList(records, registrar.Position{Revision: 1}, time.Now())
+	}
 	n.follower = follower.New(follower.Config{
-		Registry: n.registry, Log: hclog.NewNullLogger(),
+		Registry: n.registry, Log: hclog.NewNullLogger(), Store: f.store.client(n.address),
+		Reader: func() bool { return n.relayer.Reader() }, Gateways: func() int { return n.relayer.Gateways() },
+		OnUpdate: func() { n.relayer.NotifyPeers() },
 		Decode: func(data []byte) (*mapper.Table, error) {
 			return (&mapper.Table{Version: uint64(data[0])}).Build(), nil
 		},
@@ -134,7 +145,7 @@
 		Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, n, address) },
 		State: relayer.State{
 			Document: n.follower.Document, Confirmed: func() time.Time { return n.follower.Current().Confirmed },
-			Reached: func() bool { return true }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
+			Reached: func() bool { return f.store == nil || n.follower.Reached() }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
 			PeerReachedStore: n.follower.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
 			Loads: n.placer.Reports, MergeLoads: n.placer.Merge, HighLoads: n.placer.HighReports, Health: n.health,
 			HotChats: n.placer.HotChats, MergeHotChats: n.placer.MergeHotChats,
@@ -148,6 +159,9 @@
 	var running sync.WaitGroup
 	running.Go(func() { _ = n.relayer.Serve(l) })
 	running.Go(func() { n.relayer.Run(ctx) })
+	if f.store != nil {
+		running.Go(func() { n.follower.Run(ctx) })
+	}
 	n.stop = func() {
 		cancel()
 		_ = l.Close()
