registrar: a position passed on to peers includes the removals up to it

What callers saw: requests to an upstream that had been removed, from one gateway and for as long as it did not read the store itself. It needs a gateway that starts after the removal, as after a kill beside a restore, and that exchanges with one that has not heard of the removal: that one takes over the position.

Cause: a reply held the records after the requester's position, and a gateway that has read a list has no record of upstreams that went before.

Found by TestGatewaysAgreeAfterAnyHistory, in which three gateways read, watch, exchange and restart at random while the store changes and is restored.

Fix: the registry knows after which revision it has all removals; to requests from before it, it sends the whole list, stated by Reply.Whole, and what that lacks is removed. Peers that know no eras are sent changes as before. In the same test: the later incarnation that stays in use beside a copy with an earlier one is not passed on, since the peer would take it for the store's entry and never leave it.

--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -39,10 +39,10 @@
 	require.False(t, r.MergeChanges([]registrar.Record{instance("a", 1, 70, false)}, at(1, 60), at(1, 70), start), "changes of the era before")
 	require.Equal(t, []string{"b"}, ids(r))
 	require.Equal(t, at(2, 32), r.Position())
-	records, complete := r.RecordsSince(at(1, 60))
+	records, complete, _ := r.RecordsSince(at(1, 60))
 	require.Len(t, records, 2, "a position in another era has no changes after it")
 	require.Equal(t, at(2, 32), complete)
-	records, _ = r.RecordsSince(at(2, 31))
+	records, _, _ = r.RecordsSince(at(2, 31))
 	require.Len(t, records, 1)
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -128,6 +128,9 @@
 	outageEnd time.Time
 	// complete is the position up to which the registry has all records; its revision is zero before the first list.
 	complete Position
+	// removalsFrom is the revision after which the registry has all removals. It lacks earlier ones: a list names no upstream
+	// that came and went before it, and old removals are deleted.
+	removalsFrom uint64
 	// restored is set if the era of the list has changed.
 	restored bool
 	view     atomic.Pointer[View]
@@ -261,7 +264,7 @@
 	r.complete.Era = at.Era
 	listed := make(map[string]bool, len(records))
 	for _, rec := range records {
-		listed[rec.ID] = true
+		listed[rec.ID] = !rec.Removed
 		changed = r.merge(rec, now) || changed
 	}
 	for id, e := range r.entries {
@@ -270,6 +273,7 @@
 		}
 	}
 	r.complete.Revision = max(r.complete.Revision, at.Revision)
+	r.removalsFrom = max(r.removalsFrom, at.Revision)
 	for id, d := range doubts {
 		e := r.entries[id]
 		e.doubtedUntil, e.unused, e.listed = now.Add(r.cfg.Expiry), d.unused, d.listed
@@ -290,7 +294,7 @@
 	if r.cfg.OnEra != nil {
 		r.cfg.OnEra(r.complete, at)
 	}
-	r.complete, r.restored = at, true
+	r.complete, r.restored, r.removalsFrom = at, true, 0
 	for _, e := range r.entries {
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
 		if end := r.graceEnd(); e.Removed && now.Before(e.graceUntil) && end.After(e.graceUntil) {
@@ -429,6 +433,7 @@
 		if now.Sub(e.removedAt) > tombstoneTTL {
 			delete(r.entries, id)
 			delete(r.marks, id)
+			r.removalsFrom = max(r.removalsFrom, e.Revision)
 		}
 	}
 	if changed {
@@ -458,17 +463,23 @@
 	return r.View().Revision
 }
 
-// RecordsSince returns the records after a position, including removals, and the position up to which they are complete.
-// After a position in another era, these are all records.
-func (r *Registry) RecordsSince(since Position) (records []Record, complete Position) {
+// RecordsSince returns the records after a position, including removals, and the position up to which they are complete. These
+// are all records, with whole set, after a position in another era, or before one from which removals are known.
+func (r *Registry) RecordsSince(since Position) (records []Record, complete Position, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	whole = since.Era != r.complete.Era || since.Revision < r.removalsFrom
 	for _, e := range r.entries {
-		if e.Revision > since.Revision || since.Era != r.complete.Era {
-			records = append(records, e.Record)
+		if !whole && e.Revision <= since.Revision {
+			continue
+		}
+		rec := e.Record
+		if e.listed != nil {
+			rec.Upstream = *e.listed // A peer decides by what it knew itself.
 		}
+		records = append(records, rec)
 	}
-	return records, r.complete
+	return records, r.complete, whole
 }
 
 func (r *Registry) rebuild(now time.Time) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -96,7 +96,7 @@
 	r.MergeList(nil, registrar.Position{Revision: 7}, start)
 	r.MergeChanges(nil, registrar.Position{Revision: 7}, registrar.Position{Revision: 9}, start)
 	require.EqualValues(t, 9, r.Position().Revision)
-	records, complete := r.RecordsSince(registrar.Position{Revision: 7})
+	records, complete, _ := r.RecordsSince(registrar.Position{Revision: 7})
 	require.Len(t, records, 1)
 	require.EqualValues(t, 9, complete.Revision)
 }
@@ -151,7 +151,7 @@
 	require.Len(t, r.View().Leaving["s"], 1)
 	require.True(t, r.View().IsLeaving(first.Upstream))
 	require.False(t, r.View().IsLeaving(other))
-	records, _ := r.RecordsSince(registrar.Position{Revision: 0})
+	records, _, _ := r.RecordsSince(registrar.Position{Revision: 0})
 	for _, forwarded := range records {
 		require.False(t, forwarded.Upstream.Leaving, "peers receive what the store says")
 	}
--- a/registrar/restore_test.go
+++ b/registrar/restore_test.go
@@ -116,7 +116,7 @@
 				require.Zero(t, h.used())
 				h.pass(10 * time.Minute)
 				require.Zero(t, h.used())
-				records, _ := h.RecordsSince(registrar.Position{Era: 1 << 40})
+				records, _, _ := h.RecordsSince(registrar.Position{Era: 1 << 40})
 				require.Empty(t, records, "entries are kept for ever")
 				h.change(instance("a", 3, 0, false))
 				require.EqualValues(t, 3, h.used())
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -68,7 +68,7 @@
 // upstreams in use changed.
 func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
-	if to.Era == since.Era {
+	if to.Era == since.Era && !reply.Whole {
 		return registry.MergeChanges(reply.Records, since, to, now)
 	}
 	restored := now
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -77,7 +77,7 @@
 
 // listed returns the records of a gateway's list.
 func listed(n *node) []registrar.Record {
-	records, _ := n.registry.RecordsSince(registrar.Position{})
+	records, _, _ := n.registry.RecordsSince(registrar.Position{})
 	return records
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,6 +126,8 @@
 	// Configuration is nil unless it is newer than that of the sender.
 	Configuration *CompressedDocument
 	Records       []registrar.Record
+	// Whole is set if Records holds the whole list of upstreams; those that it lacks are gone.
+	Whole bool
 	// Complete is the revision up to which the peer has all changes of upstreams, and Era the era of its list; HasEra is set
 	// by versions that know of eras.
 	Complete uint64
@@ -272,8 +274,11 @@
 	own := state.Registry.Position()
 	since := req.position(own.Era)
 	if since.Era <= own.Era {
-		reply.Records, own = state.Registry.RecordsSince(since)
+		reply.Records, own, reply.Whole = state.Registry.RecordsSince(since)
 		reply.Complete = own.Revision
+		if !req.HasEra { // It takes any list for changes.
+			reply.Records = slices.DeleteFunc(reply.Records, func(rec registrar.Record) bool { return rec.Revision <= req.Upstreams })
+		}
 	}
 	reply.Era, reply.HasEra = own.Era, true
 	current := state.Document()
