relayer: gateways of the test fleet that start again share no variables with the killed ones

TestFleetFollowsARestoredStore under -race: a handler of a killed gateway read node.follower while the next start wrote it (fleet_test.go). Only the stand-in of the test was concerned. The functions of a start hold their own follower and relayer now.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -113,6 +113,7 @@
 
 // start starts a gateway without any state but the list of upstreams.
 func (f *fleet) start(i, upstreams int) {
+	// The functions below hold what this start creates, as handlers of a killed gateway may still run when it starts again.
 	n := f.nodes[i]
 	n.registry, n.crashes = registrar.New(registrar.Config{}), blocker.New()
 	var records []registrar.Record
@@ -123,44 +124,46 @@
 	if f.store == nil {
 		n.registry.MergeList(records, registrar.Position{Revision: 1}, time.Now())
 	}
-	n.follower = follower.New(follower.Config{
+	var relay *relayer.Relayer
+	follow := follower.New(follower.Config{
 		Registry: n.registry, Log: hclog.NewNullLogger(), Store: f.store.client(n.address),
-		Reader: func() bool { return n.relayer.Reader() }, Gateways: func() int { return n.relayer.Gateways() },
-		OnUpdate: func() { n.relayer.NotifyPeers() },
+		Reader: func() bool { return relay.Reader() }, Gateways: func() int { return relay.Gateways() },
+		OnUpdate: func() { relay.NotifyPeers() },
 		Decode: func(data []byte) (*mapper.Table, error) {
 			return (&mapper.Table{Version: uint64(data[0])}).Build(), nil
 		},
 	})
 	n.placer = placer.New(placer.Config{
 		View: n.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good },
-		OnHigh: func() { n.relayer.NotifyHighLoad() },
+		OnHigh: func() { relay.NotifyHighLoad() },
 	})
-	n.health = appraiser.New(appraiser.Config{OnReport: func() { n.relayer.NotifyPeers() }, Heard: n.placer.Heard})
+	n.health = appraiser.New(appraiser.Config{OnReport: func() { relay.NotifyPeers() }, Heard: n.placer.Heard})
 	var seeds []string
 	for _, s := range f.nodes[:min(3, len(f.nodes))] {
 		seeds = append(seeds, s.address)
 	}
-	n.relayer = relayer.New(relayer.Config{
+	relay = relayer.New(relayer.Config{
 		Address: n.address, FailureDomain: n.domain, Seeds: seeds, Readers: 4, Log: hclog.NewNullLogger(),
 		Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, n, address) },
 		State: relayer.State{
-			Document: n.follower.Document, Confirmed: func() time.Time { return n.follower.Current().Confirmed },
-			Reached: func() bool { return f.store == nil || n.follower.Reached() }, Adopt: n.follower.Adopt, Confirm: n.follower.Confirm,
-			PeerReachedStore: n.follower.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
+			Document: follow.Document, Confirmed: func() time.Time { return follow.Current().Confirmed },
+			Reached: func() bool { return f.store == nil || follow.Reached() }, Adopt: follow.Adopt, Confirm: follow.Confirm,
+			PeerReachedStore: follow.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
 			Loads: n.placer.Reports, MergeLoads: n.placer.Merge, HighLoads: n.placer.HighReports, Health: n.health,
 			HotChats: n.placer.HotChats, MergeHotChats: n.placer.MergeHotChats,
 		},
 	})
+	n.follower, n.relayer = follow, relay
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	f.mu.Lock()
 	f.listeners[n.address] = l
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var running sync.WaitGroup
-	running.Go(func() { _ = n.relayer.Serve(l) })
-	running.Go(func() { n.relayer.Run(ctx) })
+	running.Go(func() { _ = relay.Serve(l) })
+	running.Go(func() { relay.Run(ctx) })
 	if f.store != nil {
-		running.Go(func() { n.follower.Run(ctx) })
+		running.Go(func() { follow.Run(ctx) })
 	}
 	n.stop = func() {
 		cancel()
