--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -39,10 +39,10 @@
 	require.False(t, r.MergeChanges([]registrar.Record{instance("a", 1, 70, false)}, at(1, 60), at(1, 70), start), "changes of the era before")
 	require.Equal(t, []string{"b"}, ids(r))
 	require.Equal(t, at(2, 32), r.Position())
-	records, complete := r.RecordsSince(at(1, 60))
+	records, complete, _ := r.RecordsSince(at(1, 60))
 	require.Len(t, records, 2, "a position in another era has no changes after it")
 	require.Equal(t, at(2, 32), complete)
-	records, _ = r.RecordsSince(at(2, 31))
+	records, _, _ = r.RecordsSince(at(2, 31))
 	require.Len(t, records, 1)
 }
 
@@ -207,3 +207,102 @@
 		}
 	})
 }
+
+// Guards against requests to the address of an earlier incarnation, which is gone, because the copy from which the store was
+// restored lists it: the known one stays in use until its entry is written again, or its state is kept if it is not used. The
+// listed one is used once its entry would have expired.
+func TestCopyListsAnEarlierIncarnation(t *testing.T) {
+	address := func(r *registrar.Registry) (all []string) {
+		for _, u := range r.View().ByService["s"] {
+			all = append(all, u.Address)
+		}
+		return all
+	}
+	const earlier, later = "10.0.0.1:1", "10.0.0.1:2"
+	for _, c := range []struct {
+		name           string
+		before         registrar.Record
+		marked         bool
+		restored, last []string
+	}{
+		{"in use", instance("a", 2, 7, false), false, []string{later}, []string{earlier}},
+		{"leaving", instance("a", 2, 7, true), false, nil, []string{earlier}},
+		{"marked", instance("a", 2, 7, false), true, nil, []string{earlier}},
+		{"removed", removed("a", 7), false, nil, []string{earlier}},
+	} {
+		restored := func(t *testing.T) *registrar.Registry {
+			t.Helper()
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(1, 5), start)
+			r.MergeChanges([]registrar.Record{instance("a", 2, 6, false)}, at(1, 5), at(1, 6), start)
+			r.MergeChanges([]registrar.Record{c.before}, at(1, 6), at(1, 7), start)
+			if c.marked {
+				r.MarkLeaving(c.before.Upstream, "response", start)
+			}
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(2, 5), start)
+			require.Equal(t, c.restored, address(r))
+			return r
+		}
+		t.Run(c.name, func(t *testing.T) {
+			r := restored(t)
+			r.Refresh(start.Add(expiry - 1))
+			require.Equal(t, c.restored, address(r))
+			r.Refresh(start.Add(expiry))
+			require.Equal(t, c.last, address(r))
+		})
+		t.Run(c.name+", expires", func(t *testing.T) {
+			r := restored(t)
+			r.MergeChanges([]registrar.Record{removed("a", 6)}, at(2, 5), at(2, 6), start.Add(registrar.ExpiryGrace))
+			require.Empty(t, ids(r))
+			r.Refresh(start.Add(expiry))
+			require.Empty(t, ids(r))
+		})
+		t.Run(c.name+", written again", func(t *testing.T) {
+			r := restored(t)
+			again := instance("a", 2, 6, c.before.Upstream.Leaving)
+			r.MergeChanges([]registrar.Record{again}, at(2, 5), at(2, 6), start.Add(time.Second))
+			r.Refresh(start.Add(expiry))
+			if c.before.Upstream.Leaving || c.marked {
+				require.Empty(t, ids(r))
+			} else {
+				require.Equal(t, []string{later}, address(r))
+			}
+		})
+		t.Run(c.name+", a second restore", func(t *testing.T) {
+			r := restored(t)
+			r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(3, 5), start)
+			require.Equal(t, c.restored, address(r))
+		})
+	}
+}
+
+// Guards against a way back to the list of an earlier era by the reply of a peer that was asked before the change of the era.
+func TestReplyThatAnEraChangeOvertakes(t *testing.T) {
+	r := registrar.New(registrar.Config{Expiry: expiry})
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(1, 7), start)
+	r.MergeList([]registrar.Record{instance("b", 2, 5, false)}, at(3, 6), start.Add(-time.Minute))
+	r.Refresh(start)
+	require.False(t, r.MergePeerList([]registrar.Record{instance("a", 1, 5, false)}, 1, at(2, 9), start, start))
+	require.Equal(t, at(3, 6), r.Position())
+	require.Equal(t, []string{"b"}, ids(r))
+	require.False(t, r.MergePeerList([]registrar.Record{instance("a", 1, 5, false)}, 3, at(4, 0), start, start), "no list")
+	require.True(t, r.MergePeerList([]registrar.Record{instance("b", 2, 5, false), instance("c", 1, 7, false)}, 1, at(3, 8), start, start), "of the same era")
+	require.Equal(t, []string{"b", "c"}, ids(r))
+	require.Equal(t, at(3, 8), r.Position())
+	require.False(t, r.MergePeerList([]registrar.Record{instance("b", 2, 5, false)}, 1, at(3, 6), start, start), "older than the list")
+	require.Equal(t, []string{"b", "c"}, ids(r))
+	require.Equal(t, at(3, 8), r.Position())
+}
+
+// Guards against upstreams that are lost in a second restore while they still wait for their entries to be written again.
+func TestSecondRestoreInGracePeriod(t *testing.T) {
+	r := registrar.New(registrar.Config{Expiry: expiry})
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false), instance("b", 2, 6, false)}, at(1, 7), start)
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(2, 5), start)
+	second := start.Add(2 * time.Second)
+	r.MergeList([]registrar.Record{instance("a", 1, 5, false)}, at(3, 5), second)
+	r.Refresh(second.Add(registrar.ExpiryGrace - 1))
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	r.Refresh(second.Add(registrar.ExpiryGrace))
+	require.Equal(t, []string{"a"}, ids(r))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -70,14 +70,23 @@
 	removedAt  time.Time
 	// wasLeaving is set if the incarnation was leaving in an earlier era, whatever the store says since.
 	wasLeaving bool
-	// unusedUntil is the time until which the upstream is not used because it had been removed in an earlier era; zero if
-	// it had not.
-	unusedUntil time.Time
+	// doubtedUntil is the time until which the store's entry is not believed, because it contradicts what was known in an
+	// earlier era; zero if it does not. Until then the upstream is not used if unused is set. If listed is not nil, the entry
+	// names that earlier incarnation, which replaces Upstream at that time.
+	doubtedUntil time.Time
+	unused       bool
+	listed       *Upstream
 }
 
 // inUse reports whether the upstream is used unless it is leaving.
 func (e *entry) inUse(now time.Time) bool {
-	return (!e.Removed || now.Before(e.graceUntil)) && !now.Before(e.unusedUntil)
+	return (!e.Removed || now.Before(e.graceUntil)) && (!e.unused || !now.Before(e.doubtedUntil))
+}
+
+// doubt is how an entry of the list of another era contradicts what was known of the upstream; see entry.
+type doubt struct {
+	unused bool
+	listed *Upstream
 }
 
 // Event is a change of an upstream's record.
@@ -119,6 +128,11 @@
 	outageEnd time.Time
 	// complete is the position up to which the registry has all records; its revision is zero before the first list.
 	complete Position
+	// removalsFrom is the revision after which the registry has all removals. It lacks earlier ones: a list names no upstream
+	// that came and went before it, and old removals are deleted.
+	removalsFrom uint64
+	// restored is set if the era of the list has changed.
+	restored bool
 	view     atomic.Pointer[View]
 }
 
@@ -218,21 +232,39 @@
 	return changed
 }
 
-// MergeList adds the records of a complete list that was read at a position, and removes upstreams that are not listed.
-// A list of another era replaces all records. It reports whether the upstreams in use changed.
+// MergeList adds the records of a complete list that was read from the store at a position, and removes upstreams that are not
+// listed. A list of another era replaces all records. It reports whether the upstreams in use changed.
 func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.mergeList(records, at, now, now)
+}
+
+// MergePeerList is MergeList for the complete list of a peer, which replaces one of the era since only: the list may have
+// changed since the peer was asked. The store was restored at the given time, as far as the peer knows.
+func (r *Registry) MergePeerList(records []Record, since uint64, at Position, restored, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
+		return false
+	}
+	return r.mergeList(records, at, restored, now)
+}
+
+func (r *Registry) mergeList(records []Record, at Position, restored, now time.Time) bool {
 	changed := false
-	var returned []string
+	var doubts map[string]doubt
 	if r.complete.Revision > 0 && at.Era != r.complete.Era {
-		records, returned = r.beginEra(records, at, now)
+		if restored.After(r.outageEnd) {
+			r.outageEnd = restored
+		}
+		records, doubts = r.beginEra(records, at, now)
 		changed = true
 	}
 	r.complete.Era = at.Era
 	listed := make(map[string]bool, len(records))
 	for _, rec := range records {
-		listed[rec.ID] = true
+		listed[rec.ID] = !rec.Removed
 		changed = r.merge(rec, now) || changed
 	}
 	for id, e := range r.entries {
@@ -241,8 +273,10 @@
 		}
 	}
 	r.complete.Revision = max(r.complete.Revision, at.Revision)
-	for _, id := range returned {
-		r.entries[id].unusedUntil = now.Add(r.cfg.Expiry)
+	r.removalsFrom = max(r.removalsFrom, at.Revision)
+	for id, d := range doubts {
+		e := r.entries[id]
+		e.doubtedUntil, e.unused, e.listed = now.Add(r.cfg.Expiry), d.unused, d.listed
 	}
 	if changed {
 		r.rebuild(now)
@@ -250,32 +284,42 @@
 	return changed
 }
 
-// beginEra prepares the entries for the list of another era. It returns the listed records, and the IDs of the upstreams that
-// are listed again although they had been removed.
+// beginEra prepares the entries for the list of another era. It returns the records to merge, and the doubts about them by ID.
 //
 // The copy from which the store was restored may lack upstreams that have joined since, so that unlisted ones stay in use as
 // after an outage. It may have upstreams as ready that have left since: those that were leaving do so whatever the store
-// says, and those that had been removed are not used until their entries are written again or would have expired.
-func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, returned []string) {
+// says, and those that had been removed are not used until their entries are written again or would have expired. For as long,
+// an incarnation that the copy lists does not replace a later one of the same upstream.
+func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, doubts map[string]doubt) {
 	if r.cfg.OnEra != nil {
 		r.cfg.OnEra(r.complete, at)
 	}
-	r.complete, r.outageEnd = at, now
+	r.complete, r.restored, r.removalsFrom = at, true, 0
 	for _, e := range r.entries {
 		e.wasLeaving = e.wasLeaving || e.Upstream.Leaving
+		if end := r.graceEnd(); e.Removed && now.Before(e.graceUntil) && end.After(e.graceUntil) {
+			e.graceUntil = end // The entry may not have been written again before this restore.
+		}
 		e.Revision = 0 // It says nothing about the order of changes in this era.
 	}
+	doubts = make(map[string]doubt)
 	for _, rec := range list {
 		if rec.Removed {
 			continue
 		}
-		records = append(records, rec)
 		e := r.entries[rec.ID]
-		if e != nil && !e.inUse(now) && e.Upstream.Incarnation() == rec.Upstream.Incarnation() {
-			returned = append(returned, rec.ID)
+		switch {
+		case e == nil:
+		case rec.Upstream.Born < e.Upstream.Born:
+			listed := rec.Upstream
+			doubts[rec.ID] = doubt{unused: !e.inUse(now), listed: &listed}
+			rec.Upstream = e.Upstream
+		case !e.inUse(now) && e.Upstream.Incarnation() == rec.Upstream.Incarnation():
+			doubts[rec.ID] = doubt{unused: true}
 		}
+		records = append(records, rec)
 	}
-	return records, returned
+	return records, doubts
 }
 
 // MergeChanges adds records, which must be all those after the position since up to the given one. It reports whether the
@@ -294,15 +338,29 @@
 	return changed
 }
 
+// isKnown reports whether a record says nothing new.
+func isKnown(rec Record, old *entry) bool {
+	if rec.Revision != old.Revision {
+		return rec.Revision < old.Revision
+	}
+	return rec.Removed == old.Removed && !saysLeaving(rec, old)
+}
+
+// saysLeaving reports whether a record that a peer passes on differs from that of the store at the same revision, because the
+// peer knows from an earlier era that the incarnation is leaving.
+func saysLeaving(rec Record, old *entry) bool {
+	return rec.Upstream.Leaving && !old.Upstream.Leaving && !rec.Removed && rec.Upstream.Incarnation() == old.Upstream.Incarnation()
+}
+
 func (r *Registry) merge(rec Record, now time.Time) bool {
 	old := r.entries[rec.ID]
-	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && rec.Removed == old.Removed) {
+	if old != nil && isKnown(rec, old) {
 		return false
 	}
 	if old != nil && old.wasLeaving && !rec.Removed && old.Upstream.Incarnation() == rec.Upstream.Incarnation() {
 		rec.Upstream.Leaving = true
 	}
-	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && old.wasLeaving}
+	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && (old.wasLeaving || rec.Revision == old.Revision && !old.Removed)}
 	change := "changed"
 	switch {
 	case rec.Removed:
@@ -320,7 +378,7 @@
 			change = "lapsed"
 			e.graceUntil = until
 		}
-	case old == nil || old.Removed || !old.unusedUntil.IsZero():
+	case old == nil || old.Removed || old.unused:
 		change = "joined"
 	case rec.Upstream.Leaving && !old.Upstream.Leaving:
 		change = "leaving"
@@ -361,15 +419,17 @@
 	return r.outageEnd.Add(ExpiryGrace)
 }
 
-// Refresh ends the grace periods, and those in which listed upstreams are not used, that have passed, and deletes old
-// removals. It reports whether the upstreams in use changed.
+// Refresh ends the grace periods, and those in which entries are doubted, that have passed, and deletes old removals. It reports whether the upstreams in use changed.
 func (r *Registry) Refresh(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
 	for id, e := range r.entries {
-		if !e.unusedUntil.IsZero() && !now.Before(e.unusedUntil) {
-			e.unusedUntil = time.Time{}
+		if !e.doubtedUntil.IsZero() && !now.Before(e.doubtedUntil) {
+			if e.listed != nil {
+				e.Upstream, e.wasLeaving = *e.listed, false
+			}
+			e.doubtedUntil, e.unused, e.listed = time.Time{}, false, nil
 			changed = true
 		}
 		if !e.Removed {
@@ -382,6 +442,7 @@
 		if now.Sub(e.removedAt) > tombstoneTTL {
 			delete(r.entries, id)
 			delete(r.marks, id)
+			r.removalsFrom = max(r.removalsFrom, e.Revision)
 		}
 	}
 	if changed {
@@ -397,23 +458,37 @@
 	return r.complete
 }
 
+// Restored reports whether the era of the list has changed since the start, so that a revision alone does not say what it
+// stands for.
+func (r *Registry) Restored() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restored
+}
+
 // NewestRevision returns the revision of the newest record as of the last Refresh or merge that changed the upstreams
 // in use.
 func (r *Registry) NewestRevision() uint64 {
 	return r.View().Revision
 }
 
-// RecordsSince returns the records after a position, including removals, and the position up to which they are complete.
-// After a position in another era, these are all records.
-func (r *Registry) RecordsSince(since Position) (records []Record, complete Position) {
+// RecordsSince returns the records after a position, including removals, and the position up to which they are complete. These
+// are all records, with whole set, after a position in another era, or before one from which removals are known.
+func (r *Registry) RecordsSince(since Position) (records []Record, complete Position, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	whole = since.Era != r.complete.Era || since.Revision < r.removalsFrom
 	for _, e := range r.entries {
-		if e.Revision > since.Revision || since.Era != r.complete.Era {
-			records = append(records, e.Record)
+		if !whole && e.Revision <= since.Revision {
+			continue
+		}
+		rec := e.Record
+		if e.listed != nil {
+			rec.Upstream = *e.listed // A peer decides by what it knew itself.
 		}
+		records = append(records, rec)
 	}
-	return records, r.complete
+	return records, r.complete, whole
 }
 
 func (r *Registry) rebuild(now time.Time) {
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -52,8 +52,12 @@
 }
 
 // isCurrent reports whether the list of a peer at the position to, which was confirmed at the given time, is in the era of
-// this gateway's list at the position own, or in a later one.
-func (r *Relayer) isCurrent(to, own registrar.Position, confirmed time.Time) bool {
+// this gateway's list at the position own, or in a later one. That of a peer that states no era may be in any once the store
+// has been restored.
+func (r *Relayer) isCurrent(reply *Reply, to, own registrar.Position, confirmed time.Time) bool {
+	if !reply.HasEra && r.cfg.State.Registry.Restored() {
+		return false
+	}
 	if to.Era == own.Era || own.Revision == 0 {
 		return true
 	}
@@ -62,13 +66,14 @@
 
 // mergeUpstreams merges the records of a reply to a gateway whose list was at the position since, and reports whether the
 // upstreams in use changed.
-func (r *Relayer) mergeUpstreams(records []registrar.Record, since, to registrar.Position, now time.Time) bool {
+func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
-	if to.Era == since.Era {
-		return registry.MergeChanges(records, since, to, now)
+	if to.Era == since.Era && !reply.Whole {
+		return registry.MergeChanges(reply.Records, since, to, now)
 	}
-	if to.Revision == 0 || registry.Position().Era != since.Era {
-		return false
+	restored := now
+	if reply.OutageAge > 0 {
+		restored = now.Add(-reply.OutageAge)
 	}
-	return registry.MergeList(records, to, now)
+	return registry.MergePeerList(reply.Records, since.Era, to, restored, now)
 }
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -1,7 +1,11 @@
 package relayer_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,7 +77,7 @@
 
 // listed returns the records of a gateway's list.
 func listed(n *node) []registrar.Record {
-	records, _ := n.registry.RecordsSince(registrar.Position{})
+	records, _, _ := n.registry.RecordsSince(registrar.Position{})
 	return records
 }
 
@@ -106,6 +110,54 @@
 	})
 }
 
+// Guards against requests to upstreams that are gone for long: a gateway that hears late of a restore does not keep those that
+// the list lacks for another grace period.
+func TestGatewayThatHearsLateOfTheRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 1, 3)
+		time.Sleep(5 * time.Second)
+		late := f.nodes[0]
+		f.mu.Lock()
+		f.cut = func(a, b string) bool { return a == late.address || b == late.address }
+		for _, c := range f.conns {
+			_ = c.Close()
+		}
+		f.mu.Unlock()
+		for _, n := range f.nodes[1:] {
+			n.registry.MergeList([]registrar.Record{upstreamRecord("i-0", 1)}, at(2, 5), time.Now())
+		}
+		time.Sleep(10 * time.Second)
+		require.Len(t, late.registry.View().ByService["s"], 3)
+		f.mu.Lock()
+		f.cut = nil
+		f.mu.Unlock()
+		for late.registry.Position() != at(2, 5) {
+			time.Sleep(time.Millisecond)
+		}
+		require.Len(t, late.registry.View().ByService["s"], 1)
+	})
+}
+
+// Guards against new requests to upstreams that were leaving before a restore by gateways that have started since and have read
+// the copy, which has them as ready.
+func TestGatewayThatStartsAfterTheRestoreKnowsWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 1, 3)
+		copied := listed(f.nodes[0])
+		for _, n := range f.nodes {
+			n.registry.MergeList(copied, at(7, 5), time.Now())
+			leaving := registrar.Record{ID: "i-0", Revision: 6, Upstream: registrar.Upstream{ID: "i-0", Service: "s", Slots: 16, Leaving: true}}
+			n.registry.MergeChanges([]registrar.Record{leaving}, at(7, 5), at(7, 6), time.Now())
+			n.registry.MergeList(copied, at(0, 1), time.Now()) // The first list of all gateways of this test is in era 0.
+			require.Len(t, n.registry.View().ByService["s"], 2)
+		}
+		f.kill(5)
+		f.start(5, 3)
+		time.Sleep(2 * time.Second)
+		require.Len(t, f.nodes[5].registry.View().ByService["s"], 2)
+	})
+}
+
 // Guards against a wrong era of the store that some gateways have believed and that spreads for ever, because it is higher than
 // the right one: it counts only until the store has confirmed the right one later.
 func TestWrongEraDoesNotSpreadForEver(t *testing.T) {
@@ -182,3 +234,65 @@
 	require.True(t, reply.HasEra)
 	require.EqualValues(t, 1, reply.Era)
 }
+
+// gatewayWithoutEras answers as a gateway of the version that knew no eras.
+type gatewayWithoutEras struct {
+	reply relayer.Reply // Without the fields that state the era.
+	calls atomic.Int64
+}
+
+// Exchange replies with the whole state.
+func (g *gatewayWithoutEras) Exchange(_ relayer.Request, reply *relayer.Reply) error {
+	*reply = g.reply
+	g.calls.Add(1)
+	return nil
+}
+
+// Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
+// version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
+func TestPeerWithoutErasAfterARestore(t *testing.T) {
+	var data bytes.Buffer
+	z := gzip.NewWriter(&data)
+	_, err := z.Write([]byte{8})
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	g := &gatewayWithoutEras{reply: relayer.Reply{Records: []registrar.Record{upstreamRecord("u", 50)}, Complete: 60, Reached: true}}
+	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := rpc.NewServer()
+	require.NoError(t, s.RegisterName("Gateways", g))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.ServeConn(c)
+		}
+	}()
+	for _, restored := range []bool{false, true} {
+		a := newGateway(t, true)
+		require.True(t, a.follower.Adopt(platform.Document{Era: 1, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
+		a.registry.MergeList([]registrar.Record{upstreamRecord("u", 9)}, at(1, 10), time.Now())
+		want := at(1, 60)
+		if restored {
+			a.registry.MergeList([]registrar.Record{upstreamRecord("u", 9)}, at(2, 10), time.Now())
+			require.True(t, a.follower.Adopt(platform.Document{Era: 2, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
+			want = at(2, 10)
+		}
+		client, err := rpc.Dial("tcp", a.address)
+		require.NoError(t, err)
+		var reply replyWithoutEras
+		require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: l.Addr().String(), Newest: 60}, &reply))
+		require.NoError(t, client.Close())
+		before := g.calls.Load()
+		eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+		require.Equal(t, want, a.registry.Position())
+		require.EqualValues(t, 8, a.follower.Document().Version)
+		if restored {
+			require.True(t, a.follower.Adopt(platform.Document{Era: 2, Revision: 31, Data: []byte{9}}, time.Now(), "store"), "the revision of a configuration without an era")
+		}
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,6 +46,10 @@
 	crashNewsTime = 500 * time.Millisecond
 	// wakeQueueSize bounds the queue of immediate exchanges.
 	wakeQueueSize = 8
+	// listsAtStart is the number of exchanges in which a gateway that has started asks for the whole list: after a restore of
+	// the store its peers know of upstreams that were leaving, and the list of the store may have them as ready. A peer may
+	// have started just before, too.
+	listsAtStart = 3
 	// peerTTL is the time since the last exchange of any gateway with a peer after which the peer no longer counts as live.
 	peerTTL = 8 * time.Second
 	// An exchange lists one in listedShare of the live peers, or one in hubListedShare if a hub sends it to another
@@ -122,6 +126,8 @@
 	// Configuration is nil unless it is newer than that of the sender.
 	Configuration *CompressedDocument
 	Records       []registrar.Record
+	// Whole is set if Records holds the whole list of upstreams; those that it lacks are gone.
+	Whole bool
 	// Complete is the revision up to which the peer has all changes of upstreams, and Era the era of its list; HasEra is set
 	// by versions that know of eras.
 	Complete uint64
@@ -210,6 +216,8 @@
 
 	upstreams upstreamCodec
 	odd       oddRecords
+	// listsAsked counts the exchanges that this gateway has begun and that succeeded.
+	listsAsked atomic.Int64
 	// crashNews is the time of the last call of NotifyCrash, in nanoseconds since 1970.
 	crashNews atomic.Int64
 
@@ -267,8 +275,11 @@
 	own := state.Registry.Position()
 	since := req.position(own.Era)
 	if since.Era <= own.Era {
-		reply.Records, own = state.Registry.RecordsSince(since)
+		reply.Records, own, reply.Whole = state.Registry.RecordsSince(since)
 		reply.Complete = own.Revision
+		if !req.HasEra { // It takes any list for changes.
+			reply.Records = slices.DeleteFunc(reply.Records, func(rec registrar.Record) bool { return rec.Revision <= req.Upstreams })
+		}
 	}
 	reply.Era, reply.HasEra = own.Era, true
 	current := state.Document()
@@ -446,7 +457,11 @@
 func (r *Relayer) exchange(ctx context.Context, peer string) {
 	state := r.cfg.State
 	now := time.Now()
-	document, since := state.Document(), state.Registry.Position()
+	document, own := state.Document(), state.Registry.Position()
+	since := own
+	if r.listsAsked.Load() < listsAtStart {
+		since.Revision = 0
+	}
 	req := Request{
 		From: r.cfg.Address, FailureDomain: r.cfg.FailureDomain, Link: r.cfg.Link, Saturated: r.saturated(),
 		Configuration: document.Revision, ConfigurationEra: document.Era, Version: document.Version,
@@ -471,8 +486,9 @@
 		return
 	}
 	r.exchangeSucceeded(peer)
+	r.listsAsked.Add(1)
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
-	isCurrent := r.isCurrent(to, since, confirmed)
+	isCurrent := r.isCurrent(&reply, to, own, confirmed)
 	if reply.Reached && isCurrent {
 		state.PeerReachedStore(confirmed, reply.OutageAge)
 	}
@@ -483,7 +499,7 @@
 			r.cfg.Log.Error("peer_configuration_unreadable", "peer", peer, "revision", reply.Configuration.Revision, "era", reply.Configuration.Era, "error", err.Error())
 			return
 		}
-		if !reply.HasEra {
+		if !reply.HasEra && !state.Registry.Restored() {
 			d.Era = document.Era
 		}
 		updated = state.Adopt(d, confirmed, "peer "+peer)
@@ -496,7 +512,8 @@
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	state.MergeHotChats(reply.HotChats.decode(), time.Now())
 	if isCurrent {
-		updated = r.mergeUpstreams(r.usableRecords(peer, reply.Records), since, to, time.Now()) || updated
+		reply.Records = r.usableRecords(peer, reply.Records)
+		updated = r.mergeUpstreams(&reply, since, to, time.Now()) || updated
 	}
 	if updated {
 		r.NotifyPeers()
