blocker: count crashes right after the last begin of a part if there are many

All 30 upstreams crashed within 1 s after the last begin, which clears crashes up to 1 s after it; too few were left to block the part, and the upstreams that came back crashed again. The second is for times of other routers, which are late by as long as their reports travel. It is now 0.1 s for a part with five or more crashes after that. A sound part with as many begins again at once, which clears them, unless all upstreams are gone.

Before: TestPartThatCrashesAllUpstreamsAfterBegin fails (5 crashes: not blocked).

--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -32,6 +32,10 @@
 	massSpan = 200 * time.Millisecond
 	// beginSlack is added to the time of a begin: times of other routers are inexact by the time that their reports take.
 	beginSlack = time.Second
+	// exactSlack replaces it for a part with fastCrashes crashes later than that after its last begin. If many requests hold
+	// a part that becomes deadly, all upstreams may crash within beginSlack, and none is left to show that it does. A sound
+	// part with so many crashes begins again at once, unless all upstreams are gone.
+	exactSlack = 100 * time.Millisecond
 	// beginMemory is the time for which all begins are remembered at least: for reports of crashes that arrive later, and to
 	// know of a part in crashes whether it had begun before. Rare chats begin a few times a minute at one router.
 	beginMemory = 30 * time.Second
@@ -141,19 +145,22 @@
 	}
 }
 
-// isCleared reports whether a crash at the given time is cleared by a begin.
-func isCleared(crash, begin time.Time) bool {
-	return !begin.IsZero() && !crash.After(begin.Add(beginSlack))
-}
-
-// uncleared returns the times of the crashes that begins have not cleared, by incarnation.
+// uncleared returns the times of the crashes that begins have not cleared, by incarnation, but for those that are explained.
 func (s *suspect) uncleared(begin time.Time, explained map[uint32]bool) map[uint32]time.Time {
 	left := make(map[uint32]time.Time, len(s.crashes))
 	for incarnation, at := range s.crashes {
-		if !isCleared(at, begin) && !explained[incarnation] {
+		if !explained[incarnation] && (begin.IsZero() || at.After(begin.Add(exactSlack))) {
 			left[incarnation] = at
 		}
 	}
+	if begin.IsZero() || len(left) >= fastCrashes {
+		return left
+	}
+	for incarnation, at := range left {
+		if !at.After(begin.Add(beginSlack)) {
+			delete(left, incarnation)
+		}
+	}
 	return left
 }
 
--- a/blocker/parts_test.go
+++ b/blocker/parts_test.go
@@ -270,3 +270,19 @@
 		require.Empty(t, b.Parts)
 	}
 }
+
+// Guards against a part that becomes deadly and is in so many requests that all upstreams crash within the second after its
+// last begin: these crashes counted as cleared, and the upstreams that came back crashed again.
+func TestPartThatCrashesAllUpstreamsAfterBegin(t *testing.T) {
+	for n, want := range map[int]bool{4: false, 5: true, 20: true} {
+		b := blocker.New()
+		b.RecordBegin(parts("x"), after(0.4))
+		for i := range n {
+			crash(b, fmt.Sprint("u", i), after(0.55+0.8*float64(i)/float64(n)), "x")
+		}
+		require.False(t, blocked(b, "x", after(0.55+0.8)), "%d crashes", n)
+		require.Equal(t, want, blocked(b, "x", after(0.55+1)), "%d crashes", n)
+		b.RecordBegin(parts("x"), after(2))
+		require.False(t, blocked(b, "x", after(2)), "%d crashes", n)
+	}
+}
