blocker: end the holds of a part one after the other, with one trial at a time

In the fleet model more than three requests with a part that had begun before it became deadly were sent later than 3 s after the fifth crash: of the 100 gateways, several ended the short first hold within the time that the crash of the first trial and its report take, and each gateway that had ended it sent all its requests (4 gateways and 30 requests a second: up to 19 late).

The reports of the crashes, which all gateways have, name gateways that receive requests with the part: these end their holds in the order of their shares, twice as many after each third of the spread. The reports also show the rate of requests; if it is low, as many others end their holds as receive about 1.2 requests within the spread at first. The last hold ends after 10 s as before, so that sound parts don't wait longer. A gateway that has ended its hold lets one request pass every 2 s until the part begins or crashes another upstream. A request that was let pass may be repeated (HeldPart): without that a trial that is turned away gets 503.

Before: TestTrialsOfPart, TestHoldsEndInTurn and TestTrialIsRepeated fail. The package passed with -race but for TestHoldsEndInTurn, which read the times of its bounds in the order of a map; it passed five times with -race once that was corrected. Package proxier passed with -race.

--- a/blocker/fleet_test.go
+++ b/blocker/fleet_test.go
@@ -331,6 +331,7 @@
 		"100 gateways":             {gateways: 100, rate: 600, share: 0.02, chats: 1000},
 		"first part":               {gateways: 24, rate: 200, share: 0.05, chats: 200, deadlyFirst: true},
 		"100 gateways 30 a second": {gateways: 100, rate: 600, share: 0.05, chats: 1000},
+		"4 gateways 30 a second":   {gateways: 4, rate: 600, share: 0.05, chats: 100},
 	} {
 		c.soundUntil, c.seconds = 4, 60
 		t.Run(name, func(t *testing.T) {
@@ -344,6 +345,19 @@
 	}
 }
 
+// Guards against bounds that hold with one seed by chance: all first holds end within these 16 s.
+func TestFleetFirstHoldWithOtherSeeds(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			got := runFleet(t, fleetCase{gateways: 100, rate: 600, share: 0.05, chats: 1000, soundUntil: 4, seconds: 16}, seed)
+			t.Logf("%d crashes, %d late, %d of %d sound requests refused", len(got.crashes), got.late, got.refused, got.asked)
+			require.LessOrEqual(t, got.late, 3)
+			require.LessOrEqual(t, 50*got.refused, got.asked)
+		})
+	}
+}
+
 // Guards against a service that remains refused after all its engines were gone at once, when nothing is left to begin and
 // clear the parts that most prompts share. A part is last in a crash when the routers notice, the first router lets it pass
 // at most 10 s later, and the begin of the request that passes clears it within 2 s. Rare chats, which few routers have seen
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -46,17 +46,32 @@
 	maxBeginDelay = 400 * time.Millisecond
 	// beginInterval is the minimum time between reports of begins of the same part.
 	beginInterval = 500 * time.Millisecond
-	// baseHold is the shortest time for which a part remains blocked after its last crash; the random share of a router adds
-	// up to the same again, so that not all routers let a request pass at the same time.
+	// baseHold is the shortest time for which a part remains blocked after its last crash. The routers let the first request
+	// pass one after the other within the same time again (see opening).
 	baseHold = time.Minute
-	// firstHold and firstHoldShare replace baseHold until the first crash after a hold, for a part that had begun before its
+	// firstHold and firstHoldSpread replace baseHold until the first crash after a hold, for a part that had begun before its
 	// crashes. If a whole service goes away at once, the parts that most prompts share are in its crashes, nothing is
 	// left to begin and clear them, and baseHold would keep the service closed for 1 to 2 minutes after its return. With the
-	// short hold the first router lets requests pass after 4 to 10 s, and their begin clears the part everywhere. For a part
-	// that crashes upstreams after it had begun, as with a change of model, this costs the requests that pass until the
-	// routers have heard of the crash; a part that has crashed upstreams from its first request on keeps the long hold.
-	firstHold      = 4 * time.Second
-	firstHoldShare = 6 * time.Second
+	// short hold the first router lets a request pass after 4 s, the last after 10 s, and its begin clears the part
+	// everywhere. For a part that crashes upstreams after it had begun, as with a change of model, this costs the requests
+	// that pass until the routers have heard of the crash; a part that has crashed upstreams from its first request on keeps
+	// the long hold.
+	firstHold       = 4 * time.Second
+	firstHoldSpread = 6 * time.Second
+	// trialInterval is the time for which a router lets no other request with a part pass after one that is a trial of it, if
+	// the part neither begins nor crashes an upstream: the first event of most answers takes less.
+	trialInterval = 2 * time.Second
+	// openingDoublings is how many times the number of routers that have ended their holds doubles until all have. Those that
+	// have ended them by the time that the report of the first trial arrives may each send a request: more doublings make
+	// them more.
+	openingDoublings = 3
+	// openingTrials is the number of trials that the fleet makes in expectation within the time in which all routers end
+	// their holds, at the rate at which these begin to.
+	openingTrials = 1.2
+	// rateSpan is the time from the first crash of a part in which reports show how many requests with it arrive.
+	rateSpan = 2 * time.Second
+	// maxPartReports bounds the reports that are kept to this end for each part.
+	maxPartReports = 256
 	// maxDoublings is how many times the hold doubles: once for each crash after a hold.
 	maxDoublings = 2
 	// holdGap is the time without crashes after which a crash counts as one after a hold.
@@ -115,6 +130,8 @@
 	crashes map[uint32]time.Time
 	// origins maps them to the routers that reported them first.
 	origins map[uint32]uint64
+	// reports holds the reports that name the part, up to maxPartReports.
+	reports []partReport
 	// begun is the time of the last begin that was reported, and seen that of the last one at this router.
 	begun, seen time.Time
 	// publishAt is when this router reports the begin that it has seen; zero means that none is due.
@@ -123,8 +140,17 @@
 	depth int
 }
 
+// partReport is a report of a request with a part that was running at an incarnation that crashed.
+type partReport struct {
+	incarnation uint32
+	origin      uint64
+}
+
 // addCrash records a crash. One beyond maxIncarnations replaces the oldest.
 func (s *suspect) addCrash(incarnation uint32, at time.Time, origin uint64) {
+	if len(s.reports) < maxPartReports {
+		s.reports = append(s.reports, partReport{incarnation, origin})
+	}
 	known, ok := s.crashes[incarnation]
 	if ok && !at.After(known) {
 		return
@@ -188,10 +214,11 @@
 	// begins and earlier hold the times of the begins at this router since rotated, and those of the period before.
 	begins, earlier map[Part]time.Time
 	rotated         time.Time
-	// holdShare is this router's random share of the hold, in [0, 1).
-	holdShare float64
 
 	blocked map[Part]block
+	// trials maps the parts whose blocks have ended without a begin to the times from which this router lets the next
+	// request with them pass.
+	trials map[Part]time.Time
 	// changed is set if reports or begins have been added since the last evaluation.
 	changed  bool
 	computed time.Time
@@ -216,7 +243,7 @@
 	return partTracker{
 		origin:   origin,
 		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), begins: make(map[Part]time.Time),
-		blocked: make(map[Part]block), holdShare: shareOf(origin, 0),
+		blocked: make(map[Part]block),
 	}
 }
 
@@ -239,7 +266,8 @@
 		}
 		s.seen = now
 		p.changed = p.changed || len(s.crashes) >= blockThreshold
-		if _, ok := p.blocked[part]; ok {
+		_, blocked := p.blocked[part]
+		if _, onTrial := p.trials[part]; blocked || onTrial {
 			s.publishAt, published = now, true
 		}
 	}
@@ -249,20 +277,43 @@
 	t.unlockAndCall(now)
 }
 
-// BlockedPart returns the first blocked part among the given ones and the time for which it remains blocked, or false.
+// BlockedPart returns the part among the given ones for which a request must not be sent and the time for which that
+// remains so, or false. Once the block of a part has ended and until the part begins, a request that may be sent is a trial,
+// and others are refused until its outcome is known, or for 2 s.
 func (t *Blocker) BlockedPart(parts []Part, now time.Time) (Part, time.Duration, bool) {
+	return t.blockedPart(parts, now, true)
+}
+
+// HeldPart returns the first part among the given ones whose block has not ended and the time until it does, or false. It
+// serves for a request that has been let pass, and may be a trial itself.
+func (t *Blocker) HeldPart(parts []Part, now time.Time) (Part, time.Duration, bool) {
+	return t.blockedPart(parts, now, false)
+}
+
+func (t *Blocker) blockedPart(parts []Part, now time.Time, trial bool) (Part, time.Duration, bool) {
 	if len(parts) == 0 {
 		return 0, 0, false
 	}
 	t.mu.Lock()
 	defer t.unlockAndCall(now)
-	t.parts.update(now)
-	if len(t.parts.blocked) == 0 {
+	p := &t.parts
+	p.update(now)
+	for _, part := range parts {
+		if b, ok := p.blocked[part]; ok {
+			return part, b.until.Sub(now), true
+		}
+	}
+	if !trial || len(p.trials) == 0 {
 		return 0, 0, false
 	}
 	for _, part := range parts {
-		if b, ok := t.parts.blocked[part]; ok {
-			return part, b.until.Sub(now), true
+		if next, ok := p.trials[part]; ok && now.Before(next) {
+			return part, next.Sub(now), true
+		}
+	}
+	for _, part := range parts {
+		if _, ok := p.trials[part]; ok {
+			p.trials[part] = now.Add(trialInterval)
 		}
 	}
 	return 0, 0, false
@@ -390,13 +441,15 @@
 		return
 	}
 	p.changed, p.computed, p.next = false, now, time.Time{}
-	blocked := make(map[Part]block)
+	blocked, trials := make(map[Part]block), make(map[Part]time.Time)
 	for _, c := range p.blamed(now) {
 		last := slices.MaxFunc(values(c.times), time.Time.Compare)
-		b := block{until: last.Add(p.hold(c.times, !c.s.lastBegin().IsZero())), crashes: len(c.times)}
+		b := block{until: last.Add(p.hold(c)), crashes: len(c.times)}
 		if now.Before(b.until) {
 			blocked[c.part] = b
 			p.wake(b.until)
+		} else {
+			trials[c.part] = p.trials[c.part]
 		}
 	}
 	for part, b := range blocked {
@@ -410,7 +463,7 @@
 		}
 	}
 	slices.SortFunc(p.events, func(a, b PartEvent) int { return cmp.Compare(a.Part, b.Part) })
-	p.blocked = blocked
+	p.blocked, p.trials = blocked, trials
 }
 
 // wake makes update evaluate the reports again at the given time.
@@ -505,11 +558,12 @@
 	return first.Add(settleTime)
 }
 
-// hold returns the time for which a part remains blocked after the last of its crashes; begun means that it has begun, which
-// was before the crashes, because begins clear the crashes before them.
-func (p *partTracker) hold(times map[uint32]time.Time, begun bool) time.Duration {
-	sorted := values(times)
+// hold returns the time for which a part remains blocked after the last of its crashes. If it has begun, that was before the
+// crashes, because begins clear the crashes before them.
+func (p *partTracker) hold(c candidate) time.Duration {
+	sorted := values(c.times)
 	slices.SortFunc(sorted, time.Time.Compare)
+	begun := !c.s.lastBegin().IsZero()
 	doublings := 0
 	for i := blockThreshold; i < len(sorted); i++ {
 		gap := sorted[i].Sub(sorted[i-1])
@@ -520,11 +574,44 @@
 			begun = false
 		}
 	}
+	hold, spread := baseHold<<min(doublings, maxDoublings), baseHold<<min(doublings, maxDoublings)
 	if begun {
-		// The root makes the first routers few, so that the others hear of a crash before they let requests pass.
-		return firstHold + time.Duration(math.Sqrt(p.holdShare)*float64(firstHoldShare))
+		hold, spread = firstHold, firstHoldSpread
+	}
+	return hold + time.Duration(p.opening(c, sorted[0], spread)*float64(spread))
+}
+
+// opening returns when this router ends its hold of a part, as a share of the time within which all routers do. All of them
+// would send a request before they heard of the crash of the first. The reports of the crashes, which all routers have, name
+// some that receive requests with the part, and those end their holds one after the other in the order of their shares.
+// Reports also show how many requests with the part arrive: if they are few, as many routers end their holds as together
+// receive the first of them soon, whichever these are.
+func (p *partTracker) opening(c candidate, first time.Time, spread time.Duration) float64 {
+	own := shareOf(p.origin, c.part)
+	reporters := make(map[uint64]bool)
+	requests := 0
+	for _, r := range c.s.reports {
+		at, ok := c.times[r.incarnation]
+		if !ok {
+			continue
+		}
+		reporters[r.origin] = true
+		if at.Sub(first) < rateSpan {
+			requests++
+		}
 	}
-	return time.Duration((1 + p.holdShare) * float64(baseHold<<min(doublings, maxDoublings)))
+	rate := float64(requests) / rateSpan.Seconds()
+	order := own * rate * spread.Seconds() / openingTrials
+	if reporters[p.origin] {
+		rank := 1
+		for origin := range reporters {
+			if shareOf(origin, c.part) < own {
+				rank++
+			}
+		}
+		order = min(order, float64(rank))
+	}
+	return min(math.Log2(max(order, 1))/openingDoublings, 1)
 }
 
 // expire removes what is older than partTTL, at most once a second.
@@ -541,6 +628,10 @@
 				p.changed = true
 			}
 		}
+		s.reports = slices.DeleteFunc(s.reports, func(r partReport) bool {
+			_, ok := s.crashes[r.incarnation]
+			return !ok
+		})
 		if len(s.crashes) == 0 && now.Sub(s.lastBegin()) >= partTTL {
 			delete(p.suspects, part)
 		}
--- a/blocker/parts_test.go
+++ b/blocker/parts_test.go
@@ -286,3 +286,70 @@
 		require.False(t, blocked(b, "x", after(2)), "%d crashes", n)
 	}
 }
+
+// Guards against a router that sends one request after the other with a part once its hold has ended, before the crash of the
+// first is known.
+func TestTrialsOfPart(t *testing.T) {
+	b := blocker.New()
+	b.RecordBegin(parts("x"), after(0))
+	for i := range 3 {
+		crash(b, fmt.Sprint("u", i), after(2+float64(i)), "x")
+	}
+	require.True(t, blocked(b, "x", after(7.9)))
+	require.False(t, blocked(b, "x", after(8.1)), "the trial")
+	_, left, refused := b.BlockedPart(parts("x"), after(8.6))
+	require.True(t, refused)
+	require.Equal(t, 1500*time.Millisecond, left)
+	_, _, held := b.HeldPart(parts("x"), after(8.6))
+	require.False(t, held, "the trial may be repeated")
+	require.False(t, blocked(b, "x", after(10.2)), "a trial without outcome")
+	require.True(t, blocked(b, "x", after(10.3)))
+	b.RecordBegin(parts("x"), after(10.4))
+	for range 3 {
+		require.False(t, blocked(b, "x", after(10.5)))
+	}
+	require.Zero(t, b.BlockedParts(after(10.5)))
+}
+
+// Guards against holds that many routers end within the time that the report of a crash takes, and against a part of few
+// requests that waits for the routers that receive none of them.
+func TestHoldsEndInTurn(t *testing.T) {
+	const routers = 100
+	for _, c := range []struct {
+		name                  string
+		requests              int
+		atStart, soon, inTime [2]int
+	}{
+		{"many requests", 60, [2]int{1, 5}, [2]int{2, 9}, [2]int{100, 100}},
+		{"few requests", 3, [2]int{5, 40}, [2]int{20, 80}, [2]int{100, 100}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			all := make([]*blocker.Blocker, routers)
+			for i := range all {
+				all[i] = blocker.NewWithOrigin(uint64(i)*1e15 + 1)
+				all[i].RecordBegin(parts("x"), after(0))
+			}
+			for i := range c.requests {
+				crash(all[i*37%routers], fmt.Sprint("u", i), after(2+1.5*float64(i)/float64(c.requests-1)), "x")
+			}
+			for range 2 {
+				for i := range all {
+					pull(t, all[0], all[i], after(3.6), after(3.6))
+					pull(t, all[i], all[0], after(3.6), after(3.6))
+				}
+			}
+			at := []float64{7.4, 7.6, 9.5, 13.6}
+			for i, want := range [][2]int{{0, 0}, c.atStart, c.soon, c.inTime} {
+				open := 0
+				for _, b := range all {
+					if _, _, held := b.HeldPart(parts("x"), after(at[i])); !held {
+						open++
+					}
+				}
+				t.Logf("%d routers after %.1f s", open, at[i])
+				require.GreaterOrEqual(t, open, want[0], "%.1f s", at[i])
+				require.LessOrEqual(t, open, want[1], "%.1f s", at[i])
+			}
+		})
+	}
+}
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -106,7 +106,7 @@
 // blockedSinceAdmission reports whether a part of the prompt has become blocked during the last attempt.
 func (j *job) blockedSinceAdmission() bool {
 	if j.arrivals > 0 || len(j.tried) > 0 {
-		j.blocked = j.refuseBlockedPart()
+		j.blocked = j.refuseBlockedPart(j.p.cfg.Crashes.HeldPart)
 	}
 	return j.blocked != nil
 }
--- a/proxier/parts_test.go
+++ b/proxier/parts_test.go
@@ -151,3 +151,14 @@
 		})
 	}
 }
+
+// Guards against a trial of a part that ends at an upstream that turns it away: it takes the place of others, and its
+// repeat must not be refused as one of these.
+func TestTrialIsRepeated(t *testing.T) {
+	f := newFixture(t, imitator.Shed, nil)
+	for i := range 3 {
+		f.crashes.RecordCrash(blocker.Fingerprint(i), fmt.Sprint("earlier-", i), time.Now().Add(-3*time.Minute), blocker.PartOf("bad"))
+	}
+	require.Equal(t, 200, f.do("POST", "/read/1", "body", imitator.HeaderPrompt, "a:100,bad:50,1:20").status)
+	require.Equal(t, 2, f.runs())
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -227,7 +227,7 @@
 		}
 	}
 	j.parts = blocker.PartsOf(j.promptIDs())
-	if err := j.refuseBlockedPart(); err != nil {
+	if err := j.refuseBlockedPart(j.p.cfg.Crashes.BlockedPart); err != nil {
 		j.p.bodyBytes.Add(-int64(len(j.body)))
 		return err
 	}
@@ -247,9 +247,10 @@
 	return ids
 }
 
-// refuseBlockedPart refuses the request if its prompt has a part that crashes the upstreams that begin to answer.
-func (j *job) refuseBlockedPart() error {
-	part, left, blocked := j.p.cfg.Crashes.BlockedPart(j.parts, time.Now())
+// refuseBlockedPart refuses the request if its prompt has a part that crashes the upstreams that begin to answer, as find
+// tells.
+func (j *job) refuseBlockedPart(find func([]blocker.Part, time.Time) (blocker.Part, time.Duration, bool)) error {
+	part, left, blocked := find(j.parts, time.Now())
 	if !blocked {
 		return nil
 	}
