blocker: remove expired crashes once a second

Each exchange with a peer looked through all crashes, a third of the processor time of the fleet model with 100 gateways.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -89,6 +89,8 @@
 	// crashes maps each suspected request to the incarnations that crashed while running it, with the times of their last
 	// such crashes.
 	crashes map[Fingerprint]map[uint32]time.Time
+	// expired is when expired crashes were last removed.
+	expired time.Time
 	// logs holds the reports of each router, so that peers are sent only those that they lack.
 	logs map[uint64]*crashLog
 	// reports is the number of reports in all logs.
@@ -322,6 +324,10 @@
 			delete(t.logs, origin)
 		}
 	}
+	if now.Sub(t.expired) < time.Second {
+		return // Each exchange with a peer comes here, and looking through all crashes took a third of the model's time.
+	}
+	t.expired = now
 	for f, crashes := range t.crashes {
 		for upstream, at := range crashes {
 			if now.Sub(at) >= reportTTL {
