proxier: log whether the connection of a cut request was closed by its caller

A request that was cut for a caller that had left looked in the log like one whose context http.Server had cancelled for another reason.

--- a/proxier/record.go
+++ b/proxier/record.go
@@ -78,13 +78,16 @@
 	if outcome == "served" && len(j.tried) == 0 && j.p.successes.Add(1)%successSample != 0 {
 		return
 	}
+	// A request is cut for a caller that has left only if its connection is closed; the context of a request that
+	// http.Server has cancelled for another reason does not tell.
+	callerClosed := outcome == "cut" && j.p.cfg.CallerLeft(j.r.Context())
 	var version uint64
 	if j.current.Table != nil {
 		version = j.current.Table.Version
 	}
 	j.p.cfg.Log.Info("request_ended",
 		"request", j.ID, "route", route, "kind", kind, "urgency", j.urgency, "service", j.service,
-		"outcome", outcome, "status", status, "reason", string(reason), "text", text,
+		"outcome", outcome, "status", status, "reason", string(reason), "text", text, "caller_closed", callerClosed,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
 		"leaving", j.choice.Leaving, "paused", j.choice.Paused,
--- a/proxier/silent_test.go
+++ b/proxier/silent_test.go
@@ -168,7 +168,7 @@
 	}
 	require.Error(t, f.do("POST", "/live/", "").err)
 	require.Zero(t, len(f.upstreams[1].Runs()))
-	require.Contains(t, f.log.String(), `text="caller disconnected"`)
+	require.Contains(t, f.log.String(), `text="caller disconnected" caller_closed=true`)
 	require.NotContains(t, f.log.String(), "could not be resumed")
 }
 
