--- a/connector/pool.go
+++ b/connector/pool.go
@@ -173,10 +173,8 @@
 
 // dial opens a connection that has been counted as open.
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
-	dialCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := timekeeper.Start(timekeeper.Config{Expired: func() { cancel(errDialTimeout) }}, p.cfg.DialTimeout)
-	defer timer.Stop()
+	dialCtx, _, cancel := timekeeper.WithTimeout(ctx, p.cfg.DialTimeout, errDialTimeout)
+	defer cancel()
 	start := time.Now()
 	nc, err := p.cfg.Dial(dialCtx, "tcp", t.Address)
 	if err != nil && errors.Is(context.Cause(dialCtx), errDialTimeout) {
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -1,6 +1,7 @@
 package timekeeper
 
 import (
+	"context"
 	"runtime"
 	"sync"
 	"time"
@@ -66,6 +67,17 @@
 	t.timer.Stop()
 }
 
+// WithTimeout returns a context that ends with the given cause when the returned timer expires, and a function that releases
+// both. Unlike the deadline of a context, it does not pass before what arrived during a pause of this process is read.
+func WithTimeout(parent context.Context, d time.Duration, cause error) (context.Context, *Timer, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	t := Start(Config{Expired: func() { cancel(cause) }}, d)
+	return ctx, t, func() {
+		t.Stop()
+		cancel(nil)
+	}
+}
+
 // arm sets the time of the next callback; t.mu must be held.
 func (t *Timer) arm(d time.Duration) {
 	t.due = t.cfg.Now().Add(d)
--- a/timekeeper/timekeeper_test.go
+++ b/timekeeper/timekeeper_test.go
@@ -1,6 +1,8 @@
 package timekeeper_test
 
 import (
+	"context"
+	"errors"
 	"runtime"
 	"sync/atomic"
 	"testing"
@@ -93,3 +95,20 @@
 	<-read
 	require.False(t, expired.Load())
 }
+
+func TestWithTimeoutEndsWithItsCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cause := errors.New("silent")
+		ctx, timer, cancel := timekeeper.WithTimeout(t.Context(), time.Second, cause)
+		defer cancel()
+		time.Sleep(900 * time.Millisecond)
+		timer.Reset(time.Second)
+		time.Sleep(900 * time.Millisecond)
+		require.NoError(t, ctx.Err())
+		time.Sleep(200 * time.Millisecond)
+		require.ErrorIs(t, context.Cause(ctx), cause)
+		released, _, release := timekeeper.WithTimeout(t.Context(), time.Second, cause)
+		release()
+		require.ErrorIs(t, context.Cause(released), context.Canceled)
+	})
+}
