relayer: a pause of the gateway loses no peers

Exchanges and dials are now bounded by timers of package timekeeper; the bounds are as before, and the error in peer_lost names the one that passed.

Before: TestPauseOfThisProcessLosesNoPeer, both cases: event=peer_lost error="context deadline exceeded" and "i/o timeout". After: passes. TestSilentPeerIsLost guards the bound.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,6 +21,12 @@
 	"clementineramp/placer"
 	"clementineramp/platform"
 	"clementineramp/registrar"
+	"clementineramp/timekeeper"
+)
+
+var (
+	errNoConnection = errors.New("no connection to the peer in time")
+	errNoReply      = errors.New("the peer did not reply in time")
 )
 
 const (
@@ -481,7 +487,7 @@
 }
 
 func (r *Relayer) call(ctx context.Context, peer string, req Request, reply *Reply) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, _, cancel := timekeeper.WithTimeout(ctx, callTimeout, errNoReply)
 	defer cancel()
 	c, err := r.client(ctx, peer)
 	if err != nil {
@@ -492,7 +498,7 @@
 	case <-call.Done:
 		return call.Error
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
@@ -504,9 +510,12 @@
 	if c != nil {
 		return c, nil
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, _, cancel := timekeeper.WithTimeout(ctx, dialTimeout, errNoConnection)
 	defer cancel()
 	conn, err := r.cfg.Dial(dialCtx, "tcp", peer)
+	if err != nil && dialCtx.Err() != nil {
+		return nil, context.Cause(dialCtx)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -39,6 +39,12 @@
 
 // newGateway starts a gateway with the given seeds.
 func newGateway(t *testing.T, reached bool, seeds ...string) *gateway {
+	t.Helper()
+	return newGatewayWith(t, reached, func(*relayer.Config) {}, seeds...)
+}
+
+// newGatewayWith starts a gateway whose configuration adjust changes.
+func newGatewayWith(t *testing.T, reached bool, adjust func(*relayer.Config), seeds ...string) *gateway {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -52,7 +58,7 @@
 	g.placer = placer.New(placer.Config{
 		View: g.registry.View, Health: func(string, time.Time) appraiser.Health { return appraiser.Good },
 	})
-	g.relayer = relayer.New(relayer.Config{
+	cfg := relayer.Config{
 		Address: g.address, Seeds: seeds, Readers: 2, Log: hclog.NewNullLogger(),
 		State: relayer.State{
 			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
@@ -61,7 +67,9 @@
 			HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
 			Health: appraiser.New(appraiser.Config{}),
 		},
-	})
+	}
+	adjust(&cfg)
+	g.relayer = relayer.New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
 	go func() { _ = g.relayer.Serve(l); done <- struct{}{} }()
