connector: a pause of the gateway breaks no response

The time for the head of a response, and for a body that is discarded, was a read deadline, which passes during a pause of the process too: a response whose rest had arrived meanwhile counted as broken, so that a request that must not be repeated got 502. The deadline is now set when a timer of package timekeeper expires, after what has arrived was read.

Before: TestPauseOfThisProcessBreaksNoResponse, both cases: i/o timeout. After: passes.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -10,7 +10,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
+
+	"clementineramp/timekeeper"
 )
 
 const (
@@ -239,14 +242,36 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
-		return nil, err
-	}
-	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-	if err != nil {
-		return nil, err
+	var resp *http.Response
+	err := c.withinHeadTimeout(func() (err error) {
+		resp, err = http.ReadResponse(c.br, &http.Request{Method: method}) //nolint:bodyclose // Exchange.Close ends the connection
+		return err
+	})
+	return resp, err
+}
+
+// withinHeadTimeout calls read, whose reads from the connection fail once headTimeout has passed. A read deadline that is set
+// before would also pass during a pause of this process, and fail the read of what has arrived meanwhile.
+func (c *conn) withinHeadTimeout(read func() error) error {
+	var mu sync.Mutex
+	ended, expired := false, false
+	timer := timekeeper.Start(timekeeper.Config{Expired: func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			expired = true
+			_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // This fails only if the connection is closed already.
+		}
+	}}, c.headTimeout)
+	err := read()
+	timer.Stop()
+	mu.Lock()
+	defer mu.Unlock()
+	ended = true
+	if err != nil || !expired {
+		return err
 	}
-	return resp, c.nc.SetReadDeadline(time.Time{})
+	return c.nc.SetReadDeadline(time.Time{})
 }
 
 // drain discards a body of at most maxDrainBytes within headTimeout.
@@ -257,17 +282,13 @@
 	if resp.ContentLength > maxDrainBytes {
 		return errDrainTooLong
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
-		return err
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDrainBytes+1))
-	if err != nil {
+	return c.withinHeadTimeout(func() error {
+		n, err := io.Copy(io.Discard, io.LimitReader(body, maxDrainBytes+1))
+		if err == nil && n > maxDrainBytes {
+			err = errDrainTooLong
+		}
 		return err
-	}
-	if n > maxDrainBytes {
-		return errDrainTooLong
-	}
-	return c.nc.SetReadDeadline(time.Time{})
+	})
 }
 
 // framed reports whether a response has a content length or chunked encoding, rather than ending with its connection.
