connector: no request is sent after its deadline

A request whose deadline had passed before its connection was there, after a stall of the gateway, was written to the upstream while the connection was being closed, so that its caller got 504, which promises nothing, and the upstream was handed a request without time. Do now checks its context before it sends; the caller gets 503.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -369,3 +369,22 @@
 	require.False(t, connector.ClosedByPeer(own), "a connection that cannot be checked")
 	require.NoError(t, own.Close())
 }
+
+// Guards against sending a request whose caller no longer waits: its deadline may have passed before a connection was there.
+func TestRequestIsNotSentAfterItsDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	p := connector.New(connector.Config{})
+	target := connector.Target{Upstream: "u", Address: l.Addr().String()}
+	require.NoError(t, p.Connect(t.Context(), target))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = p.Do(ctx, target, connector.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}},
+		func(int, http.Header) bool { return true })
+	var failure *connector.Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, connector.NotSent, failure.SendStatus)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Equal(t, 1, p.OpenConnections(), "a connection that was not used is kept")
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -153,6 +153,10 @@
 	if err != nil {
 		return nil, &Error{SendStatus: NotSent, Err: err}
 	}
+	if ctx.Err() != nil {
+		(&Reservation{pool: p, conn: c}).Release()
+		return nil, &Error{SendStatus: NotSent, Reused: c.reused, Err: ctx.Err()}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	fail := func(status SendStatus, err error) error {
 		stop()
