proxier: test that a request is served under the configuration that admitted it

A configuration without the route, service and key of a request, and with smaller limits, was suspected to end it without an answer if it arrives while the body is read or between two attempts. It does not: the test passes on the current code.

--- a/proxier/body_test.go
+++ b/proxier/body_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"clementineramp/mapper"
 	"clementineramp/platform/imitator"
 )
 
@@ -60,3 +62,44 @@
 		})
 	}
 }
+
+// changingBody calls change before it is first read.
+type changingBody struct {
+	io.ReadCloser
+	once   sync.Once
+	change func()
+}
+
+// Read reads from the body.
+func (b *changingBody) Read(p []byte) (int, error) {
+	b.once.Do(b.change)
+	return b.ReadCloser.Read(p)
+}
+
+// Guards against a request that gets no answer because a configuration without its route, service and key and with smaller
+// limits arrives while its body is read, or between two attempts: it is served under the one that admitted it.
+func TestRequestIsServedUnderTheConfigurationThatAdmittedIt(t *testing.T) {
+	small := (&mapper.Table{Version: 2, Limits: mapper.Limits{BodyBytes: 1, HeaderBytes: 1, IdleTime: 1}, Organisations: map[string]*mapper.Organisation{}}).Build()
+	for _, when := range []string{"while the body is read", "between two attempts"} {
+		t.Run(when, func(t *testing.T) {
+			f := newFixture(t, imitator.Shed, nil)
+			first := f.table
+			if when == "between two attempts" {
+				f.connected = func() { f.table = small }
+			}
+			h := f.server.Config.Handler
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if when != "between two attempts" {
+					r.Body = &changingBody{ReadCloser: r.Body, change: func() { f.table = small }}
+				}
+				h.ServeHTTP(w, r)
+			}))
+			t.Cleanup(server.Close)
+			f.server = server
+			r := f.do("POST", "/order/", "body")
+			require.Equal(t, 200, r.status, f.log.String())
+			require.Equal(t, 2, f.runs())
+			require.NotSame(t, first, f.table)
+		})
+	}
+}
