gatekeeper: a connection of a peer that cannot be accepted does not end the gateway

An error of accept on the listener for peers, such as too many open files, ended the serving of peers, with it the whole gateway, and with it all requests in progress without an answer. http.Server waits and accepts again after such errors; the listener for peers now does, too.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -69,6 +70,8 @@
 	expiryHeartbeats = 4
 	// minWatchTime bounds the calls to the store on deployments where changes must take effect very soon.
 	minWatchTime = 250 * time.Millisecond
+	// acceptRetryInterval is the pause after a connection of a peer could not be accepted; exchanges are about 200 ms apart.
+	acceptRetryInterval = 50 * time.Millisecond
 	// metricsPath is the HTTP path that serves the metrics.
 	metricsPath = "/metrics"
 )
@@ -270,7 +273,7 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return serve(callerServer, g.callers.Listen(listeners[0])) })
 	group.Go(func() error { return serve(readyServer, listeners[1]) })
-	group.Go(func() error { return g.relayer.Serve(listeners[2]) })
+	group.Go(func() error { return g.relayer.Serve(&peerListener{Listener: listeners[2], log: g.log}) })
 	group.Go(func() error { return serve(metricsServer, listeners[3]) })
 	group.Go(func() error { g.follower.Run(runCtx); return nil })
 	group.Go(func() error { g.relayer.Run(runCtx); return nil })
@@ -294,6 +297,36 @@
 	return trace.Wrap(err)
 }
 
+// peerListener is a listener that accepts again after an error that passes, as http.Server does: if the listener for peers
+// failed, the whole gateway would end, with all requests that it serves.
+type peerListener struct {
+	net.Listener
+	log hclog.Logger
+}
+
+// Accept waits for the next connection.
+func (l *peerListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if !isTemporary(err) {
+			return c, err
+		}
+		l.log.Warn("peer_accept_failed", "error", err.Error())
+		time.Sleep(acceptRetryInterval)
+	}
+}
+
+// isTemporary reports whether err is an error of accept that passes: the process or the host lacks resources, or the
+// connection has ended before it was accepted.
+func isTemporary(err error) bool {
+	for _, temporary := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, temporary) {
+			return true
+		}
+	}
+	return false
+}
+
 // newStatusServer returns a server for requests without a body.
 func newStatusServer(h http.Handler) *http.Server {
 	return &http.Server{
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -49,12 +49,13 @@
 	return netip.MustParseAddrPort(opened.Addr().String())
 }
 
-// listen returns the open listener of an address; it has the signature of net.Listen.
-func (l listeners) listen(_, address string) (net.Listener, error) {
-	return l[address], nil
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, func(l net.Listener) net.Listener { return l })
 }
 
-func newFleet(t *testing.T) *fleet {
+// newFleetWith returns a fleet whose gateway accepts connections from the results of wrap.
+func newFleetWith(t *testing.T, wrap func(net.Listener) net.Listener) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: &imitator.Store{}, log: &imitator.Log{}, done: make(chan error, 1)}
 	server := httptest.NewServer(f.store)
@@ -69,7 +70,9 @@
 		Store: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Propagation: 2 * time.Second, Grace: 3 * time.Second,
 		Retries: loader.Retries{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 	}
-	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: open.listen})
+	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: func(_, address string) (net.Listener, error) {
+		return wrap(open[address]), nil
+	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- f.gateway.Run(ctx) }()
