gatekeeper: a request that was read before its connection is closed as idle is served

If a connection is closed as idle, after a shorter idle time in a configuration, between the end of a response and the handler of a request that had been read together with the one before it, http.Server took the end that the gateway itself reported for the caller's, and cancelled the request, which then got no answer. Such a request is now served without that cancellation, and its response closes the connection.

Before: TestRequestThatWasReadBeforeTheCloseIsServed: request 1 was cancelled (502 in place of 204). After: passes. Only callers that send requests without awaiting responses are concerned.

--- a/gatekeeper/conns.go
+++ b/gatekeeper/conns.go
@@ -60,6 +60,8 @@
 	busy bool
 	// closing makes Read return io.EOF, so that http.Server closes the connection, unless a request has arrived.
 	closing bool
+	// ended is set once Read has returned io.EOF because of closing.
+	ended bool
 	// idleSince is the time at which the connection was accepted or the last response ended.
 	idleSince time.Time
 }
@@ -86,14 +88,16 @@
 		return false, err
 	}
 	if n == 0 && connector.Reusable(c.Conn) {
+		c.ended = true
 		return false, io.EOF
 	}
 	c.closing = false
 	return n == 0, c.Conn.SetReadDeadline(time.Time{})
 }
 
-// markBusy records that a request is served, and cancels closing.
-func (c *callerConn) markBusy() {
+// markBusy records that a request is served, and cancels closing. It returns false if that is too late, so that http.Server
+// cancels the request although its caller still waits.
+func (c *callerConn) markBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
@@ -101,6 +105,7 @@
 		c.closing = false
 		_ = c.Conn.SetReadDeadline(time.Time{}) // This fails only if the connection is closed already.
 	}
+	return !c.ended
 }
 
 // markIdle records the end of a response.
@@ -156,8 +161,9 @@
 // together with the one before it has not been noticed by a read of its own.
 func (c *CallerConns) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-			conn.markBusy()
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok && !conn.markBusy() {
+			w.Header().Set("Connection", "close")
+			r = r.WithContext(context.WithoutCancel(r.Context()))
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/gatekeeper/conns_test.go
+++ b/gatekeeper/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -194,3 +195,47 @@
 	}
 	require.Eventually(t, func() bool { return conns.Busy() == 0 }, waitTimeout, time.Millisecond)
 }
+
+// Guards against a request that gets no answer because its connection is closed as idle between the end of the response before
+// it and its own handler: it has been read already, together with the request before it.
+func TestRequestThatWasReadBeforeTheCloseIsServed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := gatekeeper.NewCallerConns(10)
+	h := conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(20 * time.Millisecond):
+			w.WriteHeader(http.StatusNoContent)
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}))
+	server := &http.Server{
+		ConnContext: conns.ConnContext,
+		ConnState: func(nc net.Conn, state http.ConnState) {
+			conns.OnConnState(nc, state)
+			if state == http.StateIdle {
+				conns.CloseIdle(time.Now().Add(time.Hour), 0)
+			}
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond) // The handler gets no processor time at first.
+			h.ServeHTTP(w, r)
+		}),
+	}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	br := bufio.NewReader(c)
+	for n := range 2 {
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, "request %d", n)
+		require.Equal(t, http.StatusNoContent, resp.StatusCode, "request %d was cancelled", n)
+	}
+	_, err = br.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the connection stays open")
+}
