--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -49,11 +49,6 @@
 	return netip.MustParseAddrPort(opened.Addr().String())
 }
 
-// listen returns the open listener of an address; it has the signature of net.Listen.
-func (l listeners) listen(_, address string) (net.Listener, error) {
-	return l[address], nil
-}
-
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	return newFleetWith(t, func(*loader.Gateway) {})
@@ -61,6 +56,12 @@
 
 // newFleetWith returns a fleet whose gateway has the settings that adjust makes of the usual ones.
 func newFleetWith(t *testing.T, adjust func(*loader.Gateway)) *fleet {
+	t.Helper()
+	return newFleetListening(t, adjust, func(l net.Listener) net.Listener { return l })
+}
+
+// newFleetListening is newFleetWith with a gateway that accepts connections from the results of wrap.
+func newFleetListening(t *testing.T, adjust func(*loader.Gateway), wrap func(net.Listener) net.Listener) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: &imitator.Store{}, log: &imitator.Log{}, done: make(chan error, 1)}
 	server := httptest.NewServer(f.store)
@@ -76,7 +77,9 @@
 		Retries: loader.Retries{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 	}
 	adjust(f.settings)
-	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: open.listen})
+	f.gateway = gatekeeper.New(gatekeeper.Config{Settings: f.settings, Log: logger.New(logger.Config{Output: f.log}), Listen: func(_, address string) (net.Listener, error) {
+		return wrap(open[address]), nil
+	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- f.gateway.Run(ctx) }()
--- a/relayer/records_test.go
+++ b/relayer/records_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"clementineramp/registrar"
+	"clementineramp/relayer"
 )
 
 // lockedBuffer collects log lines.
@@ -37,7 +38,7 @@
 func TestOddRecordsOfPeer(t *testing.T) {
 	var log lockedBuffer
 	a := newGateway(t, true)
-	b := newLoggedGateway(t, hclog.New(&hclog.LoggerOptions{Output: &log}), true, a.address)
+	b := newGatewayWith(t, true, func(cfg *relayer.Config) { cfg.Log = hclog.New(&hclog.LoggerOptions{Output: &log}) }, a.address)
 	overwritten := upstreamRecord("overwritten", 2)
 	b.registry.MergeList([]registrar.Record{overwritten}, at(0, 2), time.Now())
 	records := []registrar.Record{upstreamRecord("a", 3), upstreamRecord("z", 10)}
