--- a/gatekeeper/stop_test.go
+++ b/gatekeeper/stop_test.go
@@ -48,6 +48,8 @@
 		status, _, _ := f.get(http.DefaultClient, f.settings.ReadyListen, platform.ReadyPath)
 		return status == 200
 	})
+	// The gateway may be ready with the list from before the upstream's entry was written.
+	f.eventually("the gateway does not know the upstream", func() bool { return f.logged("event=upstream_joined") })
 	return f, u
 }
 
