--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -419,7 +419,8 @@
 	return r.outageEnd.Add(ExpiryGrace)
 }
 
-// Refresh ends the grace periods, and those in which entries are doubted, that have passed, and deletes old removals. It reports whether the upstreams in use changed.
+// Refresh ends the grace periods, and those in which entries are doubted, that have passed, and deletes old removals. It
+// reports whether the upstreams in use changed.
 func (r *Registry) Refresh(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -144,9 +144,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6, 1, 3)
 		copied := listed(f.nodes[0])
+		leaving := copied[0]
+		leaving.Revision, leaving.Upstream.Leaving = 6, true
 		for _, n := range f.nodes {
 			n.registry.MergeList(copied, at(7, 5), time.Now())
-			leaving := registrar.Record{ID: "i-0", Revision: 6, Upstream: registrar.Upstream{ID: "i-0", Service: "s", Slots: 16, Leaving: true}}
 			n.registry.MergeChanges([]registrar.Record{leaving}, at(7, 5), at(7, 6), time.Now())
 			n.registry.MergeList(copied, at(0, 1), time.Now()) // The first list of all gateways of this test is in era 0.
 			require.Len(t, n.registry.View().ByService["s"], 2)
