--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -145,10 +145,10 @@
 			w.print("left %s after %d pieces", id, n-1)
 			return false
 		}
-		time.Sleep(w.cfg.pause)
 		if deadly {
 			crash()
 		}
+		time.Sleep(w.cfg.pause)
 	}
 	if w.cfg.unframed {
 		// The rest of the body is read before the connection is closed, which would be a reset otherwise.
