--- a/review/standin/case_parts.go
+++ b/review/standin/case_parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -114,6 +115,9 @@
 		}
 	}
 	wg.Wait()
+	if !slices.ContainsFunc(res.sound, func(s soundRequest) bool { return s.begun }) {
+		return nil, errNothingServed
+	}
 	return res, nil
 }
 
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -62,18 +61,26 @@
 	return f, nil
 }
 
-// freePorts returns distinct ports of the loopback address that are free now. They are below those that the system gives to
-// outgoing connections, which could take one before its process listens.
+// The ports of a case are below those that the system gives to outgoing connections, which could take one before its process
+// listens. Each case begins at a place of its own, so that cases can run beside each other.
+const (
+	firstPort, portCount = 20_000, 12_000
+	portsPerCase         = 64
+)
+
+var nextPort = os.Getpid() * portsPerCase % portCount
+
+// freePorts returns ports of the loopback address that are free now and were not returned before.
 func freePorts(n int) ([]int, error) {
-	const first, count, tries = 20_000, 12_000, 1000
 	var ports []int
-	for range tries {
-		port := first + rand.IntN(count)
+	for range portCount {
+		port := firstPort + nextPort
+		nextPort = (nextPort + 1) % portCount
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		defer l.Close()
+		_ = l.Close()
 		if ports = append(ports, port); len(ports) == n {
 			return ports, nil
 		}
