connector: a reset that is reported to the write of the body ends no response

Cause: the system reports a reset to one call only. While the body was being written that was the write, whose error was dropped; the read then returned the end of the stream, which ends a response without framing. The same happens after an orderly close if the rest of the request is still on its way, and in service, by net/http.

Change: the end of the connection ends a response without framing only if the write has succeeded and the system of the upstream has received all of it without a reset.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -95,11 +95,17 @@
 // and call Close.
 type Exchange struct {
 	*http.Response
+	// Ending, if not nil, is called when the upstream has closed its side of a connection that ends the response, before Read
+	// waits until the upstream has received the request.
+	Ending func()
+
 	pool     *Pool
 	conn     *conn
 	stop     func() bool
 	complete bool
 	broken   bool
+	// end is the error of the Read that ended the body.
+	end error
 }
 
 // conn is one connection to an upstream.
@@ -118,9 +124,14 @@
 	idleTimeout   time.Duration
 	idleSince     time.Time
 	idleUntil     time.Time
-	// bodyWritten is closed when a body that is written concurrently with the response has been sent; it is nil if the
-	// body was sent before.
-	bodyWritten chan struct{}
+	// body is the write of a body that goes on concurrently with the response; it is nil if the body was sent before.
+	body *bodyWrite
+}
+
+// bodyWrite is a write that ends when done is closed, with the error err.
+type bodyWrite struct {
+	done chan struct{}
+	err  error
 }
 
 func newConn(upstream string, nc net.Conn, headTimeout time.Duration) *conn {
@@ -161,7 +172,7 @@
 	fail := func(status SendStatus, err error) error {
 		stop()
 		p.release(c, false)
-		return &Error{SendStatus: status, Reused: c.reused, Err: err}
+		return &Error{SendStatus: status, Reused: c.reused, Err: c.withWriteError(err)}
 	}
 	if req.Abandoned != nil && req.Abandoned() {
 		// The idle time of a reused connection has gone on at the upstream, so only a new one is kept.
@@ -180,7 +191,7 @@
 
 // send writes a request; it writes a body that is longer than maxInlineBody in the background.
 func (c *conn) send(req Request) error {
-	c.bodyWritten = nil
+	c.body = nil
 	var b bytes.Buffer
 	b.Grow(512 + min(len(req.Body), maxInlineBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
@@ -199,14 +210,13 @@
 	if _, err := c.nc.Write(b.Bytes()); err != nil {
 		return err
 	}
-	c.bodyWritten = make(chan struct{})
-	go func(done chan struct{}) {
-		// The error is not returned: the exchange then fails with a read error or returns an early response of the
-		// upstream. Since bodyWritten stays open, the connection is not reused.
-		if _, err := c.nc.Write(req.Body); err == nil {
-			close(done)
-		}
-	}(c.bodyWritten)
+	body := &bodyWrite{done: make(chan struct{})}
+	c.body = body
+	go func() {
+		// An error here does not end the exchange: the upstream may have responded early.
+		_, body.err = c.nc.Write(req.Body)
+		close(body.done)
+	}()
 	return nil
 }
 
@@ -300,15 +310,59 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// Read reads the body; io.EOF means that the response is complete, or, if Framed is false, that the connection was closed.
+// withWriteError closes a connection whose read failed with err and returns err, with the error of the write of the body if
+// that had failed before: the system reports the error of a connection to one call only.
+func (c *conn) withWriteError(err error) error {
+	_ = c.nc.Close()
+	if c.body == nil {
+		return err
+	}
+	<-c.body.done
+	if c.body.err == nil || errors.Is(c.body.err, net.ErrClosed) || errors.Is(err, c.body.err) {
+		return err
+	}
+	return fmt.Errorf("%w; sending the body: %w", err, c.body.err)
+}
+
+// confirmEnd waits until the upstream, which has closed its side of the connection, has received the whole request. It fails
+// if the connection is reset instead, which means that the upstream died or did not end its response in order. The end of
+// the request's context ends the wait.
+func (c *conn) confirmEnd() error {
+	if c.body != nil {
+		<-c.body.done
+		if c.body.err != nil {
+			return fmt.Errorf("sending the body: %w", c.body.err)
+		}
+	}
+	return AwaitReceipt(c.nc)
+}
+
+// Read reads the body; io.EOF means that the response is complete, or, if Framed is false, that the upstream closed the
+// connection in order.
 func (e *Exchange) Read(b []byte) (int, error) {
+	if e.end != nil {
+		return 0, e.end
+	}
+	if e.conn == nil {
+		return 0, net.ErrClosed
+	}
 	n, err := e.Body.Read(b)
+	if err == io.EOF && !e.Framed() && e.Body != http.NoBody {
+		if e.Ending != nil {
+			e.Ending()
+		}
+		if cause := e.conn.confirmEnd(); cause != nil {
+			err = fmt.Errorf("the connection that ends the response was not closed in order: %w", cause)
+		}
+	}
 	switch {
 	case err == io.EOF:
 		e.complete = true
 	case err != nil:
 		e.broken = true
+		err = e.conn.withWriteError(err)
 	}
+	e.end = err
 	return n, err
 }
 
@@ -348,9 +402,10 @@
 	e.conn = nil
 	connOpen := e.stop()
 	keep := connOpen && e.complete && !e.broken && !c.receivedStale && e.Framed() && !e.Response.Close && c.br.Buffered() == 0
-	if keep && c.bodyWritten != nil {
+	if keep && c.body != nil {
 		select {
-		case <-c.bodyWritten:
+		case <-c.body.done:
+			keep = c.body.err == nil
 		default:
 			keep = false
 		}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -37,9 +37,11 @@
 	dialDelay func(address string) time.Duration
 	// readErr is the error that replaces those of connections to upstreams; nil means none.
 	readErr error
-	t       *testing.T
-	server  *httptest.Server
-	table   *mapper.Table
+	// wrap, if not nil, replaces connections to upstreams.
+	wrap   func(net.Conn) net.Conn
+	t      *testing.T
+	server *httptest.Server
+	table  *mapper.Table
 	// nextTable is the configuration that becomes available while a request waits for the first one.
 	nextTable *mapper.Table
 	confirmed time.Time
@@ -157,6 +159,9 @@
 	if err == nil && f.readErr != nil {
 		c = failingConn{c, f.readErr}
 	}
+	if err == nil && f.wrap != nil {
+		c = f.wrap(c)
+	}
 	return c, err
 }
 
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -266,6 +266,7 @@
 	if j.route.Repeatable() && !j.stream.started && j.stream.lastEvent == "" {
 		j.stream.lastEvent = j.LastEvent
 	}
+	e.Ending = timer.stop // The response is whole unless the connection turns out to have been reset.
 	events := eventBuffer{isField: j.p.cfg.Codec.IsEventField}
 	chunk := make([]byte, relayBuffer)
 	for {
--- a/service/service.go
+++ b/service/service.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"clementineramp/connector"
 	"clementineramp/encoder"
 	"clementineramp/judge"
 )
@@ -89,14 +91,44 @@
 
 // notifyingConn calls a function once after its next successful write. The trace hook WroteRequest of net/http does not
 // serve: it is called before the buffer of the connection is flushed.
+//
+// Its reads return io.EOF only after the service has received what was written: the system reports a reset to one call only,
+// and a read that comes after a failed write returns the same as after an orderly end of the answer.
 type notifyingConn struct {
 	net.Conn
 	onWrite atomic.Pointer[func()]
+
+	// mu is held during a write, of which writeErr is the last error.
+	mu       sync.Mutex
+	writeErr error
+}
+
+// Read reads from the connection.
+func (c *notifyingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	cause := c.writeErr
+	c.mu.Unlock()
+	if cause == nil {
+		cause = connector.AwaitReceipt(c.Conn)
+	}
+	if cause != nil {
+		err = fmt.Errorf("the connection was not closed in order: %w", cause)
+	}
+	return n, err
 }
 
 // Write writes to the connection and then calls the function, if there is one.
 func (c *notifyingConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
 	if err == nil {
 		if f := c.onWrite.Swap(nil); f != nil {
 			(*f)()
