blocker: an answer that was served, or a part that is blamed, clears a request of crashes

Cause: every incarnation that broke while a fingerprint ran there counted against it, and nothing took one off.

Change: the request is one more suspect beside the parts and blamed last. An answer served whole clears it in the whole fleet (a begin does not: a request may crash upstreams in the middle of its answers), incarnations that a part explains do not count, and blocks end with trials. On the same grounds: lost hosts count against no request, a blocked request is not repeated, and a full table of suspects evicts the weakest in place of refusing new ones.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -16,8 +16,7 @@
 	// blockThreshold is the number of crashes after which a request is blocked. With two, a harmless request that twice
 	// ran concurrently with the one that causes the crashes would be blocked too.
 	blockThreshold = 3
-	// reportTTL is the time after a crash for which its reports are kept, and for which a request is blocked after its
-	// last crash.
+	// reportTTL is the time after a crash for which its reports are kept.
 	reportTTL = 2 * time.Minute
 	// maxSuspected is the maximum number of suspected requests that are kept. A crash makes all requests that the upstream
 	// was running suspected, which are up to 64.
@@ -51,7 +50,8 @@
 	// AgesMS holds the times since the crashes in milliseconds.
 	AgesMS []uint32
 	// PartCounts holds the numbers of suspected parts of the requests, and Parts the parts of all requests one after the
-	// other. Both are empty if no request has any. A report whose upstream is zero is no crash: its parts have begun.
+	// other. Both are empty if no request has any. A report whose upstream is zero is no crash: its parts have begun, or, if it
+	// has none, its request was served.
 	PartCounts []uint8
 	Parts      []Part
 }
@@ -86,16 +86,12 @@
 	origin uint64
 
 	mu sync.Mutex
-	// crashes maps each suspected request to the incarnations that crashed while running it, with the times of their last
-	// such crashes.
-	crashes map[Fingerprint]map[uint32]time.Time
-	// expired is when expired crashes were last removed.
-	expired time.Time
 	// logs holds the reports of each router, so that peers are sent only those that they lack.
 	logs map[uint64]*crashLog
 	// reports is the number of reports in all logs.
-	reports int
-	parts   partTracker
+	reports  int
+	parts    partTracker
+	requests requestTracker
 }
 
 // crashLog holds the reports of one router in the order of their numbers.
@@ -131,9 +127,8 @@
 // from the origin, so that runs of a model with the same origins are the same.
 func NewWithOrigin(origin uint64) *Blocker {
 	return &Blocker{
-		origin:  origin,
-		crashes: make(map[Fingerprint]map[uint32]time.Time), logs: make(map[uint64]*crashLog),
-		parts: newPartTracker(origin),
+		origin: origin, logs: make(map[uint64]*crashLog),
+		parts: newPartTracker(origin), requests: requestTracker{suspects: make(map[Fingerprint]*suspect)},
 	}
 }
 
@@ -144,7 +139,10 @@
 	t.mu.Lock()
 	t.appendOwn(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
 	t.parts.computed = time.Time{} // The request may be about to be repeated, which must not reach another upstream.
-	n := len(t.crashes[f])
+	n := 0
+	if s := t.requests.suspects[f]; s != nil {
+		n = len(s.crashes)
+	}
 	t.unlockAndCall(now)
 	return n
 }
@@ -185,32 +183,7 @@
 	l.reports = append(l.reports, r)
 	t.reports++
 	t.parts.add(r, l.origin)
-	if r.upstream == 0 || len(t.crashes) >= maxSuspected && t.crashes[r.request] == nil {
-		return
-	}
-	if t.crashes[r.request] == nil {
-		t.crashes[r.request] = make(map[uint32]time.Time)
-	}
-	if r.at.After(t.crashes[r.request][r.upstream]) {
-		t.crashes[r.request][r.upstream] = r.at
-	}
-}
-
-// BlockedFor returns the time for which a request remains blocked; zero means that it is not blocked.
-func (t *Blocker) BlockedFor(f Fingerprint, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	crashes := t.crashes[f]
-	if len(crashes) < blockThreshold {
-		return 0
-	}
-	var last time.Time
-	for _, at := range crashes {
-		if at.After(last) {
-			last = at
-		}
-	}
-	return max(reportTTL-now.Sub(last), 0)
+	t.requests.add(r, l.origin)
 }
 
 // Known returns the number of the last report of each router, for a peer's ReportsSince. It removes expired reports.
@@ -218,7 +191,7 @@
 	t.mu.Lock()
 	defer t.unlockAndCall(now)
 	t.expire(now)
-	t.publishBegins(now)
+	t.publish(now)
 	known := make(map[uint64]uint64, len(t.logs))
 	for origin, l := range t.logs {
 		known[origin] = l.last
@@ -231,7 +204,7 @@
 	t.mu.Lock()
 	defer t.unlockAndCall(now)
 	t.expire(now)
-	t.publishBegins(now)
+	t.publish(now)
 	var batches []Batch
 	// The order decides which report of a crash a peer hears of first; that of the map would make runs of a model differ.
 	for _, origin := range slices.Sorted(maps.Keys(t.logs)) {
@@ -313,6 +286,7 @@
 
 func (t *Blocker) expire(now time.Time) {
 	t.parts.expire(now)
+	t.requests.expire(now)
 	for origin, l := range t.logs {
 		expired := 0
 		for expired < len(l.reports) && now.Sub(l.reports[expired].at) >= l.reports[expired].ttl() {
@@ -324,18 +298,4 @@
 			delete(t.logs, origin)
 		}
 	}
-	if now.Sub(t.expired) < time.Second {
-		return // Each exchange with a peer comes here, and looking through all crashes took a third of the model's time.
-	}
-	t.expired = now
-	for f, crashes := range t.crashes {
-		for upstream, at := range crashes {
-			if now.Sub(at) >= reportTTL {
-				delete(crashes, upstream)
-			}
-		}
-		if len(crashes) == 0 {
-			delete(t.crashes, f)
-		}
-	}
 }
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -136,6 +137,8 @@
 	begun, seen time.Time
 	// publishAt is when this router reports the begin that it has seen; zero means that none is due.
 	publishAt time.Time
+	// nextTrial is when this router lets a request pass again that was blocked; blocked parts have theirs in trials.
+	nextTrial time.Time
 	// depth is the largest position that the part had in a prompt.
 	depth int
 }
@@ -146,6 +149,11 @@
 	origin      uint64
 }
 
+// newSuspect returns a suspect of nothing, with the time of its last begin at this router.
+func newSuspect(seen time.Time) *suspect {
+	return &suspect{crashes: make(map[uint32]time.Time), origins: make(map[uint32]uint64), seen: seen}
+}
+
 // addCrash records a crash. One beyond maxIncarnations replaces the oldest.
 func (s *suspect) addCrash(incarnation uint32, at time.Time, origin uint64) {
 	if len(s.reports) < maxPartReports {
@@ -190,6 +198,53 @@
 	return left
 }
 
+// expire removes the crashes that are older than ttl and reports whether there were any.
+func (s *suspect) expire(now time.Time, ttl time.Duration) bool {
+	before := len(s.crashes)
+	maps.DeleteFunc(s.crashes, func(_ uint32, at time.Time) bool { return now.Sub(at) >= ttl })
+	if len(s.crashes) == before {
+		return false
+	}
+	known := func(incarnation uint32) bool {
+		_, ok := s.crashes[incarnation]
+		return ok
+	}
+	maps.DeleteFunc(s.origins, func(incarnation uint32, _ uint64) bool { return !known(incarnation) })
+	s.reports = slices.DeleteFunc(s.reports, func(r partReport) bool { return !known(r.incarnation) })
+	return true
+}
+
+// evict makes room for another suspect if there are as many as the given number, so that a flood of harmless ones doesn't keep
+// out one that crashes upstreams: it removes a quarter, those in the fewest crashes that no begin has cleared first, and
+// among these those whose last crash is the oldest.
+func evict[K cmp.Ordered](suspects map[K]*suspect, most int) {
+	if len(suspects) < most {
+		return
+	}
+	type entry struct {
+		key   K
+		count int
+		last  time.Time
+	}
+	entries := make([]entry, 0, len(suspects))
+	for key, s := range suspects {
+		e := entry{key: key}
+		for _, at := range s.uncleared(s.lastBegin(), nil) {
+			e.count++
+			if at.After(e.last) {
+				e.last = at
+			}
+		}
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.count, b.count), a.last.Compare(b.last), cmp.Compare(a.key, b.key))
+	})
+	for _, e := range entries[:(len(entries)+3)/4] {
+		delete(suspects, e.key)
+	}
+}
+
 // lastBegin returns the time of the last begin that is known here.
 func (s *suspect) lastBegin() time.Time {
 	if s.seen.After(s.begun) {
@@ -211,11 +266,12 @@
 	suspects map[Part]*suspect
 	// crashed holds the times of the last crashes of all incarnations.
 	crashed map[uint32]time.Time
-	// begins and earlier hold the times of the begins at this router since rotated, and those of the period before.
-	begins, earlier map[Part]time.Time
-	rotated         time.Time
+	// begins holds the times of the begins at this router.
+	begins recent[Part]
 
 	blocked map[Part]block
+	// explained holds the incarnations whose crashes parts are blamed for.
+	explained map[uint32]bool
 	// trials maps the parts whose blocks have ended without a begin to the times from which this router lets the next
 	// request with them pass.
 	trials map[Part]time.Time
@@ -242,7 +298,7 @@
 func newPartTracker(origin uint64) partTracker {
 	return partTracker{
 		origin:   origin,
-		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), begins: make(map[Part]time.Time),
+		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time),
 		blocked: make(map[Part]block),
 	}
 }
@@ -254,12 +310,9 @@
 	}
 	t.mu.Lock()
 	p := &t.parts
-	if len(p.begins) >= maxBegins || now.Sub(p.rotated) >= beginMemory {
-		p.begins, p.earlier, p.rotated = make(map[Part]time.Time), p.begins, now
-	}
 	published := false
 	for _, part := range parts {
-		p.begins[part] = now
+		p.begins.add(part, now)
 		s := p.suspects[part]
 		if s == nil {
 			continue
@@ -272,7 +325,7 @@
 		}
 	}
 	if published {
-		t.publishBegins(now)
+		t.publishPartBegins(now)
 	}
 	t.unlockAndCall(now)
 }
@@ -359,10 +412,8 @@
 	for depth, part := range r.parts {
 		s := p.suspects[part]
 		if s == nil {
-			if len(p.suspects) >= maxSuspects {
-				continue
-			}
-			s = &suspect{crashes: make(map[uint32]time.Time), origins: make(map[uint32]uint64), seen: p.lastSeen(part)}
+			evict(p.suspects, maxSuspects)
+			s = newSuspect(p.begins.last(part))
 			p.suspects[part] = s
 		}
 		if r.upstream == 0 {
@@ -379,43 +430,44 @@
 	}
 }
 
-// lastSeen returns the time of the last begin of a part at this router that is remembered.
-func (p *partTracker) lastSeen(part Part) time.Time {
-	if at, ok := p.begins[part]; ok {
-		return at
+// beginDue reports whether the begin that this router has seen is to be reported now, because it clears crashes of which
+// other routers may still suspect s. Delay is the share of maxBeginDelay for which this router waits.
+func (s *suspect) beginDue(now time.Time, delay float64) bool {
+	if !s.seen.After(s.begun) || len(s.crashes) < blockThreshold-1 {
+		s.publishAt = time.Time{}
+		return false
+	}
+	left := len(s.uncleared(s.begun, nil))
+	if left < blockThreshold-1 || left == len(s.uncleared(s.seen, nil)) {
+		s.publishAt = time.Time{}
+		return false
+	}
+	if s.publishAt.IsZero() {
+		s.publishAt = now.Add(time.Duration(delay * float64(maxBeginDelay)))
+		if next := s.begun.Add(beginInterval); next.After(s.publishAt) {
+			s.publishAt = next
+		}
+	}
+	if now.Before(s.publishAt) {
+		return false
 	}
-	return p.earlier[part]
+	s.publishAt = time.Time{}
+	return true
 }
 
-// publishBegins reports the begins at this router that clear parts of which other routers may still suspect.
-func (t *Blocker) publishBegins(now time.Time) {
+// publishPartBegins reports the begins at this router that clear parts of which other routers may still suspect.
+func (t *Blocker) publishPartBegins(now time.Time) {
 	p := &t.parts
 	var due []Part
 	var oldest time.Time
 	for part, s := range p.suspects {
-		if !s.seen.After(s.begun) || len(s.crashes) < blockThreshold-1 {
-			s.publishAt = time.Time{}
-			continue
-		}
-		left := len(s.uncleared(s.begun, nil))
-		if left < blockThreshold-1 || left == len(s.uncleared(s.seen, nil)) {
-			s.publishAt = time.Time{}
-			continue
-		}
-		if s.publishAt.IsZero() {
-			s.publishAt = now.Add(time.Duration(shareOf(p.origin, part) * float64(maxBeginDelay)))
-			if next := s.begun.Add(beginInterval); next.After(s.publishAt) {
-				s.publishAt = next
-			}
-		}
-		if now.Before(s.publishAt) {
+		if !s.beginDue(now, shareOf(p.origin, part)) {
 			continue
 		}
 		due = append(due, part)
 		if oldest.IsZero() || s.seen.Before(oldest) {
 			oldest = s.seen
 		}
-		s.publishAt = time.Time{}
 	}
 	slices.Sort(due)
 	for parts := range slices.Chunk(due, maxParts) {
@@ -442,9 +494,11 @@
 	}
 	p.changed, p.computed, p.next = false, now, time.Time{}
 	blocked, trials := make(map[Part]block), make(map[Part]time.Time)
-	for _, c := range p.blamed(now) {
+	var blamed []candidate
+	blamed, p.explained = p.blamed(now)
+	for _, c := range blamed {
 		last := slices.MaxFunc(values(c.times), time.Time.Compare)
-		b := block{until: last.Add(p.hold(c)), crashes: len(c.times)}
+		b := block{until: last.Add(p.hold(c, baseHold)), crashes: len(c.times)}
 		if now.Before(b.until) {
 			blocked[c.part] = b
 			p.wake(b.until)
@@ -473,12 +527,12 @@
 	}
 }
 
-// blamed returns the parts that explain the crashes, with those that each explains. The part with the most crashes comes
+// blamed returns the parts that explain the crashes, with those that each explains, and the incarnations of all of them. The part with the most crashes comes
 // first, and among several the one that is latest in the prompt: parts before it occur in other prompts too. Crashes
 // that are explained no longer count against other parts, neither against those of the same request nor against those
 // of other requests that ran at the upstream.
-func (p *partTracker) blamed(now time.Time) []candidate {
-	var candidates, blamed []candidate
+func (p *partTracker) blamed(now time.Time) (blamed []candidate, explained map[uint32]bool) {
+	var candidates []candidate
 	for part, s := range p.suspects {
 		if len(s.crashes) < blockThreshold {
 			continue
@@ -493,7 +547,7 @@
 		}
 		candidates = append(candidates, c)
 	}
-	explained := make(map[uint32]bool)
+	explained = make(map[uint32]bool)
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), cmp.Compare(a.s.depth, b.s.depth), cmp.Compare(a.part, b.part))
@@ -511,7 +565,7 @@
 		}
 		candidates = left
 	}
-	return blamed
+	return blamed, explained
 }
 
 // hearsay reports whether all crashes of a part were reported by one other router, whose own connections may be what
@@ -558,9 +612,9 @@
 	return first.Add(settleTime)
 }
 
-// hold returns the time for which a part remains blocked after the last of its crashes. If it has begun, that was before the
-// crashes, because begins clear the crashes before them.
-func (p *partTracker) hold(c candidate) time.Duration {
+// hold returns the time for which a suspect remains blocked after the last of its crashes, which is base or more unless it has
+// begun. If it has, that was before the crashes, because begins clear the crashes before them.
+func (p *partTracker) hold(c candidate, base time.Duration) time.Duration {
 	sorted := values(c.times)
 	slices.SortFunc(sorted, time.Time.Compare)
 	begun := !c.s.lastBegin().IsZero()
@@ -574,7 +628,7 @@
 			begun = false
 		}
 	}
-	hold, spread := baseHold<<min(doublings, maxDoublings), baseHold<<min(doublings, maxDoublings)
+	hold, spread := base<<min(doublings, maxDoublings), base<<min(doublings, maxDoublings)
 	if begun {
 		hold, spread = firstHold, firstHoldSpread
 	}
@@ -621,17 +675,9 @@
 	}
 	p.expired = now
 	for part, s := range p.suspects {
-		for incarnation, at := range s.crashes {
-			if now.Sub(at) >= partTTL {
-				delete(s.crashes, incarnation)
-				delete(s.origins, incarnation)
-				p.changed = true
-			}
+		if s.expire(now, partTTL) {
+			p.changed = true
 		}
-		s.reports = slices.DeleteFunc(s.reports, func(r partReport) bool {
-			_, ok := s.crashes[r.incarnation]
-			return !ok
-		})
 		if len(s.crashes) == 0 && now.Sub(s.lastBegin()) >= partTTL {
 			delete(p.suspects, part)
 		}
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -103,10 +104,10 @@
 	j.finish(buffered)
 }
 
-// blockedSinceAdmission reports whether a part of the prompt has become blocked during the last attempt.
+// blockedSinceAdmission reports whether the request or a part of its prompt has become blocked during the last attempt.
 func (j *job) blockedSinceAdmission() bool {
 	if j.arrivals > 0 || len(j.tried) > 0 {
-		j.blocked = j.refuseBlockedPart(j.p.cfg.Crashes.HeldPart)
+		j.blocked = cmp.Or(j.refuseBlocked(j.p.cfg.Crashes.HeldFor), j.refuseBlockedPart(j.p.cfg.Crashes.HeldPart))
 	}
 	return j.blocked != nil
 }
@@ -335,27 +336,29 @@
 		}
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	j.recordBroken(u, now, j.suspectedParts(err)...)
+	j.recordBroken(u, now, err, j.parts...)
 	return mayHaveRun, nil, err
 }
 
-// recordBroken records that a connection broke while the upstream may have been running the request, which counts as a
-// crash of the upstream for which the request is suspected, and so are the given parts of its prompt.
-func (j *job) recordBroken(u registrar.Upstream, now time.Time, parts ...blocker.Part) {
+// recordBroken records that a connection broke with err while the upstream may have been running the request, which counts as
+// a crash of the upstream for which the request is suspected, and so are the given parts of its prompt.
+func (j *job) recordBroken(u registrar.Upstream, now time.Time, err error, parts ...blocker.Part) {
 	j.p.cfg.Health.Record(u.ID, appraiser.Broken, now)
-	j.p.cfg.Crashes.RecordCrash(j.print, Incarnation(u), now, parts...)
+	if !hostLost(err) {
+		j.p.cfg.Crashes.RecordCrash(j.print, Incarnation(u), now, parts...)
+	}
 }
 
-// suspectedParts returns the parts of the prompt that may have crashed an upstream whose connection ended with err. The
-// connections of a process that crashes are closed or reset. One that times out or cannot be reached belongs to a host that
-// has lost its power or network: if all hosts of a service do, the parts that most prompts share would be blocked.
-func (j *job) suspectedParts(err error) []blocker.Part {
+// hostLost reports whether a connection that ended with err belongs to a host that has lost its power or network. The
+// connections of a process that crashes are closed or reset: one that times out or cannot be reached says nothing of what
+// ran there, and if all hosts of a service were lost, what most requests share would be blocked.
+func hostLost(err error) bool {
 	for _, lost := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
 		if errors.Is(err, lost) {
-			return nil
+			return true
 		}
 	}
-	return j.parts
+	return false
 }
 
 // recordBegin records, once an attempt, that the upstream has begun to answer.
@@ -366,6 +369,11 @@
 	}
 }
 
+// recordServed records that the upstream has answered the request to the end.
+func (j *job) recordServed() {
+	j.p.cfg.Crashes.RecordServed(j.print, time.Now())
+}
+
 // Incarnation returns a name for one lifetime of an upstream, which includes its start time: a later process may have
 // the same ID and address.
 func Incarnation(u registrar.Upstream) string {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -224,12 +224,9 @@
 	}
 	j.service = j.route.Service(j.splitSeed())
 	j.print = blocker.FingerprintOf(j.r.Method, j.r.RequestURI, j.Key, j.body)
-	if left := j.p.cfg.Crashes.BlockedFor(j.print, time.Now()); left > 0 {
+	if err := j.refuseBlocked(j.p.cfg.Crashes.BlockedFor); err != nil {
 		j.p.bodyBytes.Add(-int64(len(j.body)))
-		return &localResponse{
-			status: http.StatusServiceUnavailable, reason: judge.ReasonCrashesUpstream, retryAfter: left,
-			text: "this request crashes the upstreams that run it",
-		}
+		return err
 	}
 	j.parts = blocker.PartsOf(j.promptIDs())
 	if err := j.refuseBlockedPart(j.p.cfg.Crashes.BlockedPart); err != nil {
@@ -252,6 +249,18 @@
 	return ids
 }
 
+// refuseBlocked refuses the request if it crashes the upstreams that run it, as find tells.
+func (j *job) refuseBlocked(find func(blocker.Fingerprint, time.Time) time.Duration) error {
+	left := find(j.print, time.Now())
+	if left == 0 {
+		return nil
+	}
+	return &localResponse{
+		status: http.StatusServiceUnavailable, reason: judge.ReasonCrashesUpstream, retryAfter: left,
+		text: "this request crashes the upstreams that run it",
+	}
+}
+
 // refuseBlockedPart refuses the request if its prompt has a part that crashes the upstreams that begin to answer, as find
 // tells.
 func (j *job) refuseBlockedPart(find func([]blocker.Part, time.Time) (blocker.Part, time.Duration, bool)) error {
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -163,13 +163,14 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			if len(body) == 0 {
-				j.recordBroken(u, now, j.suspectedParts(err)...)
+				j.recordBroken(u, now, err, j.parts...)
 			} else {
-				j.recordBroken(u, now)
+				j.recordBroken(u, now, err)
 			}
 		}
 		return mayHaveRun, nil, err
 	}
+	j.recordServed()
 	buffered := &bufferedResponse{status: e.StatusCode, header: EndToEnd(e.Header), body: body, ran: true}
 	if e.StatusCode >= http.StatusInternalServerError {
 		j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
@@ -200,6 +201,7 @@
 		j.abort(judge.ReasonBroken, "response broke off after its first bytes were sent: "+err.Error())
 	}
 	j.p.cfg.Health.Record(u.ID, appraiser.Served, time.Now())
+	j.recordServed()
 	j.recordOutcome(e.StatusCode, "", "")
 	return done, nil, nil
 }
@@ -311,6 +313,7 @@
 			return mayHaveRun, nil, errStopping
 		}
 		j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
+		j.recordServed()
 		j.recordOutcome(e.StatusCode, "", "")
 		return done, nil, nil
 	case errors.Is(context.Cause(ctx), errUnresponsive):
@@ -319,10 +322,10 @@
 		return mayHaveRun, nil, j.ctx.Err()
 	}
 	if j.begun || errors.Is(err, errStrayBytes) {
-		j.recordBroken(u, now)
+		j.recordBroken(u, now, err)
 	} else {
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
-		j.recordBroken(u, now, j.suspectedParts(err)...)
+		j.recordBroken(u, now, err, j.parts...)
 	}
 	return mayHaveRun, nil, err
 }
