blocker: every part of a prompt is suspected of a crash, whatever its place

Cause: of a prompt with more than 17 parts only the first and the last eight were suspected, to bound the reports.

Change: all parts are. A report keeps its 16 parts, so that gateways of the version before take it, and a longer prompt takes several in a row. Parts that begin all the time are reported once for a crash, and past 2,048 parts of one crash a request reports 16 of its own, chosen without regard to their place.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -108,6 +108,14 @@
 	upstream uint32
 	at       time.Time
 	parts    []Part
+	// depth is the place of the first part in the prompt, if an earlier report holds the parts before it.
+	depth int
+}
+
+// continues reports whether r holds the parts of a request that follow those of another report.
+func (r *crashReport) continues(previous *crashReport) bool {
+	return len(previous.parts) == maxParts && r.number == previous.number+1 && r.request == previous.request &&
+		r.upstream == previous.upstream && r.at.Sub(previous.at).Abs() <= maxContinuation
 }
 
 // ttl returns the time for which a report is kept.
@@ -128,7 +136,7 @@
 func NewWithOrigin(origin uint64) *Blocker {
 	return &Blocker{
 		origin: origin, logs: make(map[uint64]*crashLog),
-		parts: newPartTracker(origin), requests: requestTracker{suspects: make(map[Fingerprint]*suspect)},
+		parts: newPartTracker(origin), requests: requestTracker{suspects: make(map[Fingerprint]*suspect), served: recent[Fingerprint]{most: maxServed}},
 	}
 }
 
@@ -137,7 +145,7 @@
 // answer. It returns the number of crashes that the request is now suspected of.
 func (t *Blocker) RecordCrash(f Fingerprint, upstream string, now time.Time, parts ...Part) int {
 	t.mu.Lock()
-	t.appendOwn(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
+	t.appendCrash(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
 	t.parts.computed = time.Time{} // The request may be about to be repeated, which must not reach another upstream.
 	n := 0
 	if s := t.requests.suspects[f]; s != nil {
@@ -160,6 +168,23 @@
 	t.add(own, r)
 }
 
+// appendCrash adds the reports of a crash to the log of this router: one, or several for a request with many parts.
+func (t *Blocker) appendCrash(r crashReport) {
+	parts := t.parts.reportable(r)
+	if len(parts) > 0 {
+		t.parts.reported[r.upstream] += len(parts)
+	}
+	for {
+		r.parts = parts[:min(len(parts), maxParts)]
+		t.appendOwn(r)
+		parts = parts[len(r.parts):]
+		if len(parts) == 0 {
+			return
+		}
+		r.depth += len(r.parts)
+	}
+}
+
 // log returns the log of a router, which is created on first use.
 func (t *Blocker) log(origin uint64) *crashLog {
 	l := t.logs[origin]
@@ -265,6 +290,9 @@
 			n := int(b.PartCounts[i])
 			r.parts, parts = parts[:n:n], parts[n:]
 		}
+		if n := len(l.reports); n > 0 && r.continues(&l.reports[n-1]) {
+			r.depth = l.reports[n-1].depth + maxParts
+		}
 		if r.number > known && age < r.ttl() {
 			t.add(l, r)
 		}
--- a/blocker/fleet_test.go
+++ b/blocker/fleet_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	// ones behind it.
 	chats       int
 	deadlyFirst bool
+	// history is the number of further parts of each chat, with the deadly part in the middle of them.
+	history int
 	// massCrash crashes that share of the engines at 5 s, and resets breaks all connections at 5 s without a crash.
 	massCrash float64
 	resets    bool
@@ -190,6 +193,14 @@
 	case deadly:
 		ids = []string{"first-8", "deadly", chat} // No frequent one.
 	}
+	for i := range m.c.history {
+		ids = append(ids, fmt.Sprint(chat, "-", i))
+	}
+	if n := m.c.history / 2; n > 0 && deadly {
+		at := slices.Index(ids, "deadly")
+		copy(ids[at:], ids[at+1:at+1+n])
+		ids[at+n] = "deadly"
+	}
 	req.parts = parts(ids...)
 	return req
 }
@@ -282,6 +293,7 @@
 		"rare chats":    {gateways: 4, rate: 50, share: 0.05, chats: 5000},
 		"hot chat":      {gateways: 4, rate: 100, share: 0.05, chats: 2},
 		"first part":    {gateways: 4, rate: 100, share: 0.05, chats: 100, deadlyFirst: true},
+		"long prompts":  {gateways: 4, rate: 100, share: 0.05, chats: 100, history: 60},
 		"large fleet":   {gateways: 100, rate: 600, share: 0.02, chats: 1000},
 		"mass crash":    {gateways: 10, rate: 200, share: 0.02, chats: 200, massCrash: 0.4},
 		"resets":        {gateways: 10, rate: 200, share: 0.02, chats: 200, resets: true},
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -12,8 +12,14 @@
 )
 
 const (
-	// maxParts is the maximum number of parts in a report: the first and the last ones of a longer prompt.
+	// maxParts is the maximum number of parts in a report. A longer prompt takes several reports.
 	maxParts = 16
+	// maxReportedParts bounds the parts that a router reports for the crash of one incarnation, which are 8 KB. Beyond it each
+	// request reports sampledParts of its parts.
+	maxReportedParts = 2048
+	sampledParts     = maxParts
+	// maxContinuation is the largest difference between the times of two reports of the same request.
+	maxContinuation = 100 * time.Millisecond
 	// partTTL is the time for which reports with parts are kept. It is longer than the longest hold, so that a single
 	// crash after a hold blocks the part again.
 	partTTL = 10 * time.Minute
@@ -41,7 +47,7 @@
 	// know of a part in crashes whether it had begun before. Rare chats begin a few times a minute at one router.
 	beginMemory = 30 * time.Second
 	// maxBegins bounds the parts whose begins are remembered in each period of beginMemory.
-	maxBegins = 16384
+	maxBegins = 65536
 	// maxBeginDelay bounds the random time until a router reports a begin: routers that hear of another's report first need
 	// no report of their own.
 	maxBeginDelay = 400 * time.Millisecond
@@ -97,18 +103,17 @@
 }
 
 // PartsOf returns the parts of a prompt that may be suspected of crashes: all but the last, which belongs to one request
-// alone, and at most maxParts.
+// alone.
 func PartsOf(ids []string) []Part {
 	if len(ids) < 2 {
 		return nil
 	}
-	ids = ids[:len(ids)-1]
-	if len(ids) > maxParts {
-		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
-	}
-	parts := make([]Part, 0, len(ids))
-	for _, id := range ids {
-		if p := PartOf(id); !slices.Contains(parts, p) {
+	parts := make([]Part, 0, len(ids)-1)
+	seen := make(map[Part]struct{}, len(ids)-1)
+	for _, id := range ids[:len(ids)-1] {
+		p := PartOf(id)
+		if _, ok := seen[p]; !ok {
+			seen[p] = struct{}{}
 			parts = append(parts, p)
 		}
 	}
@@ -264,8 +269,10 @@
 	// origin identifies the reports of this router.
 	origin   uint64
 	suspects map[Part]*suspect
-	// crashed holds the times of the last crashes of all incarnations.
-	crashed map[uint32]time.Time
+	// crashed holds the times of the last crashes of all incarnations, and reported the numbers of parts that this router has
+	// reported for each.
+	crashed  map[uint32]time.Time
+	reported map[uint32]int
 	// begins holds the times of the begins at this router.
 	begins recent[Part]
 
@@ -298,7 +305,8 @@
 func newPartTracker(origin uint64) partTracker {
 	return partTracker{
 		origin:   origin,
-		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time),
+		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), reported: make(map[uint32]int),
+		begins:  recent[Part]{most: maxBegins},
 		blocked: make(map[Part]block),
 	}
 }
@@ -351,6 +359,9 @@
 	defer t.unlockAndCall(now)
 	p := &t.parts
 	p.update(now)
+	if len(p.blocked) == 0 && len(p.trials) == 0 {
+		return 0, 0, false
+	}
 	for _, part := range parts {
 		if b, ok := p.blocked[part]; ok {
 			return part, b.until.Sub(now), true
@@ -409,7 +420,7 @@
 	if r.upstream != 0 && r.at.After(p.crashed[r.upstream]) {
 		p.crashed[r.upstream] = r.at
 	}
-	for depth, part := range r.parts {
+	for i, part := range r.parts {
 		s := p.suspects[part]
 		if s == nil {
 			evict(p.suspects, maxSuspects)
@@ -422,7 +433,7 @@
 			}
 			continue
 		}
-		s.depth = max(s.depth, depth)
+		s.depth = max(s.depth, r.depth+i)
 		s.addCrash(r.upstream, r.at, origin)
 		if len(s.crashes) >= blockThreshold-1 && len(s.uncleared(s.lastBegin(), nil)) >= blockThreshold-1 {
 			p.suspicion = true
@@ -430,6 +441,51 @@
 	}
 }
 
+// reportable returns the parts of a request to report for the crash of an incarnation, in their order. Of a long prompt it
+// leaves out those that begin all the time and that this router has already reported for that crash. Where too many are left
+// it prefers parts that have not begun, and chooses among equals by a hash that differs between crashes and requests: no part
+// is left out of all reports because of its place.
+func (p *partTracker) reportable(r crashReport) []Part {
+	if len(r.parts) <= maxParts {
+		return r.parts
+	}
+	type choice struct {
+		place int
+		begun bool
+		rank  uint64
+	}
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(r.request))
+	binary.LittleEndian.PutUint32(b[8:], r.upstream)
+	choices := make([]choice, 0, len(r.parts))
+	for place, part := range r.parts {
+		begun := r.at.Sub(p.begins.last(part)) < beginMemory
+		if s := p.suspects[part]; begun && s != nil && s.origins[r.upstream] == p.origin {
+			continue
+		}
+		binary.LittleEndian.PutUint32(b[12:], uint32(part))
+		choices = append(choices, choice{place, begun, xxhash.Sum64(b[:])})
+	}
+	if most := max(maxReportedParts-p.reported[r.upstream], sampledParts); len(choices) > most {
+		slices.SortFunc(choices, func(a, b choice) int {
+			switch {
+			case a.begun != b.begun && b.begun:
+				return -1
+			case a.begun != b.begun:
+				return 1
+			}
+			return cmp.Compare(a.rank, b.rank)
+		})
+		choices = choices[:most]
+		slices.SortFunc(choices, func(a, b choice) int { return cmp.Compare(a.place, b.place) })
+	}
+	parts := make([]Part, len(choices))
+	for i, c := range choices {
+		parts[i] = r.parts[c.place]
+	}
+	return parts
+}
+
 // beginDue reports whether the begin that this router has seen is to be reported now, because it clears crashes of which
 // other routers may still suspect s. Delay is the share of maxBeginDelay for which this router waits.
 func (s *suspect) beginDue(now time.Time, delay float64) bool {
@@ -685,6 +741,7 @@
 	for incarnation, at := range p.crashed {
 		if now.Sub(at) >= partTTL {
 			delete(p.crashed, incarnation)
+			delete(p.reported, incarnation)
 		}
 	}
 }
--- a/blocker/requests.go
+++ b/blocker/requests.go
@@ -9,6 +9,8 @@
 const (
 	// requestHold is the shortest time for which a request remains blocked after its last crash, if it was never served.
 	requestHold = 2 * time.Minute
+	// maxServed bounds the requests that are remembered as served in each period of beginMemory.
+	maxServed = 16384
 	// servedSettleTime is the time from the third crash of a request that was served before to its block. Reports that it was
 	// served again since the first ones reach all routers within it.
 	servedSettleTime = time.Second
@@ -107,8 +109,8 @@
 
 // add records the crash of a report, or that its request was served.
 func (q *requestTracker) add(r crashReport, origin uint64) {
-	if r.upstream == 0 && len(r.parts) > 0 {
-		return // These are begins of parts.
+	if r.upstream == 0 && len(r.parts) > 0 || r.depth > 0 {
+		return // These are begins of parts, or more parts of a crash.
 	}
 	s := q.suspects[r.request]
 	if s == nil {
@@ -143,15 +145,16 @@
 	}
 }
 
-// recent remembers the last time of what happened within beginMemory or longer, up to a number of different keys.
+// recent remembers the last time of what happened within beginMemory or longer, of up to most keys in each such period.
 type recent[K comparable] struct {
+	most              int
 	current, previous map[K]time.Time
 	rotated           time.Time
 }
 
 // add records that something happened.
 func (r *recent[K]) add(key K, now time.Time) {
-	if r.current == nil || len(r.current) >= maxBegins || now.Sub(r.rotated) >= beginMemory {
+	if r.current == nil || len(r.current) >= r.most || now.Sub(r.rotated) >= beginMemory {
 		r.current, r.previous, r.rotated = make(map[K]time.Time), r.current, now
 	}
 	r.current[key] = now
