encoder: clients of the fleet bound the heads that they receive

Other operators report a process that kept a head without end and ran out of memory. The clients of engines, services, agents, platform and operator took the bound of net/http, 10 MB for each request: 64 requests to an engine in trouble could take 640 MB at its agent. It is 64 KB now, as at the gateways.

--- a/encoder/envelope.go
+++ b/encoder/envelope.go
@@ -34,6 +34,10 @@
 // maxNameBytes is the maximum length of the name of a process.
 const maxNameBytes = 256
 
+// MaxHeadBytes bounds the heads of a response that a client of the fleet receives, in bytes. That of net/http is 10 MB for each
+// request.
+const MaxHeadBytes = 64 << 10
+
 // maxHeaderBytes is the maximum size of a decoded header, so that a faulty peer cannot cause unlimited allocation.
 const maxHeaderBytes = 16 << 10
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -46,10 +46,11 @@
 		dial = (&net.Dialer{Timeout: time.Second}).DialContext
 	}
 	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 32,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    32,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: encoder.MaxHeadBytes,
 	}}}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -74,9 +74,11 @@
 		cfg: cfg,
 		pooled: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+			MaxResponseHeaderBytes: encoder.MaxHeadBytes,
 		}},
 		unpooled: &http.Client{CheckRedirect: encoder.NoRedirect, Transport: &http.Transport{
 			DialContext: cfg.Dial, DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: encoder.MaxHeadBytes,
 		}},
 	}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -182,7 +182,7 @@
 			Domain: p.cfg.FailureDomain, Role: string(p.cfg.Role), State: subscriber.StateLive,
 		},
 		Platform: subscriber.New(subscriber.Config{
-			Addresses: addressStrings(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial}},
+			Addresses: addressStrings(p.cfg.Platform), HTTP: &http.Client{Transport: &http.Transport{DialContext: p.network.Dial, MaxResponseHeaderBytes: encoder.MaxHeadBytes}},
 			Count: func(sent, received int) { p.watcher.CountControl(sent, received) },
 		}),
 		Peers: addressStrings(p.cfg.Peers), SharedKey: p.cfg.SharedKey.Reveal(), Budget: p.budget, Dial: p.network.Dial,
--- a/operator/client.go
+++ b/operator/client.go
@@ -49,7 +49,7 @@
 		http: &http.Client{
 			Timeout: timeout,
 			// No proxy: processes are reached by IP address, and a proxy from the environment would see the token.
-			Transport: &http.Transport{DisableKeepAlives: true},
+			Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: encoder.MaxHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/service/service.go
+++ b/service/service.go
@@ -139,6 +139,7 @@
 
 // newHTTPClient returns an HTTP client that does not follow redirects.
 func newHTTPClient(t *http.Transport) *http.Client {
+	t.MaxResponseHeaderBytes = encoder.MaxHeadBytes
 	return &http.Client{Transport: t, CheckRedirect: encoder.NoRedirect}
 }
 
--- a/subscriber/client.go
+++ b/subscriber/client.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"clementineramp/encoder"
+
 	"github.com/gravitational/trace"
 )
 
@@ -65,7 +67,7 @@
 // New returns a Client with defaults for unset fields of cfg. It opens no connection.
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{IdleConnTimeout: 2 * watchTimeout}}
+		cfg.HTTP = &http.Client{Transport: &http.Transport{IdleConnTimeout: 2 * watchTimeout, MaxResponseHeaderBytes: encoder.MaxHeadBytes}}
 	}
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
