relayer: a configuration that is too long uncompressed is refused

A document from a peer was cut at 4 MB without an error, and decoded from that part. TestConfigurationThatGrowsWithoutEnd: two of three cases adopted the part before.

--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -249,16 +249,39 @@
 	return nil
 }
 
-// Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
-// version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
-func TestPeerWithoutErasAfterARestore(t *testing.T) {
-	var data bytes.Buffer
-	z := gzip.NewWriter(&data)
-	_, err := z.Write([]byte{8})
-	require.NoError(t, err)
-	require.NoError(t, z.Close())
-	g := &gatewayWithoutEras{reply: relayer.Reply{Records: []registrar.Record{upstreamRecord("u", 50)}, Complete: 60, Reached: true}}
-	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+// Guards against a configuration that is decoded from a part, because it grows beyond all bounds when it is uncompressed.
+func TestConfigurationThatGrowsWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		size    int
+		adopted bool
+	}{"largest": {4 << 20, true}, "too long": {4<<20 + 1, false}, "without end": {64 << 20, false}} {
+		t.Run(name, func(t *testing.T) {
+			var data bytes.Buffer
+			z := gzip.NewWriter(&data)
+			document := make([]byte, c.size)
+			document[0] = 8
+			_, err := z.Write(document)
+			require.NoError(t, err)
+			require.NoError(t, z.Close())
+			g := &gatewayWithoutEras{reply: relayer.Reply{Complete: 60, Reached: true}}
+			g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+			address := g.serve(t)
+			a := newGateway(t, true)
+			require.True(t, a.follower.Adopt(platform.Document{Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
+			client, err := rpc.Dial("tcp", a.address)
+			require.NoError(t, err)
+			var reply replyWithoutEras
+			require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: address, Newest: 60}, &reply))
+			require.NoError(t, client.Close())
+			before := g.calls.Load()
+			eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+			require.EqualValues(t, map[bool]int{true: 8, false: 7}[c.adopted], a.follower.Document().Version)
+		})
+	}
+}
+
+// serve answers peers on a free loopback port, which it returns.
+func (g *gatewayWithoutEras) serve(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -273,6 +296,20 @@
 			go s.ServeConn(c)
 		}
 	}()
+	return l.Addr().String()
+}
+
+// Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
+// version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
+func TestPeerWithoutErasAfterARestore(t *testing.T) {
+	var data bytes.Buffer
+	z := gzip.NewWriter(&data)
+	_, err := z.Write([]byte{8})
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	g := &gatewayWithoutEras{reply: relayer.Reply{Records: []registrar.Record{upstreamRecord("u", 50)}, Complete: 60, Reached: true}}
+	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+	address := g.serve(t)
 	for _, restored := range []bool{false, true} {
 		a := newGateway(t, true)
 		require.True(t, a.follower.Adopt(platform.Document{Era: 1, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
@@ -286,7 +323,7 @@
 		client, err := rpc.Dial("tcp", a.address)
 		require.NoError(t, err)
 		var reply replyWithoutEras
-		require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: l.Addr().String(), Newest: 60}, &reply))
+		require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: address, Newest: 60}, &reply))
 		require.NoError(t, client.Close())
 		before := g.calls.Load()
 		eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -336,15 +336,20 @@
 // maxDocumentBytes bounds the size of an uncompressed configuration; the store holds values of up to 1 MB.
 const maxDocumentBytes = 4 << 20
 
+var errDocumentTooLong = errors.New("the configuration is too long once it is uncompressed")
+
 func (p *CompressedDocument) decompress() (platform.Document, error) {
 	z, err := gzip.NewReader(bytes.NewReader(p.Data))
 	if err != nil {
 		return platform.Document{}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(z, maxDocumentBytes))
+	data, err := io.ReadAll(io.LimitReader(z, maxDocumentBytes+1))
 	if err != nil {
 		return platform.Document{}, err
 	}
+	if len(data) > maxDocumentBytes {
+		return platform.Document{}, errDocumentTooLong
+	}
 	return platform.Document{Era: p.Era, Revision: p.Revision, Data: data}, nil
 }
 
