proxier: unfinished responses of all requests share a bound

Other operators report a machine that kept bytes that were no answer and ran out of memory. A tenth of the memory bounds them now, beyond 4 KB of each. Past it a plain response is passed on as it arrives, and a stream with a longer unfinished event is broken, without a mark on its upstream.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -50,6 +50,8 @@
 	storeReaders = 4
 	// bodyShare is the fraction of the memory that request bodies may occupy.
 	bodyShare = 0.25
+	// heldShare is the fraction of the memory that unfinished responses of upstreams may occupy.
+	heldShare = 0.1
 	// heapShare is the fraction of the memory that is set as the limit of the garbage collector; the rest is left for
 	// stacks and kernel buffers, which also count as memory of the process.
 	heapShare = 0.6
@@ -180,8 +182,9 @@
 		Routers:      g.gateways, Closing: func() bool { return g.stopping.Load() || g.divertsCallers() },
 		MarkLeaving:  func(u registrar.Upstream) bool { return g.upstreams.MarkLeaving(u, "response", time.Now()) },
 		CallerLeft:   func(ctx context.Context) bool { return g.callers.Disconnected(ctx) },
-		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), StaleAfter: s.Propagation,
-		Log: g.log.Named("proxier"), Metrics: g.registry,
+		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), MaxHeldBytes: int64(heldShare * float64(s.Memory)),
+		StaleAfter: s.Propagation,
+		Log:        g.log.Named("proxier"), Metrics: g.registry,
 	})
 	g.callers = NewCallerConns(s.Connections)
 }
--- a/proxier/event.go
+++ b/proxier/event.go
@@ -46,6 +46,14 @@
 	return s.pending[:s.taken], id, err
 }
 
+// size returns the number of bytes that the buffer takes while it waits for the rest of an event.
+func (s *eventBuffer) size() int {
+	if s.taken == len(s.pending) {
+		return 0
+	}
+	return cap(s.pending)
+}
+
 // complete reports whether the stream is complete when its connection was closed by the upstream. An upstream that has
 // crashed closes its connection too, so that the end of a stream without length counts only after an event.
 func (s *eventBuffer) complete(framed bool) bool {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -80,6 +80,9 @@
 	// MaxBodyBytes bounds the total size of the bodies that are in memory at the same time, and that of a single body
 	// if the configuration sets no limit for it.
 	MaxBodyBytes int64
+	// MaxHeldBytes bounds the total size of the unfinished responses that are held back, beyond a few KB of each: past it a
+	// plain response is sent to its caller as it arrives, and a stream with a long unfinished event is broken.
+	MaxHeldBytes int64
 	// StaleAfter is the time since the last confirmation after which an unknown route or key may belong to a newer
 	// configuration that this process has not read yet.
 	StaleAfter time.Duration
@@ -93,6 +96,8 @@
 	instruments *instruments
 	// bodyBytes is the number of bytes of request bodies in memory.
 	bodyBytes atomic.Int64
+	// heldBytes is the number of bytes of responses that are held back.
+	heldBytes atomic.Int64
 	running   atomic.Int64
 	// requests is the context that endRequests cancels at the end of a shutdown.
 	requests    context.Context
@@ -106,6 +111,8 @@
 // New returns a Proxier and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Proxier {
 	p := &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
+	// A registry may hold the gauge of an earlier Proxier.
+	_ = cfg.Metrics.Register("held_response_bytes", metrics.NewFunctionalGauge(p.heldBytes.Load))
 	p.requests, p.endRequests = context.WithCancelCause(context.Background())
 	return p
 }
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -38,10 +38,13 @@
 	// readErr is the error that replaces those of connections to upstreams; nil means none.
 	readErr error
 	// wrap, if not nil, replaces connections to upstreams.
-	wrap   func(net.Conn) net.Conn
-	t      *testing.T
-	server *httptest.Server
-	table  *mapper.Table
+	wrap func(net.Conn) net.Conn
+	// maxHeld is Config.MaxHeldBytes.
+	maxHeld int64
+	metrics metrics.Registry
+	t       *testing.T
+	server  *httptest.Server
+	table   *mapper.Table
 	// nextTable is the configuration that becomes available while a request waits for the first one.
 	nextTable *mapper.Table
 	confirmed time.Time
@@ -65,7 +68,7 @@
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
 func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
-	f := &fixture{t: t, confirmed: time.Now(), crashes: blocker.New(), health: appraiser.New(appraiser.Config{})}
+	f := &fixture{t: t, maxHeld: 4 << 20, confirmed: time.Now(), crashes: blocker.New(), health: appraiser.New(appraiser.Config{})}
 	f.budget.Store(100)
 	f.view.ByService = map[string][]registrar.Upstream{}
 	for i, h := range handlers {
@@ -96,6 +99,7 @@
 
 // serve starts the Proxier.
 func (f *fixture) serve() {
+	f.metrics = metrics.NewRegistry()
 	f.placer = placer.New(placer.Config{
 		View: func() *registrar.View {
 			if f.registry != nil {
@@ -123,11 +127,11 @@
 		CountRequest: func(string) {}, Routers: func() int { return 1 },
 		Closing:      func() bool { return false },
 		CallerLeft:   func(context.Context) bool { return f.callerLeft.Load() },
-		MaxBodyBytes: 4 << 20, StaleAfter: time.Minute,
+		MaxBodyBytes: 4 << 20, MaxHeldBytes: f.maxHeld, StaleAfter: time.Minute,
 		MarkLeaving: func(u registrar.Upstream) bool {
 			return f.registry != nil && f.registry.MarkLeaving(u, "response", time.Now())
 		},
-		Log: logger.New(logger.Config{Output: &f.log}), Metrics: metrics.NewRegistry(),
+		Log: logger.New(logger.Config{Output: &f.log}), Metrics: f.metrics,
 	})
 	f.server = httptest.NewServer(f.proxier)
 	f.t.Cleanup(f.server.Close)
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -146,14 +146,17 @@
 func (j *job) relayBuffered(
 	ctx context.Context, u registrar.Upstream, e *connector.Exchange,
 ) (verdict, *bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(e, maxBufferedResponse))
+	held := holding{p: j.p}
+	defer held.release()
+	body, err := held.read(e, maxBufferedResponse)
 	now := time.Now()
-	if err == nil && len(body) == maxBufferedResponse {
+	if errors.Is(err, errHeldMemory) || err == nil && len(body) == maxBufferedResponse {
 		if e.StatusCode >= http.StatusInternalServerError || j.isFalsePromise(e.StatusCode) {
 			// A failure that may be retried is kept for the caller, which this one is too long for.
 			j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
 			return failed, nil, errors.New("upstream failed with a long response of status " + strconv.Itoa(e.StatusCode))
 		}
+		held.release() // The rest passes through, and a slow caller may take long for it.
 		return j.relayUnbuffered(u, e, body)
 	}
 	if err == nil && len(body) == 0 && !e.Framed() && e.StatusCode < http.StatusMultipleChoices && j.r.Method != http.MethodHead {
@@ -213,11 +216,14 @@
 
 // copyRest forwards the rest of a body, up to maxUnsizedResponse if its length is not declared.
 func (j *job) copyRest(e *connector.Exchange) error {
+	// Hides ReadFrom of the writer, which takes 32 KB for each response.
+	w := struct{ io.Writer }{j.w}
+	buffer := make([]byte, relayBuffer)
 	if e.ContentLength >= 0 {
-		_, err := io.Copy(j.w, e)
+		_, err := io.CopyBuffer(w, e, buffer)
 		return err
 	}
-	n, err := io.Copy(j.w, io.LimitReader(e, maxUnsizedResponse))
+	n, err := io.CopyBuffer(w, io.LimitReader(e, maxUnsizedResponse), buffer)
 	if err == nil && n == maxUnsizedResponse {
 		return errResponseTooLong
 	}
@@ -269,6 +275,8 @@
 		j.stream.lastEvent = j.LastEvent
 	}
 	e.Ending = timer.stop // The response is whole unless the connection turns out to have been reset.
+	held := holding{p: j.p}
+	defer held.release()
 	events := eventBuffer{isField: j.p.cfg.Codec.IsEventField}
 	chunk := make([]byte, relayBuffer)
 	for {
@@ -290,6 +298,8 @@
 			}
 			if invalid != nil {
 				err = invalid
+			} else if err == nil && !held.resize(events.size()) {
+				err = errHeldMemory
 			}
 		}
 		if err == nil {
@@ -321,9 +331,11 @@
 	case j.ctx.Err() != nil:
 		return mayHaveRun, nil, j.ctx.Err()
 	}
-	if j.begun || errors.Is(err, errStrayBytes) {
+	switch {
+	case errors.Is(err, errHeldMemory): // Nothing crashed, and the upstream may be sound.
+	case j.begun || errors.Is(err, errStrayBytes):
 		j.recordBroken(u, now, err)
-	} else {
+	default:
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
 		j.recordBroken(u, now, err, j.parts...)
 	}
