blocker: of parts in as many crashes one that never began is blamed first

Change: among parts with as many crashes one that has never begun comes first, then the latest. Lets pass: a part that began and became deadly, until a crash without the other part. Refuses: a sound part that never began and is in all crashes, as before.

Evidence: TestPartThatNeverBeganIsBlamedFirst fails before (the later one began).

--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -583,10 +583,21 @@
 	}
 }
 
-// blamed returns the parts that explain the crashes, with those that each explains, and the incarnations of all of them. The part with the most crashes comes
-// first, and among several the one that is latest in the prompt: parts before it occur in other prompts too. Crashes
-// that are explained no longer count against other parts, neither against those of the same request nor against those
-// of other requests that ran at the upstream.
+// compareBegun compares two suspects by whether it is known that they have begun: the one that has not comes last.
+func compareBegun(a, b *suspect) int {
+	switch neverA, neverB := a.lastBegin().IsZero(), b.lastBegin().IsZero(); {
+	case neverA == neverB:
+		return 0
+	case neverB:
+		return -1
+	}
+	return 1
+}
+
+// blamed returns the parts that explain the crashes, with those that each explains, and the incarnations of all of them. The
+// part with the most crashes comes first, and among several one that has never begun, or else the one that is latest in the
+// prompt: parts before it occur in other prompts too. Crashes that are explained no longer count against other parts, neither
+// against those of the same request nor against those of other requests that ran at the upstream.
 func (p *partTracker) blamed(now time.Time) (blamed []candidate, explained map[uint32]bool) {
 	var candidates []candidate
 	for part, s := range p.suspects {
@@ -606,7 +617,7 @@
 	explained = make(map[uint32]bool)
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), cmp.Compare(a.s.depth, b.s.depth), cmp.Compare(a.part, b.part))
+			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), compareBegun(a.s, b.s), cmp.Compare(a.s.depth, b.s.depth), cmp.Compare(a.part, b.part))
 		})
 		blamed = append(blamed, best)
 		for incarnation := range best.times {
--- a/blocker/parts_test.go
+++ b/blocker/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,6 +115,52 @@
 	}
 }
 
+// Guards against a block that falls on a sound part behind the one that crashes upstreams, which is in as many crashes: it had
+// begun shortly before, and the other never has. Of parts that have all begun, or none, the latest in the prompt is blamed.
+func TestPartThatNeverBeganIsBlamedFirst(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		begun, want []string
+	}{
+		{"the later one began", []string{"second"}, []string{"first"}},
+		{"the earlier one began", []string{"first"}, []string{"second"}},
+		{"none began", nil, []string{"second"}},
+		{"both began", []string{"first", "second"}, []string{"second"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := blocker.New(), blocker.New()
+			for _, id := range c.begun {
+				a.RecordBegin(parts(id), after(-2))
+				b.RecordBegin(parts(id), after(-2))
+			}
+			for i := range 6 {
+				crash([]*blocker.Blocker{a, b}[i%2], fmt.Sprint("u", i), after(0.002*float64(i)), "first", "second")
+			}
+			pull(t, a, b, after(1), after(1))
+			pull(t, b, a, after(1), after(1))
+			for _, g := range []*blocker.Blocker{a, b} {
+				for _, id := range []string{"first", "second"} {
+					require.Equal(t, slices.Contains(c.want, id), blocked(g, id, after(2.8)), id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the blame that stays on a part that never began when the one that became deadly crashes upstreams without it.
+func TestBlameMovesToPartInMoreCrashes(t *testing.T) {
+	b := blocker.New()
+	b.RecordBegin(parts("deadly"), after(-2))
+	for i := range 4 {
+		crash(b, fmt.Sprint("u", i), after(float64(i)), "deadly", "new")
+	}
+	require.True(t, blocked(b, "new", after(3.5)))
+	require.False(t, blocked(b, "deadly", after(3.5)))
+	crash(b, "u4", after(4), "deadly", "other")
+	require.True(t, blocked(b, "deadly", after(4.1)))
+	require.False(t, blocked(b, "new", after(4.1)))
+}
+
 func TestHoldOfPart(t *testing.T) {
 	b := blocker.New()
 	for i := range 3 {
