--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -347,7 +347,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := e.Body.Read(b)
-	if err == io.EOF && !e.Framed() && e.Body != http.NoBody {
+	if errors.Is(err, io.EOF) && !e.Framed() && e.Body != http.NoBody {
 		if e.Ending != nil {
 			e.Ending()
 		}
@@ -356,7 +356,7 @@
 		}
 	}
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		e.complete = true
 	case err != nil:
 		e.broken = true
--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -256,15 +256,10 @@
 		adopted bool
 	}{"largest": {4 << 20, true}, "too long": {4<<20 + 1, false}, "without end": {64 << 20, false}} {
 		t.Run(name, func(t *testing.T) {
-			var data bytes.Buffer
-			z := gzip.NewWriter(&data)
 			document := make([]byte, c.size)
 			document[0] = 8
-			_, err := z.Write(document)
-			require.NoError(t, err)
-			require.NoError(t, z.Close())
 			g := &gatewayWithoutEras{reply: relayer.Reply{Complete: 60, Reached: true}}
-			g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+			g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: compress(t, document)}
 			address := g.serve(t)
 			a := newGateway(t, true)
 			require.True(t, a.follower.Adopt(platform.Document{Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
@@ -280,6 +275,16 @@
 	}
 }
 
+// compress returns a document as a peer sends it.
+func compress(t *testing.T, document []byte) []byte {
+	var data bytes.Buffer
+	z := gzip.NewWriter(&data)
+	_, err := z.Write(document)
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	return data.Bytes()
+}
+
 // serve answers peers on a free loopback port, which it returns.
 func (g *gatewayWithoutEras) serve(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -302,13 +307,8 @@
 // Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
 // version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
 func TestPeerWithoutErasAfterARestore(t *testing.T) {
-	var data bytes.Buffer
-	z := gzip.NewWriter(&data)
-	_, err := z.Write([]byte{8})
-	require.NoError(t, err)
-	require.NoError(t, z.Close())
 	g := &gatewayWithoutEras{reply: relayer.Reply{Records: []registrar.Record{upstreamRecord("u", 50)}, Complete: 60, Reached: true}}
-	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: data.Bytes()}
+	g.reply.Configuration = &relayer.CompressedDocument{Revision: 60, Data: compress(t, []byte{8})}
 	address := g.serve(t)
 	for _, restored := range []bool{false, true} {
 		a := newGateway(t, true)
--- a/service/service.go
+++ b/service/service.go
@@ -106,7 +106,7 @@
 // Read reads from the connection.
 func (c *notifyingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	c.mu.Lock()
