--- a/blocker/fleet_test.go
+++ b/blocker/fleet_test.go
@@ -46,10 +46,19 @@
 	soundUntil float64
 	// away is the time in seconds for which all engines are gone from 5 s on; their connections break after lostAfter.
 	away float64
+	// question is the number a second of requests that are the same sound one, whose answers take a second, and poison that of
+	// another one, which crashes its engine in the middle of its answer from 2 s on.
+	question, poison float64
 	// seconds is the length of the run; zero means 30.
 	seconds float64
 }
 
+// The fingerprints of the requests that are asked again.
+const (
+	questionPrint blocker.Fingerprint = 1<<40 + iota
+	poisonPrint
+)
+
 // lostAfter is the time after which routers notice engines that are gone, in seconds.
 const lostAfter = 3
 
@@ -57,6 +66,8 @@
 	incarnation int
 	backAt      time.Time
 	waiting     []*fleetRequest
+	// answering holds the requests that are asked again and whose answers have begun.
+	answering []*fleetRequest
 }
 
 type fleetRequest struct {
@@ -65,6 +76,8 @@
 	deadly  bool
 	sentAt  time.Time
 	beginAt time.Time
+	// print is that of a request that is asked again, or zero.
+	print blocker.Fingerprint
 }
 
 type fleetResult struct {
@@ -75,6 +88,10 @@
 	asked, refused, askedLate, refusedLate int
 	// askedBack and refusedBack count sound requests from the time on at which a service that was away must serve again.
 	askedBack, refusedBack int
+	// questions and refusedQuestions count the requests that are the same sound one, and latePoison those of the other one that
+	// were sent later than contact after its third crash.
+	questions, refusedQuestions, latePoison int
+	poisonCrashes                           []time.Time
 }
 
 type fleetModel struct {
@@ -109,6 +126,7 @@
 	for now := start; now.Before(after(end)); now = now.Add(fleetStep) {
 		m.disrupt(now)
 		m.send(now)
+		m.sendAgain(now)
 		m.begin(now)
 		m.exchange(t, now)
 	}
@@ -179,6 +197,52 @@
 	}
 }
 
+// sendAgain makes a step's share of the requests arrive that are asked again.
+func (m *fleetModel) sendAgain(now time.Time) {
+	for _, print := range []blocker.Fingerprint{questionPrint, poisonPrint} {
+		rate := map[blocker.Fingerprint]float64{questionPrint: m.c.question, poisonPrint: m.c.poison}[print]
+		if rate == 0 || print == poisonPrint && now.Before(after(2)) || m.r.Float64() > rate*fleetStep.Seconds() {
+			continue
+		}
+		req := &fleetRequest{
+			gateway: m.r.IntN(len(m.gateways)), sentAt: now, beginAt: now.Add(100 * time.Millisecond), print: print,
+			parts: parts("first-0", "chat-0"),
+		}
+		refused := m.gateways[req.gateway].BlockedFor(print, now) > 0
+		if print == questionPrint {
+			m.result.questions++
+			if refused {
+				m.result.refusedQuestions++
+			}
+		} else if n := m.result.poisonCrashes; !refused && len(n) >= 3 && now.Sub(n[2]) > contact {
+			m.result.latePoison++
+		}
+		if e := &m.engines[m.r.IntN(fleetSlots)]; !refused && !now.Before(e.backAt) {
+			e.waiting = append(e.waiting, req)
+		}
+	}
+}
+
+// answer ends the answers of an engine to requests that are asked again, or crashes the engine in the middle of one.
+func (m *fleetModel) answer(i int, now time.Time) {
+	e := &m.engines[i]
+	answering := e.answering
+	e.answering = nil
+	for _, req := range answering {
+		switch {
+		case req.print == poisonPrint && !now.Before(req.beginAt.Add(300*time.Millisecond)):
+			m.result.poisonCrashes = append(m.result.poisonCrashes, now)
+			e.answering = answering
+			m.crash(i, now)
+			return
+		case !now.Before(req.beginAt.Add(time.Second)):
+			m.gateways[req.gateway].RecordServed(req.print, now)
+		default:
+			e.answering = append(e.answering, req)
+		}
+	}
+}
+
 func (m *fleetModel) request(now time.Time) *fleetRequest {
 	req := &fleetRequest{gateway: m.r.IntN(len(m.gateways)), sentAt: now, beginAt: now.Add(time.Duration(50+m.r.IntN(350)) * time.Millisecond)}
 	// A third of the requests have the most frequent first part.
@@ -224,9 +288,13 @@
 				m.gateways[req.gateway].RecordCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts...)
 			default:
 				m.gateways[req.gateway].RecordBegin(req.parts, now)
+				if req.print != 0 {
+					m.engines[i].answering = append(m.engines[i].answering, req)
+				}
 			}
 		}
 		m.engines[i].waiting = waiting
+		m.answer(i, now)
 		if deadly {
 			m.result.crashes = append(m.result.crashes, now)
 			m.crash(i, now)
@@ -246,9 +314,12 @@
 
 func (m *fleetModel) breakConnections(i int, now time.Time) {
 	for _, req := range m.engines[i].waiting {
-		m.gateways[req.gateway].RecordCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts...)
+		m.gateways[req.gateway].RecordCrash(cmp.Or(req.print, blocker.Fingerprint(m.r.Uint64())), m.name(i), now, req.parts...)
+	}
+	for _, req := range m.engines[i].answering {
+		m.gateways[req.gateway].RecordCrash(req.print, m.name(i), now)
 	}
-	m.engines[i].waiting = nil
+	m.engines[i].waiting, m.engines[i].answering = nil, nil
 }
 
 // exchange makes gateways pull reports from peers: each every 0.35 to 1.05 s, and at once after a suspicion, in both directions.
@@ -315,6 +386,37 @@
 	}
 }
 
+// Guards against a sound request that is asked again and refused for the crashes of others, by a part or by another request that
+// is asked again, and against that other one, which crashes engines in the middle of its answers and must be blocked.
+func TestFleetServesRequestThatIsAskedAgain(t *testing.T) {
+	for name, c := range map[string]fleetCase{
+		"beside a deadly part":       {gateways: 4, rate: 100, share: 0.05, chats: 100, question: 4},
+		"often":                      {gateways: 4, rate: 100, share: 0.05, chats: 100, question: 40},
+		"rarely":                     {gateways: 4, rate: 100, share: 0.05, chats: 100, question: 0.5},
+		"beside poison":              {gateways: 4, rate: 100, chats: 100, question: 4, poison: 2},
+		"beside much poison":         {gateways: 10, rate: 100, chats: 100, question: 4, poison: 10},
+		"beside both":                {gateways: 10, rate: 200, share: 0.02, chats: 200, question: 10, poison: 2},
+		"beside both in large fleet": {gateways: 100, rate: 600, share: 0.02, chats: 1000, question: 20, poison: 5},
+		"mass crash":                 {gateways: 10, rate: 200, chats: 200, question: 10, massCrash: 0.4},
+		"resets":                     {gateways: 10, rate: 200, chats: 200, question: 10, resets: true},
+		"many resets":                {gateways: 10, rate: 200, chats: 200, question: 200, resets: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(max(1, min(5, 50/c.gateways))) {
+				got := runFleet(t, c, seed)
+				t.Logf("seed %d: %d crashes, %d by poison, %d poison late, %d of %d questions refused",
+					seed, len(got.crashes), len(got.poisonCrashes), got.latePoison, got.refusedQuestions, got.questions)
+				require.LessOrEqual(t, got.latePoison, 3, "seed %d", seed)
+				require.LessOrEqual(t, 20*got.refusedQuestions, got.questions, "seed %d", seed)
+				if c.poison > 0 {
+					require.GreaterOrEqual(t, len(got.poisonCrashes), 3, "seed %d", seed)
+				}
+			}
+		})
+	}
+}
+
 // Guards against sound parts that are blocked although no part crashes upstreams.
 func TestFleetBlocksNoSoundPart(t *testing.T) {
 	for name, c := range map[string]fleetCase{
