relayer: two tests share how a peer is met

Cause: TestConfigurationThatGrowsWithoutEnd repeated how TestPeerWithoutErasAfterARestore makes a gateway learn of a peer.

--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -263,13 +263,7 @@
 			address := g.serve(t)
 			a := newGateway(t, true)
 			require.True(t, a.follower.Adopt(platform.Document{Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
-			client, err := rpc.Dial("tcp", a.address)
-			require.NoError(t, err)
-			var reply replyWithoutEras
-			require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: address, Newest: 60}, &reply))
-			require.NoError(t, client.Close())
-			before := g.calls.Load()
-			eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+			g.meet(t, a.address, address)
 			require.EqualValues(t, map[bool]int{true: 8, false: 7}[c.adopted], a.follower.Document().Version)
 		})
 	}
@@ -304,6 +298,17 @@
 	return l.Addr().String()
 }
 
+// meet makes the gateway at an address learn of this one, which has its own, and waits until it has asked it several times.
+func (g *gatewayWithoutEras) meet(t *testing.T, gateway, own string) {
+	client, err := rpc.Dial("tcp", gateway)
+	require.NoError(t, err)
+	var reply replyWithoutEras
+	require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: own, Newest: 60}, &reply))
+	require.NoError(t, client.Close())
+	before := g.calls.Load()
+	eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+}
+
 // Guards against records and a configuration of the era before that count as those of the present one, because a peer of the
 // version that knew no eras passes them on after a restore: its revisions are higher than those that the store gives out again.
 func TestPeerWithoutErasAfterARestore(t *testing.T) {
@@ -320,13 +325,7 @@
 			require.True(t, a.follower.Adopt(platform.Document{Era: 2, Revision: 10, Data: []byte{7}}, time.Now().Add(-time.Hour), "store"))
 			want = at(2, 10)
 		}
-		client, err := rpc.Dial("tcp", a.address)
-		require.NoError(t, err)
-		var reply replyWithoutEras
-		require.NoError(t, client.Call("Gateways.Exchange", requestWithoutEras{From: address, Newest: 60}, &reply))
-		require.NoError(t, client.Close())
-		before := g.calls.Load()
-		eventually(t, "the peer is not asked", func() bool { return g.calls.Load() >= before+4 })
+		g.meet(t, a.address, address)
 		require.Equal(t, want, a.registry.Position())
 		require.EqualValues(t, 8, a.follower.Document().Version)
 		if restored {
