--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -47,6 +47,11 @@
 	Grace time.Duration `json:"grace" adjust:"true" default:"8s" min:"0s" max:"15m"`
 	// Retries bounds the retries that the gateways send.
 	Retries Retries `json:"retries"`
+	// Cold bounds the requests that the gateways send to cold upstreams.
+	Cold Cold `json:"cold"`
+	// LearnLimits lets the gateway learn how many requests each upstream of a plain service handles in time, and queue or refuse
+	// those beyond. Default: false.
+	LearnLimits bool `json:"learn_limits" default:"false"`
 }
 
 // Retries bounds the retries that all gateways together send to a service.
@@ -59,6 +64,15 @@
 	Extra float64 `json:"extra" adjust:"true" default:"0" min:"0" max:"1000000"`
 }
 
+// Cold bounds the requests that all gateways together send to one cold upstream in a second: Overshoot times the rate that the
+// configuration allows for the service, plus Tolerance.
+type Cold struct {
+	// Overshoot is the factor by which the rate is multiplied. Default: 1.
+	Overshoot float64 `json:"overshoot" adjust:"true" default:"1" min:"0" max:"1000"`
+	// Tolerance is the number of requests in a second that are allowed in addition. Default: 0.
+	Tolerance float64 `json:"tolerance" adjust:"true" default:"0" min:"0" max:"1000000"`
+}
+
 // LoadGateway reads the settings of a gateway from a file, and returns the values that it adjusted. Invalid settings give
 // an error of type Problems.
 func LoadGateway(file string) (*Gateway, []Adjustment, error) {
--- a/mapper/table.go
+++ b/mapper/table.go
@@ -109,6 +109,10 @@
 	Connections int
 	// Engine is true if the upstreams are engines, which run a language model.
 	Engine bool
+	// ColdStart is the time for which an upstream is cold after its start, and ColdRate the number of requests a second that it
+	// tolerates meanwhile. With a rate of zero, no upstream of the service is ever cold.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Organisation is the owner of keys.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,6 +27,8 @@
 	Leaving bool
 	// Born is the start time in Unix milliseconds, zero if unknown. It distinguishes incarnations with the same ID.
 	Born int64
+	// Cold is how much longer the upstream stays cold, as its entry states.
+	Cold time.Duration
 }
 
 // Incarnation identifies one lifetime of an upstream: a later one may have the same ID or address.
@@ -54,12 +56,15 @@
 	Era, Revision uint64
 }
 
-// Record is the store's entry for one upstream, or its removal, at a revision of the era of the list.
+// Record is the store's entry for one upstream or one evacuation, or its removal, at a revision of the era of the list.
 type Record struct {
+	// ID is that of the upstream, or the name of the failure domain that is evacuated.
 	ID       string
 	Revision uint64
 	Removed  bool
-	Upstream Upstream
+	// Evacuation is set if the record is about an evacuation, which has no Upstream.
+	Evacuation bool
+	Upstream   Upstream
 }
 
 // entry is a record with the times, by the local clock, that determine how long it is used and kept.
@@ -142,10 +147,26 @@
 	ByService map[string][]Upstream
 	// Leaving holds, by service, the upstreams that are leaving: they accept no requests, but still have their caches.
 	Leaving map[string][]Upstream
+	// Evacuations holds the evacuated failure domains, and EvacuationsEnded those whose evacuation has ended, with the time at
+	// which this gateway learnt it.
+	Evacuations, EvacuationsEnded map[string]time.Time
+	// Evacuated holds, by service, the upstreams in evacuated failure domains that are not leaving: they accept no requests, but
+	// still have their caches.
+	Evacuated map[string][]Upstream
+	// ColdUntil holds, by ID, the time until which an upstream is cold, as its entry states.
+	ColdUntil map[string]time.Time
+	// Joined holds, by ID, the time at which this gateway first heard of an incarnation that joined after its first list.
+	Joined map[string]time.Time
 	// Revision is that of the newest record.
 	Revision uint64
 }
 
+// IsEvacuated reports whether the failure domain of the upstream is evacuated.
+func (v *View) IsEvacuated(u Upstream) bool {
+	_, ok := v.Evacuations[u.FailureDomain]
+	return ok
+}
+
 // IsLeaving reports whether this incarnation of the upstream is listed as leaving.
 func (v *View) IsLeaving(u Upstream) bool {
 	for _, l := range v.Leaving[u.Service] {
