registrar, platform: evacuations and cold upstreams are read from the store

Nothing watched op/evacuate/, and the remaining cold time of an entry was dropped. Evacuations are records of the registry, with the position of the list, so that a gateway that is complete up to a position knows all of them, also from a peer. Upstreams of an evacuated failure domain are no longer listed as in use. A list of another era decides about evacuations at once.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,6 +81,8 @@
 	doubtedUntil time.Time
 	unused       bool
 	listed       *Upstream
+	// times holds when this gateway heard of the upstream.
+	times Times
 }
 
 // inUse reports whether the upstream is used unless it is leaving.
@@ -112,6 +114,8 @@
 type Config struct {
 	// OnEvent is called for each change; it may be nil. The registry is locked during the call.
 	OnEvent func(Event)
+	// OnEvacuation is called when an evacuation begins or ends; it may be nil. The registry is locked during the call.
+	OnEvacuation func(EvacuationEvent)
 	// OnEra is called when a list of another era replaces that of the old one; it may be nil. The registry is locked during
 	// the call.
 	OnEra func(old, new Position)
@@ -126,6 +130,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// evacuations holds the evacuations and their removals by the name of the failure domain.
+	evacuations map[string]*evacuation
 	// marks holds the statements of upstreams that they are leaving, by ID. The store may say so later or never, and a mark
 	// stays until the incarnation is gone from entries.
 	marks map[string]mark
@@ -153,14 +159,21 @@
 	// Evacuated holds, by service, the upstreams in evacuated failure domains that are not leaving: they accept no requests, but
 	// still have their caches.
 	Evacuated map[string][]Upstream
-	// ColdUntil holds, by ID, the time until which an upstream is cold, as its entry states.
-	ColdUntil map[string]time.Time
-	// Joined holds, by ID, the time at which this gateway first heard of an incarnation that joined after its first list.
-	Joined map[string]time.Time
+	// Times holds, by ID, when this gateway heard of the upstreams.
+	Times map[string]Times
 	// Revision is that of the newest record.
 	Revision uint64
 }
 
+// Times holds when a gateway heard of an upstream, by its own clock.
+type Times struct {
+	// Joined is the time at which it first heard of the incarnation; zero if that was with its first list.
+	Joined time.Time
+	// Entry is the time at which it received the latest entry, and ColdUntil the time until which the upstream is cold by that
+	// entry; it is equal to Entry for an upstream that is warm.
+	Entry, ColdUntil time.Time
+}
+
 // IsEvacuated reports whether the failure domain of the upstream is evacuated.
 func (v *View) IsEvacuated(u Upstream) bool {
 	_, ok := v.Evacuations[u.FailureDomain]
@@ -179,7 +192,9 @@
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, entries: make(map[string]*entry), marks: make(map[string]mark)}
+	r := &Registry{
+		cfg: cfg, entries: make(map[string]*entry), evacuations: make(map[string]*evacuation), marks: make(map[string]mark),
+	}
 	r.view.Store(&View{ByService: map[string][]Upstream{}})
 	return r
 }
@@ -283,11 +298,16 @@
 		changed = true
 	}
 	r.complete.Era = at.Era
-	listed := make(map[string]bool, len(records))
+	listed, evacuated := make(map[string]bool, len(records)), make(map[string]bool)
 	for _, rec := range records {
-		listed[rec.ID] = !rec.Removed
+		if rec.Evacuation {
+			evacuated[rec.ID] = !rec.Removed
+		} else {
+			listed[rec.ID] = !rec.Removed
+		}
 		changed = r.merge(rec, now) || changed
 	}
+	changed = r.endUnlisted(evacuated, at, now) || changed
 	for id, e := range r.entries {
 		if !listed[id] && !e.Removed && e.Revision <= at.Revision {
 			changed = r.merge(Record{ID: id, Revision: at.Revision, Removed: true}, now) || changed
@@ -323,11 +343,18 @@
 		}
 		e.Revision = 0 // It says nothing about the order of changes in this era.
 	}
+	for _, e := range r.evacuations {
+		e.Revision = 0
+	}
 	doubts = make(map[string]doubt)
 	for _, rec := range list {
 		if rec.Removed {
 			continue
 		}
+		if rec.Evacuation {
+			records = append(records, rec)
+			continue
+		}
 		e := r.entries[rec.ID]
 		switch {
 		case e == nil:
@@ -374,6 +401,9 @@
 }
 
 func (r *Registry) merge(rec Record, now time.Time) bool {
+	if rec.Evacuation {
+		return r.mergeEvacuation(rec, now)
+	}
 	old := r.entries[rec.ID]
 	if old != nil && isKnown(rec, old) {
 		return false
@@ -382,6 +412,7 @@
 		rec.Upstream.Leaving = true
 	}
 	e := &entry{Record: rec, wasLeaving: rec.Upstream.Leaving && old != nil && (old.wasLeaving || rec.Revision == old.Revision && !old.Removed)}
+	e.times = r.timesOf(rec, old, now)
 	change := "changed"
 	switch {
 	case rec.Removed:
@@ -467,6 +498,7 @@
 			r.removalsFrom = max(r.removalsFrom, e.Revision)
 		}
 	}
+	changed = r.forgetEvacuations(now) || changed
 	if changed {
 		r.rebuild(now)
 	}
@@ -510,11 +542,20 @@
 		}
 		records = append(records, rec)
 	}
+	for _, e := range r.evacuations {
+		if whole || e.Revision > since.Revision {
+			records = append(records, e.Record)
+		}
+	}
 	return records, r.complete, whole
 }
 
 func (r *Registry) rebuild(now time.Time) {
-	v := &View{ByService: make(map[string][]Upstream), Leaving: make(map[string][]Upstream)}
+	v := &View{
+		ByService: make(map[string][]Upstream), Leaving: make(map[string][]Upstream), Evacuated: make(map[string][]Upstream),
+		Times: make(map[string]Times, len(r.entries)),
+	}
+	r.addEvacuations(v)
 	for _, e := range r.entries {
 		v.Revision = max(v.Revision, e.Revision)
 		u := e.Upstream
@@ -525,6 +566,11 @@
 		if !e.inUse(now) || u.Leaving {
 			continue
 		}
+		v.Times[u.ID] = e.times
+		if v.IsEvacuated(u) {
+			v.Evacuated[u.Service] = append(v.Evacuated[u.Service], u)
+			continue
+		}
 		v.ByService[u.Service] = append(v.ByService[u.Service], u)
 	}
 	for _, list := range v.ByService {
--- a/registrar/validate.go
+++ b/registrar/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 )
@@ -20,6 +21,8 @@
 	// maxBorn is the start of the year 2100. The bound does not depend on the clock of this host: with a wrong clock, all
 	// upstreams would be refused. Times in microseconds or nanoseconds are above it.
 	maxBorn = 4_102_444_800_000
+	// maxCold bounds the remaining cold time of an upstream; engines are warm within a minute.
+	maxCold = 10 * time.Minute
 	// maxAddressBytes is the length of the longest address without a zone: an IPv4 address mapped to IPv6, and a port.
 	maxAddressBytes = len("[0000:0000:0000:0000:0000:ffff:255.255.255.255]:65535")
 )
@@ -30,7 +33,7 @@
 	if err := ValidateID(r.ID); err != nil {
 		return err
 	}
-	if r.Removed {
+	if r.Removed || r.Evacuation {
 		return nil
 	}
 	if r.Upstream.ID != r.ID {
@@ -60,6 +63,9 @@
 	if u.Slots < 0 || u.Slots > maxSlots {
 		return fmt.Errorf("number of slots %d is not between 0 and %d", u.Slots, maxSlots)
 	}
+	if u.Cold < 0 || u.Cold > maxCold {
+		return fmt.Errorf("remaining cold time %v is not between 0 and %v", u.Cold, maxCold)
+	}
 	if u.Born < 0 || u.Born > maxBorn {
 		return fmt.Errorf("start time %d is not between 0 and %d", u.Born, int64(maxBorn))
 	}
