placer, proxier, gatekeeper: no requests to evacuated failure domains

A request is checked against evacuations when its upstream is chosen and right before it is sent, as for upstreams that leave. Caches of evacuated upstreams may still be fetched. If no other upstream is left, requests are refused at once (evacuated). A whole list of a peer that knows no evacuations does not end them.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -133,7 +133,9 @@
 // assemble creates the components of the gateway and connects them.
 func (g *Gateway) assemble() {
 	s := g.cfg.Settings
-	g.upstreams = registrar.New(registrar.Config{OnEvent: g.logUpstream, OnEra: g.logEra, Expiry: expiryHeartbeats * s.Heartbeat})
+	g.upstreams = registrar.New(registrar.Config{
+		OnEvent: g.logUpstream, OnEvacuation: g.logEvacuation, OnEra: g.logEra, Expiry: expiryHeartbeats * s.Heartbeat,
+	})
 	g.health = appraiser.New(appraiser.Config{
 		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
 		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
@@ -392,9 +394,11 @@
 		}
 	}
 	known := maps.Clone(live)
-	for _, list := range view.Leaving {
-		for _, u := range list {
-			known[u.ID] = true // Prompts are fetched from it as long as it is known to be there.
+	for _, lists := range []map[string][]registrar.Upstream{view.Leaving, view.Evacuated} {
+		for _, list := range lists {
+			for _, u := range list {
+				known[u.ID] = true // Prompts are fetched from it as long as it is known to be there.
+			}
 		}
 	}
 	g.pool.Sweep(func(name string) bool { return incarnations[name] })
@@ -409,6 +413,10 @@
 	gauge("caller_connections", g.callers.Open())
 	gauge("gateways", g.relayer.Gateways())
 	gauge("upstreams", len(live))
+	evacuated, running := g.evacuatedUpstreams(view)
+	gauge("evacuated_failure_domains", len(view.Evacuations))
+	gauge("evacuated_upstreams", evacuated)
+	gauge("evacuated_requests_running", running)
 	g.mu.Lock()
 	for service, b := range g.budgets {
 		gauge("second_tries_left."+service, b.Remaining(now))
@@ -486,6 +494,36 @@
 		"mark_age_ms", e.MarkAge.Milliseconds(), "mark_source", e.MarkSource)
 }
 
+// evacuatedUpstreams returns the number of upstreams in evacuated failure domains, and that of the requests of this gateway that
+// still run there.
+func (g *Gateway) evacuatedUpstreams(view *registrar.View) (upstreams, running int) {
+	for _, list := range view.Evacuated {
+		upstreams += len(list)
+		for _, u := range list {
+			running += g.placer.InProgress(u.ID)
+		}
+	}
+	return upstreams, running
+}
+
+func (g *Gateway) logEvacuation(e registrar.EvacuationEvent) {
+	if !e.Began {
+		g.log.Warn("evacuation_ended", "failure_domain", e.FailureDomain, "revision", e.Revision, "era", e.Era,
+			"upstreams", e.Upstreams, "lasted_ms", e.Lasted.Milliseconds())
+		return
+	}
+	running := 0
+	for _, list := range g.upstreams.View().ByService {
+		for _, u := range list {
+			if u.FailureDomain == e.FailureDomain {
+				running += g.placer.InProgress(u.ID)
+			}
+		}
+	}
+	g.log.Warn("evacuation_began", "failure_domain", e.FailureDomain, "revision", e.Revision, "era", e.Era,
+		"upstreams", e.Upstreams, "requests_running", running)
+}
+
 func (g *Gateway) logEra(old, new registrar.Position) {
 	metrics.GetOrRegisterCounter("store_eras", g.registry).Inc(1)
 	g.log.Warn("store_era_changed", "old_era", old.Era, "old_revision", old.Revision, "era", new.Era, "revision", new.Revision)
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -59,6 +59,8 @@
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonOverload         Reason = "overload"
 	ReasonPaused           Reason = "upstreams_paused"
+	ReasonEvacuated        Reason = "evacuated"
+	ReasonCold             Reason = "upstreams_cold"
 	ReasonDeadline         Reason = "deadline"
 	ReasonLeaving          Reason = "leaving"
 	ReasonNotReady         Reason = "not_ready"
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -23,8 +23,11 @@
 
 // CheckAccepts returns an error if a chosen upstream accepts no new requests any more.
 func (p *Placer) CheckAccepts(u registrar.Upstream, now time.Time) error {
-	if p.cfg.View().IsLeaving(u) {
+	switch view := p.cfg.View(); {
+	case view.IsLeaving(u):
 		return ErrLeaving
+	case view.IsEvacuated(u):
+		return ErrEvacuated
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -104,9 +104,9 @@
 	// Candidates if all of them are at the load limit, so that the least loaded one is chosen.
 	Position   int
 	Candidates int
-	// Leaving is the number of upstreams of the service that are leaving, and Paused that of those that want no requests for
-	// a time; both are no candidates.
-	Leaving, Paused int
+	// Leaving is the number of upstreams of the service that are leaving, Evacuated that of those in evacuated failure domains,
+	// and Paused that of those that want no requests for a time; none of them are candidates.
+	Leaving, Evacuated, Paused int
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
 	Source registrar.Upstream
 	// ReportAge is the age of the upstream's latest load report, or -1 if there is none.
@@ -235,9 +235,9 @@
 	p.gateways = gateways
 	listed, paused := p.unpaused(listed, now)
 	usable := p.usable(listed, r, now)
-	leaving := len(view.Leaving[r.Service])
+	leaving, evacuated := view.Leaving[r.Service], view.Evacuated[r.Service]
 	if len(usable) == 0 {
-		return Choice{Leaving: leaving, Paused: paused}, false
+		return Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused}, false
 	}
 	mean := 0.0
 	for _, c := range usable {
@@ -247,10 +247,10 @@
 	c := usable[index]
 	choice := Choice{
 		Upstream: c.Upstream, Health: c.health, Load: c.load, Mean: mean, Position: position,
-		Candidates: len(usable), Leaving: leaving, Paused: paused, ReportAge: -1,
+		Candidates: len(usable), Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, ReportAge: -1,
 	}
 	if r.Chat != "" {
-		choice.Source = p.cacheSource(usable, index, view.Leaving[r.Service], r.Chat, now)
+		choice.Source = p.cacheSource(usable, index, slices.Concat(leaving, evacuated), r.Chat, now)
 	}
 	l := p.loadOf(c.ID)
 	if !l.reportedAt.IsZero() {
@@ -260,8 +260,12 @@
 	return choice, true
 }
 
-// ErrLeaving means that an upstream has come to leave since it was chosen.
-var ErrLeaving = errors.New("the upstream is leaving")
+var (
+	// ErrLeaving means that an upstream has come to leave since it was chosen.
+	ErrLeaving = errors.New("the upstream is leaving")
+	// ErrEvacuated means that the failure domain of an upstream has come to be evacuated since it was chosen.
+	ErrEvacuated = errors.New("the failure domain of the upstream is evacuated")
+)
 
 // Occupancy returns the requests at the upstreams of a service as a fraction of their slots. The second result is
 // false as long as no upstream has reported its load.
@@ -425,11 +429,11 @@
 }
 
 // cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
-// that is leaving. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
-// preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving, it still has
-// the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be gone, and those
+// of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
+// preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or evacuated, it
+// still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be gone, and those
 // after it in the order hardly have the chat.
-func (p *Placer) cacheSource(usable []candidate, chosen int, leaving []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
+func (p *Placer) cacheSource(usable []candidate, chosen int, withdrawn []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
 	var best registrar.Upstream
 	score := math.Inf(-1)
 	for i, c := range usable {
@@ -437,7 +441,7 @@
 			best, score = c.Upstream, c.score
 		}
 	}
-	for _, u := range leaving {
+	for _, u := range withdrawn {
 		if s := p.score(chat, u, now); s > score && p.cfg.Health(u.ID, now) == appraiser.Good {
 			best, score = u, s
 		}
@@ -489,6 +493,16 @@
 	return l
 }
 
+// InProgress returns the number of requests of this process that are in progress at an upstream.
+func (p *Placer) InProgress(upstream string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[upstream]; l != nil {
+		return l.local
+	}
+	return 0
+}
+
 // Done removes a request that Choose counted from the load of its upstream.
 func (p *Placer) Done(upstream string) {
 	p.mu.Lock()
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -73,7 +73,7 @@
 			if j.awaitRetry(notSent) {
 				continue
 			}
-			j.choice.Leaving, j.choice.Paused = next.choice.Leaving, next.choice.Paused
+			j.choice.Leaving, j.choice.Evacuated, j.choice.Paused = next.choice.Leaving, next.choice.Evacuated, next.choice.Paused
 			break
 		}
 		j.choice = next.choice
@@ -234,11 +234,16 @@
 				j.choice.Paused, pause.Seconds()),
 		}
 	}
-	text := "no upstream takes the request now; it has not run"
-	if j.choice.Candidates == 0 && j.choice.Leaving > 0 {
-		text = "all upstreams of the service are leaving; it has not run"
+	switch {
+	case j.choice.Candidates > 0:
+	case j.choice.Evacuated > 0:
+		j.p.instruments.evacuatedRefusals.Inc(1)
+		return newRefusal(http.StatusServiceUnavailable, judge.ReasonEvacuated,
+			"the failure domains of all upstreams of the service are evacuated, or the upstreams are leaving; it has not run")
+	case j.choice.Leaving > 0:
+		return newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, "all upstreams of the service are leaving; it has not run")
 	}
-	return newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, text)
+	return newRefusal(http.StatusServiceUnavailable, judge.ReasonNoUpstream, "no upstream takes the request now; it has not run")
 }
 
 // target returns the address and the connection limits for an upstream.
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -29,7 +29,9 @@
 	leavingMarks   metrics.Counter
 	pauses         metrics.Counter
 	pausedRefusals metrics.Counter
-	latency        map[string]metrics.Histogram
+	// evacuatedRefusals counts the requests that were refused because the failure domains of all upstreams are evacuated.
+	evacuatedRefusals metrics.Counter
+	latency           map[string]metrics.Histogram
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -42,7 +44,9 @@
 		leavingMarks:   metrics.GetOrRegisterCounter("leaving_marks", r),
 		pauses:         metrics.GetOrRegisterCounter("upstream_pauses", r),
 		pausedRefusals: metrics.GetOrRegisterCounter("refused_while_upstreams_pause", r),
-		latency:        make(map[string]metrics.Histogram),
+
+		evacuatedRefusals: metrics.GetOrRegisterCounter("refused_while_evacuated", r),
+		latency:           make(map[string]metrics.Histogram),
 	}
 	for _, kind := range []string{"stream", "idempotent", "non_idempotent"} {
 		m.latency[kind] = metrics.GetOrRegisterHistogram("first_byte_ms."+kind, r,
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -68,6 +68,9 @@
 // upstreams in use changed.
 func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
+	if !reply.HasEvacuations && reply.Whole {
+		reply.Records = append(reply.Records, registry.EvacuationRecords()...) // The list of such a peer lacks them.
+	}
 	if to.Era == since.Era && !reply.Whole {
 		return registry.MergeChanges(reply.Records, since, to, now)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -139,6 +139,8 @@
 	Complete uint64
 	Era      uint64
 	HasEra   bool
+	// HasEvacuations is set by versions whose Records hold evacuations, too.
+	HasEvacuations bool
 	// Reached is set if the peer reaches the store. ConfirmedAge is the time since its configuration was last confirmed.
 	Reached      bool
 	ConfirmedAge time.Duration
@@ -287,7 +289,7 @@
 			reply.Records = slices.DeleteFunc(reply.Records, func(rec registrar.Record) bool { return rec.Revision <= req.Upstreams })
 		}
 	}
-	reply.Era, reply.HasEra = own.Era, true
+	reply.Era, reply.HasEra, reply.HasEvacuations = own.Era, true, true
 	current := state.Document()
 	if idOf(current).replaces(req.document()) {
 		compressed, err := r.compress(current)
