throttler, relayer, placer, proxier, gatekeeper: bound on requests to cold upstreams

All gateways together sent a cold upstream as much as a warm one. Only a few owners of each cold upstream now send to it, each a fixed share in a sliding window.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -35,6 +35,7 @@
 	"clementineramp/registrar"
 	"clementineramp/relayer"
 	"clementineramp/shedder"
+	"clementineramp/throttler"
 )
 
 const (
@@ -96,6 +97,7 @@
 
 	upstreams  *registrar.Registry
 	health     *appraiser.Appraiser
+	throttler  *throttler.Throttler
 	placer     *placer.Placer
 	crashes    *blocker.Blocker
 	pool       *connector.Pool
@@ -140,10 +142,15 @@
 		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
 		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
 	})
+	g.throttler = throttler.New(throttler.Config{
+		Self: s.PeerListen.String(), Members: func(now time.Time) ([]string, bool) { return g.relayer.Known(now) },
+		Bound: g.coldBound, View: g.upstreams.View, OnChange: g.logCold,
+		OnSend: func() { metrics.GetOrRegisterCounter("sent_to_cold_upstreams", g.registry).Inc(1) },
+	})
 	g.placer = placer.New(placer.Config{
 		FailureDomain: s.FailureDomain, View: g.upstreams.View, Health: g.health.Health,
 		Gateways: func() int { return g.relayer.Gateways() }, ListCurrent: g.listCurrent,
-		OnHigh: func() { g.relayer.NotifyHighLoad() },
+		OnHigh: func() { g.relayer.NotifyHighLoad() }, Cold: g.throttler,
 	})
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
@@ -201,6 +208,16 @@
 	return since < 0 || since > expiryHeartbeats*g.settings.Load().Heartbeat
 }
 
+// coldBound returns the limit of requests to a cold upstream of a service.
+func (g *Gateway) coldBound(service string) throttler.Bound {
+	table := g.follower.Current().Table
+	if table == nil {
+		return throttler.Bound{}
+	}
+	s, c := table.Services[service], g.settings.Load().Cold
+	return throttler.Bound{Rate: s.ColdRate, Overshoot: c.Overshoot, Tolerance: c.Tolerance, Start: s.ColdStart}
+}
+
 // watchTime returns the duration of a watch of the store without changes: half of the time in which a change must take
 // effect, because an unresponsive connection is noticed only at the end of its watch.
 func watchTime(propagation time.Duration) time.Duration {
@@ -417,6 +434,9 @@
 	gauge("evacuated_failure_domains", len(view.Evacuations))
 	gauge("evacuated_upstreams", evacuated)
 	gauge("evacuated_requests_running", running)
+	cold, owned := g.throttler.Refresh(now)
+	gauge("cold_upstreams", cold)
+	gauge("cold_upstreams_owned", owned)
 	g.mu.Lock()
 	for service, b := range g.budgets {
 		gauge("second_tries_left."+service, b.Remaining(now))
@@ -437,7 +457,8 @@
 		g.mu.Unlock()
 	}
 	g.log.Info("reloaded", "propagation_ms", s.Propagation.Milliseconds(), "retry_ratio", s.Retries.Ratio,
-		"retry_extra", s.Retries.Extra, "grace_ms", s.Grace.Milliseconds())
+		"retry_extra", s.Retries.Extra, "grace_ms", s.Grace.Milliseconds(), "cold_overshoot", s.Cold.Overshoot,
+		"cold_tolerance", s.Cold.Tolerance)
 }
 
 // readinessHandler answers readiness checks with 200, or with 503 if callers should not use this gateway.
@@ -524,6 +545,15 @@
 		"upstreams", e.Upstreams, "requests_running", running)
 }
 
+func (g *Gateway) logCold(e throttler.Event) {
+	event := "upstream_warm"
+	if e.Cold {
+		event = "upstream_cold"
+	}
+	g.log.Info(event, "upstream", e.Upstream, "service", e.Service, "cause", e.Cause, "cold_ms", e.Duration.Milliseconds(),
+		"owner", e.Owner, "share", e.Share)
+}
+
 func (g *Gateway) logEra(old, new registrar.Position) {
 	metrics.GetOrRegisterCounter("store_eras", g.registry).Inc(1)
 	g.log.Warn("store_era_changed", "old_era", old.Era, "old_revision", old.Revision, "era", new.Era, "revision", new.Revision)
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -21,7 +21,8 @@
 	}
 }
 
-// CheckAccepts returns an error if a chosen upstream accepts no new requests any more.
+// CheckAccepts returns an error if a chosen upstream accepts no new requests any more. It must be called once, immediately
+// before the request is sent, because it counts the requests to cold upstreams.
 func (p *Placer) CheckAccepts(u registrar.Upstream, now time.Time) error {
 	switch view := p.cfg.View(); {
 	case view.IsLeaving(u):
@@ -30,9 +31,13 @@
 		return ErrEvacuated
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.pausedFor(u, now) > 0 {
+	paused := p.pausedFor(u, now) > 0
+	p.mu.Unlock()
+	switch {
+	case paused:
 		return ErrPaused
+	case p.cfg.Cold != nil && !p.cfg.Cold.Send(u, now):
+		return ErrCold
 	}
 	return nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,6 +14,7 @@
 
 	"clementineramp/appraiser"
 	"clementineramp/registrar"
+	"clementineramp/throttler"
 )
 
 const (
@@ -105,8 +106,11 @@
 	Position   int
 	Candidates int
 	// Leaving is the number of upstreams of the service that are leaving, Evacuated that of those in evacuated failure domains,
-	// and Paused that of those that want no requests for a time; none of them are candidates.
-	Leaving, Evacuated, Paused int
+	// Paused that of those that want no requests for a time, and Cold that of the cold ones to which this gateway may send no
+	// request now; none of them are candidates.
+	Leaving, Evacuated, Paused, Cold int
+	// reserved is set if the request has a place in the window of a cold upstream.
+	reserved bool
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
 	Source registrar.Upstream
 	// ReportAge is the age of the upstream's latest load report, or -1 if there is none.
@@ -133,6 +137,8 @@
 	Gateways func() int
 	// Random returns a number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
+	// Cold bounds the requests to cold upstreams; nil means that no upstream is ever cold.
+	Cold *throttler.Throttler
 }
 
 // Placer chooses upstreams by their health and load; it is safe for concurrent use.
@@ -224,8 +230,8 @@
 	return limit
 }
 
-// Choose returns the upstream for a request and counts the request there until Done. The result is false if no upstream
-// of the service is left.
+// Choose returns the upstream for a request and counts the request there until Done or, if nothing was sent, Withdraw. The
+// result is false if no upstream of the service is left.
 func (p *Placer) Choose(r Request, now time.Time) (Choice, bool) {
 	view := p.cfg.View()
 	listed := view.ByService[r.Service]
@@ -234,10 +240,12 @@
 	defer p.mu.Unlock()
 	p.gateways = gateways
 	listed, paused := p.unpaused(listed, now)
-	usable := p.usable(listed, r, now)
 	leaving, evacuated := view.Leaving[r.Service], view.Evacuated[r.Service]
+	open, cold := p.open(listed, r, now)
+	none := Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, Cold: cold}
+	usable := p.usable(open, r, now)
 	if len(usable) == 0 {
-		return Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused}, false
+		return none, false
 	}
 	mean := 0.0
 	for _, c := range usable {
@@ -245,10 +253,10 @@
 	}
 	index, position := p.pick(usable, r, mean, now)
 	c := usable[index]
-	choice := Choice{
-		Upstream: c.Upstream, Health: c.health, Load: c.load, Mean: mean, Position: position,
-		Candidates: len(usable), Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, ReportAge: -1,
-	}
+	choice := none
+	choice.Upstream, choice.Health, choice.Load, choice.Mean, choice.Position = c.Upstream, c.health, c.load, mean, position
+	choice.Candidates, choice.ReportAge = len(usable), -1
+	choice.reserved = p.reserve(c.Upstream, now)
 	if r.Chat != "" {
 		choice.Source = p.cacheSource(usable, index, slices.Concat(leaving, evacuated), r.Chat, now)
 	}
@@ -274,6 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed, _ = p.unpaused(listed, now)
+	listed, _ = p.warm(listed, now)
 	load, slots := 0.0, 0
 	for _, c := range p.usable(listed, Request{}, now) {
 		load += c.load
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -74,6 +74,7 @@
 				continue
 			}
 			j.choice.Leaving, j.choice.Evacuated, j.choice.Paused = next.choice.Leaving, next.choice.Evacuated, next.choice.Paused
+			j.choice.Cold, j.onlyCold = next.choice.Cold, next.choice.Cold > 0
 			break
 		}
 		j.choice = next.choice
@@ -235,6 +236,10 @@
 		}
 	}
 	switch {
+	case j.onlyCold:
+		j.p.instruments.coldRefusals.Inc(1)
+		return newRefusal(http.StatusServiceUnavailable, judge.ReasonCold, fmt.Sprintf(
+			"%d upstreams of the service are cold, this router may send them no requests now, and no other is left; it has not run", j.choice.Cold))
 	case j.choice.Candidates > 0:
 	case j.choice.Evacuated > 0:
 		j.p.instruments.evacuatedRefusals.Inc(1)
@@ -265,7 +270,14 @@
 	now := time.Now()
 	j.begun = false
 	j.p.cfg.Health.Begin(u.ID, now)
-	defer j.p.cfg.Placer.Done(u.ID)
+	accepted := false
+	defer func() {
+		if accepted {
+			j.p.cfg.Placer.Done(u.ID)
+		} else {
+			j.p.cfg.Placer.Withdraw(choice)
+		}
+	}()
 
 	header := j.header.Clone()
 	a := Attempt{
@@ -289,10 +301,13 @@
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
 		Abandoned: func() bool {
 			// What other requests learnt while this one waited for its connection counts for it, too.
-			withdrawn = j.p.cfg.Placer.CheckAccepts(u, time.Now())
-			if withdrawn != nil || j.p.cfg.CallerLeft(j.r.Context()) {
+			if j.p.cfg.CallerLeft(j.r.Context()) {
+				return true
+			}
+			if withdrawn = j.p.cfg.Placer.CheckAccepts(u, time.Now()); withdrawn != nil {
 				return true
 			}
+			accepted = true
 			timer.markSent()
 			return false
 		},
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -161,6 +161,8 @@
 	// firstByte is the time to the first byte of the response.
 	firstByte time.Duration
 	choice    placer.Choice
+	// onlyCold is set if the last choice failed because the upstreams that were left are cold.
+	onlyCold bool
 	// mayHaveRunAt lists the upstreams that were tried and may have run the request.
 	mayHaveRunAt []string
 	// replacement is where the request is sent next, if the last attempt was given up for it.
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -31,7 +31,9 @@
 	pausedRefusals metrics.Counter
 	// evacuatedRefusals counts the requests that were refused because the failure domains of all upstreams are evacuated.
 	evacuatedRefusals metrics.Counter
-	latency           map[string]metrics.Histogram
+	// coldRefusals counts those that were refused because only cold upstreams were left.
+	coldRefusals metrics.Counter
+	latency      map[string]metrics.Histogram
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -46,6 +48,7 @@
 		pausedRefusals: metrics.GetOrRegisterCounter("refused_while_upstreams_pause", r),
 
 		evacuatedRefusals: metrics.GetOrRegisterCounter("refused_while_evacuated", r),
+		coldRefusals:      metrics.GetOrRegisterCounter("refused_while_cold", r),
 		latency:           make(map[string]metrics.Histogram),
 	}
 	for _, kind := range []string{"stream", "idempotent", "non_idempotent"} {
@@ -94,7 +97,7 @@
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text, "caller_closed", callerClosed,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
-		"leaving", j.choice.Leaving, "paused", j.choice.Paused,
+		"leaving", j.choice.Leaving, "paused", j.choice.Paused, "cold", j.choice.Cold,
 		"occupancy", j.occupancy, "excess", j.refusedShare, "arrivals", j.arrivals, "runs", j.runs,
 		"events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.current.Confirmed).Milliseconds(),
--- a/proxier/replace.go
+++ b/proxier/replace.go
@@ -20,14 +20,14 @@
 	choice placer.Choice
 	// connection is an open connection to it, or nil.
 	connection *connector.Reservation
-	done       func(upstream string)
+	withdraw   func(placer.Choice)
 }
 
 // release gives up a replacement that is not used; r may be nil.
 func (r *replacement) release() {
 	if r != nil {
 		r.connection.Release()
-		r.done(r.choice.Upstream.ID)
+		r.withdraw(r.choice)
 	}
 }
 
@@ -189,13 +189,13 @@
 	u := choice.Upstream
 	connection, err := p.cfg.Pool.Reserve(s.ctx, s.job.target(u))
 	if err != nil {
-		p.cfg.Placer.Done(u.ID)
+		p.cfg.Placer.Withdraw(choice)
 		if !errors.Is(err, connector.ErrTooManyConnections) && s.ctx.Err() == nil {
 			p.cfg.Health.Record(u.ID, appraiser.Refused, time.Now())
 		}
 		return nil
 	}
-	return &replacement{choice: choice, connection: connection, done: p.cfg.Placer.Done}
+	return &replacement{choice: choice, connection: connection, withdraw: p.cfg.Placer.Withdraw}
 }
 
 // use ends the attempt in favour of r, unless data has arrived since the given number of resets or no retry is allowed.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -440,7 +440,9 @@
 		delete(r.marks, rec.ID)
 	}
 	if change == "changed" && old.Upstream == rec.Upstream {
-		return false
+		// An equal remaining cold time counts from now, and an entry that was written since an evacuation may end the cold time.
+		_, evacuated := r.evacuations[rec.Upstream.FailureDomain]
+		return rec.Upstream.Cold > 0 || evacuated
 	}
 	if rec.Removed && (old == nil || old.Removed) {
 		return false // An odd entry that is written again and again is a new removal each time.
--- a/relayer/members.go
+++ b/relayer/members.go
@@ -53,8 +53,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.After(r.contactAt) {
+		r.contactAt = now
+	}
+	r.recordKnown(from.Address, now, now)
 	r.recordPeer(from, now)
 	for _, p := range others {
+		r.recordKnown(p.Address, now.Add(-max(p.Age, 0)), now)
 		if p.Age >= 0 && p.Age < peerTTL {
 			r.recordPeer(p, now.Add(-p.Age))
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -238,6 +238,10 @@
 	// unreachable holds the time of the last exchange with a peer that this gateway began, if it failed and the peer has
 	// not been reached since.
 	unreachable map[string]time.Time
+	// known holds the time at which some gateway last heard of each peer, as far as is known, also of those that are gone.
+	known map[string]time.Time
+	// learntAt is the time at which a peer was added to known, and contactAt that of the last exchange of this gateway.
+	learntAt, contactAt time.Time
 }
 
 // New returns a relayer; Run exchanges state with peers, and Serve answers theirs.
@@ -252,7 +256,7 @@
 	return &Relayer{
 		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize), members: make(map[string]member),
 		upstreams: upstreamCodec{view: cfg.State.Registry.View},
-		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]time.Time),
+		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]time.Time), known: make(map[string]time.Time),
 	}
 }
 
