--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
+	"clementineramp/estimator"
 	"clementineramp/follower"
 	"clementineramp/mapper"
 	"clementineramp/placer"
@@ -49,6 +50,8 @@
 	crashes         *blocker.Blocker
 	placer          *placer.Placer
 	health          *appraiser.Appraiser
+	estimator       *estimator.Estimator
+	work            *estimator.Meter
 	relayer         *relayer.Relayer
 	stop            func()
 }
@@ -138,6 +141,7 @@
 		OnHigh: func() { relay.NotifyHighLoad() },
 	})
 	n.health = appraiser.New(appraiser.Config{OnReport: func() { relay.NotifyPeers() }, Heard: n.placer.Heard})
+	n.estimator, n.work = estimator.New(estimator.Config{View: n.registry.View}), &estimator.Meter{}
 	var seeds []string
 	for _, s := range f.nodes[:min(3, len(f.nodes))] {
 		seeds = append(seeds, s.address)
@@ -151,6 +155,7 @@
 			PeerReachedStore: follow.PeerReachedStore, Registry: n.registry, Crashes: n.crashes,
 			Loads: n.placer.Reports, MergeLoads: n.placer.Merge, HighLoads: n.placer.HighReports, Health: n.health,
 			HotChats: n.placer.HotChats, MergeHotChats: n.placer.MergeHotChats,
+			Slowdowns: n.estimator.Reports, MergeSlowdowns: n.estimator.Merge, Work: n.work.Work,
 		},
 	})
 	n.follower, n.relayer = follow, relay
@@ -358,17 +363,31 @@
 // within the budget for control traffic, and few of them cross failure domains.
 func TestTrafficOfLargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const gateways, upstreams, seconds = 100, 180, 20
+		const gateways, upstreams, plain, seconds = 100, 180, 3, 20
 		f := newFleet(t, gateways, 5, upstreams)
+		var orders []registrar.Upstream
+		for u := range plain {
+			id := fmt.Sprint("p-", u)
+			orders = append(orders, registrar.Upstream{ID: id, Service: "orders", Address: "10.1.0.2:1", Slots: 6})
+			since, to := registrar.Position{Revision: uint64(1 + u)}, registrar.Position{Revision: uint64(2 + u)}
+			for _, n := range f.nodes {
+				n.registry.MergeChanges([]registrar.Record{{ID: id, Revision: to.Revision, Upstream: orders[u]}}, since, to, time.Now())
+			}
+		}
 		time.Sleep(5 * time.Second)
 		f.bytes.Store(0)
 		f.crossBytes.Store(0)
-		for range seconds * 10 {
+		for step := range seconds * 10 {
 			// Each gateway hears of the loads of a few upstreams every 100 ms.
 			for i, n := range f.nodes {
 				for u := range 4 {
 					n.placer.RecordLoad(fmt.Sprint("i-", (i*7+u*41)%upstreams), placer.Load{Running: u + i%8}, time.Now())
 				}
+				// It has a response of each plain upstream three times a second.
+				n.work.CountRequest("orders", time.Now())
+				n.estimator.Record(estimator.Sample{
+					Upstream: orders[step%plain], Route: "/orders", Target: 300 * time.Millisecond, Latency: 60 * time.Millisecond,
+				}, time.Now())
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -378,6 +397,10 @@
 		require.Less(t, cross, int64(2_000))
 		for _, n := range f.nodes {
 			require.Greater(t, len(n.placer.Reports(time.Now())), upstreams*9/10, "loads that a gateway knows")
+			require.InDelta(t, gateways*10, n.relayer.Demand("orders", time.Now()).Rate, gateways*2, "requests a second of all gateways")
+			require.InDelta(t, 1.0/gateways, n.relayer.Share("orders", time.Now()), 0.3/gateways)
+			e := n.estimator.Estimate(orders[0], time.Now())
+			require.Greater(t, e.Samples, 10.0, "samples of several gateways; a gateway counts for at most 4")
 		}
 	})
 }
--- a/relayer/loads.go
+++ b/relayer/loads.go
@@ -112,8 +112,10 @@
 
 	mu sync.Mutex
 	// ids maps the hashes of the upstreams in indexed to their IDs. Those of two upstreams with the same hash are left out.
-	ids     map[uint32]string
-	indexed *registrar.View
+	ids map[uint32]string
+	// incarnations maps the hashes of their incarnations, in the same way.
+	incarnations map[uint32]registrar.Incarnation
+	indexed      *registrar.View
 }
 
 // decodeLoads returns the reports on upstreams in use; malformed columns give none.
@@ -154,10 +156,16 @@
 	if v == c.indexed {
 		return c.ids
 	}
-	c.ids, c.indexed = make(map[uint32]string), v
+	c.ids, c.incarnations, c.indexed = make(map[uint32]string), make(map[uint32]registrar.Incarnation), v
 	ambiguous := make(map[uint32]bool)
+	ambiguousIncarnations := make(map[uint32]bool)
 	for _, list := range v.ByService {
 		for _, u := range list {
+			incarnation := hashIncarnation(u.Incarnation())
+			if _, taken := c.incarnations[incarnation]; taken {
+				ambiguousIncarnations[incarnation] = true
+			}
+			c.incarnations[incarnation] = u.Incarnation()
 			hash := hashUpstream(u.ID)
 			if _, taken := c.ids[hash]; taken {
 				ambiguous[hash] = true
@@ -168,6 +176,9 @@
 	for hash := range ambiguous {
 		delete(c.ids, hash)
 	}
+	for hash := range ambiguousIncarnations {
+		delete(c.incarnations, hash)
+	}
 	return c.ids
 }
 
--- a/relayer/members.go
+++ b/relayer/members.go
@@ -12,6 +12,8 @@
 type member struct {
 	// at is the time at which some gateway last exchanged state with the peer.
 	at time.Time
+	// workAt is the time at which its work was stated.
+	workAt time.Time
 	// Peer holds the rest of its state; its age is not used.
 	Peer
 }
@@ -82,7 +84,7 @@
 	if failed, ok := r.unreachable[p.Address]; ok && at.Sub(failed) > unreachableTime {
 		r.forgetFailure(p.Address)
 	}
-	r.members[p.Address] = member{at: at, Peer: p}
+	r.members[p.Address] = old.merge(p, at)
 }
 
 // listPeers returns some of the live peers for a message to a gateway: half of them chosen at random, and half of them
@@ -96,6 +98,11 @@
 	}
 	all := r.liveMembers(now)[1:]
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for i, p := range all {
+		if m := r.members[p.Address]; m.workAt.Before(m.at) {
+			all[i].Work = nil // It would become younger by being passed on.
+		}
+	}
 	listed := min(len(all), max(minListedPeers, len(all)/share))
 	slices.SortFunc(all[listed/2:], func(a, b Peer) int { return cmp.Compare(a.Age, b.Age) })
 	return encodePeers(all[:listed])
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -17,12 +17,15 @@
 	AgesMS    []uint32
 	Links     []float64
 	Saturated []bool
+	// Work holds the work of the peers for plain services, as encodeWork writes it.
+	Work []byte
 }
 
 // encodePeers returns peers in columns. Those with an address that is no IP address and port are left out, and so are
 // those in failure domains beyond the first 256.
 func encodePeers(peers []Peer) PeerList {
 	var l PeerList
+	var work [][]ServiceWork
 	for _, p := range peers {
 		address, err := netip.ParseAddrPort(p.Address)
 		if err != nil {
@@ -41,7 +44,9 @@
 		l.AgesMS = append(l.AgesMS, uint32(p.Age.Milliseconds()))
 		l.Links = append(l.Links, p.Link)
 		l.Saturated = append(l.Saturated, p.Saturated)
+		work = append(work, p.Work)
 	}
+	l.Work = encodeWork(work...)
 	return l
 }
 
@@ -51,7 +56,7 @@
 	if len(l.Domains) != n || len(l.AgesMS) != n || len(l.Links) != n || len(l.Saturated) != n {
 		return nil, errors.New("the columns of the list of peers have different lengths")
 	}
-	peers := make([]Peer, n)
+	peers, work := make([]Peer, n), decodeWork(l.Work, n)
 	for i := range peers {
 		if int(l.Domains[i]) >= len(l.DomainNames) {
 			return nil, errors.New("the list of peers refers to a failure domain that it does not name")
@@ -59,6 +64,7 @@
 		peers[i] = Peer{
 			Address: l.Addresses[i].String(), FailureDomain: l.DomainNames[l.Domains[i]],
 			Age: time.Duration(l.AgesMS[i]) * time.Millisecond, Link: l.Links[i], Saturated: l.Saturated[i],
+			Work: work[i],
 		}
 	}
 	return peers, nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
+	"clementineramp/estimator"
 	"clementineramp/placer"
 	"clementineramp/platform"
 	"clementineramp/registrar"
@@ -80,6 +81,8 @@
 	Link float64
 	// Saturated is set if the gateway gets less processor time than it needs.
 	Saturated bool
+	// Work is the work of the gateway for plain services.
+	Work []ServiceWork
 }
 
 // Request is the argument of an exchange: the state of the sender. Fields of a Request and a Reply keep their names and
@@ -117,6 +120,10 @@
 	Unreachable UnreachableReports
 	// HotChats holds the chats that gateways spread over several upstreams.
 	HotChats HotChats
+	// Slowdowns holds what the sender's own requests showed of upstreams of plain services, and Work its work for these, as
+	// encodeSlowdowns and encodeWork write them. Both are absent in versions that learn no limits.
+	Slowdowns []byte
+	Work      []byte
 }
 
 // CompressedDocument is a configuration as published, compressed by gzip.
@@ -156,9 +163,12 @@
 	HighLoads     Loads
 	Unreachable   UnreachableReports
 	HotChats      HotChats
+	// Slowdowns and Work are those of the peer, as in Request.
+	Slowdowns []byte
+	Work      []byte
 }
 
-// State gives access to the state of a gateway that is exchanged with peers. All fields are required.
+// State gives access to the state of a gateway that is exchanged with peers. All fields but the last three are required.
 type State struct {
 	// Document returns the current configuration as published; its revision is zero before the first one.
 	Document func() platform.Document
@@ -186,6 +196,11 @@
 	MergeHotChats func(chats []placer.HotChat, now time.Time)
 	// Health holds the reports on unreachable upstreams.
 	Health *appraiser.Appraiser
+	// Slowdowns returns what this gateway's own requests showed of upstreams of plain services, and MergeSlowdowns merges what
+	// those of a peer showed. Work returns this gateway's work for plain services. Nil means that limits are not learnt.
+	Slowdowns      func(now time.Time) []estimator.Report
+	MergeSlowdowns func(from string, reports []estimator.Report, now time.Time)
+	Work           func(now time.Time) []estimator.Work
 }
 
 // Config holds the settings and dependencies of a Relayer.
@@ -265,7 +280,9 @@
 func (g *Gateways) Exchange(req Request, reply *Reply) error {
 	r := g.r
 	now := time.Now()
-	r.recordPeers(Peer{Address: req.From, FailureDomain: req.FailureDomain, Link: req.Link, Saturated: req.Saturated}, req.OtherPeers, now)
+	r.recordPeers(Peer{
+		Address: req.From, FailureDomain: req.FailureDomain, Link: req.Link, Saturated: req.Saturated, Work: decodeWork(req.Work, 1)[0],
+	}, req.OtherPeers, now)
 	state := r.cfg.State
 	if req.WithLoads {
 		own := state.Loads(now)
@@ -278,6 +295,8 @@
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(req.Unreachable), now)
 	reply.HotChats = encodeHotChats(newerHotChats(state.HotChats(now), req.HotChats))
 	state.MergeHotChats(req.HotChats.decode(), now)
+	reply.Slowdowns, reply.Work = r.ownSlowdowns(req.From, now), encodeWork(r.ownWork(now))
+	r.mergeSlowdowns(req.From, req.Slowdowns, now)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	own := state.Registry.Position()
@@ -482,6 +501,7 @@
 		OtherPeers: r.listPeers(peer, now), KnownCrashes: state.Crashes.Known(now), WithLoads: r.carriesLoads(peer, now),
 		HighLoads: encodeLoads(state.HighLoads(now)), Unreachable: encodeUnreachable(state.Health.Reports(now)),
 		HotChats: encodeHotChats(state.HotChats(now)), CrashNews: now.UnixNano()-r.crashNews.Load() < int64(crashNewsTime),
+		Slowdowns: r.ownSlowdowns(peer, now), Work: encodeWork(r.ownWork(now)),
 	}
 	if req.WithLoads {
 		req.LoadColumns = encodeLoads(r.newsForHub(state.Loads(now), now))
@@ -524,6 +544,7 @@
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
 	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
 	state.MergeHotChats(reply.HotChats.decode(), time.Now())
+	r.mergeSlowdowns(peer, reply.Slowdowns, time.Now())
 	if isCurrent {
 		reply.Records = r.usableRecords(peer, reply.Records)
 		updated = r.mergeUpstreams(&reply, since, to, time.Now()) || updated
@@ -534,7 +555,9 @@
 	if err := state.Crashes.Merge(reply.CrashBatches, time.Now()); err != nil {
 		r.cfg.Log.Warn("peer_crash_reports_malformed", "peer", peer, "error", err.Error())
 	}
-	r.recordPeers(Peer{Address: peer, FailureDomain: reply.FailureDomain, Link: reply.Link, Saturated: reply.Saturated}, reply.OtherPeers, now)
+	r.recordPeers(Peer{
+		Address: peer, FailureDomain: reply.FailureDomain, Link: reply.Link, Saturated: reply.Saturated, Work: decodeWork(reply.Work, 1)[0],
+	}, reply.OtherPeers, now)
 }
 
 // call performs an exchange. If a kept connection breaks, it is repeated on a new one, which alone shows whether the peer is
