placer, proxier, gatekeeper: use learnt slowdowns of plain services

Requests without a chat went to the upstream with the fewest own requests, also if it was slow. With learn_limits they go to the one with the lowest (own requests + 1) x slowdown / slots; slowdowns that differ by less than half count as equal, as estimates are noisy. The gateway records samples, shows limits on the metrics and logs those that change by half. go test -race of placer, proxier and gatekeeper passes.

--- a/estimator/limit.go
+++ b/estimator/limit.go
@@ -38,6 +38,9 @@
 type limit struct {
 	value float64
 	at    time.Time
+	// fellAt is the time at which the latency came to be above the goal, and above says whether it still is.
+	fellAt time.Time
+	above  bool
 }
 
 func slots(u registrar.Upstream) float64 {
@@ -91,9 +94,16 @@
 	}
 	seconds := min(dt, maxLimitStep).Seconds()
 	slowdown, _, _ := s.slowdown(now)
-	if slowdown > goal {
-		s.limit.value *= math.Pow(max(goal/slowdown, minFactorPerSecond), seconds)
-	} else {
+	was := s.limit.above
+	s.limit.above = slowdown > goal
+	switch factor := max(goal/slowdown, minFactorPerSecond); {
+	case s.limit.above && !was && now.Sub(s.limit.fellAt) >= maxLimitStep:
+		// The measurements are about a second old, so the fall of that second is made up for at once.
+		s.limit.value = min(s.limit.value, startLimit*n) * factor
+		s.limit.fellAt = now
+	case s.limit.above:
+		s.limit.value *= math.Pow(factor, seconds)
+	default:
 		s.limit.value += growthPerSecond * n * seconds * min((goal-slowdown)/(goal-1), 1)
 	}
 	s.limit.value = min(max(s.limit.value, lowest), highest)
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -25,6 +25,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/estimator"
 	"clementineramp/follower"
 	"clementineramp/limiter"
 	"clementineramp/loader"
@@ -104,6 +105,10 @@
 	proxier    *proxier.Proxier
 	callers    *CallerConns
 	saturation Saturation
+	// estimator and work are nil unless limits of plain services are learnt; loggedLimits belongs to the housekeeping.
+	estimator    *estimator.Estimator
+	work         *estimator.Meter
+	loggedLimits map[string]loggedLimit
 
 	mu      sync.Mutex
 	budgets map[string]*limiter.RetryBudget
@@ -140,11 +145,16 @@
 		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
 		Heard: func(upstream string) time.Time { return g.placer.Heard(upstream) },
 	})
-	g.placer = placer.New(placer.Config{
+	g.assembleLimits()
+	placing := placer.Config{
 		FailureDomain: s.FailureDomain, View: g.upstreams.View, Health: g.health.Health,
 		Gateways: func() int { return g.relayer.Gateways() }, ListCurrent: g.listCurrent,
 		OnHigh: func() { g.relayer.NotifyHighLoad() },
-	})
+	}
+	if g.estimator != nil {
+		placing.Slowdown = g.estimator.Slowdown
+	}
+	g.placer = placer.New(placing)
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
 	g.follower = follower.New(follower.Config{
@@ -157,20 +167,24 @@
 	for _, a := range s.Peers {
 		seeds = append(seeds, a.String())
 	}
+	state := relayer.State{
+		Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
+		Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
+		PeerReachedStore: g.follower.PeerReachedStore,
+		Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, HighLoads: g.placer.HighReports, MergeLoads: g.placer.Merge,
+		Health: g.health, HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
+	}
+	if g.estimator != nil {
+		state.Slowdowns, state.MergeSlowdowns, state.Work = g.estimator.Reports, g.estimator.Merge, g.work.Work
+	}
 	g.relayer = relayer.New(relayer.Config{
 		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
 		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
 		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated },
-		State: relayer.State{
-			Document: g.follower.Document, Confirmed: func() time.Time { return g.follower.Current().Confirmed },
-			Reached: g.follower.Reached, Adopt: g.follower.Adopt, Confirm: g.follower.Confirm,
-			PeerReachedStore: g.follower.PeerReachedStore,
-			Registry:         g.upstreams, Crashes: g.crashes, Loads: g.placer.Reports, HighLoads: g.placer.HighReports, MergeLoads: g.placer.Merge,
-			Health: g.health, HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
-		},
+		State:     state,
 	})
-	g.proxier = proxier.New(proxier.Config{
+	proxying := proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
 			SetAttempt: platform.SetAttempt, DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID,
@@ -187,7 +201,11 @@
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), MaxHeldBytes: int64(heldShare * float64(s.Memory)),
 		StaleAfter: s.Propagation,
 		Log:        g.log.Named("proxier"), Metrics: g.registry,
-	})
+	}
+	if g.estimator != nil {
+		proxying.Record, proxying.Work = g.recordSample, g.work
+	}
+	g.proxier = proxier.New(proxying)
 	g.callers = NewCallerConns(s.Connections)
 }
 
@@ -417,6 +435,7 @@
 	gauge("evacuated_failure_domains", len(view.Evacuations))
 	gauge("evacuated_upstreams", evacuated)
 	gauge("evacuated_requests_running", running)
+	g.updateLimits(view, now)
 	g.mu.Lock()
 	for service, b := range g.budgets {
 		gauge("second_tries_left."+service, b.Remaining(now))
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -37,6 +37,13 @@
 	return nil
 }
 
+// Paused reports whether an upstream has asked for a pause that has not ended.
+func (p *Placer) Paused(u registrar.Upstream, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pausedFor(u, now) > 0
+}
+
 // PausedFor returns the shortest time until an upstream of the service accepts requests again, or zero if there is one that
 // has not asked for a pause.
 func (p *Placer) PausedFor(service string, now time.Time) time.Duration {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,6 +44,9 @@
 	// maxSlotShare is the fraction of an upstream's slots above which its chats go to other upstreams, as long as those
 	// have free slots. The rest is left for requests that other gateways send before their load is reported.
 	maxSlotShare = 0.9
+	// noticeableSlowdown is the ratio of two slowdowns below which they count as equal. Estimates are noisy, and all gateways
+	// would send their requests to the upstream that seems the fastest by a little.
+	noticeableSlowdown = 1.5
 	// DefaultRamp is the time after an upstream's start over which its share of the chats grows to the full share. It
 	// limits the rate of prompt processing, since each chat that moves to the upstream is processed again.
 	DefaultRamp = time.Minute
@@ -131,6 +134,9 @@
 	OnHigh func()
 	// Gateways returns the number of gateways that choose among the same upstreams; nil means one.
 	Gateways func() int
+	// Slowdown returns the latency of an upstream that reports no load as a multiple of the usual one; nil means that choices do
+	// not depend on it. A lock is held during the call, so it must not call the Placer.
+	Slowdown func(u registrar.Upstream, now time.Time) float64
 	// Random returns a number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -327,7 +333,7 @@
 		}
 	}
 	if r.Chat == "" {
-		return p.leastLoaded(usable), 0
+		return p.leastLoaded(p.withDelays(usable, now)), 0
 	}
 	for i := range usable {
 		usable[i].score = p.score(r.Chat, usable[i].Upstream, now)
@@ -468,6 +474,35 @@
 	return -weight / math.Log(h)
 }
 
+// withDelays returns the candidates for a request without a chat, with the time until they would answer it in place of their
+// loads, if they report no loads: (own requests in progress + 1) x slowdown / slots.
+func (p *Placer) withDelays(usable []candidate, now time.Time) []candidate {
+	if p.cfg.Slowdown == nil {
+		return usable
+	}
+	slowdowns, lowest, slots := make([]float64, len(usable)), math.Inf(1), true
+	for i, c := range usable {
+		if l := p.loads[c.ID]; l != nil && !l.reportedAt.IsZero() {
+			return usable
+		}
+		slowdowns[i] = p.cfg.Slowdown(c.Upstream, now)
+		lowest = min(lowest, slowdowns[i])
+		slots = slots && c.Slots > 0
+	}
+	delays := slices.Clone(usable)
+	for i := range delays {
+		c := &delays[i]
+		if slowdowns[i] < noticeableSlowdown*lowest {
+			slowdowns[i] = lowest
+		}
+		c.load = (c.load + 1) * slowdowns[i]
+		if slots {
+			c.load /= float64(c.Slots)
+		}
+	}
+	return delays
+}
+
 // leastLoaded returns the index of the least loaded candidate. Among equally loaded ones it prefers those in the failure
 // domain of this process, and picks one of these at random.
 func (p *Placer) leastLoaded(usable []candidate) int {
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -264,6 +264,8 @@
 	u := choice.Upstream
 	now := time.Now()
 	j.begun = false
+	j.sentAt.Store(0)
+	defer j.beginWork()()
 	j.p.cfg.Health.Begin(u.ID, now)
 	defer j.p.cfg.Placer.Done(u.ID)
 
@@ -293,6 +295,7 @@
 			if withdrawn != nil || j.p.cfg.CallerLeft(j.r.Context()) {
 				return true
 			}
+			j.sentAt.Store(time.Now().UnixNano())
 			timer.markSent()
 			return false
 		},
@@ -334,8 +337,10 @@
 	j.runs++
 	switch {
 	case errors.Is(context.Cause(ctx), errUnresponsive):
+		j.record(u, unsuccessful)
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
+		j.record(u, unsuccessful)
 		if j.r.Context().Err() == nil && !j.endedByShutdown() {
 			j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -18,6 +18,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/estimator"
 	"clementineramp/judge"
 	"clementineramp/mapper"
 	"clementineramp/placer"
@@ -77,6 +78,10 @@
 	CallerLeft func(ctx context.Context) bool
 	// MarkLeaving records that an upstream stated in a response that it is leaving, and returns whether that is new.
 	MarkLeaving func(u registrar.Upstream) bool
+	// Record records the result of an attempt at an upstream of a plain service that reports no load, and Work counts the requests
+	// for such services; nil means that neither is done.
+	Record func(s estimator.Sample, now time.Time)
+	Work   *estimator.Meter
 	// MaxBodyBytes bounds the total size of the bodies that are in memory at the same time, and that of a single body
 	// if the configuration sets no limit for it.
 	MaxBodyBytes int64
@@ -165,6 +170,8 @@
 	mayHaveRunAt []string
 	// replacement is where the request is sent next, if the last attempt was given up for it.
 	replacement *replacement
+	// sentAt is the time at which the current attempt was sent, in nanoseconds since 1970; zero means not yet.
+	sentAt atomic.Int64
 	// abandoned is set if the caller had left when an attempt was about to be sent.
 	abandoned bool
 	// occupancy is the utilisation of the service's slots when the request arrived, and refusedShare the share of
@@ -240,6 +247,7 @@
 		j.p.bodyBytes.Add(-int64(len(j.body)))
 		return err
 	}
+	j.countWork()
 	if err := j.shed(); err != nil {
 		j.p.bodyBytes.Add(-int64(len(j.body)))
 		return err
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -129,6 +129,9 @@
 	if err := e.Drain(); err != nil {
 		j.p.instruments.upstreamBroken.Inc(1)
 	}
+	if !reply.WrongUpstream && !reply.Leaving {
+		j.record(u, rejected)
+	}
 	refusal := errors.New("upstream refused to run the request with status " + strconv.Itoa(e.StatusCode))
 	if pauses { // It has said when it takes requests again, so it is not unhealthy.
 		return turnedAway, nil, fmt.Errorf("%w and wants no further ones for %v", refusal, reply.Pause)
@@ -176,11 +179,13 @@
 	j.recordServed()
 	buffered := &bufferedResponse{status: e.StatusCode, header: EndToEnd(e.Header), body: body, ran: true}
 	if e.StatusCode >= http.StatusInternalServerError {
+		j.record(u, unsuccessful)
 		j.p.cfg.Health.Record(u.ID, appraiser.Failed, now)
 		return failed, buffered, errors.New("upstream failed with status " + strconv.Itoa(e.StatusCode))
 	}
 	j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
 	if e.StatusCode < http.StatusMultipleChoices {
+		j.record(u, responded)
 		j.recordBegin()
 	}
 	j.writeBuffered(buffered)
