--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -269,6 +269,8 @@
 	u := choice.Upstream
 	now := time.Now()
 	j.begun = false
+	j.sentAt.Store(0)
+	defer j.beginWork()()
 	j.p.cfg.Health.Begin(u.ID, now)
 	accepted := false
 	defer func() {
@@ -308,6 +310,7 @@
 				return true
 			}
 			accepted = true
+			j.sentAt.Store(time.Now().UnixNano())
 			timer.markSent()
 			return false
 		},
@@ -349,8 +352,10 @@
 	j.runs++
 	switch {
 	case errors.Is(context.Cause(ctx), errUnresponsive):
+		j.record(u, unsuccessful)
 		return mayHaveRun, nil, errUnresponsive
 	case j.ctx.Err() != nil:
+		j.record(u, unsuccessful)
 		if j.r.Context().Err() == nil && !j.endedByShutdown() {
 			j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		}
