--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -34,6 +34,9 @@
 	Suspect bool
 	// Pinned marks a request that cannot be paused, such as a call to a plain service.
 	Pinned bool
+	// Front puts the request before those of its rank and organisation that lack this mark, of which it replaces the newest
+	// if the queue is full. It is meant for callers that return after a refusal.
+	Front bool
 }
 
 func (r Request) weight() float64 {
--- a/admitter/offer.go
+++ b/admitter/offer.go
@@ -108,19 +108,22 @@
 
 // makeRoom evicts the newest requests of the organisations with the most queued work per weight
 // until the request fits into its queue. It evicts none and returns false if the request's
-// own organisation would then have the most.
+// own organisation would then have the most, unless it has one that the request replaces.
 func (a *Admitter) makeRoom(q *rankQueue, r Request) bool {
 	limit := a.cfg.MaxQueueWork
 	if limit <= 0 || q.work+r.Cost <= limit {
 		return true
 	}
-	own := (q.flowWork(r) + r.Cost) / r.weight()
+	queued, _ := q.flowWork(r)
+	own := (queued + r.Cost) / r.weight()
 	var evictions []eviction
 	for q.work+r.Cost > limit {
 		f, ok := q.byQueuedWork.first()
 		if !ok || f.work/f.weight <= own {
-			q.restore(evictions)
-			return false
+			if f = q.flows[flowKey{r.Organisation, r.Suspect}]; !r.Front || f == nil || f.tail == nil || f.tail.req.Front {
+				q.restore(evictions)
+				return false
+			}
 		}
 		evictions = append(evictions, eviction{f.tail, f.startTag})
 		q.unlink(f.tail)
@@ -171,7 +174,8 @@
 
 // workAhead returns the work of the rank that fair queueing serves before a new request of the organisation.
 func (q *rankQueue) workAhead(r Request) float64 {
-	rounds := q.flowWork(r) / r.weight()
+	_, before := q.flowWork(r)
+	rounds := before / r.weight()
 	return q.pausedWork + math.Min(q.work, rounds*math.Max(q.weight, r.weight()))
 }
 
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -50,7 +50,9 @@
 	key        flowKey
 	head, tail *entry
 	work       float64
-	weight     float64
+	// frontWork is the part of work that belongs to requests with the mark Front.
+	frontWork float64
+	weight    float64
 	// slotUse is the slot use of the organisation in the rank.
 	slotUse *slotUse
 	// startTag belongs to the head of the queue; finishTag belongs to the last request that started.
@@ -220,12 +222,16 @@
 	return f
 }
 
-// flowWork returns the queued work of the request's flow.
-func (q *rankQueue) flowWork(r Request) float64 {
-	if f := q.flows[flowKey{r.Organisation, r.Suspect}]; f != nil {
-		return f.work
+// flowWork returns the queued work of the request's flow, and the part of it that goes before the request.
+func (q *rankQueue) flowWork(r Request) (all, before float64) {
+	f := q.flows[flowKey{r.Organisation, r.Suspect}]
+	switch {
+	case f == nil:
+		return 0, 0
+	case r.Front:
+		return f.work, f.frontWork
 	}
-	return 0
+	return f.work, f.work
 }
 
 func (q *rankQueue) heapOf(f *flow) *indexHeap[*flow] {
@@ -235,7 +241,7 @@
 	return &q.byStartTag[0]
 }
 
-// push appends a request to the queue of its organisation.
+// push appends a request to the queue of its organisation, or to the requests at its front that have the mark Front, too.
 func (q *rankQueue) push(e *entry) {
 	f := q.flowOf(e.req)
 	e.slotUse = f.slotUse
@@ -281,13 +287,25 @@
 func (q *rankQueue) link(f *flow, e *entry) {
 	e.flow = f
 	e.prev, e.next = f.tail, nil
-	if f.tail == nil {
+	if e.req.Front {
+		for e.prev != nil && !e.prev.req.Front {
+			e.prev, e.next = e.prev.prev, e.prev
+		}
+	}
+	if e.prev == nil {
 		f.head = e
 	} else {
-		f.tail.next = e
+		e.prev.next = e
+	}
+	if e.next == nil {
+		f.tail = e
+	} else {
+		e.next.prev = e
 	}
-	f.tail = e
 	f.work += e.req.Cost
+	if e.req.Front {
+		f.frontWork += e.req.Cost
+	}
 	q.count(e, 1)
 }
 
@@ -318,12 +336,15 @@
 	}
 	e.prev, e.next, e.flow = nil, nil, nil
 	f.work -= e.req.Cost
+	if e.req.Front {
+		f.frontWork -= e.req.Cost
+	}
 	q.count(e, -1)
 	if f.head != nil {
 		q.byQueuedWork.fix(f)
 		return
 	}
-	f.work = 0
+	f.work, f.frontWork = 0, 0
 	q.heapOf(f).remove(f)
 	q.byRecentUse.remove(f)
 	q.byQueuedWork.remove(f)
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	// sheddingStart is the load, as a fraction of all slots, above which the least urgent requests are refused, and
-	// sheddingFull the load from which all requests are refused. An engine with a batch filled to three quarters
+	// StartLoad is the load, as a fraction of all slots, above which the least urgent requests are refused, and
+	// FullLoad the load from which all requests are refused. An engine with a batch filled to three quarters
 	// generates nine tenths of the tokens of one with a full batch, at a lower latency. Engines run the most urgent of
 	// the waiting requests first, so these are accepted beyond a full batch.
-	sheddingStart = 0.75
-	sheddingFull  = 1.2
+	StartLoad = 0.75
+	// FullLoad is described with StartLoad.
+	FullLoad = 1.2
 	// historySize is the number of latest requests that are kept for each service, and historyTime the time for which
 	// they are counted: about the duration of a stream.
 	historySize = 512
@@ -36,6 +37,9 @@
 	Urgency int
 	// Remaining is the time that the caller still waits for the response; zero means unknown.
 	Remaining time.Duration
+	// Returning marks a request whose caller was refused before; it takes precedence over the others of its organisation
+	// and urgency.
+	Returning bool
 }
 
 // Decision says whether a request is refused, with the values that led to the decision.
@@ -55,6 +59,7 @@
 	at           time.Time
 	organisation string
 	urgency      int
+	returning    bool
 }
 
 // serviceState holds the recent requests for one service and its current overload.
@@ -91,21 +96,23 @@
 // Decide accepts or refuses a request; load is that of the service's upstreams as a fraction of their slots.
 //
 // More urgent requests take precedence over less urgent ones. Among equally urgent requests, those of organisations with
-// fewer recent requests take precedence, and those of one organisation are ordered at random.
+// fewer recent requests take precedence, and those of one organisation are ordered at random, returning callers first.
 func (s *Shedder) Decide(r Request, load float64, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.state(r.Service)
-	v.arrivals[v.next] = arrival{at: now, organisation: r.Organisation, urgency: r.Urgency}
+	v.arrivals[v.next] = arrival{
+		at: now, organisation: r.Organisation, urgency: r.Urgency, returning: r.Returning,
+	}
 	v.next = (v.next + 1) % historySize
 	if !v.since.IsZero() && now.Sub(v.refusedAt) > overloadGap {
 		s.notify(OverloadEvent{Service: r.Service, Load: load, Duration: v.refusedAt.Sub(v.since)})
 		v.since = time.Time{}
 	}
-	if load <= sheddingStart {
+	if load <= StartLoad {
 		return Decision{}
 	}
-	d := Decision{RefusedShare: min((load-sheddingStart)/(sheddingFull-sheddingStart), 1)}
+	d := Decision{RefusedShare: min((load-StartLoad)/(FullLoad-StartLoad), 1)}
 	d.Position = v.position(r, now, s.random())
 	if d.Position <= 1-d.RefusedShare {
 		return d
@@ -145,9 +152,9 @@
 }
 
 // position returns the fraction of the recent requests that take precedence over a request. Of those with the same
-// organisation and urgency, which have no order, the given fraction counts as preceding it.
+// organisation and urgency, returning ones go first, and the others have no order: the given fraction counts as preceding it.
 func (v *serviceState) position(r Request, now time.Time, fraction float64) float64 {
-	total, before := 0, 0
+	total, before, returning := 0, 0, 0
 	equals := make(map[string]int)
 	for i := range v.arrivals {
 		a := &v.arrivals[i]
@@ -160,6 +167,9 @@
 			before++
 		case a.urgency == r.Urgency:
 			equals[a.organisation]++
+			if a.returning && a.organisation == r.Organisation {
+				returning++
+			}
 		}
 	}
 	same := equals[r.Organisation]
@@ -168,6 +178,12 @@
 			before += n
 		}
 	}
+	if r.Returning {
+		same = returning
+	} else {
+		before += returning
+		same -= returning
+	}
 	return (float64(before) + fraction*float64(same)) / float64(max(total, 1))
 }
 
