proxier, gatekeeper: requests to plain services wait for their places

Cause: package dispatcher was not used yet. Change: a request to a service that is no engine and reports no load acquires a place before its first attempt and holds it to its end; a stop refuses what waits and cannot end.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -25,6 +25,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/dispatcher"
 	"clementineramp/follower"
 	"clementineramp/limiter"
 	"clementineramp/loader"
@@ -94,13 +95,15 @@
 	log      hclog.Logger
 	registry metrics.Registry
 
-	upstreams  *registrar.Registry
-	health     *appraiser.Appraiser
-	placer     *placer.Placer
-	crashes    *blocker.Blocker
-	pool       *connector.Pool
-	follower   *follower.Follower
-	relayer    *relayer.Relayer
+	upstreams *registrar.Registry
+	health    *appraiser.Appraiser
+	placer    *placer.Placer
+	crashes   *blocker.Blocker
+	pool      *connector.Pool
+	follower  *follower.Follower
+	relayer   *relayer.Relayer
+	// dispatcher admits requests to plain services; nil if the settings do not enable it.
+	dispatcher *dispatcher.Dispatcher
 	proxier    *proxier.Proxier
 	callers    *CallerConns
 	saturation Saturation
@@ -170,6 +173,7 @@
 			Health: g.health, HotChats: g.placer.HotChats, MergeHotChats: g.placer.MergeHotChats,
 		},
 	})
+	g.dispatcher = g.newDispatcher()
 	g.proxier = proxier.New(proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
@@ -177,7 +181,7 @@
 			IsEventField: platform.IsEventField,
 		},
 		Placer: g.placer, Health: g.health, Crashes: g.crashes,
-		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Pool: g.pool,
+		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Dispatcher: g.dispatcher, Pool: g.pool,
 		CurrentTable: g.follower.Current, AwaitReady: g.follower.AwaitReady,
 		AllowRetry:   func(service string) bool { return g.budget(service).AllowRetry(time.Now()) },
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
@@ -422,6 +426,7 @@
 		gauge("second_tries_left."+service, b.Remaining(now))
 	}
 	g.mu.Unlock()
+	g.updatePlainGauges(now)
 	_, lag := g.saturation.Saturated()
 	gauge("wake_up_lag_ms", int(lag.Milliseconds()))
 	gauge("configuration_age_ms", int(now.Sub(g.follower.Current().Confirmed).Milliseconds()))
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -104,9 +104,10 @@
 	j.finish(buffered)
 }
 
-// blockedSinceAdmission reports whether the request or a part of its prompt has become blocked during the last attempt.
+// blockedSinceAdmission reports whether the request or a part of its prompt has become blocked during the last attempt, or while
+// the request waited for a place.
 func (j *job) blockedSinceAdmission() bool {
-	if j.arrivals > 0 || len(j.tried) > 0 {
+	if j.arrivals > 0 || len(j.tried) > 0 || j.queued > 0 {
 		j.blocked = cmp.Or(j.refuseBlocked(j.p.cfg.Crashes.HeldFor), j.refuseBlockedPart(j.p.cfg.Crashes.HeldPart))
 	}
 	return j.blocked != nil
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -18,6 +18,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/dispatcher"
 	"clementineramp/judge"
 	"clementineramp/mapper"
 	"clementineramp/placer"
@@ -60,7 +61,9 @@
 	Health  *appraiser.Appraiser
 	Crashes *blocker.Blocker
 	Shedder *shedder.Shedder
-	Pool    *connector.Pool
+	// Dispatcher admits requests to services that are no engines and report no load; nil admits all of them.
+	Dispatcher *dispatcher.Dispatcher
+	Pool       *connector.Pool
 	// CurrentTable returns the configuration in use; its Table is nil until the first configuration has been read.
 	CurrentTable func() CurrentTable
 	// AwaitReady waits until a configuration and upstreams have been received; it returns false if ctx ends first.
@@ -104,6 +107,9 @@
 	endRequests context.CancelCauseFunc
 	shutdown    atomic.Pointer[Shutdown]
 	refusesAll  atomic.Bool
+	// stops is the context that beginStop cancels when a shutdown begins.
+	stops     context.Context
+	beginStop context.CancelFunc
 	// successes counts the requests served at the first attempt, of which one in successSample is logged.
 	successes atomic.Uint64
 }
@@ -111,9 +117,13 @@
 // New returns a Proxier and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Proxier {
 	p := &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
+	if cfg.Dispatcher != nil {
+		p.instruments.addWaits()
+	}
 	// A registry may hold the gauge of an earlier Proxier.
 	_ = cfg.Metrics.Register("held_response_bytes", metrics.NewFunctionalGauge(p.heldBytes.Load))
 	p.requests, p.endRequests = context.WithCancelCause(context.Background())
+	p.stops, p.beginStop = context.WithCancel(context.Background())
 	return p
 }
 
@@ -171,6 +181,10 @@
 	// requests that were being refused at that time.
 	occupancy    float64
 	refusedShare float64
+	// reportsLoad is set if the upstreams of the service report their load, and queued is the time for which the request waited
+	// for a place.
+	reportsLoad bool
+	queued      time.Duration
 }
 
 // ServeHTTP serves one request; it panics with http.ErrAbortHandler to close the connection without a
@@ -193,6 +207,12 @@
 	defer end(nil)
 	defer j.watchShutdown(end)()
 	j.ctx = ctx
+	release, err := j.acquire()
+	if err != nil {
+		j.refuse(err)
+		return
+	}
+	defer release()
 	p.cfg.CountRequest(j.service)
 	j.run()
 }
@@ -295,7 +315,7 @@
 	if !known {
 		return nil
 	}
-	j.occupancy = occupancy
+	j.occupancy, j.reportsLoad = occupancy, true
 	r := shedder.Request{Service: j.service, Urgency: j.urgency, Remaining: j.deadline.Sub(now)}
 	if j.owner != nil {
 		r.Organisation = j.owner.Name
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -22,6 +22,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/dispatcher"
 	"clementineramp/logger"
 	"clementineramp/mapper"
 	"clementineramp/placer"
@@ -63,6 +64,8 @@
 	placer   *placer.Placer
 	crashes  *blocker.Blocker
 	log      imitator.Log
+	// dispatcher is Config.Dispatcher.
+	dispatcher *dispatcher.Dispatcher
 }
 
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
@@ -114,7 +117,7 @@
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID, IsEventField: platform.IsEventField,
 		},
-		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{Dial: f.dial}),
+		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Dispatcher: f.dispatcher, Pool: connector.New(connector.Config{Dial: f.dial}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
 			if f.table == nil && f.nextTable != nil {
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -32,6 +32,8 @@
 	// evacuatedRefusals counts the requests that were refused because the failure domains of all upstreams are evacuated.
 	evacuatedRefusals metrics.Counter
 	latency           map[string]metrics.Histogram
+	// plainWaits holds the waits for places at plain services; nil without a dispatcher.
+	plainWaits metrics.Histogram
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -55,6 +57,11 @@
 	return m
 }
 
+// addWaits registers the histogram of the waits for places at plain services.
+func (m *instruments) addWaits() {
+	m.plainWaits = metrics.GetOrRegisterHistogram("plain_wait_ms", m.registry, metrics.NewExpDecaySample(histogramSize, histogramAlpha))
+}
+
 // recordOutcome counts and logs the final response; status 0 means that the connection was closed instead.
 func (j *job) recordOutcome(status int, reason judge.Reason, text string) {
 	took := time.Since(j.started)
@@ -95,7 +102,7 @@
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
 		"leaving", j.choice.Leaving, "paused", j.choice.Paused,
-		"occupancy", j.occupancy, "excess", j.refusedShare, "arrivals", j.arrivals, "runs", j.runs,
+		"occupancy", j.occupancy, "excess", j.refusedShare, "queued_ms", j.queued.Milliseconds(), "arrivals", j.arrivals, "runs", j.runs,
 		"events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.current.Confirmed).Milliseconds(),
 		"first_byte_ms", j.firstByte.Milliseconds(), "took_ms", took.Milliseconds(),
--- a/proxier/shutdown.go
+++ b/proxier/shutdown.go
@@ -85,14 +85,16 @@
 // errStopping is the cause with which requests are cancelled at the end of a shutdown.
 var errStopping = errors.New("this router is stopping")
 
-// BeginShutdown makes the Proxier refuse requests that cannot end in time.
+// BeginShutdown makes the Proxier refuse requests that cannot end in time, including those that wait for a place.
 func (p *Proxier) BeginShutdown(s Shutdown) {
 	p.shutdown.Store(&s)
+	p.beginStop()
 }
 
 // RefuseAll makes the Proxier refuse all further requests.
 func (p *Proxier) RefuseAll() {
 	p.refusesAll.Store(true)
+	p.beginStop()
 }
 
 // EndRequests refuses all further requests and ends those in progress with a final answer, except for responses that have
