--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -401,6 +401,7 @@
 		Last:         rapid.Bool().Draw(m.T, "last"),
 		Suspect:      rapid.IntRange(0, 4).Draw(m.T, "suspect") == 0,
 		Pinned:       rapid.IntRange(0, 4).Draw(m.T, "pinned") == 0,
+		Front:        rapid.IntRange(0, 2).Draw(m.T, "front") == 0,
 	}
 	m.requests[r.ID] = r
 	m.state[r.ID] = "queued"
--- /dev/null
+++ b/gatekeeper/plain_test.go
@@ -0,0 +1,49 @@
+package gatekeeper_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/loader"
+	"clementineramp/platform/imitator"
+)
+
+// Guards against a setting without effect, and against requests that wait although the setting is off: of 9 requests, a gateway that
+// assumes four sends 6 to an upstream of 8 slots.
+func TestLearnLimits(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		f := newFleetWith(t, func(s *loader.Gateway) { s.LearnLimits = on })
+		f.configure(1, "/a/")
+		gate := make(chan struct{})
+		u := f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "held") {
+				<-gate
+			}
+			imitator.Plain("ok")(w, r)
+		})
+		f.eventually("no request is served", func() bool { return f.status("/a/1") == 200 })
+		before, ended := len(u.Runs()), make(chan int, 9)
+		for range 9 {
+			go func() { ended <- f.status("/a/held") }()
+		}
+		running := map[bool]int{true: 6, false: 9}[on]
+		f.eventually("the requests do not arrive", func() bool { return len(u.Runs())-before == running })
+		if on {
+			f.eventually("no gauges", func() bool {
+				_, body, _ := f.get(http.DefaultClient, f.settings.MetricsListen, "/metrics")
+				return strings.Contains(strings.Join(strings.Fields(body), " "), "gauge plain_waiting.s value: 3")
+			})
+		}
+		require.Equal(t, running, len(u.Runs())-before)
+		close(gate)
+		for range 9 {
+			require.Equal(t, 200, <-ended)
+		}
+		_, body, err := f.get(http.DefaultClient, f.settings.MetricsListen, "/metrics")
+		require.NoError(t, err)
+		require.Equal(t, on, strings.Contains(body, "plain_"))
+	}
+}
--- a/proxier/place_test.go
+++ b/proxier/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"clementineramp/blocker"
 	"clementineramp/dispatcher"
 	"clementineramp/mapper"
 	"clementineramp/placer"
@@ -35,7 +37,13 @@
 	})
 	p.upstreams[0].ShouldShed = func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/refused") }
 	p.dispatcher = dispatcher.New(dispatcher.Config{
-		Limit: func(string, time.Time) float64 { return 1 }, Share: func(string, time.Time) float64 { return 1 },
+		Limit: func(service string, now time.Time) float64 {
+			if p.placer.PausedFor(service, now) > 0 {
+				return 0
+			}
+			return 1
+		},
+		Share:   func(string, time.Time) float64 { return 1 },
 		Latency: func(string, string, time.Time) time.Duration { return p.latency },
 		Usual:   func(string, string) time.Duration { return time.Millisecond },
 	})
@@ -203,3 +211,29 @@
 		})
 	}
 }
+
+// Guards against a request that is sent although it has become known, while it waited, that it crashes upstreams, and against one
+// that waits although no upstream is left for it.
+func TestWhatIsLearntDuringTheWait(t *testing.T) {
+	p := newPlaceFixture(t)
+	p.start("/order/", "first")
+	p.start("/order/", "crashes")
+	print := blocker.FingerprintOf("POST", "/order/", "key", []byte("crashes"))
+	for i := range 3 {
+		p.crashes.RecordCrash(print, fmt.Sprint("other ", i), time.Now())
+	}
+	p.gate <- struct{}{}
+	require.ElementsMatch(t, []int{200, 503}, []int{(<-p.ended).status, (<-p.ended).status})
+	require.Contains(t, p.log.String(), "reason=crashes_upstream")
+	require.Equal(t, 503, p.do("POST", "/order/", "crashes").status)
+	require.Equal(t, 1, p.runs())
+
+	p.start("/order/", "first")
+	p.start("/order/", "waits")
+	p.placer.Pause(p.view.ByService["s"][0], time.Now().Add(time.Minute))
+	require.Equal(t, 503, (<-p.ended).status)
+	require.Contains(t, p.log.String(), "reason=upstreams_paused")
+	p.gate <- struct{}{}
+	require.Equal(t, 200, (<-p.ended).status)
+	p.requireIdle()
+}
