--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -25,6 +25,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/dispatcher"
 	"clementineramp/estimator"
 	"clementineramp/follower"
 	"clementineramp/limiter"
@@ -96,14 +97,16 @@
 	log      hclog.Logger
 	registry metrics.Registry
 
-	upstreams  *registrar.Registry
-	health     *appraiser.Appraiser
-	throttler  *throttler.Throttler
-	placer     *placer.Placer
-	crashes    *blocker.Blocker
-	pool       *connector.Pool
-	follower   *follower.Follower
-	relayer    *relayer.Relayer
+	upstreams *registrar.Registry
+	health    *appraiser.Appraiser
+	throttler *throttler.Throttler
+	placer    *placer.Placer
+	crashes   *blocker.Blocker
+	pool      *connector.Pool
+	follower  *follower.Follower
+	relayer   *relayer.Relayer
+	// dispatcher admits requests to plain services; nil if the settings do not enable it.
+	dispatcher *dispatcher.Dispatcher
 	proxier    *proxier.Proxier
 	callers    *CallerConns
 	saturation Saturation
@@ -191,6 +194,7 @@
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated },
 		State:     state,
 	})
+	g.dispatcher = g.newDispatcher()
 	proxying := proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
@@ -198,7 +202,7 @@
 			IsEventField: platform.IsEventField,
 		},
 		Placer: g.placer, Health: g.health, Crashes: g.crashes,
-		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Pool: g.pool,
+		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Dispatcher: g.dispatcher, Pool: g.pool,
 		CurrentTable: g.follower.Current, AwaitReady: g.follower.AwaitReady,
 		AllowRetry:   func(service string) bool { return g.budget(service).AllowRetry(time.Now()) },
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
@@ -461,6 +465,7 @@
 		gauge("second_tries_left."+service, b.Remaining(now))
 	}
 	g.mu.Unlock()
+	g.updatePlainGauges(now)
 	_, lag := g.saturation.Saturated()
 	gauge("wake_up_lag_ms", int(lag.Milliseconds()))
 	gauge("configuration_age_ms", int(now.Sub(g.follower.Current().Confirmed).Milliseconds()))
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -22,6 +22,7 @@
 	"clementineramp/appraiser"
 	"clementineramp/blocker"
 	"clementineramp/connector"
+	"clementineramp/dispatcher"
 	"clementineramp/estimator"
 	"clementineramp/logger"
 	"clementineramp/mapper"
@@ -67,6 +68,8 @@
 	// record and work are Config.Record and Config.Work.
 	record func(estimator.Sample, time.Time)
 	work   estimator.Meter
+	// dispatcher is Config.Dispatcher.
+	dispatcher *dispatcher.Dispatcher
 }
 
 // newFixture starts a Proxier and, for each handler, an upstream of the service "s".
@@ -118,7 +121,7 @@
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID, IsEventField: platform.IsEventField,
 		},
-		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{Dial: f.dial}),
+		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Dispatcher: f.dispatcher, Pool: connector.New(connector.Config{Dial: f.dial}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
 			if f.table == nil && f.nextTable != nil {
