--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -259,7 +259,7 @@
 func (c *Core) updateLimit(q *queue, now time.Time) {
 	q.limit = math.Inf(1)
 	if total := c.cfg.Limit(q.name, now); total > 0 {
-		q.limit = max(total*c.cfg.Share(q.name, now), 1)
+		q.limit = max(3*total*c.cfg.Share(q.name, now), 1)
 	}
 	q.admitter.SetLimit(q.limit)
 }
