--- a/loader/gateway_test.go
+++ b/loader/gateway_test.go
@@ -15,7 +15,8 @@
   "listen": "10.0.0.1:1", "ready_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3", "metrics_listen": "10.0.0.1:4",
   "store": "10.0.0.2:1", "peers": ["10.0.0.3:3"],
   "memory": "284MB", "link": 1000.0, "propagation": "2000ms", "grace": "8s", "heartbeat": "1200ms",
-  "retries": {"ratio": 0.2, "window": "10s", "extra": 56}
+  "retries": {"ratio": 0.2, "window": "10s", "extra": 56},
+  "cold": {"overshoot": 1.5, "tolerance": 5}
 }`
 
 // Guards against a gateway that does not start because the platform filled in a number that is not whole, or that is
@@ -46,6 +47,13 @@
 		{`8s`, `0s`, func(g *loader.Gateway) any { return g.Grace }, time.Duration(0), ""},
 		{`8s`, `-1s`, func(g *loader.Gateway) any { return g.Grace }, time.Duration(0), "grace: -1s is out of range, 0s is used"},
 		{`8s`, `16m`, func(g *loader.Gateway) any { return g.Grace }, 15 * time.Minute, "grace: 16m is out of range, 15m0s is used"},
+		{`"overshoot": 1.5`, `"overshoot": 1.25`, func(g *loader.Gateway) any { return g.Cold }, loader.Cold{Overshoot: 1.25, Tolerance: 5}, ""},
+		{`"overshoot": 1.5`, `"overshoot": -1`, func(g *loader.Gateway) any { return g.Cold.Overshoot }, 0.0, "cold.overshoot: -1 is out of range, 0 is used"},
+		{`"overshoot": 1.5`, `"overshoot": 1e9`, func(g *loader.Gateway) any { return g.Cold.Overshoot }, 1000.0, "cold.overshoot: 1e9 is out of range, 1000 is used"},
+		{`"tolerance": 5`, `"tolerance": 2.5`, func(g *loader.Gateway) any { return g.Cold.Tolerance }, 2.5, ""},
+		{`"tolerance": 5`, `"tolerance": -0.1`, func(g *loader.Gateway) any { return g.Cold.Tolerance }, 0.0, "cold.tolerance: -0.1 is out of range, 0 is used"},
+		{`"tolerance": 5`, `"tolerance": 1e999`, func(g *loader.Gateway) any { return g.Cold.Tolerance }, 1e6, "cold.tolerance: 1e999 is out of range, 1e+06 is used"},
+		{",\n  \"cold\": {\"overshoot\": 1.5, \"tolerance\": 5}", "", func(g *loader.Gateway) any { return g.Cold }, loader.Cold{Overshoot: 1}, ""},
 		{`10s"`, `2.5s"`, func(g *loader.Gateway) any { return g.Retries.Window }, 2500 * time.Millisecond, ""},
 	} {
 		t.Run(c.new, func(t *testing.T) {
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -30,6 +30,7 @@
 	"clementineramp/proxier"
 	"clementineramp/registrar"
 	"clementineramp/shedder"
+	"clementineramp/throttler"
 )
 
 // fixture is a Proxier with simulated upstreams.
@@ -60,6 +61,7 @@
 	// registry replaces view unless it is nil.
 	registry *registrar.Registry
 	health   *appraiser.Appraiser
+	cold     *throttler.Throttler
 	placer   *placer.Placer
 	crashes  *blocker.Blocker
 	log      imitator.Log
@@ -107,7 +109,7 @@
 			}
 			return &f.view
 		},
-		Health: f.health.Health, Random: func(int) int { return 0 },
+		Health: f.health.Health, Random: func(int) int { return 0 }, Cold: f.cold,
 	})
 	f.proxier = proxier.New(proxier.Config{
 		Codec: proxier.Codec{
