--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -32,6 +32,7 @@
 	"clementineramp/proxier"
 	"clementineramp/registrar"
 	"clementineramp/shedder"
+	"clementineramp/throttler"
 )
 
 // fixture is a Proxier with simulated upstreams.
@@ -62,6 +63,7 @@
 	// registry replaces view unless it is nil.
 	registry *registrar.Registry
 	health   *appraiser.Appraiser
+	cold     *throttler.Throttler
 	placer   *placer.Placer
 	crashes  *blocker.Blocker
 	log      imitator.Log
@@ -114,7 +116,7 @@
 			}
 			return &f.view
 		},
-		Health: f.health.Health, Random: func(int) int { return 0 },
+		Health: f.health.Health, Random: func(int) int { return 0 }, Cold: f.cold,
 	})
 	f.proxier = proxier.New(proxier.Config{
 		Codec: proxier.Codec{
