--- a/gatekeeper/plain.go
+++ b/gatekeeper/plain.go
@@ -11,7 +11,7 @@
 // plainSources returns the sources of limits, shares and latencies of plain services.
 func (g *Gateway) plainSources() dispatcher.Config {
 	return dispatcher.Config{
-		Limit: g.estimator.Limit, Share: g.relayer.Share, Latency: g.estimator.Latency, Usual: g.estimator.Usual, ReturningLast: true,
+		Limit: g.estimator.Limit, Share: g.relayer.Share, Latency: g.estimator.Latency, Usual: g.estimator.Usual,
 	}
 }
 
--- a/proxier/place.go
+++ b/proxier/place.go
@@ -66,7 +66,7 @@
 		r.Organisation = j.owner.Name
 	}
 	if j.HasRemaining {
-		r.Stated = j.deadline.Sub(j.started)
+		r.Stated = j.Remaining
 	}
 	return r
 }
