--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -231,7 +231,7 @@
 			all = append(all, r)
 		}
 	}
-	slices.SortFunc(all, func(a, b report) int { return b.at.Compare(a.at) })
+	slices.SortFunc(all, func(a, b report) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.slowdown, b.slowdown)) })
 	all = all[:min(len(all), maxReports)]
 	if own, ok := u.own(now); ok {
 		all = append(all, own)
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -377,3 +378,28 @@
 	}
 	require.Len(t, m.Work(now), estimator.MaxWork)
 }
+
+// Guards against data races between requests, exchanges and housekeeping; it fails under the race detector.
+func TestConcurrentUse(t *testing.T) {
+	g := newGroup(t, 1, 2)
+	e, u := g.gateways[0], g.upstreams[0]
+	var m estimator.Meter
+	var running sync.WaitGroup
+	for i := range 4 {
+		running.Go(func() {
+			for n := range 200 {
+				now := g.now.Add(time.Duration(n) * 20 * time.Millisecond)
+				e.Record(estimator.Sample{Upstream: u, Route: "r", Target: target, Latency: rest}, now)
+				e.Merge(fmt.Sprint("g", i), e.Reports(now), now)
+				e.Slowdown(u, now)
+				e.Limit("s", now)
+				e.Latency("s", "r", now)
+				e.Prune(func(registrar.Incarnation) bool { return n%50 > 0 }, now)
+				m.CountRequest("s", now)
+				m.Work(now)
+			}
+		})
+	}
+	running.Wait()
+	require.InDelta(t, float64(rest), float64(e.Usual("s", "r")), 0.05*float64(rest))
+}
