--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -52,7 +52,8 @@
 }
 
 func (g *group) record(gateway, upstream int, route string, latency time.Duration) {
-	g.gateways[gateway].Record(estimator.Sample{Upstream: g.upstreams[upstream], Route: route, Target: target, Latency: latency}, g.now)
+	s := estimator.Sample{Upstream: g.upstreams[upstream], Route: route, Target: target, Latency: latency}
+	g.gateways[gateway].Record(s, g.now)
 }
 
 // run lets time pass in steps of 50 ms until done returns true, and returns the time that passed. In each step, a gateway
@@ -346,7 +347,8 @@
 
 // Guards against a limit or a latency that counts upstreams to which no requests are sent.
 func TestUpstreamsInUse(t *testing.T) {
-	view := &registrar.View{ByService: map[string][]registrar.Upstream{"s": {{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}}}}
+	list := []registrar.Upstream{{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}}
+	view := &registrar.View{ByService: map[string][]registrar.Upstream{"s": list}}
 	usable := map[string]bool{"a": true}
 	e := estimator.New(estimator.Config{
 		View: func() *registrar.View { return view }, Usable: func(u registrar.Upstream, _ time.Time) bool { return usable[u.ID] },
--- a/gatekeeper/limits_test.go
+++ b/gatekeeper/limits_test.go
@@ -58,6 +58,8 @@
 		require.Contains(t, metrics(), "upstream_limit.u1")
 		require.Contains(t, metrics(), "upstream_slowdown_percent.u1")
 		f.store.Delete(u.Key())
-		f.eventually("the gauges of an upstream that is gone remain", func() bool { return !strings.Contains(metrics(), "upstream_limit.u1") })
+		f.eventually("the gauges of an upstream that is gone remain", func() bool {
+			return !strings.Contains(metrics(), "upstream_limit.u1")
+		})
 	}
 }
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -61,7 +61,8 @@
 			continue
 		}
 		rows = binary.BigEndian.AppendUint32(rows, hashIncarnation(r.Upstream))
-		rows = append(rows, encodeSteps(r.Slowdown, lowestSlowdown, slowdownSteps), byte(min(max(math.Ceil(r.Samples), 1), 255)), byte(age))
+		samples := byte(min(max(math.Ceil(r.Samples), 1), 255))
+		rows = append(rows, encodeSteps(r.Slowdown, lowestSlowdown, slowdownSteps), samples, byte(age))
 	}
 	return rows
 }
