--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -36,6 +36,14 @@
 	leastRetryShare = 0.75
 	// overloadGap is the time without refusals after which an overload has ended.
 	overloadGap = 2 * time.Second
+	// overcommitment is the multiple of its share that a gateway may have in progress: few gateways use their whole share at the
+	// same time, and a request that waits for a place while an upstream has free slots is late for nothing.
+	overcommitment = 3
+	// latencyMargin is the multiple of the current latency that is allowed for the rest of a request when its wait is bounded.
+	// The current latency is a median; five in six requests take less than 1.6 times that.
+	latencyMargin = 1.6
+	// lateWaitShare is the fraction of the target for which a returning caller waits where first requests go before it.
+	lateWaitShare = 0.1
 	// checkInterval is the longest time between two checks of the queue, in which limits and latencies may have changed.
 	checkInterval = 20 * time.Millisecond
 	// rateTime is the time over which the rate of arrivals is averaged.
@@ -78,6 +86,8 @@
 	request   Request
 	since     time.Time
 	returning bool
+	// last is set if first requests go before it.
+	last bool
 }
 
 // Refused is a request that waited and is refused.
@@ -115,6 +125,7 @@
 	c.endOverload(q, now)
 	c.serial++
 	w := &waiter{id: c.serial, request: r, since: now, returning: c.isReturning(r, now)}
+	w.last = w.returning && c.cfg.ReturningLast
 	d := c.shedder.Decide(shedder.Request{
 		Service: r.Service, Organisation: r.Organisation, Urgency: r.Urgency, Remaining: r.Remaining,
 		Returning: c.goesFirst(w),
@@ -243,6 +254,9 @@
 // load returns the load by which the shedder decides: that up to which nothing is refused as long as the latency is at or below
 // the goal, and that from which everything is refused once it has reached the target.
 func (c *Core) load(r Request, now time.Time) float64 {
+	if c.cfg.Exact {
+		return 0
+	}
 	latency, usual := c.latency(r, now), c.cfg.Usual(r.Service, r.Route)
 	if latency <= 0 || usual <= 0 || usual >= r.Target { // A target below the latency at rest cannot be met by refusals.
 		return 0
@@ -259,7 +273,10 @@
 func (c *Core) updateLimit(q *queue, now time.Time) {
 	q.limit = math.Inf(1)
 	if total := c.cfg.Limit(q.name, now); total > 0 {
-		q.limit = max(3*total*c.cfg.Share(q.name, now), 1)
+		q.limit = total
+		if !c.cfg.Exact {
+			q.limit = max(overcommitment*total*c.cfg.Share(q.name, now), 1)
+		}
 	}
 	q.admitter.SetLimit(q.limit)
 }
@@ -283,10 +300,14 @@
 // left returns how much longer a request may wait for its place.
 func (w *waiter) left(latency time.Duration, now time.Time) time.Duration {
 	r, waited := w.request, now.Sub(w.since)
+	latency = time.Duration(latencyMargin * float64(latency))
 	left := r.Remaining - latency
-	if w.returning || r.Target <= 0 {
+	switch {
+	case w.last && r.Target > 0:
+		left = min(left, time.Duration(lateWaitShare*float64(r.Target)))
+	case w.returning || r.Target <= 0:
 		left = min(left, time.Duration(maxRemainingShare*float64(r.Remaining)), maxReturningWait)
-	} else {
+	default:
 		left = min(left, r.Target-r.Elapsed-latency)
 	}
 	return left - waited
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -21,39 +21,70 @@
 	return &Dispatcher{core: NewCore(cfg), results: make(map[uint64]chan error), timers: make(map[string]*time.Timer)}
 }
 
+// Ticket is a request that waits or holds a place.
+type Ticket struct {
+	// Result receives nil when the request gets its place, or the *Refusal. It stays empty if the ticket is released before.
+	Result <-chan error
+	// Released is closed when the ticket is released.
+	Released <-chan struct{}
+	release  func()
+}
+
+// Release gives back the place, or removes the request from the queue; further calls do nothing.
+func (t *Ticket) Release() { t.release() }
+
+// Begin offers a request without waiting. It returns a ticket, which must be released, or the refusal.
+func (d *Dispatcher) Begin(r Request) (*Ticket, *Refusal) {
+	result, released := make(chan error, 1), make(chan struct{})
+	id, refusal := d.offer(r, result, time.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	var once sync.Once
+	return &Ticket{Result: result, Released: released, release: func() {
+		once.Do(func() {
+			d.remove(r.Service, id)
+			close(released)
+		})
+	}}, nil
+}
+
 // Acquire waits for a place at the service of a request. It returns a function that releases the place, which may be called more
 // than once, and the time for which the request waited; or a *Refusal, or the error of ctx if it ended first.
 func (d *Dispatcher) Acquire(ctx context.Context, r Request) (release func(), wait time.Duration, err error) {
 	if err := ctx.Err(); err != nil {
 		return nil, 0, err
 	}
-	result := make(chan error, 1)
 	began := time.Now()
-	id, refusal := d.offer(r, result, began)
+	ticket, refusal := d.Begin(r)
 	if refusal != nil {
 		return nil, 0, refusal
 	}
-	var once sync.Once
-	release = func() { once.Do(func() { d.remove(r.Service, id) }) }
 	select {
-	case err := <-result: // Without a wait.
-		return d.outcome(release, 0, err)
+	case err := <-ticket.Result: // Without a wait.
+		return outcome(ticket, 0, err)
 	default:
 	}
 	select {
-	case err := <-result:
-		return d.outcome(release, time.Since(began), err)
+	case err := <-ticket.Result:
+		return outcome(ticket, time.Since(began), err)
 	case <-ctx.Done():
-		release()
+		ticket.Release()
 		return nil, time.Since(began), ctx.Err()
 	}
 }
 
-func (d *Dispatcher) outcome(release func(), wait time.Duration, err error) (func(), time.Duration, error) {
+func outcome(t *Ticket, wait time.Duration, err error) (func(), time.Duration, error) {
 	if err != nil {
 		return nil, wait, err
 	}
-	return release, wait, nil
+	return t.Release, wait, nil
+}
+
+// AcquirePlace is Acquire with the result as a Place.
+func (d *Dispatcher) AcquirePlace(ctx context.Context, r Request) (Place, time.Duration, error) {
+	release, wait, err := d.Acquire(ctx, r)
+	return Place{Release: release}, wait, err
 }
 
 func (d *Dispatcher) offer(r Request, result chan error, now time.Time) (uint64, *Refusal) {
--- a/dispatcher/types.go
+++ b/dispatcher/types.go
@@ -21,6 +21,9 @@
 	// ReturningLast lets first requests go before those of returning callers of their rank and organisation, which can no longer
 	// meet their target; without it, returning callers go first.
 	ReturningLast bool
+	// Exact is set if all requests to the services are admitted here, so that the number in progress is known exactly: Share is
+	// the whole, no gateway uses more than its share, and no request is refused by latency.
+	Exact bool
 	// Random returns a number of at least 0 and below 1; nil means rand.Float64.
 	Random func() float64
 	// OnChange is called when an overload begins or has ended; it may be nil.
@@ -40,6 +43,14 @@
 	Stated time.Duration
 }
 
+// Place is the permission to send a request to a service.
+type Place struct {
+	// Upstream is the upstream to which the request should be sent; empty if any may be chosen.
+	Upstream string
+	// Release gives the place back once the request has ended; it may be called more than once.
+	Release func()
+}
+
 // Cause says why a request was refused.
 type Cause string
 
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,7 +52,8 @@
 }
 
 func (g *group) record(gateway, upstream int, route string, latency time.Duration) {
-	g.gateways[gateway].Record(estimator.Sample{Upstream: g.upstreams[upstream], Route: route, Target: target, Latency: latency}, g.now)
+	s := estimator.Sample{Upstream: g.upstreams[upstream], Route: route, Target: target, Latency: latency}
+	g.gateways[gateway].Record(s, g.now)
 }
 
 // run lets time pass in steps of 50 ms until done returns true, and returns the time that passed. In each step, a gateway
@@ -345,7 +347,8 @@
 
 // Guards against a limit or a latency that counts upstreams to which no requests are sent.
 func TestUpstreamsInUse(t *testing.T) {
-	view := &registrar.View{ByService: map[string][]registrar.Upstream{"s": {{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}}}}
+	list := []registrar.Upstream{{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}}
+	view := &registrar.View{ByService: map[string][]registrar.Upstream{"s": list}}
 	usable := map[string]bool{"a": true}
 	e := estimator.New(estimator.Config{
 		View: func() *registrar.View { return view }, Usable: func(u registrar.Upstream, _ time.Time) bool { return usable[u.ID] },
@@ -377,3 +380,28 @@
 	}
 	require.Len(t, m.Work(now), estimator.MaxWork)
 }
+
+// Guards against data races between requests, exchanges and housekeeping; it fails under the race detector.
+func TestConcurrentUse(t *testing.T) {
+	g := newGroup(t, 1, 2)
+	e, u := g.gateways[0], g.upstreams[0]
+	var m estimator.Meter
+	var running sync.WaitGroup
+	for i := range 4 {
+		running.Go(func() {
+			for n := range 200 {
+				now := g.now.Add(time.Duration(n) * 20 * time.Millisecond)
+				e.Record(estimator.Sample{Upstream: u, Route: "r", Target: target, Latency: rest}, now)
+				e.Merge(fmt.Sprint("g", i), e.Reports(now), now)
+				e.Slowdown(u, now)
+				e.Limit("s", now)
+				e.Latency("s", "r", now)
+				e.Prune(func(registrar.Incarnation) bool { return n%50 > 0 }, now)
+				m.CountRequest("s", now)
+				m.Work(now)
+			}
+		})
+	}
+	running.Wait()
+	require.InDelta(t, float64(rest), float64(e.Usual("s", "r")), 0.05*float64(rest))
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementineramp/appraiser"
+	"clementineramp/arbiter"
 	"clementineramp/blocker"
 	"clementineramp/connector"
 	"clementineramp/dispatcher"
@@ -105,11 +106,13 @@
 	pool      *connector.Pool
 	follower  *follower.Follower
 	relayer   *relayer.Relayer
-	// dispatcher admits requests to plain services; nil if the settings do not enable it.
-	dispatcher *dispatcher.Dispatcher
-	proxier    *proxier.Proxier
-	callers    *CallerConns
-	saturation Saturation
+	// arbiter admits requests to plain services, and fleetPlaces and ownPlaces hold the queues of all gateways and of this one;
+	// nil if the settings do not enable it.
+	arbiter                *arbiter.Arbiter
+	fleetPlaces, ownPlaces *dispatcher.Dispatcher
+	proxier                *proxier.Proxier
+	callers                *CallerConns
+	saturation             Saturation
 	// estimator and work are nil unless limits of plain services are learnt; loggedLimits belongs to the housekeeping.
 	estimator    *estimator.Estimator
 	work         *estimator.Meter
@@ -187,14 +190,17 @@
 	if g.estimator != nil {
 		state.Slowdowns, state.MergeSlowdowns, state.Work = g.estimator.Reports, g.estimator.Merge, g.work.Work
 	}
+	services := make(map[string]any)
+	if g.assemblePlaces(); g.arbiter != nil {
+		services[arbiter.ServiceName] = &arbiter.Places{Arbiter: g.arbiter}
+	}
 	g.relayer = relayer.New(relayer.Config{
 		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
 		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
 		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated },
-		State:     state,
+		State:     state, Services: services,
 	})
-	g.dispatcher = g.newDispatcher()
 	proxying := proxier.Config{
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders,
@@ -202,7 +208,7 @@
 			IsEventField: platform.IsEventField,
 		},
 		Placer: g.placer, Health: g.health, Crashes: g.crashes,
-		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Dispatcher: g.dispatcher, Pool: g.pool,
+		Shedder: &shedder.Shedder{OnChange: g.logOverload}, Pool: g.pool,
 		CurrentTable: g.follower.Current, AwaitReady: g.follower.AwaitReady,
 		AllowRetry:   func(service string) bool { return g.budget(service).AllowRetry(time.Now()) },
 		CountRequest: func(service string) { g.budget(service).CountFirst(time.Now()) },
@@ -214,7 +220,7 @@
 		Log:        g.log.Named("proxier"), Metrics: g.registry,
 	}
 	if g.estimator != nil {
-		proxying.Record, proxying.Work = g.recordSample, g.work
+		proxying.Record, proxying.Work, proxying.Acquire = g.recordSample, g.work, g.arbiter.Acquire
 	}
 	g.proxier = proxier.New(proxying)
 	g.callers = NewCallerConns(s.Connections)
--- a/gatekeeper/plain.go
+++ b/gatekeeper/plain.go
@@ -1,28 +1,75 @@
 package gatekeeper
 
 import (
+	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"clementineramp/appraiser"
+	"clementineramp/arbiter"
 	"clementineramp/dispatcher"
+	"clementineramp/registrar"
 )
 
-// plainSources returns the sources of limits, shares and latencies of plain services.
-func (g *Gateway) plainSources() dispatcher.Config {
-	return dispatcher.Config{
-		Limit: g.estimator.Limit, Share: g.relayer.Share, Latency: g.estimator.Latency, Usual: g.estimator.Usual,
+// maxFleetFactor is the multiple of an upstream's slots that the owner of a service lets be in progress there. The slots stay in
+// use while responses and grants are under way, and the other requests wait at the owner, where the most urgent goes first.
+const maxFleetFactor = 2
+
+// assemblePlaces creates the parts that admit requests to plain services, if the settings ask for it.
+func (g *Gateway) assemblePlaces() {
+	if g.estimator == nil {
+		return
+	}
+	own := dispatcher.Config{
+		Limit: g.estimator.Limit, Share: func(service string, now time.Time) float64 { return g.relayer.Share(service, now) },
+		Latency: g.estimator.Latency, Usual: g.estimator.Usual, OnChange: g.logPlainOverload, ReturningLast: true,
+	}
+	fleet := own
+	fleet.Exact, fleet.Limit, fleet.Share = true, g.fleetLimit, nil
+	g.ownPlaces, g.fleetPlaces = dispatcher.New(own), dispatcher.New(fleet)
+	g.arbiter = arbiter.New(arbiter.Config{
+		Self: g.cfg.Settings.PeerListen.String(), Local: g.ownPlaces, Fleet: g.fleetPlaces, Candidates: g.plainCandidates,
+		Owner: func(service string, now time.Time) string { return g.relayer.Owner(service, now) },
+		Call: func(ctx context.Context, peer, method string, args, reply any) error {
+			return g.relayer.Call(ctx, peer, method, args, reply)
+		},
+		OnLost: func(service, owner string, err error) {
+			g.log.Warn("places_owner_lost", "service", service, "owner", owner, "error", err.Error())
+		},
+	})
+}
+
+// plainUpstreams returns the upstreams of a plain service that are in use, or all of them if there are none.
+func (g *Gateway) plainUpstreams(service string, now time.Time) []registrar.Upstream {
+	all := g.upstreams.View().ByService[service]
+	used := make([]registrar.Upstream, 0, len(all))
+	for _, u := range all {
+		if g.health.Health(u.ID, now) == appraiser.Good && !g.placer.Paused(u, now) {
+			used = append(used, u)
+		}
+	}
+	if len(used) == 0 {
+		return all
+	}
+	return used
+}
+
+// fleetLimit returns the number of requests of all gateways that may be in progress at a plain service.
+func (g *Gateway) fleetLimit(service string, now time.Time) float64 {
+	sum := 0.0
+	for _, u := range g.plainUpstreams(service, now) {
+		sum += min(g.estimator.Estimate(u, now).Limit, maxFleetFactor*float64(max(u.Slots, 1)))
 	}
+	return sum
 }
 
-// newDispatcher returns the dispatcher of plain services, or nil if the settings do not enable it.
-func (g *Gateway) newDispatcher() *dispatcher.Dispatcher {
-	if !g.cfg.Settings.LearnLimits {
-		return nil
+func (g *Gateway) plainCandidates(service string, now time.Time) []arbiter.Candidate {
+	var list []arbiter.Candidate
+	for _, u := range g.plainUpstreams(service, now) {
+		list = append(list, arbiter.Candidate{ID: u.ID, Slots: float64(u.Slots), Slowdown: g.estimator.Slowdown(u, now)})
 	}
-	cfg := g.plainSources()
-	cfg.OnChange = g.logPlainOverload
-	return dispatcher.New(cfg)
+	return list
 }
 
 func (g *Gateway) logPlainOverload(e dispatcher.Event) {
@@ -34,16 +81,22 @@
 		"lasted_ms", e.Duration.Milliseconds())
 }
 
-// updatePlainGauges sets the gauges of the services that the dispatcher admits requests to.
+// updatePlainGauges sets the gauges of the services to which requests are admitted: those of this gateway that were admitted by
+// its own share, and those of all gateways that it has admitted as the owner of the service.
 func (g *Gateway) updatePlainGauges(now time.Time) {
-	if g.dispatcher == nil {
+	if g.arbiter == nil {
 		return
 	}
-	for _, service := range g.dispatcher.Services() {
-		s := g.dispatcher.Status(service, now)
-		gauge := func(name string, n int) { metrics.GetOrRegisterGauge(name+"."+service, g.registry).Update(int64(n)) }
-		gauge("plain_in_progress", s.InProgress)
-		gauge("plain_waiting", s.Waiting)
-		gauge("plain_limit", int(s.Limit))
+	metrics.GetOrRegisterGauge("plain_admitted_by_share", g.registry).Update(g.arbiter.LocalUses())
+	for prefix, d := range map[string]*dispatcher.Dispatcher{"plain": g.ownPlaces, "plain_fleet": g.fleetPlaces} {
+		for _, service := range d.Services() {
+			s := d.Status(service, now)
+			gauge := func(name string, n int) {
+				metrics.GetOrRegisterGauge(prefix+"_"+name+"."+service, g.registry).Update(int64(n))
+			}
+			gauge("in_progress", s.InProgress)
+			gauge("waiting", s.Waiting)
+			gauge("limit", int(s.Limit))
+		}
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -94,6 +94,8 @@
 	ChatTokens int
 	// Repeatable requests may be sent to a suspect upstream as a trial.
 	Repeatable bool
+	// Preferred is the upstream that is chosen if it is a good candidate, for requests without a chat; it may be empty.
+	Preferred string
 	// Tried holds the upstreams that were sent the request before; they are not chosen again.
 	Tried []string
 }
@@ -342,6 +344,11 @@
 		}
 	}
 	if r.Chat == "" {
+		for i := range usable {
+			if usable[i].ID == r.Preferred && usable[i].health == appraiser.Good {
+				return i, 0
+			}
+		}
 		return p.leastLoaded(p.withDelays(usable, now)), 0
 	}
 	for i := range usable {
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -127,7 +127,7 @@
 // placement returns the properties of the request that the choice of an upstream depends on.
 func (j *job) placement(tried []string) placer.Request {
 	return placer.Request{
-		Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(),
+		Service: j.service, Chat: j.Chat(), ChatTokens: j.ChatTokens(), Preferred: j.assigned,
 		// Once an upstream has turned it away, an unrepeatable request may be sent to a suspect upstream too.
 		Repeatable: j.route.Repeatable() || j.arrivals > 0, Tried: tried,
 	}
--- a/proxier/place.go
+++ b/proxier/place.go
@@ -15,7 +15,7 @@
 // acquire waits for a place at a plain service whose upstreams report no load; the result releases it. An error is the refusal
 // of the request, which has not run. It panics with http.ErrAbortHandler if the caller has left.
 func (j *job) acquire() (release func(), err error) {
-	if j.p.cfg.Dispatcher == nil || j.reportsLoad || j.service == "" || j.current.Table.Services[j.service].Engine {
+	if j.p.cfg.Acquire == nil || j.reportsLoad || j.service == "" || j.current.Table.Services[j.service].Engine {
 		return func() {}, nil
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
@@ -26,7 +26,8 @@
 		}
 	})
 	defer stop()
-	release, j.queued, err = j.p.cfg.Dispatcher.Acquire(ctx, j.demand(time.Now()))
+	place, queued, err := j.p.cfg.Acquire(ctx, j.demand(time.Now()))
+	release, j.queued, j.assigned = place.Release, queued, place.Upstream
 	if err == nil && !j.callerGone() && j.mayStart() {
 		j.p.instruments.plainWaits.Update(j.queued.Milliseconds())
 		return release, nil
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -62,9 +62,10 @@
 	Health  *appraiser.Appraiser
 	Crashes *blocker.Blocker
 	Shedder *shedder.Shedder
-	// Dispatcher admits requests to services that are no engines and report no load; nil admits all of them.
-	Dispatcher *dispatcher.Dispatcher
-	Pool       *connector.Pool
+	// Acquire waits for a place for a request to a service that is no engine and reports no load. The error is a
+	// *dispatcher.Refusal, or that of ctx. Nil admits all requests.
+	Acquire func(ctx context.Context, r dispatcher.Request) (dispatcher.Place, time.Duration, error)
+	Pool    *connector.Pool
 	// CurrentTable returns the configuration in use; its Table is nil until the first configuration has been read.
 	CurrentTable func() CurrentTable
 	// AwaitReady waits until a configuration and upstreams have been received; it returns false if ctx ends first.
@@ -122,7 +123,7 @@
 // New returns a Proxier and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Proxier {
 	p := &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
-	if cfg.Dispatcher != nil {
+	if cfg.Acquire != nil {
 		p.instruments.addWaits()
 	}
 	// A registry may hold the gauge of an earlier Proxier.
@@ -194,6 +195,8 @@
 	// for a place.
 	reportsLoad bool
 	queued      time.Duration
+	// assigned is the upstream that was named with the place at a plain service; it may be empty.
+	assigned string
 }
 
 // ServeHTTP serves one request; it panics with http.ErrAbortHandler to close the connection without a
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -70,7 +70,7 @@
 	// record and work are Config.Record and Config.Work.
 	record func(estimator.Sample, time.Time)
 	work   estimator.Meter
-	// dispatcher is Config.Dispatcher.
+	// dispatcher admits requests for Config.Acquire; nil for none.
 	dispatcher *dispatcher.Dispatcher
 }
 
@@ -118,12 +118,17 @@
 		},
 		Health: f.health.Health, Random: func(int) int { return 0 }, Cold: f.cold,
 	})
+	var acquire func(context.Context, dispatcher.Request) (dispatcher.Place, time.Duration, error)
+	if f.dispatcher != nil {
+		acquire = f.dispatcher.AcquirePlace
+	}
 	f.proxier = proxier.New(proxier.Config{
+		Acquire: acquire,
 		Codec: proxier.Codec{
 			DecodeRequest: platform.DecodeRequest, ForwardHeaders: platform.ForwardHeaders, SetAttempt: platform.SetAttempt,
 			DecodeReply: platform.DecodeReply, SetRequestID: platform.SetRequestID, IsEventField: platform.IsEventField,
 		},
-		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Dispatcher: f.dispatcher, Pool: connector.New(connector.Config{Dial: f.dial}),
+		Placer: f.placer, Health: f.health, Crashes: f.crashes, Shedder: &shedder.Shedder{}, Pool: connector.New(connector.Config{Dial: f.dial}),
 		CurrentTable: func() proxier.CurrentTable { return proxier.CurrentTable{Table: f.table, Confirmed: f.confirmed} },
 		AwaitReady: func(ctx context.Context) bool {
 			if f.table == nil && f.nextTable != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -218,6 +218,8 @@
 	// Saturated reports whether this gateway gets less processor time than it needs; nil means never.
 	Saturated func() bool
 	State     State
+	// Services holds further RPC services that peers may call, by name.
+	Services map[string]any
 	// CountBytes is called with the bytes that were sent to or received from peers; nil means no call.
 	CountBytes func(n int)
 	// Dial opens connections to peers; nil means the system's network.
@@ -413,6 +415,11 @@
 	if err := s.RegisterName("Gateways", &Gateways{r: r}); err != nil {
 		return err
 	}
+	for name, service := range r.cfg.Services {
+		if err := s.RegisterName(name, service); err != nil {
+			return err
+		}
+	}
 	var open atomic.Int64
 	for {
 		c, err := l.Accept()
