registrar, relayer, follower: evacuations are not lost or ended by peers that know none

A peer of the previous version states a position up to which it knows no evacuations. Its position was adopted, so that evacuations before it were never asked for again, and a later whole list of this gateway ended them everywhere. After a restore, the kept records had revisions of the era before, so that the end of such an evacuation could be ignored. Now the position of such a peer counts only for a first list or one of another era; a gateway with such a list reads the store itself, asks for whole lists, and says in its replies that it knows no evacuations. Of an evacuation and its end at one revision, the end counts, so that the end that a list implies does not hide the next change.

The end of an evacuation that a gateway did not know is passed on in EvacuationsEnded, the times of entries that are written again unchanged reach the view, entries that differ in the cold time only are not logged, and evacuations of a first list are logged after its upstreams, which were counted as 0. Requests whose last upstream is evacuated while they wait get the reason evacuated; the gauges and log lines count leaving upstreams of evacuated domains, which may still run requests.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -172,6 +172,9 @@
 		if overtaken(at, known) {
 			at = known
 		}
+		if f.cfg.Registry.LacksEvacuations() {
+			at.Revision = 0 // A watch would not return those before the position of the list.
+		}
 		started := time.Now()
 		changes, err := f.call(ctx, at.Revision)
 		if ctx.Err() != nil {
@@ -245,9 +248,10 @@
 }
 
 // shouldRead reports whether this process should call the store now: because it reads on behalf of its peers, because
-// it has no list of upstreams yet, because the configuration has not been confirmed for too long, or because a fallback read is in progress.
+// it has no list of upstreams yet or one without evacuations, because the configuration has not been confirmed for too long, or
+// because a fallback read is in progress.
 func (f *Follower) shouldRead(now time.Time) bool {
-	if f.cfg.Reader == nil || f.cfg.Reader() {
+	if f.cfg.Reader == nil || f.cfg.Reader() || f.cfg.Registry.LacksEvacuations() {
 		return true
 	}
 	confirmed := f.Current().Confirmed
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -413,7 +413,7 @@
 	gauge("caller_connections", g.callers.Open())
 	gauge("gateways", g.relayer.Gateways())
 	gauge("upstreams", len(live))
-	evacuated, running := g.evacuatedUpstreams(view)
+	evacuated, running := g.countUpstreams(view, view.IsEvacuated)
 	gauge("evacuated_failure_domains", len(view.Evacuations))
 	gauge("evacuated_upstreams", evacuated)
 	gauge("evacuated_requests_running", running)
@@ -494,13 +494,17 @@
 		"mark_age_ms", e.MarkAge.Milliseconds(), "mark_source", e.MarkSource)
 }
 
-// evacuatedUpstreams returns the number of upstreams in evacuated failure domains, and that of the requests of this gateway that
-// still run there.
-func (g *Gateway) evacuatedUpstreams(view *registrar.View) (upstreams, running int) {
-	for _, list := range view.Evacuated {
-		upstreams += len(list)
-		for _, u := range list {
-			running += g.placer.InProgress(u.ID)
+// countUpstreams returns the number of the upstreams in the failure domains that in selects, leaving ones included, and that of
+// the requests of this gateway that run there.
+func (g *Gateway) countUpstreams(view *registrar.View, in func(registrar.Upstream) bool) (upstreams, running int) {
+	for _, lists := range []map[string][]registrar.Upstream{view.ByService, view.Leaving, view.Evacuated} {
+		for _, list := range lists {
+			for _, u := range list {
+				if in(u) {
+					upstreams++
+					running += g.placer.InProgress(u.ID)
+				}
+			}
 		}
 	}
 	return upstreams, running
@@ -512,14 +516,7 @@
 			"upstreams", e.Upstreams, "lasted_ms", e.Lasted.Milliseconds())
 		return
 	}
-	running := 0
-	for _, list := range g.upstreams.View().ByService {
-		for _, u := range list {
-			if u.FailureDomain == e.FailureDomain {
-				running += g.placer.InProgress(u.ID)
-			}
-		}
-	}
+	_, running := g.countUpstreams(g.upstreams.View(), func(u registrar.Upstream) bool { return u.FailureDomain == e.FailureDomain })
 	g.log.Warn("evacuation_began", "failure_domain", e.FailureDomain, "revision", e.Revision, "era", e.Era,
 		"upstreams", e.Upstreams, "requests_running", running)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -107,6 +107,8 @@
 	// Leaving is the number of upstreams of the service that are leaving, Evacuated that of those in evacuated failure domains,
 	// and Paused that of those that want no requests for a time; none of them are candidates.
 	Leaving, Evacuated, Paused int
+	// Listed is the number of upstreams of the service that are neither leaving nor evacuated.
+	Listed int
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
 	Source registrar.Upstream
 	// ReportAge is the age of the upstream's latest load report, or -1 if there is none.
@@ -233,11 +235,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gateways = gateways
+	inUse := len(listed)
 	listed, paused := p.unpaused(listed, now)
 	usable := p.usable(listed, r, now)
 	leaving, evacuated := view.Leaving[r.Service], view.Evacuated[r.Service]
 	if len(usable) == 0 {
-		return Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused}, false
+		return Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, Listed: inUse}, false
 	}
 	mean := 0.0
 	for _, c := range usable {
@@ -247,7 +250,8 @@
 	c := usable[index]
 	choice := Choice{
 		Upstream: c.Upstream, Health: c.health, Load: c.load, Mean: mean, Position: position,
-		Candidates: len(usable), Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, ReportAge: -1,
+		Candidates: len(usable), Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, Listed: inUse,
+		ReportAge: -1,
 	}
 	if r.Chat != "" {
 		choice.Source = p.cacheSource(usable, index, slices.Concat(leaving, evacuated), r.Chat, now)
@@ -429,10 +433,10 @@
 }
 
 // cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
-// of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
-// preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or evacuated, it
-// still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be gone, and those
-// after it in the order hardly have the chat.
+// of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has
+// just become the preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or
+// evacuated, it still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be
+// gone, and those after it in the order hardly have the chat.
 func (p *Placer) cacheSource(usable []candidate, chosen int, withdrawn []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
 	var best registrar.Upstream
 	score := math.Inf(-1)
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -73,7 +73,8 @@
 			if j.awaitRetry(notSent) {
 				continue
 			}
-			j.choice.Leaving, j.choice.Evacuated, j.choice.Paused = next.choice.Leaving, next.choice.Evacuated, next.choice.Paused
+			j.choice.Leaving, j.choice.Evacuated = next.choice.Leaving, next.choice.Evacuated
+			j.choice.Paused, j.choice.Listed = next.choice.Paused, next.choice.Listed
 			break
 		}
 		j.choice = next.choice
@@ -235,7 +236,7 @@
 		}
 	}
 	switch {
-	case j.choice.Candidates > 0:
+	case j.choice.Listed > 0:
 	case j.choice.Evacuated > 0:
 		j.p.instruments.evacuatedRefusals.Inc(1)
 		return newRefusal(http.StatusServiceUnavailable, judge.ReasonEvacuated,
--- a/proxier/record.go
+++ b/proxier/record.go
@@ -94,7 +94,7 @@
 		"outcome", outcome, "status", status, "reason", string(reason), "text", text, "caller_closed", callerClosed,
 		"upstream", j.choice.Upstream.ID, "grade", j.choice.Health.String(), "load", j.choice.Load, "mean_load", j.choice.Mean,
 		"report_age_ms", j.choice.ReportAge.Milliseconds(), "place", j.choice.Position, "candidates", j.choice.Candidates,
-		"leaving", j.choice.Leaving, "paused", j.choice.Paused,
+		"leaving", j.choice.Leaving, "evacuated", j.choice.Evacuated, "paused", j.choice.Paused,
 		"occupancy", j.occupancy, "excess", j.refusedShare, "arrivals", j.arrivals, "runs", j.runs,
 		"events", j.stream.events, "last_event", j.stream.lastEvent,
 		"configuration", version, "configuration_age_ms", time.Since(j.current.Confirmed).Milliseconds(),
--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -22,12 +22,16 @@
 	Lasted time.Duration
 }
 
-// mergeEvacuation adds the record of an evacuation, and reports whether a failure domain has come to be evacuated or not.
+// mergeEvacuation adds the record of an evacuation, and reports whether a failure domain has come to be evacuated or not. Of
+// two records with the same revision, the removal counts: it is that of a list that lacks the evacuation.
+//
+// The end of an evacuation of which this gateway did not know counts as one, as the upstreams may have become cold.
 func (r *Registry) mergeEvacuation(rec Record, now time.Time) bool {
 	old := r.evacuations[rec.ID]
-	if old != nil && rec.Revision <= old.Revision {
+	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && (old.Removed || !rec.Removed)) {
 		return false
 	}
+	rec.Upstream = Upstream{}
 	e := &evacuation{Record: rec}
 	wasActive := old != nil && !old.Removed
 	if old != nil {
@@ -39,7 +43,10 @@
 		e.ended, e.removedAt = now, now
 	case rec.Removed:
 		e.removedAt = now
-		return false
+		if r.complete.Revision > 0 {
+			e.ended = now
+		}
+		return r.complete.Revision > 0
 	case wasActive:
 		return false
 	default:
@@ -54,8 +61,7 @@
 	changed := false
 	for name, e := range r.evacuations {
 		if !e.Removed && !listed[name] && e.Revision <= at.Revision {
-			// A revision of zero is that of an era before.
-			end := Record{ID: name, Evacuation: true, Removed: true, Revision: max(at.Revision, e.Revision+1)}
+			end := Record{ID: name, Evacuation: true, Removed: true, Revision: at.Revision}
 			changed = r.mergeEvacuation(end, now) || changed
 		}
 	}
@@ -75,15 +81,27 @@
 	return changed
 }
 
-// EvacuationRecords returns the records of the evacuations and of those that ended lately.
-func (r *Registry) EvacuationRecords() []Record {
+// MergePeerUpstreams is MergePeerList for the records of a peer that knows no evacuations, which may be a list or changes. The
+// known evacuations remain. The position does not advance within an era, as there may be evacuations before it; a first list,
+// or one of another era, counts, and LacksEvacuations is true from then on.
+func (r *Registry) MergePeerUpstreams(records []Record, since uint64, at Position, restored, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	records := make([]Record, 0, len(r.evacuations))
-	for _, e := range r.evacuations {
-		records = append(records, e.Record)
+	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
+		return false
+	}
+	if r.complete.Revision > 0 && r.complete.Era == at.Era {
+		return r.mergeAll(records, now)
 	}
-	return records
+	r.lacksEvacuations = true
+	return r.mergeList(records, at, restored, now)
+}
+
+// LacksEvacuations reports whether there may be evacuations before the position of the list that this gateway does not know.
+func (r *Registry) LacksEvacuations() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lacksEvacuations
 }
 
 func (r *Registry) notifyEvacuation(e *evacuation, now time.Time) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -132,6 +132,10 @@
 	entries map[string]*entry
 	// evacuations holds the evacuations and their removals by the name of the failure domain.
 	evacuations map[string]*evacuation
+	// lacksEvacuations is set if the list came from a peer that knows no evacuations.
+	lacksEvacuations bool
+	// renewed is set if the view lacks the times of entries that were written again without a change.
+	renewed bool
 	// marks holds the statements of upstreams that they are leaving, by ID. The store may say so later or never, and a mark
 	// stays until the incarnation is gone from entries.
 	marks map[string]mark
@@ -262,7 +266,7 @@
 	for _, rec := range records {
 		changed = r.merge(rec, now) || changed
 	}
-	if changed {
+	if changed || r.renewed {
 		r.rebuild(now)
 	}
 	return changed
@@ -273,6 +277,7 @@
 func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lacksEvacuations = false
 	return r.mergeList(records, at, now, now)
 }
 
@@ -284,9 +289,11 @@
 	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
 		return false
 	}
+	r.lacksEvacuations = false
 	return r.mergeList(records, at, restored, now)
 }
 
+// mergeList merges a complete list, which holds the evacuations, too, unless lacksEvacuations is set.
 func (r *Registry) mergeList(records []Record, at Position, restored, now time.Time) bool {
 	changed := false
 	var doubts map[string]doubt
@@ -300,14 +307,20 @@
 	r.complete.Era = at.Era
 	listed, evacuated := make(map[string]bool, len(records)), make(map[string]bool)
 	for _, rec := range records {
+		if !rec.Evacuation {
+			listed[rec.ID] = !rec.Removed
+			changed = r.merge(rec, now) || changed
+		}
+	}
+	for _, rec := range records { // After the upstreams, which are counted for the log.
 		if rec.Evacuation {
 			evacuated[rec.ID] = !rec.Removed
-		} else {
-			listed[rec.ID] = !rec.Removed
+			changed = r.merge(rec, now) || changed
 		}
-		changed = r.merge(rec, now) || changed
 	}
-	changed = r.endUnlisted(evacuated, at, now) || changed
+	if !r.lacksEvacuations {
+		changed = r.endUnlisted(evacuated, at, now) || changed
+	}
 	for id, e := range r.entries {
 		if !listed[id] && !e.Removed && e.Revision <= at.Revision {
 			changed = r.merge(Record{ID: id, Revision: at.Revision, Removed: true}, now) || changed
@@ -319,7 +332,7 @@
 		e := r.entries[id]
 		e.doubtedUntil, e.unused, e.listed = now.Add(r.cfg.Expiry), d.unused, d.listed
 	}
-	if changed {
+	if changed || r.renewed {
 		r.rebuild(now)
 	}
 	return changed
@@ -440,15 +453,25 @@
 		delete(r.marks, rec.ID)
 	}
 	if change == "changed" && old.Upstream == rec.Upstream {
+		r.renewed = true
 		return false
 	}
 	if rec.Removed && (old == nil || old.Removed) {
 		return false // An odd entry that is written again and again is a new removal each time.
 	}
+	if change == "changed" && onlyColdDiffers(old.Upstream, rec.Upstream) {
+		return true // The entry of a cold upstream is written again with each heartbeat, which would fill the log.
+	}
 	r.notify(e, change, now)
 	return true
 }
 
+// onlyColdDiffers reports whether two upstreams are equal but for the remaining cold time.
+func onlyColdDiffers(a, b Upstream) bool {
+	a.Cold = b.Cold
+	return a == b
+}
+
 // notify calls OnEvent for a change of an entry.
 func (r *Registry) notify(e *entry, change string, now time.Time) {
 	if r.cfg.OnEvent == nil {
@@ -551,6 +574,7 @@
 }
 
 func (r *Registry) rebuild(now time.Time) {
+	r.renewed = false
 	v := &View{
 		ByService: make(map[string][]Upstream), Leaving: make(map[string][]Upstream), Evacuated: make(map[string][]Upstream),
 		Times: make(map[string]Times, len(r.entries)),
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -68,15 +68,17 @@
 // upstreams in use changed.
 func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
-	if !reply.HasEvacuations && reply.Whole {
-		reply.Records = append(reply.Records, registry.EvacuationRecords()...) // The list of such a peer lacks them.
-	}
-	if to.Era == since.Era && !reply.Whole {
+	// The position of a peer that knows no eras counts as before: it is two versions older, and versions that are not adjacent do
+	// not run together.
+	if to.Era == since.Era && !reply.Whole && (reply.HasEvacuations || !reply.HasEra) {
 		return registry.MergeChanges(reply.Records, since, to, now)
 	}
 	restored := now
 	if reply.OutageAge > 0 {
 		restored = now.Add(-reply.OutageAge)
 	}
+	if !reply.HasEvacuations {
+		return registry.MergePeerUpstreams(reply.Records, since.Era, to, restored, now)
+	}
 	return registry.MergePeerList(reply.Records, since.Era, to, restored, now)
 }
--- a/relayer/records.go
+++ b/relayer/records.go
@@ -53,7 +53,7 @@
 		if registrar.ValidateID(rec.ID) != nil {
 			continue
 		}
-		if rec.Removed {
+		if rec.Removed || rec.Evacuation {
 			rec.Upstream = registrar.Upstream{}
 		}
 		usable = append(usable, rec)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -139,7 +139,8 @@
 	Complete uint64
 	Era      uint64
 	HasEra   bool
-	// HasEvacuations is set by versions whose Records hold evacuations, too.
+	// HasEvacuations is set if Records holds evacuations, too. It is not set by versions that do not know them, or by a gateway
+	// whose list came from such a version.
 	HasEvacuations bool
 	// Reached is set if the peer reaches the store. ConfirmedAge is the time since its configuration was last confirmed.
 	Reached      bool
@@ -282,6 +283,7 @@
 	// at its complete revision.
 	own := state.Registry.Position()
 	since := req.position(own.Era)
+	reply.HasEvacuations = !state.Registry.LacksEvacuations() // Before the records, which may come to hold them.
 	if since.Era <= own.Era {
 		reply.Records, own, reply.Whole = state.Registry.RecordsSince(since)
 		reply.Complete = own.Revision
@@ -289,7 +291,7 @@
 			reply.Records = slices.DeleteFunc(reply.Records, func(rec registrar.Record) bool { return rec.Revision <= req.Upstreams })
 		}
 	}
-	reply.Era, reply.HasEra, reply.HasEvacuations = own.Era, true, true
+	reply.Era, reply.HasEra = own.Era, true
 	current := state.Document()
 	if idOf(current).replaces(req.document()) {
 		compressed, err := r.compress(current)
@@ -472,7 +474,7 @@
 	now := time.Now()
 	document, own := state.Document(), state.Registry.Position()
 	since := own
-	if r.listsAsked.Load() < listsAtStart {
+	if r.listsAsked.Load() < listsAtStart || state.Registry.LacksEvacuations() {
 		since.Revision = 0
 	}
 	req := Request{
