relayer: tests of evacuations in a fleet

Nothing showed that evacuations reach gateways without the store, or what peers of the previous version do to them.

--- a/relayer/store_test.go
+++ b/relayer/store_test.go
@@ -102,6 +102,15 @@
 	s.all = append(s.all, platform.Changes{Upstreams: []registrar.Record{upstreamRecord(id, s.at.Revision)}})
 }
 
+// evacuate writes the evacuation of a failure domain, or its end.
+func (s *eraStore) evacuate(domain string, end bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at.Revision++
+	rec := registrar.Record{ID: domain, Revision: s.at.Revision, Evacuation: true, Removed: end}
+	s.all = append(s.all, platform.Changes{Upstreams: []registrar.Record{rec}})
+}
+
 // countLists returns the number of full reads.
 func (s *eraStore) countLists() int {
 	s.mu.Lock()
