soaker, commander: evacuations of failure domains

Soaks had one failure domain and no evacuations. Two evacuations of 3 to 5 s each run beside the faults, with random numbers of their own, so that seeds keep their faults; upstreams are spread over three failure domains then. A request that reaches an upstream of a domain later than 2 s after the store accepted its evacuation is a violation, as for leaving upstreams.

--- a/commander/soak.go
+++ b/commander/soak.go
@@ -33,6 +33,7 @@
 			&cli.IntFlag{Name: "upstreams", Usage: "number of upstreams of each of the two services", Value: 3},
 			&cli.IntFlag{Name: "callers", Usage: "number of callers of a fleet", Value: 16},
 			&cli.IntFlag{Name: "faults", Usage: "number of faults of a soak", Value: 20},
+			&cli.IntFlag{Name: "evacuations", Usage: "number of evacuations of failure domains beside the faults", Value: 2},
 			&cli.DurationFlag{Name: "duration", Usage: "time during which faults are injected", Value: 12 * time.Second},
 			&cli.BoolFlag{Name: "timed", Usage: "also check guarantees with a time limit", Value: true},
 			&cli.StringFlag{Name: "dir", Usage: "`DIRECTORY` for settings and logs; a temporary one if not set"},
@@ -75,6 +76,7 @@
 				Seed: seed, Command: []string{program, "gateway"}, Dir: seedDir, Gateways: cmd.Int("gateways"),
 				Upstreams: cmd.Int("upstreams"), Callers: cmd.Int("callers"), Faults: cmd.Int("faults"),
 				Duration: cmd.Duration("duration"), Timed: cmd.Bool("timed"), AllFaults: true,
+				Evacuations: cmd.Int("evacuations"),
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -452,16 +452,13 @@
 	if !r.isMarked(&e.Upstream) {
 		delete(r.marks, rec.ID)
 	}
-	if change == "changed" && old.Upstream == rec.Upstream {
-		r.renewed = true
-		return false
+	if change == "changed" && onlyColdDiffers(old.Upstream, rec.Upstream) {
+		r.renewed = true // The entry of a cold upstream is written again with each heartbeat, which would fill the log.
+		return old.Upstream != rec.Upstream
 	}
 	if rec.Removed && (old == nil || old.Removed) {
 		return false // An odd entry that is written again and again is a new removal each time.
 	}
-	if change == "changed" && onlyColdDiffers(old.Upstream, rec.Upstream) {
-		return true // The entry of a cold upstream is written again with each heartbeat, which would fill the log.
-	}
 	r.notify(e, change, now)
 	return true
 }
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -53,6 +53,7 @@
 		s.checkRecovery(finalStart)
 		s.checkMarks(runs)
 		s.checkPauses(sent)
+		s.checkEvacuations(sent)
 	}
 	for _, g := range s.gateways {
 		if !g.process.Running() {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -73,6 +73,8 @@
 	Faults   int
 	// AllFaults also draws the kinds of faults that were added later.
 	AllFaults bool
+	// Evacuations is the number of evacuations of failure domains beside the faults.
+	Evacuations int
 	// Timed also checks guarantees with a time bound. These hold only on a machine that is not overloaded.
 	Timed bool
 }
@@ -123,6 +125,7 @@
 	faultWindows  []faultWindow
 	shutdowns     []faultWindow
 	faultLog      []string
+	evacuations   []evacuation
 	violations    []string
 }
 
@@ -141,7 +144,10 @@
 		c := &caller{s: s, n: n, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+1))}
 		group.Go(func() { c.run(callerCtx) })
 	}
+	var evacuations sync.WaitGroup
+	evacuations.Go(func() { s.evacuate(ctx) })
 	s.injectFaults(ctx)
+	evacuations.Wait()
 	err := s.settle(ctx)
 	if err == nil && s.cfg.Timed {
 		pause(ctx, recoveryTime)
@@ -258,12 +264,13 @@
 func (s *soak) addUpstream(service string) (*upstream, error) {
 	s.mu.Lock()
 	s.upstreamCount++
-	id := fmt.Sprintf("%s-%d", service, s.upstreamCount)
+	id, domain := fmt.Sprintf("%s-%d", service, s.upstreamCount), s.failureDomainOf(s.upstreamCount)
 	s.mu.Unlock()
 	u, err := newUpstream(id, service)
 	if err != nil {
 		return nil, err
 	}
+	u.FailureDomain = domain
 	s.mu.Lock()
 	s.upstreams, s.allUpstreams = append(s.upstreams, u), append(s.allUpstreams, u)
 	s.mu.Unlock()
