--- a/placer/placer.go
+++ b/placer/placer.go
@@ -114,6 +114,8 @@
 	// Paused that of those that want no requests for a time, and Cold that of the cold ones to which this gateway may send no
 	// request now; none of them are candidates.
 	Leaving, Evacuated, Paused, Cold int
+	// Listed is the number of upstreams of the service that are neither leaving nor evacuated.
+	Listed int
 	// reserved is set if the request has a place in the window of a cold upstream.
 	reserved bool
 	// Source is another upstream that probably has the chat's prompt cached; its address is empty if there is none.
@@ -247,10 +249,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gateways = gateways
+	inUse := len(listed)
 	listed, paused := p.unpaused(listed, now)
 	leaving, evacuated := view.Leaving[r.Service], view.Evacuated[r.Service]
 	open, cold := p.open(listed, r, now)
-	none := Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, Cold: cold}
+	none := Choice{Leaving: len(leaving), Evacuated: len(evacuated), Paused: paused, Cold: cold, Listed: inUse}
 	usable := p.usable(open, r, now)
 	if len(usable) == 0 {
 		return none, false
@@ -451,10 +454,10 @@
 }
 
 // cacheSource returns the first good upstream in the chat's preference order other than the chosen one, which may be one
-// of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has just become the
-// preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or evacuated, it
-// still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be gone, and those
-// after it in the order hardly have the chat.
+// of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has
+// just become the preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or
+// evacuated, it still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be
+// gone, and those after it in the order hardly have the chat.
 func (p *Placer) cacheSource(usable []candidate, chosen int, withdrawn []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
 	var best registrar.Upstream
 	score := math.Inf(-1)
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -73,7 +73,8 @@
 			if j.awaitRetry(notSent) {
 				continue
 			}
-			j.choice.Leaving, j.choice.Evacuated, j.choice.Paused = next.choice.Leaving, next.choice.Evacuated, next.choice.Paused
+			j.choice.Leaving, j.choice.Evacuated = next.choice.Leaving, next.choice.Evacuated
+			j.choice.Paused, j.choice.Listed = next.choice.Paused, next.choice.Listed
 			j.choice.Cold, j.onlyCold = next.choice.Cold, next.choice.Cold > 0
 			break
 		}
@@ -241,7 +242,7 @@
 		j.p.instruments.coldRefusals.Inc(1)
 		return newRefusal(http.StatusServiceUnavailable, judge.ReasonCold, fmt.Sprintf(
 			"%d upstreams of the service are cold, this router may send them no requests now, and no other is left; it has not run", j.choice.Cold))
-	case j.choice.Candidates > 0:
+	case j.choice.Listed > 0:
 	case j.choice.Evacuated > 0:
 		j.p.instruments.evacuatedRefusals.Inc(1)
 		return newRefusal(http.StatusServiceUnavailable, judge.ReasonEvacuated,
