--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -27,6 +27,8 @@
 
 // fleet is an imitation of the platform with one gateway.
 type fleet struct {
+	// service holds the properties of the service "s" in configurations.
+	service  mapper.Service
 	t        *testing.T
 	store    *imitator.Store
 	settings *loader.Gateway
@@ -95,7 +97,7 @@
 
 func (f *fleet) configure(version int, paths ...string) {
 	table := &mapper.Table{
-		Version: uint64(version), Services: map[string]mapper.Service{"s": {}},
+		Version: uint64(version), Services: map[string]mapper.Service{"s": f.service},
 		Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
 	}
 	for _, p := range paths {
@@ -185,7 +187,7 @@
 	const events = "id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\n\n"
 	f := newFleet(t)
 	f.store.Configure(&mapper.Table{
-		Version: 1, Services: map[string]mapper.Service{"s": {}}, Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
+		Version: 1, Services: map[string]mapper.Service{"s": f.service}, Organisations: map[string]*mapper.Organisation{"key": {Name: "o"}},
 		Routes: []mapper.Route{{
 			Name: "a", Host: "h", Prefix: "/a/", Kind: mapper.Stream, Timeout: 20 * time.Second, Attempts: 1,
 			Shares: []mapper.Share{{Service: "s"}},
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -206,3 +206,22 @@
 	require.True(t, r.MarkLeaving(record("a", 1).Upstream, "response", start))
 	require.Empty(t, ids(r))
 }
+
+// Guards against a cold time that ends too early because the entry states the same remaining time again, and against an upstream
+// that stays cold although its entry was written again after the evacuation of its failure domain.
+func TestTimesOfEqualEntries(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for name, cold := range map[string]time.Duration{"cold": 5 * time.Second, "warm": 0} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.Config{})
+			u := registrar.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", FailureDomain: "d", Cold: cold}
+			r.MergeList([]registrar.Record{
+				{ID: "u", Revision: 1, Upstream: u}, {ID: "d", Revision: 2, Evacuation: true},
+			}, registrar.Position{Revision: 2}, now)
+			r.Merge([]registrar.Record{{ID: "d", Revision: 3, Evacuation: true, Removed: true}}, now.Add(time.Second))
+			later := now.Add(2 * time.Second)
+			r.Merge([]registrar.Record{{ID: "u", Revision: 4, Upstream: u}}, later)
+			require.Equal(t, registrar.Times{Entry: later, ColdUntil: later.Add(cold)}, r.View().Times["u"])
+		})
+	}
+}
