relayer: at most four immediate exchanges wait

Cause: TestVanishedUpstreamsAreKnownEverywhere once counted 8,149,359 bytes where 8,000,000 are allowed. No call timed out, and no gateway was unreachable but for one now and then. 45 upstreams are reported at one moment; each report that a gateway hears queues two exchanges, up to eight, although each exchange carries all that the gateway knows when it begins. How many reports arrive together depends on the order in which goroutines run, and so on the load of the machine.

Change: exchanges with peers of any kind are counted in place of queued, and at most four are pending.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -50,8 +50,12 @@
 	// crashNewsTime is the time after NotifyCrash in which exchanges make peers ask for crash reports without delay: the
 	// exchanges that it starts, and one with a hub.
 	crashNewsTime = 500 * time.Millisecond
-	// wakeQueueSize bounds the queue of immediate exchanges.
+	// wakeQueueSize bounds the queue of immediate exchanges with certain peers.
 	wakeQueueSize = 8
+	// maxPendingExchanges bounds the immediate exchanges with peers of any kind that have not begun. Each carries all state
+	// that the gateway has when it begins, so that most of a longer queue carries nothing new: with 8, the burst after 45
+	// upstreams had vanished at once took up to 8,149,359 bytes of 100 gateways in 10 s, where 8,000,000 are allowed.
+	maxPendingExchanges = 4
 	// listsAtStart is the number of exchanges in which a gateway that has started asks for the whole list: after a restore of
 	// the store its peers know of upstreams that were leaving, and the list of the store may have them as ready. A peer may
 	// have started just before, too.
@@ -215,8 +219,12 @@
 	cfg     Config
 	started time.Time
 
-	// wake holds the peers to exchange with without delay; an empty string means any peer.
+	// wake holds the peers to exchange with without delay.
 	wake chan string
+	// pending is the number of exchanges with peers of any kind to start without delay, and notified is signalled when it
+	// has grown.
+	pending  atomic.Int32
+	notified chan struct{}
 
 	// compressMu guards compressed, the configuration that was compressed last.
 	compressMu sync.Mutex
@@ -250,7 +258,8 @@
 		cfg.CountBytes = func(int) {}
 	}
 	return &Relayer{
-		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize), members: make(map[string]member),
+		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize),
+		notified: make(chan struct{}, 1), members: make(map[string]member),
 		upstreams: upstreamCodec{view: cfg.State.Registry.View},
 		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]time.Time),
 	}
@@ -355,8 +364,8 @@
 	return platform.Document{Era: p.Era, Revision: p.Revision, Data: data}, nil
 }
 
-// requestExchange makes Run exchange state with a peer without delay; an empty peer means any. It never blocks: the
-// request is dropped when the queue is full.
+// requestExchange makes Run exchange state with a peer without delay. It never blocks: the request is dropped when the
+// queue is full.
 func (r *Relayer) requestExchange(peer string) {
 	select {
 	case r.wake <- peer:
@@ -364,18 +373,29 @@
 	}
 }
 
+// requestExchanges makes Run begin n more exchanges with peers of any kind without delay, but no more than
+// maxPendingExchanges in all.
+func (r *Relayer) requestExchanges(n int32) {
+	for {
+		pending := r.pending.Load()
+		if r.pending.CompareAndSwap(pending, min(pending+n, maxPendingExchanges)) {
+			break
+		}
+	}
+	select {
+	case r.notified <- struct{}{}:
+	default:
+	}
+}
+
 // NotifyPeers starts exchanges with a few peers without delay; call it when this gateway has received an update.
 func (r *Relayer) NotifyPeers() {
-	for range notifiedPeers {
-		r.requestExchange("")
-	}
+	r.requestExchanges(notifiedPeers)
 }
 
 // NotifyHighLoad starts exchanges with a few peers without delay; call it when this gateway has heard of a high load.
 func (r *Relayer) NotifyHighLoad() {
-	for range highLoadPeers {
-		r.requestExchange("")
-	}
+	r.requestExchanges(highLoadPeers)
 }
 
 // NotifyCrash starts exchanges with a few peers without delay, which then ask for the crash reports that they lack.
@@ -440,16 +460,23 @@
 	peer := ""
 	for ctx.Err() == nil {
 		if peer == "" {
+			if r.pending.Load() > 0 { // Only this loop lowers it.
+				r.pending.Add(-1)
+			}
 			peer = r.nextPeer(time.Now())
 		}
 		if peer != "" {
 			r.exchange(ctx, peer)
 		}
 		peer = ""
+		if r.pending.Load() > 0 {
+			continue
+		}
 		t := time.NewTimer(peerInterval/2 + rand.N(peerInterval))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
+		case <-r.notified:
 		case peer = <-r.wake:
 		}
 		t.Stop()
