blocker, proxier: parts that crash upstreams right after the first event

Change: if the connection breaks within 0.25 s after the first event, the gateway takes back the begin and reports the crash with the parts. Only gateways that have taken back a begin of a part report its next ones after 0.25 s.

--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -48,6 +48,12 @@
 	beginMemory = 30 * time.Second
 	// maxBegins bounds the parts whose begins are remembered in each period of beginMemory.
 	maxBegins = 65536
+	// AnswerStart is the time from the first event of an answer in which a crash of the upstream takes back the begin and makes
+	// the parts suspected: an upstream that crashes on a part may have written an event by then. The requests that began
+	// at an upstream in the last 250 ms before its crash are about as many as those that wait there.
+	AnswerStart = 250 * time.Millisecond
+	// maxRecentBegins bounds the begins of a suspect that may be taken back.
+	maxRecentBegins = 8
 	// maxBeginDelay bounds the random time until a router reports a begin: routers that hear of another's report first need
 	// no report of their own.
 	maxBeginDelay = 400 * time.Millisecond
@@ -146,6 +152,23 @@
 	nextTrial time.Time
 	// depth is the largest position that the part had in a prompt.
 	depth int
+	// recent holds the last begins at this router that have not been taken back, the newest last. retracted is set once one
+	// has been.
+	recent    []time.Time
+	retracted bool
+}
+
+// retract takes back the begin at the given time.
+func (s *suspect) retract(at time.Time) {
+	s.retracted = true
+	s.recent = slices.DeleteFunc(s.recent, at.Equal)
+	if !s.seen.Equal(at) {
+		return
+	}
+	s.seen, s.publishAt = time.Time{}, time.Time{}
+	if n := len(s.recent); n > 0 {
+		s.seen = s.recent[n-1]
+	}
 }
 
 // partReport is a report of a request with a part that was running at an incarnation that crashed.
@@ -325,10 +348,19 @@
 		if s == nil {
 			continue
 		}
+		if len(s.recent) >= maxRecentBegins {
+			s.recent = s.recent[1:]
+		}
+		s.recent = append(s.recent, now)
 		s.seen = now
 		p.changed = p.changed || len(s.crashes) >= blockThreshold
 		_, blocked := p.blocked[part]
-		if _, onTrial := p.trials[part]; blocked || onTrial {
+		_, onTrial := p.trials[part]
+		switch {
+		case !blocked && !onTrial:
+		case s.retracted:
+			s.publishAt = now.Add(AnswerStart)
+		default:
 			s.publishAt, published = now, true
 		}
 	}
@@ -338,6 +370,25 @@
 	t.unlockAndCall(now)
 }
 
+// RetractBegin takes back the begin that was recorded at the given time, because the upstream crashed within AnswerStart. Call
+// RecordCrash with the parts afterwards. From then on this router reports begins of the parts only once AnswerStart has
+// passed; until then it reports them at once, so that sound parts are cleared everywhere without delay.
+func (t *Blocker) RetractBegin(parts []Part, at, now time.Time) {
+	t.mu.Lock()
+	defer t.unlockAndCall(now)
+	p := &t.parts
+	for _, part := range parts {
+		s := p.suspects[part]
+		if s == nil {
+			evict(p.suspects, maxSuspects)
+			s = newSuspect(p.begins.last(part))
+			p.suspects[part] = s
+		}
+		s.retract(at)
+		p.changed = true
+	}
+}
+
 // BlockedPart returns the part among the given ones for which a request must not be sent and the time for which that
 // remains so, or false. Once the block of a part has ended and until the part begins, a request that may be sent is a trial,
 // and others are refused until its outcome is known, or for 2 s.
@@ -503,6 +554,9 @@
 		if next := s.begun.Add(beginInterval); next.After(s.publishAt) {
 			s.publishAt = next
 		}
+		if next := s.seen.Add(AnswerStart); s.retracted && next.After(s.publishAt) {
+			s.publishAt = next
+		}
 	}
 	if now.Before(s.publishAt) {
 		return false
--- a/blocker/parts_test.go
+++ b/blocker/parts_test.go
@@ -401,3 +401,28 @@
 		})
 	}
 }
+
+// Guards against a part that crashes each upstream right after the first event of an answer and is never blocked, because the
+// begin of each such answer clears it, and against a begin that is taken back together with an earlier one that holds.
+func TestBeginThatIsTakenBackClearsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// sound is the time of a begin that holds; zero means that there is none.
+		sound float64
+		want  bool
+	}{{"no other begin", 0, true}, {"begin before the crashes", 0.5, true}, {"begin between the crashes", 2.5, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := blocker.New()
+			for i := range 3 {
+				begun := after(float64(i + 2))
+				if at := after(c.sound); c.sound > 0 && at.Before(begun) && (i == 0 || at.After(begun.Add(-time.Second))) {
+					b.RecordBegin(parts("x"), at)
+				}
+				b.RecordBegin(parts("x"), begun)
+				b.RetractBegin(parts("x"), begun, begun.Add(blocker.AnswerStart))
+				crash(b, fmt.Sprint("u", i), begun.Add(blocker.AnswerStart), "x")
+			}
+			require.Equal(t, c.want, blocked(b, "x", after(6)))
+		})
+	}
+}
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -263,7 +263,7 @@
 	choice := next.choice
 	u := choice.Upstream
 	now := time.Now()
-	j.begun = false
+	j.begunAt = time.Time{}
 	j.p.cfg.Health.Begin(u.ID, now)
 	defer j.p.cfg.Placer.Done(u.ID)
 
@@ -368,9 +368,9 @@
 
 // recordBegin records, once an attempt, that the upstream has begun to answer.
 func (j *job) recordBegin() {
-	if !j.begun {
-		j.begun = true
-		j.p.cfg.Crashes.RecordBegin(j.parts, time.Now())
+	if j.begunAt.IsZero() {
+		j.begunAt = time.Now()
+		j.p.cfg.Crashes.RecordBegin(j.parts, j.begunAt)
 	}
 }
 
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -142,10 +142,10 @@
 	bodyBroken bool
 	// print is the fingerprint that identifies the request in crash reports.
 	print blocker.Fingerprint
-	// parts are the parts of the prompt that may crash upstreams, and begun is set when the upstream of the current attempt
-	// has begun to answer, which clears them.
-	parts []blocker.Part
-	begun bool
+	// parts are the parts of the prompt that may crash upstreams, and begunAt is the time at which the upstream of the current
+	// attempt has begun to answer, which clears them; zero means that it has not.
+	parts   []blocker.Part
+	begunAt time.Time
 	// blocked is the refusal if a part became blocked between two attempts.
 	blocked error
 	header  http.Header
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"clementineramp/appraiser"
+	"clementineramp/blocker"
 	"clementineramp/connector"
 	"clementineramp/judge"
 	"clementineramp/mapper"
@@ -333,8 +334,16 @@
 	}
 	switch {
 	case errors.Is(err, errHeldMemory): // Nothing crashed, and the upstream may be sound.
-	case j.begun || errors.Is(err, errStrayBytes):
+	case errors.Is(err, errStrayBytes):
 		j.recordBroken(u, now, err)
+	case !j.begunAt.IsZero():
+		// An upstream that crashes on a part may have written an event before.
+		var suspected []blocker.Part
+		if now.Sub(j.begunAt) <= blocker.AnswerStart && !hostLost(err) {
+			j.p.cfg.Crashes.RetractBegin(j.parts, j.begunAt, now)
+			suspected = j.parts
+		}
+		j.recordBroken(u, now, err, suspected...)
 	default:
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
 		j.recordBroken(u, now, err, j.parts...)
