commander, platform: check a configuration before it is published

clementinectl configuration check FILE [--against FILE] decodes a configuration as the gateways do. It reports all impossible values, or the first error of syntax or type, with line and column; warns of entries that never match and limits that contradict each other; and lists the differences from another version, with keys counted.

The number of upstreams is not in the file, so that MaxAttempts is not compared with it.

--- a/commander/root.go
+++ b/commander/root.go
@@ -31,6 +31,7 @@
 		demoCommand(),
 		measureCommand(),
 		settingsCommand(),
+		configurationCommand(),
 		sheetCommand(),
 		explainCommand(),
 		statusCommand(),
