--- a/gatekeeper/plain_test.go
+++ b/gatekeeper/plain_test.go
@@ -11,9 +11,10 @@
 	"clementineramp/platform/imitator"
 )
 
-// Guards against a setting without effect, and against requests that wait although the setting is off: of 9 requests, a gateway that
-// assumes four sends 6 to an upstream of 8 slots.
+// Guards against a setting without effect, and against requests that wait although the setting is off: a gateway that assumes
+// three others sends 18 of 21 requests, three times its share of the limit, to an upstream of 8 slots.
 func TestLearnLimits(t *testing.T) {
+	const requests = 21
 	for _, on := range []bool{true, false} {
 		f := newFleetWith(t, func(s *loader.Gateway) { s.LearnLimits = on })
 		f.configure(1, "/a/")
@@ -25,11 +26,11 @@
 			imitator.Plain("ok")(w, r)
 		})
 		f.eventually("no request is served", func() bool { return f.status("/a/1") == 200 })
-		before, ended := len(u.Runs()), make(chan int, 9)
-		for range 9 {
+		before, ended := len(u.Runs()), make(chan int, requests)
+		for range requests {
 			go func() { ended <- f.status("/a/held") }()
 		}
-		running := map[bool]int{true: 6, false: 9}[on]
+		running := map[bool]int{true: 18, false: requests}[on]
 		f.eventually("the requests do not arrive", func() bool { return len(u.Runs())-before == running })
 		if on {
 			f.eventually("no gauges", func() bool {
@@ -39,7 +40,7 @@
 		}
 		require.Equal(t, running, len(u.Runs())-before)
 		close(gate)
-		for range 9 {
+		for range requests {
 			require.Equal(t, 200, <-ended)
 		}
 		_, body, err := f.get(http.DefaultClient, f.settings.MetricsListen, "/metrics")
