--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -30,8 +30,9 @@
 // Candidate is an upstream that an owner may name.
 type Candidate struct {
 	ID string
-	// Slots is the number of requests that it runs concurrently, and Slowdown its latency as a multiple of the usual one.
-	Slots, Slowdown float64
+	// Slots is the number of requests that it runs concurrently, Limit the number that may be in progress there, and Slowdown
+	// its latency as a multiple of the usual one.
+	Slots, Limit, Slowdown float64
 }
 
 // Config holds the dependencies of an Arbiter; OnLost may be nil, the other fields are required.
--- a/arbiter/owner.go
+++ b/arbiter/owner.go
@@ -173,7 +173,8 @@
 }
 
 // assign returns the upstream at which a request finds the shortest wait, and counts the request there. It is empty if no
-// upstream is in use.
+// upstream is in use. Upstreams at their limits come last: one that has gone silent keeps its requests, and would otherwise
+// take the places of the others.
 func (a *Arbiter) assign(service string, now time.Time) string {
 	candidates := a.cfg.Candidates(service, now)
 	a.mu.Lock()
@@ -183,10 +184,12 @@
 		counts = make(map[string]int)
 		a.inProgress[service] = counts
 	}
-	best, least := "", 0.0
+	best, least, full := "", 0.0, false
 	for _, c := range candidates {
-		if wait := float64(counts[c.ID]+1) * c.Slowdown / max(c.Slots, 1); best == "" || wait < least {
-			best, least = c.ID, wait
+		isFull := float64(counts[c.ID]) >= c.Limit
+		wait := float64(counts[c.ID]+1) * c.Slowdown / max(c.Slots, 1)
+		if best == "" || full && !isFull || full == isFull && wait < least {
+			best, least, full = c.ID, wait, isFull
 		}
 	}
 	if best != "" {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -198,7 +198,8 @@
 		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
 		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
 		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
-		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated },
+		// One that is stopping owns no service, as one that lacks processor time.
+		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated || g.stopping.Load() },
 		State:     state, Services: services,
 	})
 	proxying := proxier.Config{
--- a/gatekeeper/plain.go
+++ b/gatekeeper/plain.go
@@ -40,26 +40,37 @@
 	})
 }
 
-// plainUpstreams returns the upstreams of a plain service that are in use, or all of them if there are none.
+// plainUpstreams returns the upstreams of a plain service that are in use: the good ones, or all reachable ones if those are
+// fewer than half, as the placer does; all if none is reachable.
 func (g *Gateway) plainUpstreams(service string, now time.Time) []registrar.Upstream {
 	all := g.upstreams.View().ByService[service]
-	used := make([]registrar.Upstream, 0, len(all))
+	var good, reachable []registrar.Upstream
 	for _, u := range all {
-		if g.health.Health(u.ID, now) == appraiser.Good && !g.placer.Paused(u, now) {
-			used = append(used, u)
+		if g.placer.Paused(u, now) {
+			continue
 		}
+		switch g.health.Health(u.ID, now) {
+		case appraiser.Good:
+			good = append(good, u)
+		case appraiser.Unreachable:
+			continue
+		}
+		reachable = append(reachable, u)
 	}
-	if len(used) == 0 {
-		return all
+	switch {
+	case 2*len(good) >= len(all) && len(good) > 0:
+		return good
+	case len(reachable) > 0:
+		return reachable
 	}
-	return used
+	return all
 }
 
 // fleetLimit returns the number of requests of all gateways that may be in progress at a plain service.
 func (g *Gateway) fleetLimit(service string, now time.Time) float64 {
 	sum := 0.0
-	for _, u := range g.plainUpstreams(service, now) {
-		sum += min(g.estimator.Estimate(u, now).Limit, maxFleetFactor*float64(max(u.Slots, 1)))
+	for _, c := range g.plainCandidates(service, now) {
+		sum += c.Limit
 	}
 	return sum
 }
@@ -67,7 +78,8 @@
 func (g *Gateway) plainCandidates(service string, now time.Time) []arbiter.Candidate {
 	var list []arbiter.Candidate
 	for _, u := range g.plainUpstreams(service, now) {
-		list = append(list, arbiter.Candidate{ID: u.ID, Slots: float64(u.Slots), Slowdown: g.estimator.Slowdown(u, now)})
+		e, slots := g.estimator.Estimate(u, now), float64(max(u.Slots, 1))
+		list = append(list, arbiter.Candidate{ID: u.ID, Slots: slots, Limit: min(e.Limit, maxFleetFactor*slots), Slowdown: e.Slowdown})
 	}
 	return list
 }
