--- a/relayer/owner.go
+++ b/relayer/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/rpc"
 	"time"
 
@@ -52,7 +51,8 @@
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if errors.Is(call.Error, rpc.ErrShutdown) || errors.Is(call.Error, io.ErrUnexpectedEOF) {
+		// Any error but one that the method of the peer returned has ended the connection.
+		if call.Error != nil && !errors.As(call.Error, new(rpc.ServerError)) {
 			r.dropClient(peer, c)
 		}
 		return call.Error
