--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -1,8 +1,11 @@
 package arbiter
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,13 +23,18 @@
 	releaseTimeout = time.Second
 	// lostTime is the time for which an owner that did not reply is not asked again.
 	lostTime = 500 * time.Millisecond
-	// awaitMargin is the time after the remaining time of a request up to which the decision of the owner is awaited.
+	// awaitMargin is the time after the longest wait of a request up to which the decision of the owner is awaited.
 	awaitMargin = 50 * time.Millisecond
+	// maxWait is the longest wait of a request without a target. One with a target waits no longer than that.
+	maxWait = time.Second
 )
 
 // errUnknownRequest means that the owner does not know a request, because it has started since or its lease has ended.
 var errUnknownRequest = errors.New("no request waits under this ID")
 
+// errUnknownService means that the owner knows no upstream of a service.
+var errUnknownService = errors.New("the owner knows no upstream of the service")
+
 // Candidate is an upstream that an owner may name.
 type Candidate struct {
 	ID string
@@ -65,16 +73,22 @@
 	granted map[key]*lease
 	// held counts them by gateway.
 	held map[string]int
+	// early and earlier hold the releases without a request that arrived since rotatedAt, and before.
+	early, earlier map[key]struct{}
+	rotatedAt      time.Time
 	// localUses counts the requests that were admitted by the own share.
 	localUses atomic.Int64
 }
 
 // New returns an Arbiter that has granted nothing.
 func New(cfg Config) *Arbiter {
-	return &Arbiter{
+	a := &Arbiter{
 		cfg: cfg, lost: make(map[string]time.Time), inProgress: make(map[string]map[string]int), granted: make(map[key]*lease),
-		held: make(map[string]int),
+		held: make(map[string]int), early: make(map[key]struct{}), rotatedAt: time.Now(),
 	}
+	// An owner may still hold leases of the process that had this address before.
+	a.serial.Store(rand.Uint64())
+	return a
 }
 
 // Acquire waits for a place at the service of a request. The place must be released. The error is a *dispatcher.Refusal, or that
@@ -92,7 +106,9 @@
 	default:
 		place, err = a.acquireFrom(ctx, owner, r)
 		if ctx.Err() == nil && err != nil && !errors.As(err, new(*dispatcher.Refusal)) {
-			a.recordLost(r.Service, owner, err)
+			if !errors.Is(err, errUnknownService) {
+				a.recordLost(r.Service, owner, err)
+			}
 			waited := time.Since(began)
 			r.Elapsed, r.Remaining = r.Elapsed+waited, r.Remaining-waited
 			place, err = a.acquireLocal(ctx, r)
@@ -132,9 +148,10 @@
 	err := a.cfg.Call(askCtx, owner, ServiceName+".Acquire", AcquireRequest{From: k.From, Serial: k.Serial, Request: r}, &reply)
 	cancel()
 	if err == nil && reply.Waits {
-		awaitCtx, cancel := context.WithTimeout(ctx, r.Remaining+awaitMargin)
+		longest := cmp.Or(max(r.Target, 0), maxWait)
+		awaitCtx, cancel := context.WithTimeout(ctx, min(r.Remaining, longest)+awaitMargin)
 		reply = Reply{}
-		err = a.cfg.Call(awaitCtx, owner, ServiceName+".Await", AwaitRequest{From: k.From, Serial: k.Serial}, &reply)
+		err = a.cfg.Call(awaitCtx, owner, ServiceName+".Await", AwaitRequest(k), &reply)
 		cancel()
 	}
 	if err != nil {
@@ -144,6 +161,9 @@
 		}
 		return dispatcher.Place{}, err
 	}
+	if reply.Unknown {
+		return dispatcher.Place{}, errUnknownService
+	}
 	if reply.Refusal != nil {
 		return dispatcher.Place{}, reply.Refusal
 	}
@@ -155,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	// The owner ends the lease by itself if the call fails.
-	_ = a.cfg.Call(ctx, owner, ServiceName+".Release", ReleaseRequest{From: k.From, Serial: k.Serial}, &struct{}{})
+	_ = a.cfg.Call(ctx, owner, ServiceName+".Release", ReleaseRequest(k), &struct{}{})
 }
 
 func (a *Arbiter) isLost(owner string, now time.Time) bool {
@@ -168,7 +188,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	known := now.Before(a.lost[owner])
-	clear(a.lost) // Few owners are lost at the same time.
+	maps.DeleteFunc(a.lost, func(_ string, until time.Time) bool { return !now.Before(until) })
 	a.lost[owner] = now.Add(lostTime)
 	a.mu.Unlock()
 	if !known && a.cfg.OnLost != nil {
--- a/arbiter/owner.go
+++ b/arbiter/owner.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"errors"
 	"time"
 
 	"clementineramp/dispatcher"
@@ -13,10 +14,24 @@
 	// maxLease bounds a lease, so that places of gateways that have ended are free again soon; plain services answer within
 	// a fraction of it.
 	maxLease = 5 * time.Second
-	// maxHeld bounds the requests of one other gateway that wait or hold a place.
-	maxHeld = 1024
+	// maxHeld bounds the requests of one other gateway that wait or hold a place, and maxLeases those of all other gateways, as
+	// a faulty peer could state any number of addresses.
+	maxHeld   = 1024
+	maxLeases = 4096
+	// earlyTime is the time for which a release is kept that arrives before its request; calls overtake each other by
+	// milliseconds. At most maxEarly releases are kept for each such time.
+	earlyTime = 2 * time.Second
+	maxEarly  = 4096
+	// maxTime bounds the times that a request states; route timeouts are shorter.
+	maxTime = time.Hour
+	// maxNameBytes bounds the names that a request states, and maxUrgency its urgency, as queues keep them.
+	maxNameBytes = 256
+	maxUrgency   = 255
 )
 
+// errMalformed means that a request of a peer states names that are too long.
+var errMalformed = errors.New("the names of the request are too long")
+
 // key identifies a request of another gateway.
 type key struct {
 	From   string
@@ -30,7 +45,8 @@
 	// upstream is set once the place is granted.
 	upstream string
 	granted  bool
-	expiry   *time.Timer
+	// expiry is set once the request has its ticket.
+	expiry *time.Timer
 }
 
 // AcquireRequest asks for a place. Serial is the number of the request at the gateway at the address From.
@@ -56,6 +72,8 @@
 type Reply struct {
 	// Waits is set if the request waits; Await returns the decision.
 	Waits bool
+	// Unknown is set if the owner knows no upstream of the service.
+	Unknown bool
 	// Upstream is the upstream at which the request has its place; it may be empty.
 	Upstream string
 	// Refusal is set if the request is refused.
@@ -71,59 +89,84 @@
 func (p *Places) Acquire(req AcquireRequest, reply *Reply) error {
 	a := p.Arbiter
 	k := key{From: req.From, Serial: req.Serial}
-	if !a.mayHold(k) {
-		*reply = Reply{Refusal: &dispatcher.Refusal{Cause: dispatcher.CauseQueue, RetryAfter: time.Second}}
+	r := req.Request
+	if max(len(k.From), len(r.Service), len(r.Route), len(r.Organisation)) > maxNameBytes {
+		return errMalformed
+	}
+	// A queue is kept for each service, so that there is none for a service that is not known.
+	if len(a.cfg.Candidates(r.Service, time.Now())) == 0 {
+		reply.Unknown = true
+		return nil
+	}
+	r.Urgency = min(max(r.Urgency, 0), maxUrgency)
+	for _, d := range []*time.Duration{&r.Target, &r.Elapsed, &r.Remaining, &r.Stated} {
+		*d = min(max(*d, 0), maxTime)
+	}
+	l := &lease{service: r.Service}
+	if !a.reserve(k, l, time.Now()) {
+		reply.Refusal = &dispatcher.Refusal{Cause: dispatcher.CauseQueue, RetryAfter: time.Second}
 		return nil
 	}
-	ticket, refusal := a.cfg.Fleet.Begin(req.Request)
+	ticket, refusal := a.cfg.Fleet.Begin(r)
 	if refusal != nil {
+		a.remove(k)
 		reply.Refusal = refusal
 		return nil
 	}
-	l := &lease{service: req.Request.Service, ticket: ticket}
-	a.add(k, l, min(max(req.Request.Remaining, 0)+leaseMargin, maxLease))
+	if !a.setTicket(k, l, ticket, min(r.Remaining+leaseMargin, maxLease)) {
+		return errUnknownRequest
+	}
 	select {
 	case err := <-ticket.Result:
-		a.decide(k, l, err, reply)
+		return a.decide(k, l, err, reply)
 	default:
 		reply.Waits = true
+		return nil
 	}
-	return nil
 }
 
 // Await returns the decision on a request that waits.
 func (p *Places) Await(req AwaitRequest, reply *Reply) error {
 	a := p.Arbiter
-	k := key{From: req.From, Serial: req.Serial}
+	k := key(req)
 	a.mu.Lock()
 	l := a.granted[k]
+	var ticket *dispatcher.Ticket
+	if l != nil {
+		ticket = l.ticket
+	}
 	a.mu.Unlock()
-	if l == nil {
+	if ticket == nil {
 		return errUnknownRequest
 	}
 	select {
-	case err := <-l.ticket.Result:
-		a.decide(k, l, err, reply)
-		return nil
-	case <-l.ticket.Released:
+	case err := <-ticket.Result:
+		return a.decide(k, l, err, reply)
+	case <-ticket.Released:
 		return errUnknownRequest
 	}
 }
 
 // Release gives back the place of a request.
 func (p *Places) Release(req ReleaseRequest, _ *struct{}) error {
-	p.Arbiter.remove(key{From: req.From, Serial: req.Serial})
+	if len(req.From) > maxNameBytes {
+		return errMalformed
+	}
+	a, k := p.Arbiter, key(req)
+	if !a.remove(k) {
+		a.recordEarly(k, time.Now())
+	}
 	return nil
 }
 
 // decide fills in the reply on a request whose ticket has got its result.
-func (a *Arbiter) decide(k key, l *lease, result error, reply *Reply) {
+func (a *Arbiter) decide(k key, l *lease, result error, reply *Reply) error {
 	if result != nil {
 		a.remove(k)
 		if r, ok := result.(*dispatcher.Refusal); ok { //nolint:errorlint // Tickets return refusals as they are.
 			reply.Refusal = r
 		}
-		return
+		return nil
 	}
 	upstream := a.assign(l.service, time.Now())
 	a.mu.Lock()
@@ -132,44 +175,86 @@
 	a.mu.Unlock()
 	if !known { // The lease has ended meanwhile.
 		a.unassign(l.service, upstream)
+		return errUnknownRequest
 	}
 	reply.Upstream = upstream
+	return nil
 }
 
-// mayHold reports whether a gateway may have one more request here.
-func (a *Arbiter) mayHold(k key) bool {
+// reserve adds a lease without a ticket, unless the gateway has too many, the request is known, or it has been released already.
+func (a *Arbiter) reserve(k key, l *lease, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.granted[k] == nil && a.held[k.From] < maxHeld
+	a.rotateEarly(now)
+	_, early := a.early[k]
+	_, earlier := a.earlier[k]
+	if early || earlier || a.granted[k] != nil || a.held[k.From] >= maxHeld || len(a.granted) >= maxLeases {
+		return false
+	}
+	a.granted[k] = l
+	a.held[k.From]++
+	return true
 }
 
-func (a *Arbiter) add(k key, l *lease, lasts time.Duration) {
+// setTicket sets the ticket of a lease, or releases it and returns false if the request was released meanwhile.
+func (a *Arbiter) setTicket(k key, l *lease, ticket *dispatcher.Ticket, lasts time.Duration) bool {
+	a.mu.Lock()
+	known := a.granted[k] == l
+	if known {
+		l.ticket = ticket
+		l.expiry = time.AfterFunc(lasts, func() { a.remove(k) })
+	}
+	a.mu.Unlock()
+	if !known {
+		ticket.Release()
+	}
+	return known
+}
+
+// recordEarly keeps a release whose request is not known: it may arrive later, and would hold its place until its lease ends.
+func (a *Arbiter) recordEarly(k key, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.granted[k] = l
-	a.held[k.From]++
-	l.expiry = time.AfterFunc(lasts, func() { a.remove(k) })
+	a.rotateEarly(now)
+	if len(a.early) < maxEarly {
+		a.early[k] = struct{}{}
+	}
 }
 
-// remove ends the lease of a request, if it is known.
-func (a *Arbiter) remove(k key) {
+// rotateEarly forgets the releases that were kept for long enough. The caller holds a.mu.
+func (a *Arbiter) rotateEarly(now time.Time) {
+	switch age := now.Sub(a.rotatedAt); {
+	case age >= 2*earlyTime:
+		a.early, a.earlier, a.rotatedAt = make(map[key]struct{}), nil, now
+	case age >= earlyTime:
+		a.early, a.earlier, a.rotatedAt = make(map[key]struct{}), a.early, now
+	}
+}
+
+// remove ends the lease of a request, and reports whether there is one.
+func (a *Arbiter) remove(k key) bool {
 	a.mu.Lock()
 	l := a.granted[k]
 	if l == nil {
 		a.mu.Unlock()
-		return
+		return false
 	}
 	delete(a.granted, k)
 	if a.held[k.From]--; a.held[k.From] <= 0 {
 		delete(a.held, k.From)
 	}
-	l.expiry.Stop()
-	granted, upstream := l.granted, l.upstream
+	if l.expiry != nil {
+		l.expiry.Stop()
+	}
+	granted, upstream, ticket := l.granted, l.upstream, l.ticket
 	a.mu.Unlock()
 	if granted {
 		a.unassign(l.service, upstream)
 	}
-	l.ticket.Release()
+	if ticket != nil {
+		ticket.Release()
+	}
+	return true
 }
 
 // assign returns the upstream at which a request finds the shortest wait, and counts the request there. It is empty if no
