--- a/gatekeeper/plain.go
+++ b/gatekeeper/plain.go
@@ -54,6 +54,7 @@
 			good = append(good, u)
 		case appraiser.Unreachable:
 			continue
+		case appraiser.Trial, appraiser.Suspect:
 		}
 		reachable = append(reachable, u)
 	}
