proxier: the tests of places divide the share by the overcommitment

Cause: the limit of one request became three, so that requests did not wait; five tests failed (TestRequestWaitsForItsPlace, TestRefusalBeforeThePlace, TestPlaceOfBrokenRequest, TestStopRefusesWhatWaits, TestWhatIsLearntDuringTheWait).

Change: the share is 1/3 instead of 1, so that the limit is one request as before.

--- a/proxier/place_test.go
+++ b/proxier/place_test.go
@@ -43,7 +43,7 @@
 			}
 			return 1
 		},
-		Share:   func(string, time.Time) float64 { return 1 },
+		Share:   func(string, time.Time) float64 { return 1.0 / 3 },
 		Latency: func(string, string, time.Time) time.Duration { return p.latency },
 		Usual:   func(string, string) time.Duration { return time.Millisecond },
 	})
