placer: the load limit counts cold and evacuated upstreams

The limit followed from the mean of the candidates, which is half as high again then. While upstreams are cold or evacuated it follows from the mean over all of them; at other times nothing changes.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -262,7 +262,11 @@
 	for _, c := range usable {
 		mean += c.load / float64(len(usable))
 	}
-	index, position := p.pick(usable, r, mean, now)
+	limitMean := mean
+	if cold+len(evacuated) > 0 {
+		limitMean = min(mean, p.meanOf(slices.Concat(listed, evacuated), now))
+	}
+	index, position := p.pick(usable, r, mean, limitMean, now)
 	c := usable[index]
 	choice := none
 	choice.Upstream, choice.Health, choice.Load, choice.Mean, choice.Position = c.Upstream, c.health, c.load, mean, position
@@ -340,7 +344,8 @@
 }
 
 // pick returns the index of the chosen candidate and its position in the chat's preference order.
-func (p *Placer) pick(usable []candidate, r Request, mean float64, now time.Time) (index, position int) {
+// The load limit follows from limitMean.
+func (p *Placer) pick(usable []candidate, r Request, mean, limitMean float64, now time.Time) (index, position int) {
 	for i := range usable {
 		if usable[i].health == appraiser.Trial && usable[i].load <= mean {
 			return i, 0 // One request at a time decides whether the upstream has recovered.
@@ -358,7 +363,7 @@
 		usable[i].score = p.score(r.Chat, usable[i].Upstream, now)
 	}
 	length := min(float64(r.ChatTokens)/longChatTokens, 1)
-	p.limits[r.Service] = p.cfg.LoadFactor*mean + p.cfg.Slack
+	p.limits[r.Service] = p.cfg.LoadFactor*limitMean + p.cfg.Slack
 	limit := p.limits[r.Service] * (shortChatFactor + (1-shortChatFactor)*length)
 	index = -1
 	below := 0
@@ -538,6 +543,19 @@
 	return best
 }
 
+// meanOf returns the mean load of upstreams, whether they are candidates or not. While some are cold or evacuated, the load limit
+// follows from the mean over all of them: no upstream may carry more than a multiple of the mean load of its service, and the
+// mean of the others is higher. The caller holds p.mu.
+func (p *Placer) meanOf(list []registrar.Upstream, now time.Time) float64 {
+	sum := 0.0
+	for _, u := range list {
+		if l := p.loads[u.ID]; l != nil {
+			sum += l.estimate(now)
+		}
+	}
+	return sum / float64(max(len(list), 1))
+}
+
 func (p *Placer) loadOf(upstream string) *upstreamLoad {
 	l := p.loads[upstream]
 	if l == nil {
