imitator, gatekeeper: a test names no field of the platform's wire

TestColdUpstream set a field of an upstream's entry by its name on the wire, which only package platform and its stand-ins use. The stand-in has a duration in its place. The test and its checks are as before; it passes.

--- a/gatekeeper/cold_test.go
+++ b/gatekeeper/cold_test.go
@@ -19,9 +19,8 @@
 	f := newFleetWith(t, func(s *loader.Gateway) { s.Cold = loader.Cold{Overshoot: 1.5, Tolerance: 5} })
 	f.service = mapper.Service{ColdStart: 20 * time.Second, ColdRate: 16}
 	u := f.upstream("u", imitator.Plain("answer"))
-	entry := u.Entry("ready")
-	entry["ColdRemainingMs"] = 60_000
-	f.store.PutJSON(u.Key(), entry)
+	u.Cold = time.Minute
+	f.store.PutJSON(u.Key(), u.Entry("ready"))
 	f.configure(1, "/a/")
 	f.eventually("the upstream is not known to be cold", func() bool { return f.logged("event=upstream_cold upstream=u service=s cause=stated") })
 	f.eventually("no request is served", func() bool { return f.status("/a/") == 200 })
@@ -39,6 +38,7 @@
 			return err == nil && strings.Contains(strings.ReplaceAll(body, " ", ""), line)
 		})
 	}
+	u.Cold = 0
 	f.store.PutJSON(u.Key(), u.Entry("ready"))
 	f.eventually("the upstream is not known to be warm", func() bool { return f.logged("event=upstream_warm upstream=u") })
 	for range 20 {
