--- /dev/null
+++ b/review/standin-2/client.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// answer is what a client saw of one request.
+type answer struct {
+	id, gateway string
+	sent        time.Time
+	took        time.Duration
+	// status is zero if the connection ended without an answer; whole is set if the answer was complete.
+	status int
+	whole  bool
+	body   string
+	err    string
+}
+
+// callers is a set of clients, each with a kept connection to one gateway.
+type callers struct {
+	mu      sync.Mutex
+	answers []answer
+	serial  atomic.Int64
+	prefix  string
+}
+
+// request describes the requests of a client.
+type request struct {
+	method, path, key string
+	body              string
+	deadline          time.Duration
+	header            string
+}
+
+// run sends requests to one gateway with the given pause between them until the end.
+func (c *callers) run(g *gateway, r request, pause time.Duration, end time.Time) {
+	var nc net.Conn
+	var br *bufio.Reader
+	for time.Now().Before(end) {
+		if nc == nil {
+			var err error
+			if nc, err = net.DialTimeout("tcp", g.listen, time.Second); err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			br = bufio.NewReader(nc)
+		}
+		a, keep := c.send(g, nc, br, r)
+		c.mu.Lock()
+		c.answers = append(c.answers, a)
+		c.mu.Unlock()
+		if !keep {
+			_ = nc.Close()
+			nc = nil
+		}
+		time.Sleep(pause)
+	}
+	if nc != nil {
+		_ = nc.Close()
+	}
+}
+
+// send sends one request and reads its answer.
+func (c *callers) send(g *gateway, nc net.Conn, br *bufio.Reader, r request) (a answer, keep bool) {
+	a = answer{id: fmt.Sprintf("%s%08x", c.prefix, c.serial.Add(1)), gateway: g.name, sent: time.Now()}
+	defer func() { a.took = time.Since(a.sent) }()
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: %d\r\nKey: %s\r\n%s",
+		r.method, r.path, a.id, r.deadline.Milliseconds(), r.key, r.header)
+	if r.method != http.MethodGet {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
+	}
+	_ = nc.SetDeadline(time.Now().Add(r.deadline + 200*time.Millisecond))
+	if _, err := io.WriteString(nc, head+"\r\n"+r.body); err != nil {
+		a.err = err.Error()
+		return a, false
+	}
+	resp, err := http.ReadResponse(br, &http.Request{Method: r.method})
+	if err != nil {
+		a.err = err.Error()
+		return a, false
+	}
+	a.status = resp.StatusCode
+	data, err := io.ReadAll(resp.Body)
+	a.body, a.whole = string(data), err == nil
+	if err != nil {
+		a.err = err.Error()
+	}
+	return a, err == nil && !resp.Close
+}
+
+// runAll runs the given number of clients at each gateway until the end.
+func (c *callers) runAll(f *fleet, r request, each int, pause time.Duration, end time.Time) {
+	var wg sync.WaitGroup
+	for _, g := range f.gateways {
+		for range each {
+			wg.Go(func() { c.run(g, r, pause, end) })
+		}
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/review/standin-2/worker.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// worker is a stand-in of a worker of a service. handle answers a request on its connection, and reports whether the
+// connection goes on.
+type worker struct {
+	id, service string
+	slots       int
+	born        int64
+	listener    net.Listener
+	handle      func(w *worker, c *workerConn, r *http.Request, body []byte) bool
+
+	mu    sync.Mutex
+	runs  map[string]int
+	conns map[net.Conn]bool
+	seen  []arrival
+	// running is the number of requests in progress.
+	running int
+}
+
+// arrival is a request that reached the worker.
+type arrival struct {
+	id     string
+	at     time.Time
+	method string
+	target string
+	header http.Header
+	body   string
+}
+
+type workerConn struct {
+	net.Conn
+	br *bufio.Reader
+	n  int
+}
+
+func (f *fleet) addWorker(id, service string, slots int, handle func(*worker, *workerConn, *http.Request, []byte) bool) (*worker, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{id: id, service: service, slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
+	f.workers = append(f.workers, w)
+	go w.accept()
+	f.store.put("servers/"+id, w.entry("ready"))
+	return w, nil
+}
+
+func (w *worker) address() string { return w.listener.Addr().String() }
+
+// entry returns the entry of the worker in the store.
+func (w *worker) entry(state string) []byte {
+	data, _ := json.Marshal(map[string]any{
+		"Service": w.service, "Address": w.address(), "Zone": "malaren", "Version": "v1", "Slots": w.slots, "State": state,
+		"ColdRemainingMs": 0, "Sequence": 4, "born": w.born,
+	})
+	return data
+}
+
+func (w *worker) accept() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.conns[c] = true
+		w.mu.Unlock()
+		go w.serve(&workerConn{Conn: c, br: bufio.NewReaderSize(c, 64<<10)})
+	}
+}
+
+func (w *worker) serve(c *workerConn) {
+	defer func() {
+		_ = c.Close()
+		w.mu.Lock()
+		delete(w.conns, c.Conn)
+		w.mu.Unlock()
+	}()
+	for {
+		r, err := http.ReadRequest(c.br)
+		if err != nil {
+			return
+		}
+		c.n++
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Attempt-Id")
+		w.mu.Lock()
+		w.seen = append(w.seen, arrival{id, time.Now(), r.Method, r.RequestURI, r.Header, string(body)})
+		w.mu.Unlock()
+		if e := r.Header.Get("Expected-Instance"); e != "" && e != w.id {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, w.id)
+			if err != nil {
+				return
+			}
+			continue
+		}
+		w.addRunning(1)
+		keep := w.handle(w, c, r, body)
+		w.addRunning(-1)
+		if !keep {
+			return
+		}
+	}
+}
+
+func (w *worker) addRunning(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running += n
+}
+
+// run records that the worker runs a request.
+func (w *worker) run(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[id]++
+}
+
+func (w *worker) close() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		_ = c.Close()
+	}
+}
+
+// reset closes a connection with a reset.
+func (c *workerConn) reset() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
