review: case 7, a long time-out keeps a configuration from coming into force

Rule: CONFIG. A request sent later than ConfigPropagationMs after the acknowledgement of a version must not be handled as only an older version allows. The store accepts only valid configurations.

Order of events: one version takes away a key, adds a route, and sets the time-out of another route to 2,147,483,647 ms. The gateways refuse the version because of that number and go on with the older one: requests with the key run, requests on the added route get 404, and all gateways stay ready.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]func(*caseRun) (bool, error){
 	"6": case6,
+	"7": case7,
 }
 
 func main() {
