--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,15 +34,6 @@
 	program  string
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newFleet(program string, gateways int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -51,12 +43,18 @@
 	if f.store, err = newStore(); err != nil {
 		return nil, err
 	}
+	// Each fleet has a loopback address of its own, so that no outgoing connection takes one of its ports meanwhile. The
+	// listeners that find free ports are closed together, so that no two get the same one.
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(200), rand.IntN(200), 1+rand.IntN(200))
 	for i := range gateways {
 		g := &gateway{name: fmt.Sprintf("edge-%d", i+1)}
 		for _, a := range []*string{&g.listen, &g.ready, &g.peer, &g.metricsAddr} {
-			if *a, err = freeAddress(); err != nil {
+			l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+			if err != nil {
 				return nil, err
 			}
+			defer l.Close()
+			*a = l.Addr().String()
 		}
 		g.file = filepath.Join(dir, g.name+".json")
 		g.logFile = filepath.Join(dir, g.name+".log")
