review: case 6, unreadable entries keep the fleet from coming back

Rule: RECOVER. After the final fault a quarter of the requests is served again within RecoveryS. An entry of another writer names no worker to use, and the others hold.

Order of events: another writer leaves 140 entries of 64 KiB that cannot be read. The gateways go on. A configuration is acknowledged, and all gateways are killed and started again. The list of the store is now longer than what they read, so that they get no configuration and refuse all requests until the end.

The case of the foreign entry that ends the draining of a worker is number 8 now, as the gravest come first.

--- a/review/standin-2/case6.go
+++ b/review/standin-2/drain.go
@@ -35,8 +35,8 @@
 	return data
 }
 
-// case6 lets a worker drain and exit while another writer writes an entry with missing fields under its id.
-func case6(c *caseRun) (broken bool, err error) {
+// caseDrain lets a worker drain and exit while another writer writes an entry with missing fields under its id.
+func caseDrain(c *caseRun) (broken bool, err error) {
 	f, err := newFleet(c.program, 4)
 	if err != nil {
 		return false, err
@@ -53,7 +53,7 @@
 	}
 	began := time.Now()
 	end := began.Add(16 * time.Second)
-	clients := &callers{prefix: "c6"}
+	clients := &callers{prefix: "c8"}
 	done := make(chan struct{})
 	order := request{method: http.MethodPost, path: "/order/1", key: "k1", body: "an order", deadline: 600 * time.Millisecond}
 	go func() {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,8 +22,9 @@
 }
 
 var cases = map[string]func(*caseRun) (bool, error){
-	"6": case6,
-	"7": case7,
+	"6": caseRecover,
+	"7": caseStale,
+	"8": caseDrain,
 }
 
 func main() {
--- a/review/standin-2/case7.go
+++ b/review/standin-2/stale.go
@@ -10,9 +10,9 @@
 // propagation is ConfigPropagationMs of the sheet.
 const propagation = 2000 * time.Millisecond
 
-// case7 changes the configuration: a key is taken away, a route is added, and the time-out of another route is
+// caseStale changes the configuration: a key is taken away, a route is added, and the time-out of another route is
 // changed.
-func case7(c *caseRun) (broken bool, err error) {
+func caseStale(c *caseRun) (broken bool, err error) {
 	f, err := newFleet(c.program, 4)
 	if err != nil {
 		return false, err
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -77,7 +77,7 @@
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
-	const pageSize = 500
+	const pageSize, pageBytes = 500, 1 << 20
 	prefix, after := r.URL.Query().Get("PathPrefix"), r.URL.Query().Get("After")
 	s.mu.Lock()
 	reply := struct {
@@ -92,8 +92,12 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(reply.Entries, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	if len(reply.Entries) > pageSize {
-		reply.Entries, reply.HasMore = reply.Entries[:pageSize], true
+	size := 0
+	for i, it := range reply.Entries {
+		if size += len(it.Value); i > 0 && (i == pageSize || size > pageBytes) {
+			reply.Entries, reply.HasMore = reply.Entries[:i], true
+			break
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(reply)
