--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -36,7 +36,8 @@
 	method, path, key string
 	body              string
 	deadline          time.Duration
-	header            string
+	// chats is the number of chats that the requests belong to; zero means that they have no prompt.
+	chats int64
 }
 
 // run sends requests to one gateway with the given pause between them until the end.
@@ -69,10 +70,14 @@
 
 // send sends one request and reads its answer.
 func (c *callers) send(g *gateway, nc net.Conn, br *bufio.Reader, r request) (a answer, keep bool) {
-	a = answer{id: fmt.Sprintf("%s%08x", c.prefix, c.serial.Add(1)), gateway: g.name, sent: time.Now()}
+	serial := c.serial.Add(1)
+	a = answer{id: fmt.Sprintf("%s%08x", c.prefix, serial), gateway: g.name, sent: time.Now()}
 	defer func() { a.took = time.Since(a.sent) }()
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: %d\r\nKey: %s\r\n%s",
-		r.method, r.path, a.id, r.deadline.Milliseconds(), r.key, r.header)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: %d\r\nKey: %s\r\n",
+		r.method, r.path, a.id, r.deadline.Milliseconds(), r.key)
+	if r.chats > 0 {
+		head += fmt.Sprintf("Model-Name: m\r\nToken-Usage: 1612,55\r\nPrompt-Prefix-Hash: aa:512,%x:1000,%s:100\r\n", serial%r.chats, a.id)
+	}
 	if r.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -29,6 +29,29 @@
 	}
 }
 
+// The length of a stream: events of a pattern note on the sheet, one every eventPause.
+const (
+	events     = 55
+	eventPause = 20 * time.Millisecond
+)
+
+// serveStream answers a request with a stream of events.
+func serveStream(w *worker, c *workerConn, r *http.Request, _ []byte) bool {
+	id := r.Header.Get("Attempt-Id")
+	w.run(id)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %s\r\nServer-Signature: %s.%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, w.id, id)
+	for n := 1; n <= events && err == nil; n++ {
+		time.Sleep(eventPause)
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+	}
+	if err == nil {
+		_, err = fmt.Fprint(c, "0\r\n\r\n")
+	}
+	return err == nil
+}
+
 // foreignEntry is an entry of another writer, in which fields are missing.
 func foreignEntry(w *worker) []byte {
 	data, _ := json.Marshal(map[string]any{"Service": w.service, "Address": w.address(), "Slots": w.slots, "State": "ready"})
@@ -43,8 +66,8 @@
 	}
 	defer f.close()
 	f.store.put("op/config", configuration(7, standardRoutes(), []tenant{{"t1", []string{"k1"}}}))
-	for i := range 3 {
-		if _, err := f.addWorker(fmt.Sprintf("i-p%d", i), "plain", 6, servePlain(15*time.Millisecond)); err != nil {
+	for i := range 6 {
+		if _, err := f.addWorker(fmt.Sprintf("i-e%d", i), "engine", 48, serveStream); err != nil {
 			return false, err
 		}
 	}
@@ -55,10 +78,10 @@
 	end := began.Add(16 * time.Second)
 	clients := &callers{prefix: "c8"}
 	done := make(chan struct{})
-	order := request{method: http.MethodPost, path: "/order/1", key: "k1", body: "an order", deadline: 600 * time.Millisecond}
+	note := request{method: http.MethodPost, path: "/stream/1", key: "k1", body: "a prompt", deadline: 12 * time.Second, chats: 60}
 	go func() {
 		defer close(done)
-		clients.runAll(f, order, 4, 60*time.Millisecond, end)
+		clients.runAll(f, note, 10, 20*time.Millisecond, end)
 	}()
 
 	time.Sleep(6 * time.Second)
@@ -95,6 +118,13 @@
 	}
 	w.mu.Unlock()
 	clients.summarise(c, began)
+	cut := 0
+	for _, a := range clients.answers {
+		if a.status == http.StatusOK && !a.whole {
+			cut++
+		}
+	}
+	c.record("%d streams were broken off", cut)
 	c.record("DRAIN: %d requests reached %s later than DrainMs (%v) after the acknowledgement, %d ran", late, w.id, drainTime, ran)
 	return late > 0, nil
 }
