--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -67,7 +67,7 @@
 	defer f.close()
 	f.store.put("op/config", configuration(7, standardRoutes(), []tenant{{"t1", []string{"k1"}}}))
 	for i := range 6 {
-		if _, err := f.addWorker(fmt.Sprintf("i-e%d", i), "engine", 48, serveStream); err != nil {
+		if err := f.addWorker(fmt.Sprintf("i-e%d", i), "engine", 48, serveStream); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -27,7 +27,7 @@
 	defer f.close()
 	f.store.put("op/config", configuration(7, standardRoutes(), []tenant{{"t1", []string{"k1"}}}))
 	for i := range 3 {
-		if _, err := f.addWorker(fmt.Sprintf("i-p%d", i), "plain", 6, servePlain(15*time.Millisecond)); err != nil {
+		if err := f.addWorker(fmt.Sprintf("i-p%d", i), "plain", 6, servePlain(15*time.Millisecond)); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -30,30 +30,26 @@
 
 // arrival is a request that reached the worker.
 type arrival struct {
-	id     string
-	at     time.Time
-	method string
-	target string
-	header http.Header
-	body   string
+	id string
+	at time.Time
 }
 
+// workerConn is a connection to a worker.
 type workerConn struct {
 	net.Conn
 	br *bufio.Reader
-	n  int
 }
 
-func (f *fleet) addWorker(id, service string, slots int, handle func(*worker, *workerConn, *http.Request, []byte) bool) (*worker, error) {
+func (f *fleet) addWorker(id, service string, slots int, handle func(*worker, *workerConn, *http.Request, []byte) bool) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	w := &worker{id: id, service: service, slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
 	f.workers = append(f.workers, w)
 	go w.accept()
 	f.store.put("servers/"+id, w.entry("ready"))
-	return w, nil
+	return nil
 }
 
 func (w *worker) address() string { return w.listener.Addr().String() }
@@ -92,14 +88,13 @@
 		if err != nil {
 			return
 		}
-		c.n++
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
 		id := r.Header.Get("Attempt-Id")
 		w.mu.Lock()
-		w.seen = append(w.seen, arrival{id, time.Now(), r.Method, r.RequestURI, r.Header, string(body)})
+		w.seen = append(w.seen, arrival{id, time.Now()})
 		w.mu.Unlock()
 		if e := r.Header.Get("Expected-Instance"); e != "" && e != w.id {
 			_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, w.id)
@@ -138,9 +133,3 @@
 		_ = c.Close()
 	}
 }
-
-// reset closes a connection with a reset.
-func (c *workerConn) reset() {
-	_ = c.Conn.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-}
