review: a part that crashes workers 0.4 s after the first event is never blocked

Order of events: a worker begins to write an answer to a request with the part, and crashes 0.4 s after its first event; the next request with the part crashes the next one, as crashes later than 250 ms after the first event are reported without parts. The stand-ins guard their list of workers, which now start again.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -38,6 +38,8 @@
 	deadline          time.Duration
 	// chats is the number of chats that the requests belong to; zero means that they have no prompt.
 	chats int64
+	// part, if not empty, is the second part of the prompts in place of that of a chat.
+	part string
 }
 
 // run sends requests to one gateway with the given pause between them until the end.
@@ -76,7 +78,11 @@
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: %d\r\nKey: %s\r\n",
 		r.method, r.path, a.id, r.deadline.Milliseconds(), r.key)
 	if r.chats > 0 {
-		head += fmt.Sprintf("Model-Name: m\r\nToken-Usage: 1612,55\r\nPrompt-Prefix-Hash: aa:512,%x:1000,%s:100\r\n", serial%r.chats, a.id)
+		part := r.part
+		if part == "" {
+			part = fmt.Sprintf("%x", serial%r.chats)
+		}
+		head += fmt.Sprintf("Model-Name: m\r\nToken-Usage: 1612,55\r\nPrompt-Prefix-Hash: aa:512,%s:1000,%s:100\r\n", part, a.id)
 	}
 	if r.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -30,8 +31,11 @@
 	dir      string
 	store    *store
 	gateways []*gateway
-	workers  []*worker
 	program  string
+
+	// mu guards workers where they start again during a run.
+	mu      sync.Mutex
+	workers []*worker
 }
 
 func newFleet(program string, gateways int) (*fleet, error) {
@@ -153,6 +157,8 @@
 		_ = g.cmd.Process.Kill()
 		<-g.exited
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, w := range f.workers {
 		w.close()
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 	"6": caseRecover,
 	"7": caseStale,
 	"8": caseDrain,
+	"9": caseDeadlyPart,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -46,7 +46,9 @@
 		return err
 	}
 	w := &worker{id: id, service: service, slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
+	f.mu.Lock()
 	f.workers = append(f.workers, w)
+	f.mu.Unlock()
 	go w.accept()
 	f.store.put("servers/"+id, w.entry("ready"))
 	return nil
