review: a gateway hangs for good at the beginning of an evacuation

Rule: CONFIG, requests that are unanswered at TimeoutMs have their answer half a second later; no process hangs. Order of events: a gateway learns of an evacuation and counts, with the lock of its list of workers held, the requests that run in the zone, for which it takes the lock of the placer; at the same time a request is placed under the lock of the placer and asks the list for the time since the last outage. Neither goes on. Seen first in the project's soak, in goroutines of two gateways that were ended by SIGQUIT. The cases are numbered anew, the gravest first.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -48,6 +48,10 @@
 	var br *bufio.Reader
 	for time.Now().Before(end) {
 		if nc == nil {
+			if g.out.Load() {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
 			var err error
 			if nc, err = net.DialTimeout("tcp", g.listen, time.Second); err != nil {
 				time.Sleep(50 * time.Millisecond)
--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -35,21 +35,28 @@
 	eventPause = 20 * time.Millisecond
 )
 
-// serveStream answers a request with a stream of events.
-func serveStream(w *worker, c *workerConn, r *http.Request, _ []byte) bool {
-	id := r.Header.Get("Attempt-Id")
-	w.run(id)
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %s\r\nServer-Signature: %s.%s\r\nTransfer-Encoding: chunked\r\n\r\n",
-		id, w.id, id)
-	for n := 1; n <= events && err == nil; n++ {
-		time.Sleep(eventPause)
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
-		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
-	}
-	if err == nil {
-		_, err = fmt.Fprint(c, "0\r\n\r\n")
+// serveStream answers a request with a stream as long as a pattern note.
+func serveStream(w *worker, c *workerConn, r *http.Request, body []byte) bool {
+	return serveEvents(events)(w, c, r, body)
+}
+
+// serveEvents answers a request with a stream of the given number of events.
+func serveEvents(number int) func(*worker, *workerConn, *http.Request, []byte) bool {
+	return func(w *worker, c *workerConn, r *http.Request, _ []byte) bool {
+		id := r.Header.Get("Attempt-Id")
+		w.run(id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %s\r\nServer-Signature: %s.%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+			id, w.id, id)
+		for n := 1; n <= number && err == nil; n++ {
+			time.Sleep(eventPause)
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+			_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		if err == nil {
+			_, err = fmt.Fprint(c, "0\r\n\r\n")
+		}
+		return err == nil
 	}
-	return err == nil
 }
 
 // foreignEntry is an entry of another writer, in which fields are missing.
@@ -76,7 +83,7 @@
 	}
 	began := time.Now()
 	end := began.Add(16 * time.Second)
-	clients := &callers{prefix: "c8"}
+	clients := &callers{prefix: "c9"}
 	done := make(chan struct{})
 	note := request{method: http.MethodPost, path: "/stream/1", key: "k1", body: "a prompt", deadline: 12 * time.Second, chats: 60}
 	go func() {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,8 @@
 	cmd               *exec.Cmd
 	exited            chan struct{}
 	logFile           string
+	// out is set while the platform sends the gateway no new connections.
+	out atomic.Bool
 }
 
 // fleet is a set of gateways with the stand-ins that they use.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,10 +22,11 @@
 }
 
 var cases = map[string]func(*caseRun) (bool, error){
-	"6": caseRecover,
-	"7": caseStale,
-	"8": caseDrain,
-	"9": caseDeadlyPart,
+	"6":  caseEvacuate,
+	"7":  caseRecover,
+	"8":  caseStale,
+	"9":  caseDrain,
+	"10": caseDeadlyPart,
 }
 
 func main() {
--- a/review/standin-2/part.go
+++ b/review/standin-2/part.go
@@ -54,7 +54,7 @@
 	}
 	began := time.Now()
 	end := began.Add(46 * time.Second)
-	sound, deadly := &callers{prefix: "c9"}, &callers{prefix: "d9"}
+	sound, deadly := &callers{prefix: "c10"}, &callers{prefix: "d10"}
 	note := request{method: http.MethodPost, path: "/stream/1", key: "k1", body: "a prompt", deadline: 12 * time.Second, chats: 60}
 	var clients sync.WaitGroup
 	clients.Go(func() { sound.runAll(f, note, 6, 20*time.Millisecond, end) })
--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -36,7 +36,7 @@
 	}
 	began := time.Now()
 	end := began.Add(40 * time.Second)
-	clients := &callers{prefix: "c6"}
+	clients := &callers{prefix: "c7"}
 	done := make(chan struct{})
 	order := request{method: http.MethodPost, path: "/order/1", key: "k1", body: "an order", deadline: 600 * time.Millisecond}
 	go func() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -15,6 +15,7 @@
 // connection goes on.
 type worker struct {
 	id, service string
+	zone        string
 	slots       int
 	born        int64
 	listener    net.Listener
@@ -41,11 +42,16 @@
 }
 
 func (f *fleet) addWorker(id, service string, slots int, handle func(*worker, *workerConn, *http.Request, []byte) bool) error {
+	return f.addWorkerIn("malaren", id, service, slots, handle)
+}
+
+// addWorkerIn adds a worker in a zone.
+func (f *fleet) addWorkerIn(zone, id, service string, slots int, handle func(*worker, *workerConn, *http.Request, []byte) bool) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	w := &worker{id: id, service: service, slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
+	w := &worker{id: id, service: service, zone: zone, slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle, runs: make(map[string]int), conns: make(map[net.Conn]bool)}
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
@@ -59,7 +65,7 @@
 // entry returns the entry of the worker in the store.
 func (w *worker) entry(state string) []byte {
 	data, _ := json.Marshal(map[string]any{
-		"Service": w.service, "Address": w.address(), "Zone": "malaren", "Version": "v1", "Slots": w.slots, "State": state,
+		"Service": w.service, "Address": w.address(), "Zone": w.zone, "Version": "v1", "Slots": w.slots, "State": state,
 		"ColdRemainingMs": 0, "Sequence": 4, "born": w.born,
 	})
 	return data
