--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -29,6 +29,8 @@
 	answers []answer
 	serial  atomic.Int64
 	prefix  string
+	// stop ends the clients before their time.
+	stop atomic.Bool
 }
 
 // request describes the requests of a client.
@@ -46,7 +48,7 @@
 func (c *callers) run(g *gateway, r request, pause time.Duration, end time.Time) {
 	var nc net.Conn
 	var br *bufio.Reader
-	for time.Now().Before(end) {
+	for time.Now().Before(end) && !c.stop.Load() {
 		if nc == nil {
 			if g.out.Load() {
 				time.Sleep(50 * time.Millisecond)
--- a/review/standin-2/evacuate.go
+++ b/review/standin-2/evacuate.go
@@ -50,7 +50,7 @@
 		return false, err
 	}
 	began := time.Now()
-	end := began.Add(75 * time.Second)
+	end := began.Add(90 * time.Second)
 	stop := make(chan struct{})
 	var polls sync.WaitGroup
 	for _, g := range f.gateways {
@@ -61,11 +61,12 @@
 	label := request{method: http.MethodPost, path: "/quick/1", key: "k1", body: "a prompt", deadline: 4 * time.Second, chats: 500}
 	go func() {
 		defer close(done)
-		clients.runAll(f, label, 60, 5*time.Millisecond, end)
+		clients.runAll(f, label, 100, 2*time.Millisecond, end)
 	}()
 	evacuations := 0
 	time.Sleep(4 * time.Second)
-	for c.trouble && time.Now().Before(end.Add(-8*time.Second)) {
+	isOut := func(g *gateway) bool { return g.out.Load() }
+	for c.trouble && time.Now().Before(end.Add(-8*time.Second)) && !slices.ContainsFunc(f.gateways, isOut) {
 		key := "op/evacuate/" + zones[evacuations%len(zones)]
 		at := f.store.put(key, []byte("{}"))
 		evacuations++
@@ -74,6 +75,10 @@
 		f.store.remove(key)
 		time.Sleep(evacuationPause)
 	}
+	if slices.ContainsFunc(f.gateways, isOut) {
+		time.Sleep(2 * quickTimeout) // The requests that are still sent end meanwhile.
+		clients.stop.Store(true)
+	}
 	<-done
 	close(stop)
 	polls.Wait()
