review: the case of the hanging gateway with requests in batches

Order of events: 100 requests arrive at each gateway at each multiple of 100 ms, and the store gets the evacuation 2 ms later, while they are placed.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -40,6 +40,8 @@
 	deadline          time.Duration
 	// chats is the number of chats that the requests belong to; zero means that they have no prompt.
 	chats int64
+	// tick, if not zero, makes the clients send together, at each multiple of it.
+	tick time.Duration
 	// part, if not empty, is the second part of the prompts in place of that of a chat.
 	part string
 }
@@ -69,6 +71,9 @@
 			_ = nc.Close()
 			nc = nil
 		}
+		if r.tick > 0 {
+			time.Sleep(time.Until(nextTick(r.tick)))
+		}
 		time.Sleep(pause)
 	}
 	if nc != nil {
@@ -76,6 +81,9 @@
 	}
 }
 
+// nextTick returns the next multiple of a time.
+func nextTick(tick time.Duration) time.Time { return time.Now().Truncate(tick).Add(tick) }
+
 // send sends one request and reads its answer.
 func (c *callers) send(g *gateway, nc net.Conn, br *bufio.Reader, r request) (a answer, keep bool) {
 	serial := c.serial.Add(1)
--- a/review/standin-2/evacuate.go
+++ b/review/standin-2/evacuate.go
@@ -19,6 +19,9 @@
 	// evacuationTime is the time from the request for an evacuation to its end, and evacuationPause that until the next one.
 	evacuationTime  = 2 * time.Second
 	evacuationPause = time.Second
+	// batchTime is the time between two batches of requests, and afterBatch that from the begin of a batch to an evacuation.
+	batchTime  = 100 * time.Millisecond
+	afterBatch = 2 * time.Millisecond
 	// readinessPause is the pause of the platform between two questions, and misses the number of them without 200 after which a
 	// gateway gets no new connections.
 	readinessPause = time.Second
@@ -58,16 +61,17 @@
 	}
 	clients := &callers{prefix: "c6"}
 	done := make(chan struct{})
-	label := request{method: http.MethodPost, path: "/quick/1", key: "k1", body: "a prompt", deadline: 4 * time.Second, chats: 500}
+	label := request{method: http.MethodPost, path: "/quick/1", key: "k1", body: "a prompt", deadline: 4 * time.Second, chats: 500, tick: batchTime}
 	go func() {
 		defer close(done)
-		clients.runAll(f, label, 100, 2*time.Millisecond, end)
+		clients.runAll(f, label, 100, 0, end)
 	}()
 	evacuations := 0
 	time.Sleep(4 * time.Second)
 	isOut := func(g *gateway) bool { return g.out.Load() }
 	for c.trouble && time.Now().Before(end.Add(-8*time.Second)) && !slices.ContainsFunc(f.gateways, isOut) {
 		key := "op/evacuate/" + zones[evacuations%len(zones)]
+		time.Sleep(time.Until(nextTick(batchTime).Add(afterBatch)))
 		at := f.store.put(key, []byte("{}"))
 		evacuations++
 		c.record("the store acknowledges %s at %v", key, at.Sub(began))
