connector: a status below 100 is no response

What callers saw: a worker in trouble answers with status 000. The gateway broke off the caller's connection without an answer, sent no repeatable request to another worker, and counted the worker as one that had served. In the product's own interface, service and forwarder returned the response as an answer, engine took it for an accepted load order or a state of the engine, and forwarder believed a refusal under such a status to be "not run".

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, so that 000, 099, -00 and +99 are statuses. The gateway took all below 300 for successes, and http.ResponseWriter panics when it is to write one of them.

Change: CheckHead refuses such a response wherever one is read, the interim ones and those to other requests included; nothing that it states is believed. The request may have run: it is sent to another worker where its route allows that, and otherwise its caller gets 502. The head was whole, so that it is no crash.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -261,7 +261,10 @@
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: method}) //nolint:bodyclose // Exchange.Close ends the connection
 		return err
 	})
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return resp, CheckHead(resp)
 }
 
 // withinHeadTimeout calls read, whose reads from the connection fail once headTimeout has passed. A read deadline that is set
--- /dev/null
+++ b/connector/head_test.go
@@ -0,0 +1,54 @@
+package connector_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/connector"
+)
+
+// Guards against an exchange that takes a malformed head for a response, whichever head of the exchange it is.
+func TestMalformedHeads(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000": "HTTP/1.1 000 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+		"status 099": "HTTP/1.1 099 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+		"status -00": "HTTP/1.1 -00 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+		"status +99": "HTTP/1.1 +99 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for place, before := range map[string]string{
+			"only": "", "after an interim one": "HTTP/1.1 103 Early Hints\r\n\r\n",
+			"after a stale one": "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold",
+		} {
+			for _, id := range []string{"{id}", "old"} {
+				t.Run(name+" "+place+" "+id, func(t *testing.T) {
+					u := serve(t, respondEach(before+strings.ReplaceAll(head, "{id}", id)+okResponse))
+					p := connector.New(connector.Config{})
+					_, err := exchange(t, p, u.target(), "1")
+					require.ErrorIs(t, err, connector.ErrMalformedHead)
+					var failure *connector.Error
+					require.ErrorAs(t, err, &failure)
+					require.Equal(t, connector.MayHaveBeenSent, failure.SendStatus)
+					require.Zero(t, p.OpenConnections())
+				})
+			}
+		}
+	}
+}
+
+// Guards against a cut head being taken for a malformed one, which a crash of the upstream is not.
+func TestCutHeadIsNotMalformed(t *testing.T) {
+	head := "HTTP/1.1 000 OK\r\nId: 1\r\nX Fill: 1\r\n\r\n"
+	for n := range head {
+		u := serve(t, func(_ int, c net.Conn) {
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(c, head[:n])
+		})
+		_, err := exchange(t, connector.New(connector.Config{}), u.target(), "1")
+		require.Error(t, err)
+		require.NotErrorIs(t, err, connector.ErrMalformedHead, "%q", head[:n])
+	}
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/connector"
 	"clementineramp/encoder"
 	"clementineramp/judge"
 )
@@ -121,6 +122,9 @@
 		return trace.Wrap(err, "engine %s", path)
 	}
 	defer resp.Body.Close()
+	if err := connector.CheckHead(resp); err != nil {
+		return trace.Wrap(err, "engine %s", path)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if err != nil {
 		return trace.Wrap(err, "engine %s", path)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"clementineramp/connector"
 	"clementineramp/encoder"
 	"clementineramp/judge"
 )
@@ -277,6 +278,10 @@
 	if err != nil {
 		return nil, sendFailure(ctx, err)
 	}
+	if err := connector.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, &Failure{Cause: judge.Uncertain(judge.ReasonBroken, "agent: %w", err)}
+	}
 	c.cfg.CountControl(encoder.LoadBytes(env.Load), 0)
 	c.handleReport(resp.Header)
 	return resp, nil
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -362,6 +362,9 @@
 			j.p.cfg.Health.Record(u.ID, appraiser.Silent, now)
 		}
 		return mayHaveRun, nil, j.ctx.Err()
+	case errors.Is(err, connector.ErrMalformedHead):
+		j.p.cfg.Health.Record(u.ID, appraiser.Broken, now) // No connection broke, so that it is no crash.
+		return mayHaveRun, nil, err
 	}
 	j.recordBroken(u, now, err, j.parts...)
 	return mayHaveRun, nil, err
--- a/proxier/reply_test.go
+++ b/proxier/reply_test.go
@@ -98,6 +98,7 @@
 		{"not named", "new", "HTTP/1.1 500 Error\r\n" + signedLine + text, 502, 0},
 		{"not named, request without ID", "", "HTTP/1.1 404 Not Found\r\n" + text, 502, 0},
 		{"no signature", "new", "HTTP/1.1 200 OK\r\n" + namedLine + text, 502, 0},
+		{"malformed head", "new", strings.Replace(wholeReply, "200", "000", 1), 502, 0},
 		{"cut", "new", strings.TrimSuffix(wholeReply, "k"), 502, 1},
 		{"failure", "new", "HTTP/1.1 500 Error\r\n" + namedLine + signedLine + text, 500, 0},
 	} {
--- a/service/service.go
+++ b/service/service.go
@@ -159,6 +159,9 @@
 		return Response{}, sendError(err)
 	}
 	defer resp.Body.Close()
+	if err := connector.CheckHead(resp); err != nil {
+		return Response{}, judge.Uncertain(judge.ReasonBroken, "service: %w", err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxBytes+1))
 	if err != nil {
 		return Response{}, judge.Uncertain(judge.ReasonBroken, "service: read answer: %w", err)
