connector: a field whose name holds a blank makes a head malformed

What callers saw: a worker in trouble sends a field such as "X Fill: 1", "Content-Length : 2" or " Content-Length: 2". The caller got the response as an answer: with all that came until the connection ended as its body, in place of the bytes that the length or the chunks declare, and, where the blank came first, with the whole line as a part of the value before it, even of the worker's signature ("signed Content-Length: 2"). A refusal with such a head was believed to be "not run". All clients of the product's own interface and the store's took such responses, too.

Cause: net/textproto accepts blanks in names and leaves them as they are, so that the framing of the message does not see the field; it takes a line that begins with a blank for the rest of the value before it.

Change: CheckHead refuses names that are no tokens, everywhere. The gateway also refuses lines that begin with a blank, as RFC 9112, section 5.2, lets it; they are not visible in what net/http returns, so that the bytes of the head are examined as they arrive. The clients on net/http still join such lines, as the RFC has it for user agents. Control bytes and tabs in names were refused before; only their tests are new.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -116,6 +116,8 @@
 	// headBytes is the number of bytes that may still be read as part of a head; it is negative while a body is read,
 	// whose readers have their own bounds.
 	headBytes int
+	// folds examines the head that is being read.
+	folds foldFinder
 	// headTimeout bounds the time from the first byte of a head to its last, and that to discard a body.
 	headTimeout time.Duration
 	reused      bool
@@ -153,6 +155,7 @@
 	}
 	n, err := r.nc.Read(b[:min(len(b), r.headBytes)])
 	r.headBytes -= n
+	r.folds.write(b[:n])
 	return n, err
 }
 
@@ -256,6 +259,9 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
+	c.folds = foldFinder{}
+	buffered, _ := c.br.Peek(c.br.Buffered()) // This reads nothing, so that it does not fail.
+	c.folds.write(buffered)
 	var resp *http.Response
 	err := c.withinHeadTimeout(func() (err error) {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: method}) //nolint:bodyclose // Exchange.Close ends the connection
@@ -264,6 +270,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.folds.found {
+		return nil, fmt.Errorf("%w: a line begins with a blank", ErrMalformedHead)
+	}
 	return resp, CheckHead(resp)
 }
 
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -18,6 +18,14 @@
 		"status 099": "HTTP/1.1 099 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 		"status -00": "HTTP/1.1 -00 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 		"status +99": "HTTP/1.1 +99 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+
+		"blank in a name":         "HTTP/1.1 200 OK\r\nId: {id}\r\nX Fill: 1\r\nContent-Length: 0\r\n\r\n",
+		"blank after a name":      "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length : 0\r\n\r\n",
+		"blank before a name":     "HTTP/1.1 200 OK\r\nId: {id}\r\n Content-Length: 0\r\n\r\n",
+		"tab before a name":       "HTTP/1.1 200 OK\nId: {id}\n\tX-Fill: 1\nContent-Length: 0\n\n",
+		"blank before any value":  "HTTP/1.1 200 OK\r\nId: {id}\r\nX-Fill:\r\n Content-Length: 0\r\n\r\n",
+		"line of blanks":          "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 0\r\n \t\r\n\r\n",
+		"blank far from its line": "HTTP/1.1 200 OK\r\nId: {id}\r\nX-Fill: " + strings.Repeat("x", 10_000) + "\r\n X-Fill: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		for place, before := range map[string]string{
 			"only": "", "after an interim one": "HTTP/1.1 103 Early Hints\r\n\r\n",
@@ -27,7 +35,7 @@
 				t.Run(name+" "+place+" "+id, func(t *testing.T) {
 					u := serve(t, respondEach(before+strings.ReplaceAll(head, "{id}", id)+okResponse))
 					p := connector.New(connector.Config{})
-					_, err := exchange(t, p, u.target(), "1")
+					_, err := p.Do(t.Context(), u.target(), request("1"), matchID("1"))
 					require.ErrorIs(t, err, connector.ErrMalformedHead)
 					var failure *connector.Error
 					require.ErrorAs(t, err, &failure)
@@ -41,7 +49,7 @@
 
 // Guards against a cut head being taken for a malformed one, which a crash of the upstream is not.
 func TestCutHeadIsNotMalformed(t *testing.T) {
-	head := "HTTP/1.1 000 OK\r\nId: 1\r\nX Fill: 1\r\n\r\n"
+	const head = "HTTP/1.1 000 OK\r\nId: 1\r\nX Fill: 1\r\n\r\n"
 	for n := range head {
 		u := serve(t, func(_ int, c net.Conn) {
 			_, _ = c.Read(make([]byte, 1<<10))
--- a/encoder/head_test.go
+++ b/encoder/head_test.go
@@ -139,12 +139,23 @@
 	const refusal = "HTTP/1.1 503 Full\r\nContent-Length: 65\r\n\r\n" +
 		`{"error":{"message":"m","code":"queue_full","verdict":"not_run"}}`
 	withStatus := func(status string) func(string) string {
-		return func(response string) string { return response[:len("HTTP/1.1 ")] + status + response[len("HTTP/1.1 200"):] }
+		return func(response string) string {
+			return response[:len("HTTP/1.1 ")] + status + response[len("HTTP/1.1 200"):]
+		}
 	}
 	for name, malform := range map[string]func(response string) string{
 		"status 000": withStatus("000"),
 		"status 099": withStatus("099"),
 		"status -00": withStatus("-00"),
+		"blank in a name": func(response string) string {
+			return strings.Replace(response, "\r\n", "\r\nX Fill: 1\r\n", 1)
+		},
+		"blank after the length": func(response string) string {
+			return strings.Replace(response, "\r\n\r\n", "\r\nContent-Length : 1\r\n\r\n", 1)
+		},
+		"NUL in a name": func(response string) string {
+			return strings.Replace(response, "\r\n", "\r\nX\x00Fill: 1\r\n", 1)
+		},
 	} {
 		for client, c := range clients() {
 			for answer, response := range map[string]string{"success": c.sound, "refusal": refusal} {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -157,6 +157,9 @@
 		return sendError(err)
 	}
 	defer resp.Body.Close()
+	if err := connector.CheckHead(resp); err != nil {
+		return judge.Uncertain(judge.ReasonBroken, "engine: %w", err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"clementineramp/connector"
 	"clementineramp/encoder"
 )
 
@@ -84,6 +85,9 @@
 		return v, trace.ConnectionProblem(err, "%v", err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := connector.CheckHead(res); err != nil {
+		return v, trace.ConnectionProblem(err, "response of %s: %v", c.address, err)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return v, trace.ConnectionProblem(err, "read response of %s: %v", c.address, err)
--- a/proxier/malformed_test.go
+++ b/proxier/malformed_test.go
@@ -20,6 +20,23 @@
 	{"status -00", "HTTP/1.1 -00 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
 	{"status +99", "HTTP/1.1 +99 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
 	{"unsigned status 000", "HTTP/1.1 000 Full\r\n" + namedLine + notRunLine + "Content-Length: 2\r\n"},
+	{"blank in a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X Fill: 1\r\nContent-Length: 2\r\n"},
+	{"blank after a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X-Fill : 1\r\nContent-Length: 2\r\n"},
+	{"blank after the length", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length : 2\r\n"},
+	{"blank after the encoding", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Transfer-Encoding : chunked\r\n"},
+	{"blank before a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + " X-Fill: 1\r\nContent-Length: 2\r\n"},
+	{"blank before the length", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + " Content-Length: 2\r\n"},
+	{"tab before the length", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "\tContent-Length: 2\r\n"},
+	{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Fill: 1\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
+	{"tab in a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X\tFill: 1\r\nContent-Length: 2\r\n"},
+	{"NUL in a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X\x00Fill: 1\r\nContent-Length: 2\r\n"},
+	{"carriage return in a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X\rFill: 1\r\nContent-Length: 2\r\n"},
+	{"DEL after the length", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Content-Length\x7f: 2\r\n"},
+	{"control byte in the encoding", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Transfer-\x1fEncoding: chunked\r\n"},
+	{"empty name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + ": 1\r\nContent-Length: 2\r\n"},
+	{"blank in a name of a stream", streamHead + "X Fill: 1\r\n"},
+	{"blank in a name of a refusal", "HTTP/1.1 503 Full\r\n" + namedLine + notRunLine + "X Fill: 1\r\nContent-Length: 2\r\n"},
+	{"blank in a name of a failure", "HTTP/1.1 404 Not Found\r\n" + namedLine + signedLine + "X Fill: 1\r\nContent-Length: 2\r\n"},
 }
 
 // Guards against a response with a malformed head that reaches the caller as an answer, or as a statement that the request has
--- a/subscriber/client.go
+++ b/subscriber/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementineramp/connector"
 	"clementineramp/encoder"
 
 	"github.com/gravitational/trace"
@@ -170,6 +171,9 @@
 		return nil, 0, trace.ConnectionProblem(err, "platform: GET %s", path)
 	}
 	defer resp.Body.Close()
+	if err := connector.CheckHead(resp); err != nil {
+		return nil, 0, trace.ConnectionProblem(err, "platform: GET %s", path)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	c.cfg.Count(0, responseBytes(resp, len(data)))
 	if err != nil {
