forwarder: an answer of an agent that declares no end is not whole

What callers saw, in the product's own interface: an agent in trouble begins an answer with neither a length nor chunks and ends in the middle of it, for example by a reset while the body of a long call is being written. The router handed the part to its caller as a complete answer.

Cause: the end of such an answer is that of its connection, which a process that dies ends as well. net/http passes it on as the end of the body, even where the system reported a reset to the write of the request's body alone. Agents always declare the end of what they send, but the router did not insist.

Change: without a declared end, the call may have run and its answer is broken. A response to HEAD has no body whose end could be missing.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -302,7 +302,7 @@
 
 // drain discards a body of at most maxDrainBytes within headTimeout.
 func (c *conn) drain(resp *http.Response, body io.Reader) error {
-	if !framed(resp) {
+	if !Framed(resp) {
 		return errUnframedDrain
 	}
 	if resp.ContentLength > maxDrainBytes {
@@ -317,11 +317,6 @@
 	})
 }
 
-// framed reports whether a response has a content length or chunked encoding, rather than ending with its connection.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // withWriteError closes a connection whose read failed with err and returns err, with the error of the write of the body if
 // that had failed before: the system reports the error of a connection to one call only.
 func (c *conn) withWriteError(err error) error {
@@ -380,7 +375,7 @@
 
 // Framed reports whether the response has a content length or chunked encoding, rather than ending with its connection.
 func (e *Exchange) Framed() bool {
-	return framed(e.Response)
+	return Framed(e.Response)
 }
 
 // Drain discards a short body so that the connection can be reused, and fails if the body is long or late.
--- a/connector/head.go
+++ b/connector/head.go
@@ -25,6 +25,11 @@
 	return nil
 }
 
+// Framed reports whether a response has a content length or chunked encoding, rather than ending with its connection.
+func Framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // foldFinder finds lines of a head that begin with a blank. net/http appends such a line to the value of the line before it
 // (RFC 9112, section 5.2, lets a gateway refuse it instead), although it may be a field whose name begins with a blank.
 type foldFinder struct {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -231,6 +231,9 @@
 	if resp.Header.Get(encoder.AnswerHeader) == "" {
 		return Response{}, refusalFailure(resp)
 	}
+	if method != http.MethodHead && !connector.Framed(resp) { // Agents declare the end of each answer.
+		return Response{}, &Failure{Cause: judge.Uncertain(judge.ReasonBroken, "agent: the answer has neither a length nor chunks")}
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil {
 		return Response{}, &Failure{Cause: judge.Uncertain(judge.ReasonBroken, "agent: %w", err)}
