--- a/proxier/reset_test.go
+++ b/proxier/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -122,6 +123,43 @@
 	}
 }
 
+// Guards against a part of a response without length that reaches the caller as a complete one, because its upstream resets the
+// connection while the body is being written, whichever call the system reports the reset to.
+func TestResetDuringUpload(t *testing.T) {
+	for _, path := range []string{"/order/", "/stream/", "/read/", "/resume/"} {
+		for _, read := range []int64{0, 5000, 100_000} {
+			for _, size := range []int{150_000, 1 << 20} {
+				t.Run(fmt.Sprint(path, read, " of ", size), func(t *testing.T) {
+					t.Parallel()
+					f := newFixture(t, imitator.Events(3, 0))
+					f.wrap = func(c net.Conn) net.Conn {
+						_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10) // The write goes on when the reset arrives.
+						return c
+					}
+					f.earlyUpstream(func(conn *net.TCPConn, r *http.Request) {
+						_, _ = io.CopyN(io.Discard, r.Body, read)
+						_, _ = io.WriteString(conn, strings.ReplaceAll(streamHead+"\r\n"+event("1"), "{id}", r.Header.Get(imitator.HeaderAttempt)))
+						time.Sleep(5 * time.Millisecond) // for the response to arrive before the reset
+						_ = conn.SetLinger(0)
+					})
+					r := f.do("POST", path, strings.Repeat("b", size))
+					switch path {
+					case "/order/":
+						require.NoError(t, r.err)
+						require.Equal(t, 502, r.status, f.log.String())
+					case "/stream/":
+						require.Error(t, r.err, f.log.String())
+						require.Equal(t, event("1"), r.body)
+					default:
+						require.NoError(t, r.err, f.log.String())
+						require.Equal(t, event("1")+event("2")+event("3"), r.body)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a second run of a request, or a cut, after a whole response whose upstream closes its side and reads the rest
 // of the body for longer than a stream may pause.
 func TestBodyReadAfterResponseIsNoSilence(t *testing.T) {
