forwarder: the start of an answer that is too long is not the answer

What callers saw, in the product's own interface: the first 16 MiB of a longer answer of an agent, as a complete one.

Cause: the reader of the body stopped at its limit without an error. Agents of this version send no more, as service has the same limit, so that only an agent in trouble or one with another limit is concerned.

Evidence, on the code before: TestLongAnswerIsNotCut got 16,777,216 of 16,777,217 bytes without an error.

Change: a longer answer is an error with the verdict "ran", as service has it.

--- a/forwarder/answer_test.go
+++ b/forwarder/answer_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +75,20 @@
 		})
 	}
 }
+
+// Guards against the first 16 MiB of a longer answer being passed on as a whole one.
+func TestLongAnswerIsNotCut(t *testing.T) {
+	const limit = 16 << 20
+	for size, whole := range map[int]bool{limit: true, limit + 1: false} {
+		answer := "HTTP/1.1 200 OK\r\n" + encoder.AnswerHeader + ": 1\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
+		a, err := forwarder.New(forwarder.Config{}).Call(t.Context(), respond(t, answer, false), http.MethodPost, "/", envelope(), http.Header{}, nil)
+		if whole {
+			require.NoError(t, err)
+			require.Len(t, a.Body, size)
+			continue
+		}
+		var f *forwarder.Failure
+		require.ErrorAs(t, err, &f, "%d of %d bytes count as a whole answer", len(a.Body), size)
+		require.Equal(t, judge.Ran, f.Cause.Verdict)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -234,10 +234,16 @@
 	if method != http.MethodHead && !connector.Framed(resp) { // Agents declare the end of each answer.
 		return Response{}, &Failure{Cause: judge.Uncertain(judge.ReasonBroken, "agent: the answer has neither a length nor chunks")}
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return Response{}, &Failure{Cause: judge.Uncertain(judge.ReasonBroken, "agent: %w", err)}
 	}
+	if len(b) > maxBodyBytes {
+		return Response{}, &Failure{Cause: &judge.Error{
+			Verdict: judge.Ran, Reason: judge.ReasonInternal,
+			Err: fmt.Errorf("agent: the answer with status %d is larger than %d bytes", resp.StatusCode, maxBodyBytes),
+		}}
+	}
 	return Response{Status: resp.StatusCode, Header: encoder.EndToEnd(resp.Header), Body: b}, nil
 }
 
