connector: a transfer encoding in HTTP/1.0 makes a head malformed

What callers saw: a worker in trouble answers with "HTTP/1.0" and "Transfer- Encoding: chunked". The caller got the sizes and ends of the chunks as a part of the body, in a complete success with the worker's signature ("5\r\nwhole\r\n0\r\n\r\n"), or, with a length beside the encoding, the first bytes of that.

Cause: net/http removes the encoding from the fields of an HTTP/1.0 message and ignores it. RFC 9112, section 6.1, has the recipient treat the framing of such a message as faulty.

Change: the bytes of the head, which are examined for lines that begin with a blank already, are examined for that field.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -116,8 +116,8 @@
 	// headBytes is the number of bytes that may still be read as part of a head; it is negative while a body is read,
 	// whose readers have their own bounds.
 	headBytes int
-	// folds examines the head that is being read.
-	folds foldFinder
+	// head examines the head that is being read.
+	head headScanner
 	// headTimeout bounds the time from the first byte of a head to its last, and that to discard a body.
 	headTimeout time.Duration
 	reused      bool
@@ -155,7 +155,7 @@
 	}
 	n, err := r.nc.Read(b[:min(len(b), r.headBytes)])
 	r.headBytes -= n
-	r.folds.write(b[:n])
+	r.head.write(b[:n])
 	return n, err
 }
 
@@ -259,9 +259,9 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	c.folds = foldFinder{}
+	c.head = headScanner{}
 	buffered, _ := c.br.Peek(c.br.Buffered()) // This reads nothing, so that it does not fail.
-	c.folds.write(buffered)
+	c.head.write(buffered)
 	var resp *http.Response
 	err := c.withinHeadTimeout(func() (err error) {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: method}) //nolint:bodyclose // Exchange.Close ends the connection
@@ -270,10 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.folds.found {
-		return nil, fmt.Errorf("%w: a line begins with a blank", ErrMalformedHead)
-	}
-	return resp, CheckHead(resp)
+	return resp, c.head.check(resp)
 }
 
 // withinHeadTimeout calls read, whose reads from the connection fail once headTimeout has passed. A read deadline that is set
