service: heads of plain services are examined as those of workers are

What callers saw, in the product's own interface: answers of a plain service with a field whose name begins with a blank, and HTTP/1.0 answers with the sizes of their chunks in the body or cut at a length beside the encoding, as complete answers.

Cause: that of the two faults of the gateway. What net/http returns does not show these faults, and only connector examined the bytes of a head.

Change: the scanner of connector is exported and skips interim responses by itself; the connections of service pass it what they read from each call on. The other clients on net/http speak to the fleet's own processes, or read documents that end by themselves.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -117,7 +117,7 @@
 	// whose readers have their own bounds.
 	headBytes int
 	// head examines the head that is being read.
-	head headScanner
+	head HeadScanner
 	// headTimeout bounds the time from the first byte of a head to its last, and that to discard a body.
 	headTimeout time.Duration
 	reused      bool
@@ -155,7 +155,7 @@
 	}
 	n, err := r.nc.Read(b[:min(len(b), r.headBytes)])
 	r.headBytes -= n
-	r.head.write(b[:n])
+	_, _ = r.head.Write(b[:n])
 	return n, err
 }
 
@@ -259,9 +259,9 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	c.head = headScanner{}
+	c.head = HeadScanner{}
 	buffered, _ := c.br.Peek(c.br.Buffered()) // This reads nothing, so that it does not fail.
-	c.head.write(buffered)
+	_, _ = c.head.Write(buffered)
 	var resp *http.Response
 	err := c.withinHeadTimeout(func() (err error) {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: method}) //nolint:bodyclose // Exchange.Close ends the connection
@@ -270,7 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, c.head.check(resp)
+	return resp, c.head.Check(resp)
 }
 
 // withinHeadTimeout calls read, whose reads from the connection fail once headTimeout has passed. A read deadline that is set
--- a/connector/head.go
+++ b/connector/head.go
@@ -33,8 +33,9 @@
 // encodingField is the start of a line with the encoding of the body, in lower case.
 const encodingField = "transfer-encoding:"
 
-// headScanner examines the bytes of a head for what net/http leaves out of the response that it returns.
-type headScanner struct {
+// HeadScanner examines the bytes of a response, from its first one on, for what net/http leaves out of the head that it
+// returns. It skips interim responses, and is not safe for concurrent use.
+type HeadScanner struct {
 	// folded is set by a line that begins with a blank. net/http appends it to the value of the line before (RFC 9112, section
 	// 5.2, lets a gateway refuse it instead), although it may be a field whose name begins with a blank.
 	folded bool
@@ -42,38 +43,63 @@
 	encoded bool
 	// ended is set by the empty line that ends the head.
 	ended bool
+	// class is the first digit of the status, and spaced is set by the blank before it.
+	class  byte
+	spaced bool
 	// lines is the number of complete lines, and length that of bytes in the current one, line ends not counted. matched is
 	// the length of its beginning that is also the beginning of encodingField.
 	lines, length, matched int
 }
 
-// write continues with the next bytes of the connection.
-func (s *headScanner) write(b []byte) {
+// Write continues with the next bytes of the connection; it does not fail.
+func (s *HeadScanner) Write(b []byte) (int, error) {
 	for _, c := range b {
-		if s.ended {
-			return
+		switch {
+		case s.ended:
+			return len(b), nil
+		case c == '\n':
+			s.endLine()
+		case c != '\r':
+			s.add(c)
 		}
-		switch c {
-		case '\n':
-			s.ended = s.length == 0 && s.lines > 0
-			s.lines, s.length, s.matched = s.lines+1, 0, 0
-			continue
-		case '\r':
-			continue
-		}
-		if s.length == 0 && s.lines > 0 && (c == ' ' || c == '\t') {
-			s.folded = true
-		}
-		if s.matched == s.length && s.matched < len(encodingField) && lower(c) == encodingField[s.matched] {
-			s.matched++
-			s.encoded = s.encoded || s.matched == len(encodingField)
+	}
+	return len(b), nil
+}
+
+// endLine continues with the end of a line.
+func (s *HeadScanner) endLine() {
+	switch {
+	case s.length > 0 || s.lines == 0:
+		s.lines, s.length, s.matched = s.lines+1, 0, 0
+	case s.class == '1':
+		*s = HeadScanner{folded: s.folded}
+	default:
+		s.ended = true
+	}
+}
+
+// add continues with a byte of a line.
+func (s *HeadScanner) add(c byte) {
+	if s.lines == 0 && s.class == 0 {
+		switch {
+		case c == ' ':
+			s.spaced = true
+		case s.spaced:
+			s.class = c
 		}
-		s.length++
 	}
+	if s.length == 0 && s.lines > 0 && (c == ' ' || c == '\t') {
+		s.folded = true
+	}
+	if s.matched == s.length && s.matched < len(encodingField) && lower(c) == encodingField[s.matched] {
+		s.matched++
+		s.encoded = s.encoded || s.matched == len(encodingField)
+	}
+	s.length++
 }
 
-// check returns an ErrMalformedHead if the head of resp, which has been written, is malformed.
-func (s *headScanner) check(resp *http.Response) error {
+// Check returns an ErrMalformedHead if the head of resp, which has been written, is malformed.
+func (s *HeadScanner) Check(resp *http.Response) error {
 	switch {
 	case s.folded:
 		return fmt.Errorf("%w: a line begins with a blank", ErrMalformedHead)
--- a/service/service.go
+++ b/service/service.go
@@ -101,11 +101,35 @@
 	// mu is held during a write, of which writeErr is the last error.
 	mu       sync.Mutex
 	writeErr error
+
+	// headMu guards head, which examines the head of the answer.
+	headMu sync.Mutex
+	head   connector.HeadScanner
+}
+
+// begin prepares the connection for a request, of which onSent is Request.OnSent.
+func (c *notifyingConn) begin(onSent func()) {
+	if onSent != nil {
+		c.onWrite.Store(&onSent)
+	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = connector.HeadScanner{}
+}
+
+// checkHead returns a connector.ErrMalformedHead if the head of an answer that has arrived is malformed.
+func (c *notifyingConn) checkHead(resp *http.Response) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.Check(resp)
 }
 
 // Read reads from the connection.
 func (c *notifyingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.headMu.Lock()
+	_, _ = c.head.Write(b[:n])
+	c.headMu.Unlock()
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -146,6 +170,13 @@
 // Call sends a request once. An error is a *judge.Error, whose verdict reports whether the service may have run the
 // request.
 func (c *Client) Call(ctx context.Context, r Request) (Response, error) {
+	var conn *notifyingConn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn.(*notifyingConn) // New sets the only Dial.
+			conn.begin(r.OnSent)
+		},
+	})
 	req, err := c.newRequest(ctx, r)
 	if err != nil {
 		return Response{}, judge.Refuse(judge.ReasonInvalid, "service: %w", err)
@@ -159,7 +190,7 @@
 		return Response{}, sendError(err)
 	}
 	defer resp.Body.Close()
-	if err := connector.CheckHead(resp); err != nil {
+	if err := conn.checkHead(resp); err != nil {
 		return Response{}, judge.Uncertain(judge.ReasonBroken, "service: %w", err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxBytes+1))
@@ -186,15 +217,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.OnSent != nil {
-		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(info httptrace.GotConnInfo) {
-				if conn, ok := info.Conn.(*notifyingConn); ok {
-					conn.onWrite.Store(&r.OnSent)
-				}
-			},
-		}))
-	}
 	req.ContentLength = int64(len(r.Body))
 	req.Header = encoder.EndToEnd(r.Header)
 	return req, nil
