connector: 101 is no answer to a request that asks for no other protocol

What callers saw, in the product's own interface: status 101 as the answer of a plain service, with what came on the connection until its end as the body; an agent took it for an accepted load order.

Cause: net/http returns 101 as a final response although it is below 200, and these clients took all below 400, or any, for an answer.

Callers of the gateway got 502 before, too, unless such a response followed.

Change: CheckHead refuses 101, after which the connection carries no HTTP.

--- a/connector/head.go
+++ b/connector/head.go
@@ -14,7 +14,8 @@
 // CheckHead returns an ErrMalformedHead if a response that net/http has parsed is no HTTP response. Nothing in such a response can
 // be relied on, and neither can its end: a length or an encoding whose field has a malformed name is not applied.
 func CheckHead(resp *http.Response) error {
-	if resp.StatusCode < http.StatusContinue {
+	// Nothing that this system sends asks for another protocol.
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %d", ErrMalformedHead, resp.StatusCode)
 	}
 	for name := range resp.Header {
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -17,6 +17,7 @@
 		"status 000": "HTTP/1.1 000 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 		"status 099": "HTTP/1.1 099 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 		"status -00": "HTTP/1.1 -00 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\nId: {id}\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
 		"status +99": "HTTP/1.1 +99 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 
 		"blank in a name":             "HTTP/1.1 200 OK\r\nId: {id}\r\nX Fill: 1\r\nContent-Length: 0\r\n\r\n",
--- a/encoder/head_test.go
+++ b/encoder/head_test.go
@@ -147,6 +147,7 @@
 		"status 000": withStatus("000"),
 		"status 099": withStatus("099"),
 		"status -00": withStatus("-00"),
+		"status 101": withStatus("101"),
 		"blank in a name": func(response string) string {
 			return strings.Replace(response, "\r\n", "\r\nX Fill: 1\r\n", 1)
 		},
--- a/proxier/malformed_test.go
+++ b/proxier/malformed_test.go
@@ -19,6 +19,7 @@
 	{"status 099", "HTTP/1.1 099 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
 	{"status -00", "HTTP/1.1 -00 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
 	{"status +99", "HTTP/1.1 +99 OK\r\n" + namedLine + signedLine + "Content-Length: 2\r\n"},
+	{"status 101", "HTTP/1.1 101 Switching Protocols\r\n" + namedLine + signedLine + "Upgrade: x\r\nConnection: Upgrade\r\n"},
 	{"unsigned status 000", "HTTP/1.1 000 Full\r\n" + namedLine + notRunLine + "Content-Length: 2\r\n"},
 	{"blank in a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X Fill: 1\r\nContent-Length: 2\r\n"},
 	{"blank after a name", "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "X-Fill : 1\r\nContent-Length: 2\r\n"},
