--- a/connector/fuzz_test.go
+++ b/connector/fuzz_test.go
@@ -23,6 +23,8 @@
 		"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: 1\r\n\r\nrest",
 		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
 		"HTTP/9.9 999\r\n\r\n", "\x00", "",
+		"HTTP/1.1 000 OK\r\nId: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nX Fill: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\n X: 1\r\n\r\n", "HTTP/1.0 200 OK\nId: 1\ntransfer-encoding: chunked\n\n0\n\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -45,6 +47,8 @@
 		e, err := p.Do(ctx, connector.Target{Upstream: "u", Address: "a"}, connector.Request{Method: "GET", Target: "/", Host: "h"}, matchID("1"))
 		if err == nil {
 			require.Equal(t, "1", e.Header.Get("Id"))
+			require.NoError(t, connector.CheckHead(e.Response))
+			require.GreaterOrEqual(t, e.StatusCode, 200)
 			n, _ := io.Copy(io.Discard, e)
 			require.LessOrEqual(t, n, int64(len(response)))
 			e.Close()
