--- a/proxier/malformed_test.go
+++ b/proxier/malformed_test.go
@@ -5,9 +5,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"clementineramp/appraiser"
 	"clementineramp/platform/imitator"
 )
 
@@ -74,6 +76,22 @@
 	}
 }
 
+// Guards against an upstream that sends malformed heads and keeps its share of the requests.
+func TestMalformedHeadsCountAgainstUpstream(t *testing.T) {
+	for _, c := range malformedHeads {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.scripted(func(int, *http.Request) (string, imitator.End) {
+				return c.head + "\r\n" + event("1"), imitator.CloseConnection
+			})
+			for range 10 {
+				require.Equal(t, 200, f.do("POST", "/read/", "body").status, f.log.String())
+			}
+			require.NotEqual(t, appraiser.Good, f.health.Health("scripted", time.Now()))
+		})
+	}
+}
+
 // Guards against a malformed head of the second run being taken as the rest of a stream.
 func TestMalformedHeadOfTheRestOfAStream(t *testing.T) {
 	for _, c := range malformedHeads {
