forwarder: a malformed interim response is no heartbeat

What callers saw, in the product's own interface: an agent in trouble that sends interim responses with a blank in the name of a field kept its requests waiting, and what it reported of its load in them was believed.

Cause: net/http passes the fields of interim responses to a hook of the client, and they are no part of the response that CheckHead examines later.

Evidence, on the code before: TestMalformedInterimResponse failed, as the answer after such a response and its report were accepted.

Change: the hook checks the head, too; its error ends the request, which may have run.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,7 +130,10 @@
 	timer := time.AfterFunc(c.cfg.HeartbeatTimeout, func() { cancel(errNoHeartbeat) })
 	defer timer.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			if err := connector.CheckHead(&http.Response{StatusCode: status, Header: http.Header(h)}); err != nil {
+				return err
+			}
 			c.handleReport(http.Header(h))
 			timer.Reset(c.cfg.HeartbeatTimeout)
 			return nil
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -125,3 +125,25 @@
 	require.Empty(t, a.Header.Get(encoder.AnswerHeader))
 	require.Equal(t, 1, calls)
 }
+
+// Guards against the report of an interim response with a malformed head being believed, and against its keeping a request
+// waiting.
+func TestMalformedInterimResponse(t *testing.T) {
+	report := encoder.ReportHeader + ": " + encoder.EncodeHeader(encoder.Report{Self: encoder.LoadEntry{Upstream: "u"}}) + "\r\n"
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n"
+	for fields, sound := range map[string]bool{report: true, report + "X Fill: 1\r\n": false, "X-Fill : 1\r\n" + report: false} {
+		reports := 0
+		cfg := forwarder.Config{OnReport: func(encoder.Report) { reports++ }}
+		err := chat(t, respond(t, "HTTP/1.1 102 Processing\r\n"+fields+"\r\n"+answer, false), cfg, discard)
+		if sound {
+			require.NoError(t, err)
+			require.Equal(t, 1, reports)
+			continue
+		}
+		var f *forwarder.Failure
+		require.ErrorAs(t, err, &f, "%q", fields)
+		require.Equal(t, judge.MayHaveRun, f.Cause.Verdict)
+		require.Equal(t, judge.ReasonBroken, f.Cause.Reason)
+		require.Zero(t, reports)
+	}
+}
