connector: comments of the head scanner, tests of malformed interim heads

For those who read the scanner first: what it looks for, where it stops, and why service has a lock of its own for it. The two new cases of TestMalformedHeads, an interim response with a blank in a name and one with a line that begins with a blank, pass as the code is. No code has changed.

--- a/connector/head.go
+++ b/connector/head.go
@@ -8,13 +8,13 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformedHead means that the head of a response was received to its end and is no HTTP.
+// ErrMalformedHead means that the whole head of a response was received and is not valid HTTP.
 var ErrMalformedHead = errors.New("the head of the response is malformed")
 
-// CheckHead returns an ErrMalformedHead if a response that net/http has parsed is no HTTP response. Nothing in such a response can
-// be relied on, and neither can its end: a length or an encoding whose field has a malformed name is not applied.
+// CheckHead returns an ErrMalformedHead if net/http has accepted a response whose status or field names are not valid. Nothing in
+// such a response can be relied on, not even its end: a length or an encoding whose name is malformed is not applied.
 func CheckHead(resp *http.Response) error {
-	// Nothing that this system sends asks for another protocol.
+	// 101 is valid only as the response to a request for another protocol, and there are none.
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %d", ErrMalformedHead, resp.StatusCode)
 	}
@@ -31,11 +31,11 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// encodingField is the start of a line with the encoding of the body, in lower case.
+// encodingField is how a line with the encoding of the body begins, in lower case.
 const encodingField = "transfer-encoding:"
 
-// HeadScanner examines the bytes of a response, from its first one on, for what net/http leaves out of the head that it
-// returns. It skips interim responses, and is not safe for concurrent use.
+// HeadScanner examines the bytes of a response, from its first one on, for malformed lines that do not show in what net/http
+// returns. It goes on after interim responses and stops at the body. The zero value is ready for use, by one goroutine at a time.
 type HeadScanner struct {
 	// folded is set by a line that begins with a blank. net/http appends it to the value of the line before (RFC 9112, section
 	// 5.2, lets a gateway refuse it instead), although it may be a field whose name begins with a blank.
@@ -44,11 +44,11 @@
 	encoded bool
 	// ended is set by the empty line that ends the head.
 	ended bool
-	// class is the first digit of the status, and spaced is set by the blank before it.
+	// class is the first digit of the status, which follows the blank that sets spaced.
 	class  byte
 	spaced bool
 	// lines is the number of complete lines, and length that of bytes in the current one, line ends not counted. matched is
-	// the length of its beginning that is also the beginning of encodingField.
+	// the number of these bytes that agree with encodingField from the start of the line on.
 	lines, length, matched int
 }
 
@@ -79,7 +79,7 @@
 	}
 }
 
-// add continues with a byte of a line.
+// add continues with a byte that is no line end.
 func (s *HeadScanner) add(c byte) {
 	if s.lines == 0 && s.class == 0 {
 		switch {
@@ -99,7 +99,7 @@
 	s.length++
 }
 
-// Check returns an ErrMalformedHead if the head of resp, which has been written, is malformed.
+// Check returns an ErrMalformedHead if resp, whose head has been written, has a malformed one; it includes CheckHead.
 func (s *HeadScanner) Check(resp *http.Response) error {
 	switch {
 	case s.folded:
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -20,6 +20,8 @@
 		"status 101": "HTTP/1.1 101 Switching Protocols\r\nId: {id}\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
 		"status +99": "HTTP/1.1 +99 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
 
+		"blank in an interim one":     "HTTP/1.1 103 Early Hints\r\nX Fill: 1\r\n\r\n",
+		"blank before an interim one": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n X: 1\r\n\r\n",
 		"blank in a name":             "HTTP/1.1 200 OK\r\nId: {id}\r\nX Fill: 1\r\nContent-Length: 0\r\n\r\n",
 		"blank after a name":          "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length : 0\r\n\r\n",
 		"blank before a name":         "HTTP/1.1 200 OK\r\nId: {id}\r\n Content-Length: 0\r\n\r\n",
--- a/service/service.go
+++ b/service/service.go
@@ -102,7 +102,7 @@
 	mu       sync.Mutex
 	writeErr error
 
-	// headMu guards head, which examines the head of the answer.
+	// headMu guards head, which examines the head of the answer. It is not mu, which a long write holds while an answer begins.
 	headMu sync.Mutex
 	head   connector.HeadScanner
 }
