notifier: a gateway hung for good at the beginning of an evacuation

Cause: two locks taken in both orders. The registry called OnEvacuation under its lock, and the log line of the gateway counts requests under the lock of the placer. Placer.Choose asks, under its lock, whether the list of upstreams is current, which takes the lock of the registry.

Why it works: callbacks that report an event run after the lock of their owner is released, in the order of the changes (package notifier), and the placer asks before it takes its lock.

Related paths: the callbacks of appraiser, throttler, placer, shedder and dispatcher ran under locks, too, and no longer do; those of blocker, arbiter and recorder did not.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"sync"
 	"time"
+
+	"clementineramp/notifier"
 )
 
 // Health is the state of an upstream; it says which requests may be sent there.
@@ -107,16 +109,13 @@
 	Backoff time.Duration
 }
 
-// Config sets up an Appraiser.
+// Config sets up an Appraiser. No lock is held while its functions are called.
 type Config struct {
-	// OnChange is called for each change of an upstream's health; it may be nil. A lock is held during the call, so it
-	// must not call the Appraiser.
+	// OnChange is called for each change of an upstream's health; it may be nil.
 	OnChange func(Change)
-	// OnReport is called with the first report on an upstream that counts; it may be nil. A lock is held during the call, so it must
-	// not call the Appraiser.
+	// OnReport is called with the first report on an upstream that counts; it may be nil.
 	OnReport func()
-	// Heard returns the time at which an upstream last reported its load to any gateway; nil means never. No lock is held
-	// during the call.
+	// Heard returns the time at which an upstream last reported its load to any gateway; nil means never.
 	Heard func(upstream string) time.Time
 }
 
@@ -129,8 +128,11 @@
 
 // Appraiser tracks the health of upstreams; it is safe for concurrent use.
 type Appraiser struct {
-	cfg    Config
-	mu     sync.Mutex
+	cfg Config
+
+	mu sync.Mutex
+	// calls holds the calls of the functions of cfg that are due.
+	calls  notifier.Notifier
 	states map[string]*state
 	// reports holds the times of the newest reports, those of this gateway included.
 	reports map[string]time.Time
@@ -172,7 +174,7 @@
 // Record records the outcome of a request to an upstream.
 func (a *Appraiser) Record(upstream string, o Outcome, now time.Time) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	defer a.calls.Unlock(&a.mu)
 	s := a.states[upstream]
 	if s == nil {
 		if o == Served {
@@ -199,9 +201,10 @@
 		s.suspend(Suspect, minBackoff, maxBackoff, now)
 	}
 	if s.health != before && a.cfg.OnChange != nil {
-		a.cfg.OnChange(Change{
+		change := Change{
 			Upstream: upstream, From: before, To: s.health, Outcome: o, Failures: bits.OnesCount8(s.failures), Backoff: s.backoff,
-		})
+		}
+		a.calls.Add(func() { a.cfg.OnChange(change) })
 	}
 }
 
@@ -238,7 +241,7 @@
 // good one is unreachable if it did not.
 func (a *Appraiser) RecordProbe(upstream string, connected bool, now time.Time) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	defer a.calls.Unlock(&a.mu)
 	s := a.states[upstream]
 	if s == nil || s.trialAt.IsZero() || s.health != Unreachable && s.health != Good {
 		return // The probe has timed out, or a request has shown more since.
@@ -254,7 +257,7 @@
 		*s = state{probedAt: s.probedAt}
 	}
 	if change.From != change.To && a.cfg.OnChange != nil {
-		a.cfg.OnChange(change)
+		a.calls.Add(func() { a.cfg.OnChange(change) })
 	}
 }
 
@@ -266,7 +269,7 @@
 	}
 	a.reports[upstream] = at
 	if at.Sub(old) > reportTTL && a.cfg.OnReport != nil {
-		a.cfg.OnReport()
+		a.calls.Add(a.cfg.OnReport)
 	}
 }
 
@@ -291,7 +294,7 @@
 		heard[i] = a.cfg.Heard(r.Upstream)
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	defer a.calls.Unlock(&a.mu)
 	for i, r := range reports {
 		at := now.Add(-r.Age)
 		if r.Age < 0 || r.Age >= reportTTL || !at.After(a.reports[r.Upstream]) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,21 +4,30 @@
 	"context"
 	"sync"
 	"time"
+
+	"clementineramp/notifier"
 )
 
 // Dispatcher lets requests to plain services wait for their places; it is safe for concurrent use.
 type Dispatcher struct {
-	mu   sync.Mutex
-	core *Core
+	mu sync.Mutex
+	// calls holds the calls of OnChange that are due.
+	calls notifier.Notifier
+	core  *Core
 	// results holds a channel for each request that waits: it receives nil for a place, or the refusal.
 	results map[uint64]chan error
 	// timers holds a timer for each service, which is set while requests wait.
 	timers map[string]*time.Timer
 }
 
-// New returns a Dispatcher without requests.
+// New returns a Dispatcher without requests. No lock is held while OnChange is called.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{core: NewCore(cfg), results: make(map[uint64]chan error), timers: make(map[string]*time.Timer)}
+	d := &Dispatcher{results: make(map[uint64]chan error), timers: make(map[string]*time.Timer)}
+	if onChange := cfg.OnChange; onChange != nil {
+		cfg.OnChange = func(e Event) { d.calls.Add(func() { onChange(e) }) }
+	}
+	d.core = NewCore(cfg)
+	return d
 }
 
 // Ticket is a request that waits or holds a place.
@@ -89,7 +98,7 @@
 
 func (d *Dispatcher) offer(r Request, result chan error, now time.Time) (uint64, *Refusal) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.calls.Unlock(&d.mu)
 	id, refusal := d.core.Offer(r, now)
 	if refusal == nil {
 		d.results[id] = result
@@ -101,7 +110,7 @@
 // remove removes a request that waits or holds a place, and starts those that wait for it.
 func (d *Dispatcher) remove(service string, id uint64) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.calls.Unlock(&d.mu)
 	now := time.Now()
 	delete(d.results, id)
 	d.core.Remove(service, id, now)
@@ -110,7 +119,7 @@
 
 func (d *Dispatcher) check(service string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.calls.Unlock(&d.mu)
 	d.advance(service, time.Now())
 }
 
@@ -145,7 +154,7 @@
 // Status returns the state of a service.
 func (d *Dispatcher) Status(service string, now time.Time) Status {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.calls.Unlock(&d.mu)
 	return d.core.Status(service, now)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"clementineramp/appraiser"
+	"clementineramp/notifier"
 	"clementineramp/registrar"
 	"clementineramp/throttler"
 )
@@ -133,12 +134,13 @@
 	FailureDomain string
 	// View returns the upstreams in use.
 	View func() *registrar.View
-	// Health returns the health of an upstream.
+	// Health returns the health of an upstream. A lock is held during the call, so it must not call the Placer.
 	Health func(upstream string, now time.Time) appraiser.Health
-	// ListCurrent reports whether upstreams that are gone, other than by a crash, are no longer in use; nil means never.
+	// ListCurrent reports whether upstreams that are gone, other than by a crash, are no longer in use; nil means never. No lock
+	// is held during the call.
 	ListCurrent func(now time.Time) bool
 	// OnHigh is called when a report shows that an upstream has come to carry more than its load limit, so that other
-	// gateways are told without delay; it may be nil. A lock is held during the call, so it must not call the Placer.
+	// gateways are told without delay; it may be nil. No lock is held during the call.
 	OnHigh func()
 	// Gateways returns the number of gateways that choose among the same upstreams; nil means one.
 	Gateways func() int
@@ -155,7 +157,9 @@
 type Placer struct {
 	cfg Config
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// calls holds the calls of OnHigh that are due.
+	calls notifier.Notifier
 	loads map[string]*upstreamLoad
 	// limits holds the load limit of each service at the last choice, and highAt is the time of the last call of OnHigh.
 	limits map[string]float64
@@ -246,6 +250,7 @@
 	view := p.cfg.View()
 	listed := view.ByService[r.Service]
 	gateways := p.cfg.Gateways()
+	current := r.Chat != "" && p.cfg.ListCurrent != nil && p.cfg.ListCurrent(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gateways = gateways
@@ -273,7 +278,7 @@
 	choice.Candidates, choice.ReportAge = len(usable), -1
 	choice.reserved = p.reserve(c.Upstream, now)
 	if r.Chat != "" {
-		choice.Source = p.cacheSource(usable, index, slices.Concat(leaving, evacuated), r.Chat, now)
+		choice.Source = p.cacheSource(usable, index, slices.Concat(leaving, evacuated), r.Chat, current, now)
 	}
 	l := p.loadOf(c.ID)
 	if !l.reportedAt.IsZero() {
@@ -462,8 +467,8 @@
 // of those that are leaving or evacuated. If the chat was moved for load, that is the preferred upstream; if the chosen one has
 // just become the preferred upstream, the chat is cached at the next one in the order; if the preferred upstream is leaving or
 // evacuated, it still has the chat until it is gone. The result is empty if that upstream has reported no load lately: it may be
-// gone, and those after it in the order hardly have the chat.
-func (p *Placer) cacheSource(usable []candidate, chosen int, withdrawn []registrar.Upstream, chat string, now time.Time) registrar.Upstream {
+// gone, and those after it in the order hardly have the chat. current says whether the list of upstreams is current.
+func (p *Placer) cacheSource(usable []candidate, chosen int, withdrawn []registrar.Upstream, chat string, current bool, now time.Time) registrar.Upstream {
 	var best registrar.Upstream
 	score := math.Inf(-1)
 	for i, c := range usable {
@@ -477,7 +482,7 @@
 		}
 	}
 	silence := maxSourceSilence
-	if p.cfg.ListCurrent != nil && p.cfg.ListCurrent(now) {
+	if current {
 		silence = maxListedSourceSilence
 	}
 	if l := p.loads[best.ID]; l == nil || now.Sub(l.reportedAt) > silence {
@@ -587,7 +592,7 @@
 // RecordLoad stores the load that an upstream reported with a response; the request it responds to may still be running.
 func (p *Placer) RecordLoad(upstream string, load Load, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.calls.Unlock(&p.mu)
 	l := p.loadOf(upstream)
 	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, now, true
 	p.detectHigh(l, now)
@@ -600,7 +605,7 @@
 	l.high = known && float64(l.reported) > loadLimit(l.slots, limit)
 	if l.high && !before && p.cfg.OnHigh != nil && now.Sub(p.highAt) >= minHighInterval {
 		p.highAt = now
-		p.cfg.OnHigh()
+		p.calls.Add(p.cfg.OnHigh)
 	}
 }
 
@@ -653,7 +658,7 @@
 // Merge stores those load reports from another gateway that are newer than the stored ones.
 func (p *Placer) Merge(reports []LoadReport, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.calls.Unlock(&p.mu)
 	for _, r := range reports {
 		l := p.loadOf(r.Upstream)
 		if at := now.Add(-r.Age); r.Age >= 0 && at.After(l.reportedAt) {
--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -86,7 +86,7 @@
 // or one of another era, counts, and LacksEvacuations is true from then on.
 func (r *Registry) MergePeerUpstreams(records []Record, since uint64, at Position, restored, now time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.calls.Unlock(&r.mu)
 	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
 		return false
 	}
@@ -117,7 +117,7 @@
 	if e.Removed {
 		event.Lasted = now.Sub(e.began)
 	}
-	r.cfg.OnEvacuation(event)
+	r.calls.Add(func() { r.cfg.OnEvacuation(event) })
 }
 
 // addEvacuations sets the evacuations of a view.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"clementineramp/notifier"
 )
 
 // ExpiryGrace is the time after an outage of the store during which removed upstreams stay in use. Entries that expired
@@ -110,14 +112,14 @@
 	MarkSource string
 }
 
-// Config sets up a Registry.
+// Config sets up a Registry. Its functions are called in the order of the changes, after these have been made. No lock is held
+// during a call.
 type Config struct {
-	// OnEvent is called for each change; it may be nil. The registry is locked during the call.
+	// OnEvent is called for each change; it may be nil.
 	OnEvent func(Event)
-	// OnEvacuation is called when an evacuation begins or ends; it may be nil. The registry is locked during the call.
+	// OnEvacuation is called when an evacuation begins or ends; it may be nil.
 	OnEvacuation func(EvacuationEvent)
-	// OnEra is called when a list of another era replaces that of the old one; it may be nil. The registry is locked during
-	// the call.
+	// OnEra is called when a list of another era replaces that of the old one; it may be nil.
 	OnEra func(old, new Position)
 	// Expiry is the time after which the store has removed an entry that is no longer renewed. An upstream that had been
 	// removed in an earlier era and is listed again is not used for this time unless its entry is written again.
@@ -128,7 +130,9 @@
 type Registry struct {
 	cfg Config
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// calls holds the calls of the functions of cfg that are due.
+	calls   notifier.Notifier
 	entries map[string]*entry
 	// evacuations holds the evacuations and their removals by the name of the failure domain.
 	evacuations map[string]*evacuation
@@ -257,7 +261,7 @@
 // Merge adds records of the era of the list from any source, and reports whether the upstreams in use changed.
 func (r *Registry) Merge(records []Record, now time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.calls.Unlock(&r.mu)
 	return r.mergeAll(records, now)
 }
 
@@ -276,7 +280,7 @@
 // listed. A list of another era replaces all records. It reports whether the upstreams in use changed.
 func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.calls.Unlock(&r.mu)
 	r.lacksEvacuations = false
 	return r.mergeList(records, at, now, now)
 }
@@ -285,7 +289,7 @@
 // changed since the peer was asked. The store was restored at the given time, as far as the peer knows.
 func (r *Registry) MergePeerList(records []Record, since uint64, at Position, restored, now time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.calls.Unlock(&r.mu)
 	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
 		return false
 	}
@@ -346,7 +350,8 @@
 // an incarnation that the copy lists does not replace a later one of the same upstream.
 func (r *Registry) beginEra(list []Record, at Position, now time.Time) (records []Record, doubts map[string]doubt) {
 	if r.cfg.OnEra != nil {
-		r.cfg.OnEra(r.complete, at)
+		old := r.complete
+		r.calls.Add(func() { r.cfg.OnEra(old, at) })
 	}
 	r.complete, r.restored, r.removalsFrom = at, true, 0
 	for _, e := range r.entries {
@@ -388,7 +393,7 @@
 // before since, as records between are missing.
 func (r *Registry) MergeChanges(records []Record, since, to Position, now time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.calls.Unlock(&r.mu)
 	if since.Era != to.Era || r.complete.Revision > 0 && to.Era != r.complete.Era {
 		return false
 	}
@@ -479,7 +484,7 @@
 		m := r.marks[e.ID]
 		event.MarkAge, event.MarkSource = now.Sub(m.at), m.source
 	}
-	r.cfg.OnEvent(event)
+	r.calls.Add(func() { r.cfg.OnEvent(event) })
 }
 
 // graceEnd returns the end of the grace period after the latest outage; zero if there was none. Before it, a removal may
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"clementineramp/notifier"
 )
 
 const (
@@ -83,13 +85,14 @@
 
 // Shedder decides which requests are refused. Its zero value is ready to use, and it is safe for concurrent use.
 type Shedder struct {
-	// OnChange is called when an overload starts or has ended; it may be nil. A lock is held during the call, so it must
-	// not call Decide.
+	// OnChange is called when an overload starts or has ended; it may be nil. No lock is held during the call.
 	OnChange func(OverloadEvent)
 	// Random returns a number of at least 0 and below 1; nil means rand.Float64.
 	Random func() float64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// calls holds the calls of OnChange that are due.
+	calls    notifier.Notifier
 	services map[string]*serviceState
 }
 
@@ -99,7 +102,7 @@
 // fewer recent requests take precedence, and those of one organisation are ordered at random, returning callers first.
 func (s *Shedder) Decide(r Request, load float64, now time.Time) Decision {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.calls.Unlock(&s.mu)
 	v := s.state(r.Service)
 	v.arrivals[v.next] = arrival{
 		at: now, organisation: r.Organisation, urgency: r.Urgency, returning: r.Returning,
@@ -128,7 +131,7 @@
 
 func (s *Shedder) notify(o OverloadEvent) {
 	if s.OnChange != nil {
-		s.OnChange(o)
+		s.calls.Add(func() { s.OnChange(o) })
 	}
 }
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"clementineramp/notifier"
 	"clementineramp/registrar"
 )
 
@@ -32,16 +33,16 @@
 type Config struct {
 	// Self is the address of this gateway.
 	Self string
-	// Members returns the addresses of the known gateways, including this one, and whether this one may own upstreams.
+	// Members returns the addresses of the known gateways, including this one, and whether this one may own upstreams. The
+	// Throttler is locked while Members, Bound and View are called, so these must not call it.
 	Members func(now time.Time) (addresses []string, settled bool)
 	// Bound returns the limit of requests to a cold upstream of a service.
 	Bound func(service string) Bound
 	// View returns the upstreams in use.
 	View func() *registrar.View
-	// OnChange is called when an upstream has become cold or warm. It may be nil, and must not call the Throttler, which is
-	// locked during the call.
+	// OnChange is called when an upstream has become cold or warm. It may be nil. No lock is held during the call.
 	OnChange func(Event)
-	// OnSend is called for each request to a cold upstream; it may be nil.
+	// OnSend is called for each request to a cold upstream; it may be nil. No lock is held during the call.
 	OnSend func()
 }
 
@@ -63,6 +64,8 @@
 	cfg Config
 
 	mu sync.Mutex
+	// calls holds the calls of OnChange and OnSend that are due.
+	calls notifier.Notifier
 	// states holds the state of upstreams of services with a bound, by ID.
 	states map[string]*state
 	// members holds the known gateways as of membersAt, in order, and version counts their changes.
@@ -103,7 +106,7 @@
 		return false
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.calls.Unlock(&t.mu)
 	return t.update(u, b, now).cold
 }
 
@@ -114,7 +117,7 @@
 		return false
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.calls.Unlock(&t.mu)
 	s := t.update(u, b, now)
 	return s.cold && s.used(now)+s.reserved < t.share(u, s, b, now)
 }
@@ -127,7 +130,7 @@
 		return true
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.calls.Unlock(&t.mu)
 	s := t.update(u, b, now)
 	if s.cold && s.used(now)+s.reserved >= t.share(u, s, b, now) {
 		return false
@@ -145,7 +148,7 @@
 		return true
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.calls.Unlock(&t.mu)
 	s := t.update(u, b, now)
 	if s.cold && s.used(now) >= t.share(u, s, b, now) {
 		return false
@@ -154,7 +157,7 @@
 	_, share := b.shares()
 	s.record(now, max(share, minKept))
 	if s.cold && t.cfg.OnSend != nil {
-		t.cfg.OnSend()
+		t.calls.Add(t.cfg.OnSend)
 	}
 	return true
 }
@@ -173,7 +176,7 @@
 func (t *Throttler) Refresh(now time.Time) (cold, owned int) {
 	view := t.cfg.View()
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.calls.Unlock(&t.mu)
 	known := make(map[string]bool)
 	for service, list := range view.ByService {
 		b := t.cfg.Bound(service)
@@ -230,7 +233,7 @@
 	event.Share = t.share(u, s, b, now)
 	event.Owner = event.Share > 0
 	if t.cfg.OnChange != nil {
-		t.cfg.OnChange(event)
+		t.calls.Add(func() { t.cfg.OnChange(event) })
 	}
 	return s
 }
