platform: entries of another writer kept gateways from reading the list

Cause: Store.ReadAll added up the bytes of the pages and failed above 8 MiB. A gateway that starts has no other way to a configuration; one that runs and finds the history of the store gone cannot read the list again either.

Why it works: what is kept is bounded, not what is read.

--- a/follower/unreadable.go
+++ b/follower/unreadable.go
@@ -28,6 +28,7 @@
 			f.cfg.Log.Warn("store_item_unreadable", "key", u.Key[:min(len(u.Key), maxLoggedKey)], "revision", u.Revision, "era", c.Era, "reason", u.Reason)
 		}
 	}
+	lines += max(c.UnreadableItems-len(items), 0)
 	if lines > maxUnreadableLines {
 		f.cfg.Log.Warn("store_items_unreadable", "items", lines)
 	}
--- a/gatekeeper/odd_entry_test.go
+++ b/gatekeeper/odd_entry_test.go
@@ -1,6 +1,7 @@
 package gatekeeper_test
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"clementineramp/platform/imitator"
 )
 
 // Guards against a gateway that ends, stops following the store or uses an odd upstream because another writer left odd
@@ -58,3 +61,27 @@
 	f.store.PutJSON(sound.Key(), sound.Entry("ready"))
 	f.eventually("an upstream whose entry is back is not used", func() bool { return f.status("/b/") == 200 })
 }
+
+// Guards against a gateway that gets no configuration at its start, or does not follow the store after its history is gone, as
+// long as another writer's entries that cannot be read are long in sum.
+func TestLongOddEntriesBesideSoundOnes(t *testing.T) {
+	f := newFleet(t)
+	f.store.SetMode(imitator.Busy)
+	for i := range 140 {
+		f.store.Put(fmt.Sprintf("servers/odd-%03d", i), bytes.Repeat([]byte{0xff}, 64<<10))
+	}
+	f.configure(1, "/a/")
+	f.upstream("sound", nil)
+	f.store.SetMode(imitator.Up)
+	f.eventually("requests are not served after the start", func() bool { return f.status("/a/") == 200 })
+	f.eventually("the log does not name the entries", func() bool {
+		return f.logged("event=store_item_unreadable key=servers/odd-000") && f.logged("event=store_items_unreadable items=140")
+	})
+
+	f.store.SetMode(imitator.Busy)
+	f.configure(2, "/b/")
+	f.store.Compact()
+	f.store.SetMode(imitator.Up)
+	f.eventually("the list is not read again", func() bool { return f.status("/b/") == 200 })
+	f.eventually("a removed route is still served or refused for a time only", func() bool { return f.status("/a/") == 404 })
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,6 +17,10 @@
 // tombstoneTTL is the time for which the record of a removal is kept, so that a peer's older record cannot undo it.
 const tombstoneTTL = 5 * time.Minute
 
+// maxEntries is the number of entries from which on no removal of an upstream that was never listed is kept, so that the odd
+// entries of another writer, which count as removals, take a bounded part of the memory.
+const maxEntries = 50_000
+
 // Upstream is one instance of a service.
 type Upstream struct {
 	ID            string
@@ -453,10 +457,7 @@
 	case rec.Upstream.Leaving && !old.Upstream.Leaving:
 		change = "leaving"
 	}
-	r.entries[rec.ID] = e
-	if !r.isMarked(&e.Upstream) {
-		delete(r.marks, rec.ID)
-	}
+	r.keep(e, old != nil)
 	if change == "changed" && onlyColdDiffers(old.Upstream, rec.Upstream) {
 		r.renewed = true // The entry of a cold upstream is written again with each heartbeat, which would fill the log.
 		return old.Upstream != rec.Upstream
@@ -468,6 +469,17 @@
 	return true
 }
 
+// keep stores an entry, and forgets the mark of an earlier incarnation. The removal of an upstream that is not listed is stored
+// only while there is room.
+func (r *Registry) keep(e *entry, listed bool) {
+	if listed || !e.Removed || len(r.entries) < maxEntries {
+		r.entries[e.ID] = e
+	}
+	if !r.isMarked(&e.Upstream) {
+		delete(r.marks, e.ID)
+	}
+}
+
 // onlyColdDiffers reports whether two upstreams are equal but for the remaining cold time.
 func onlyColdDiffers(a, b Upstream) bool {
 	a.Cold = b.Cold
@@ -553,12 +565,15 @@
 
 // RecordsSince returns the records after a position, including removals, and the position up to which they are complete. These
 // are all records, with whole set, after a position in another era, or before one from which removals are known.
+//
+// The removal of an upstream of which this process never knew is left out: a peer that knows it has a position before the first
+// list of this process, and gets all records.
 func (r *Registry) RecordsSince(since Position) (records []Record, complete Position, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	whole = since.Era != r.complete.Era || since.Revision < r.removalsFrom
 	for _, e := range r.entries {
-		if !whole && e.Revision <= since.Revision {
+		if !whole && e.Revision <= since.Revision || e.Removed && e.Upstream.ID == "" {
 			continue
 		}
 		rec := e.Record
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -225,3 +226,31 @@
 		})
 	}
 }
+
+// Guards against replies to peers and memory that grow with the odd entries of another writer, which count as removals of
+// upstreams that were never there.
+func TestRemovalsOfUnknownUpstreams(t *testing.T) {
+	r := registrar.New(registrar.Config{})
+	now := time.Unix(1000, 0)
+	known := registrar.Record{ID: "known", Revision: 1, Upstream: registrar.Upstream{ID: "known", Service: "s", Address: "127.0.0.1:1"}}
+	r.MergeList([]registrar.Record{known}, registrar.Position{Revision: 1}, now)
+	removals := []registrar.Record{{ID: "known", Revision: 2, Removed: true}}
+	for i := range 60_000 {
+		removals = append(removals, registrar.Record{ID: fmt.Sprint("odd-", i), Revision: uint64(3 + i), Removed: true})
+	}
+	at := registrar.Position{Revision: 60_002}
+	require.True(t, r.MergeChanges(removals, registrar.Position{Revision: 1}, at, now))
+	records, complete, whole := r.RecordsSince(registrar.Position{Revision: 1})
+	require.False(t, whole)
+	require.Equal(t, at, complete)
+	require.Equal(t, 1, len(records))
+	require.Equal(t, "known", records[0].ID)
+
+	// The entry of an upstream that joins among so many removals is kept, and so is its removal.
+	late := registrar.Record{ID: "late", Revision: 60_003, Upstream: registrar.Upstream{ID: "late", Service: "s", Address: "127.0.0.1:2"}}
+	r.Merge([]registrar.Record{late}, now)
+	require.Len(t, r.View().ByService["s"], 1)
+	r.Merge([]registrar.Record{{ID: "late", Revision: 60_004, Removed: true}}, now)
+	r.Merge([]registrar.Record{late}, now)
+	require.Empty(t, r.View().ByService["s"])
+}
