--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -6,10 +6,13 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"clementineramp/dispatcher"
 )
 
@@ -103,6 +106,7 @@
 // Acquire waits for a place at the service of a request. The place must be released. The error is a *dispatcher.Refusal, or that
 // of ctx if it ended first.
 func (a *Arbiter) Acquire(ctx context.Context, r dispatcher.Request) (dispatcher.Place, time.Duration, error) {
+	r.Route, r.Organisation = shortName(r.Route), shortName(r.Organisation)
 	began := time.Now()
 	owner := a.cfg.Owner(r.Service, began, a.gone(began)...)
 	var place dispatcher.Place
@@ -110,7 +114,7 @@
 	switch {
 	case owner == a.cfg.Self:
 		place, err = a.acquireHere(ctx, r)
-	case owner == "" || a.isLost(owner, began):
+	case owner == "" || len(r.Service) > maxNameBytes || a.isLost(owner, began):
 		place, err = a.acquireLocal(ctx, r)
 	default:
 		place, err = a.acquireFrom(ctx, owner, r)
@@ -126,6 +130,14 @@
 	return place, time.Since(began), err
 }
 
+// shortName returns a name that is short enough for an owner. Of a longer one, its hash tells it from others.
+func shortName(s string) string {
+	if len(s) <= maxNameBytes {
+		return s
+	}
+	return s[:maxNameBytes/2] + strconv.FormatUint(xxhash.Sum64String(s), 16)
+}
+
 // LocalUses returns the number of requests that were admitted by the own share, as the owner was not known or not reached.
 func (a *Arbiter) LocalUses() int64 { return a.localUses.Load() }
 
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -526,3 +526,21 @@
 		})
 	}
 }
+
+// Guards against an owner that counts as lost, for all services, because a name of a route or an organisation is long.
+func TestLongNames(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(2, 4)
+		r := request(0)
+		r.Route, r.Organisation = strings.Repeat("r", 5000), strings.Repeat("o", 5000)
+		place, _, err := f.nodes["g1"].Acquire(t.Context(), r)
+		require.NoError(t, err)
+		require.Equal(t, "u", place.Upstream, "the owner has not admitted the request")
+		place.Release()
+		r.Service = strings.Repeat("s", 5000)
+		place, _, err = f.nodes["g1"].Acquire(t.Context(), r)
+		require.NoError(t, err)
+		place.Release()
+		require.Zero(t, f.lost.Load())
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -379,6 +379,7 @@
 	table, err := f.cfg.Decode(d.Data)
 	if err != nil {
 		f.cfg.Log.Error("configuration_refused", "revision", d.Revision, "era", d.Era, "source", source, "error", err.Error())
+		f.setSuperseded(true)
 		return false
 	}
 	old := f.current.Load()
@@ -387,6 +388,7 @@
 		if table.Version <= old.Table.Version && !again {
 			f.cfg.Log.Warn("configuration_older", "version", table.Version, "in_force", old.Table.Version, "revision", d.Revision,
 				"era", d.Era, "source", source)
+			f.setSuperseded(false)
 			return false
 		}
 	}
@@ -397,6 +399,13 @@
 	return true
 }
 
+// setSuperseded records whether the store holds a newer configuration that cannot be decoded. The caller holds f.mu.
+func (f *Follower) setSuperseded(superseded bool) {
+	current := *f.current.Load()
+	current.Superseded = superseded
+	f.current.Store(&current)
+}
+
 // callFailed records a failed call to the store, and logs the first one of a series.
 func (f *Follower) callFailed(err error) {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -351,3 +351,25 @@
 		require.True(t, f.Ready())
 	})
 }
+
+// Guards against a refusal of unknown routes and keys that is final although the store holds a newer configuration, which this
+// process cannot decode.
+func TestRefusedConfigurationSupersedes(t *testing.T) {
+	f := follower.New(follower.Config{Registry: registrar.New(registrar.Config{}), Decode: decode, Log: hclog.NewNullLogger()})
+	odd := func(revision uint64) platform.Document {
+		return platform.Document{Revision: revision, Data: []byte("xx")}
+	}
+	require.False(t, f.Adopt(odd(1), time.Now(), "store"))
+	require.True(t, f.Adopt(*document(2, 1), time.Now(), "store"))
+	require.False(t, f.Current().Superseded)
+	require.False(t, f.Adopt(odd(3), time.Now(), "store"))
+	require.True(t, f.Current().Superseded)
+	require.EqualValues(t, 1, f.Current().Table.Version)
+	require.True(t, f.Adopt(*document(4, 2), time.Now(), "store"))
+	require.False(t, f.Current().Superseded)
+	require.False(t, f.Adopt(odd(5), time.Now(), "store"))
+	require.False(t, f.Adopt(*document(6, 2), time.Now(), "store"), "the version in force is written again")
+	require.False(t, f.Current().Superseded)
+	require.False(t, f.Adopt(odd(1), time.Now(), "store"), "an older revision")
+	require.False(t, f.Current().Superseded)
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -475,7 +475,13 @@
 	g.updatePlainGauges(now)
 	_, lag := g.saturation.Saturated()
 	gauge("wake_up_lag_ms", int(lag.Milliseconds()))
-	gauge("configuration_age_ms", int(now.Sub(g.follower.Current().Confirmed).Milliseconds()))
+	current := g.follower.Current()
+	gauge("configuration_age_ms", int(now.Sub(current.Confirmed).Milliseconds()))
+	superseded := 0
+	if current.Superseded {
+		superseded = 1
+	}
+	gauge("configuration_superseded", superseded)
 }
 
 // Reload applies new settings. Only those that can change at run time take effect; the others, such as addresses to
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -53,6 +53,8 @@
 	Table *mapper.Table
 	// Confirmed is the time when the store or a peer last confirmed that no newer configuration exists.
 	Confirmed time.Time
+	// Superseded is set if the store holds a newer configuration that could not be decoded.
+	Superseded bool
 }
 
 // Config holds the dependencies and settings of a Proxier; New sets no defaults.
@@ -378,10 +380,10 @@
 	return nil
 }
 
-// unknownRefusal returns status, which is final for the caller, only if the configuration was confirmed recently;
-// otherwise it returns 503, since a newer configuration may have the route or key.
+// unknownRefusal returns status, which is final for the caller, only if the configuration was confirmed recently and is the
+// newest one; otherwise it returns 503, since a newer configuration may have the route or key.
 func (j *job) unknownRefusal(status int, reason judge.Reason, text string) error {
-	if time.Since(j.current.Confirmed) > j.p.cfg.StaleAfter {
+	if j.current.Superseded || time.Since(j.current.Confirmed) > j.p.cfg.StaleAfter {
 		return newRefusal(http.StatusServiceUnavailable, reason, text+" in a configuration that may be out of date")
 	}
 	return newRefusal(status, reason, text)
