platform: an entry with missing fields ended the leaving of an upstream

An entry without its start, under the key of an incarnation that states one, counted as another incarnation and deleted the mark that the responses of the upstream had set; it is a removal now.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -430,6 +430,10 @@
 	if old != nil && isKnown(rec, old) {
 		return false
 	}
+	if old != nil && old.Upstream.Born > 0 && rec.Upstream.Born == 0 {
+		// An upstream states its start in all its entries, so that this one comes from another writer.
+		rec = Record{ID: rec.ID, Revision: rec.Revision, Removed: true}
+	}
 	if old != nil && old.wasLeaving && !rec.Removed && old.Upstream.Incarnation() == rec.Upstream.Incarnation() {
 		rec.Upstream.Leaving = true
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -254,3 +254,31 @@
 	r.Merge([]registrar.Record{late}, now)
 	require.Empty(t, r.View().ByService["s"])
 }
+
+// Guards against an entry without a start that replaces that of an incarnation which states one: it comes from another writer, and
+// ended what was known of the incarnation, such as that it is leaving.
+func TestEntryWithoutStart(t *testing.T) {
+	r := registrar.New(registrar.Config{})
+	now := time.Unix(1000, 0)
+	u := registrar.Upstream{ID: "u", Service: "s", Address: "127.0.0.1:1", Born: 5}
+	r.MergeList([]registrar.Record{{ID: "u", Revision: 1, Upstream: u}}, registrar.Position{Revision: 1}, now)
+	require.True(t, r.MarkLeaving(u, "response", now))
+	odd := u
+	odd.Born = 0
+	r.Merge([]registrar.Record{{ID: "u", Revision: 2, Upstream: odd}}, now)
+	require.Empty(t, r.View().ByService["s"])
+	require.Empty(t, r.View().Leaving["s"])
+	r.Merge([]registrar.Record{{ID: "u", Revision: 3, Upstream: u}}, now)
+	require.Empty(t, r.View().ByService["s"], "the mark of the incarnation is gone")
+	require.Len(t, r.View().Leaving["s"], 1)
+	reborn := u
+	reborn.Born = 6
+	r.Merge([]registrar.Record{{ID: "u", Revision: 4, Upstream: reborn}}, now)
+	require.Len(t, r.View().ByService["s"], 1)
+
+	// Upstreams that never state a start are used as before.
+	old := registrar.Upstream{ID: "old", Service: "s", Address: "127.0.0.1:2"}
+	r.Merge([]registrar.Record{{ID: "old", Revision: 5, Upstream: old}}, now)
+	r.Merge([]registrar.Record{{ID: "old", Revision: 6, Upstream: old}}, now)
+	require.Len(t, r.View().ByService["s"], 2)
+}
