proxier: memory was counted before it was granted

Callers saw nothing of it, but of the same fault in the memory for bodies: a request got 503 because the length that another caller stated, which was refused, counted at that moment.

Cause: the sum was raised, then compared, and lowered again if it passed the bound.

Evidence: the new TestRefusedBodyTakesNoMemory fails without the change.

Why it works: a compare-and-swap raises the sum only if the result is within the bound, so that it never counts what nobody holds.

--- a/proxier/hold.go
+++ b/proxier/hold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
 )
 
 // freeHeldBytes is the number of bytes of a response that may be held back whatever the other requests hold. Plain responses and
@@ -23,14 +24,30 @@
 	if beyond == h.bytes {
 		return true
 	}
-	if h.p.heldBytes.Add(beyond-h.bytes) > h.p.cfg.MaxHeldBytes && beyond > h.bytes {
-		h.p.heldBytes.Add(h.bytes - beyond)
+	if beyond > h.bytes && !reserve(&h.p.heldBytes, beyond-h.bytes, h.p.cfg.MaxHeldBytes) {
 		return false
 	}
+	if beyond < h.bytes {
+		h.p.heldBytes.Add(beyond - h.bytes)
+	}
 	h.bytes = beyond
 	return true
 }
 
+// reserve adds n bytes to a sum unless that would exceed the bound, so that a request that gets no memory does not take that of
+// others even for a moment.
+func reserve(sum *atomic.Int64, n, bound int64) bool {
+	for {
+		old := sum.Load()
+		if n > bound-old {
+			return false
+		}
+		if sum.CompareAndSwap(old, old+n) {
+			return true
+		}
+	}
+}
+
 // release ends the holding.
 func (h *holding) release() {
 	h.resize(0)
--- a/proxier/hold_test.go
+++ b/proxier/hold_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -90,3 +91,40 @@
 		})
 	}
 }
+
+// Guards against requests that are refused because the length that another caller states, which is refused itself, counts for a
+// moment as memory in use.
+func TestRefusedBodyTakesNoMemory(t *testing.T) {
+	const refused, sound, goroutines = 5000, 200, 4
+	f := newFixture(t, imitator.Plain("ok"))
+	f.table.Limits.BodyBytes = 1 << 50
+	request := func(length int64) int {
+		req := httptest.NewRequest(http.MethodPost, "/read/1", strings.NewReader("body"))
+		req.Host, req.ContentLength = "h", length
+		req.Header.Set(imitator.HeaderAttempt, "attempt-1")
+		req.Header.Set(imitator.HeaderKey, "key")
+		w := httptest.NewRecorder()
+		f.proxier.ServeHTTP(w, req)
+		return w.Code
+	}
+	var all sync.WaitGroup
+	for range goroutines {
+		all.Go(func() {
+			for range refused {
+				if status := request(1 << 50); status != http.StatusServiceUnavailable {
+					t.Errorf("a body beyond all memory gets status %d", status)
+					return
+				}
+			}
+		})
+		all.Go(func() {
+			for range sound {
+				if status := request(4); status != http.StatusOK {
+					t.Errorf("a body of 4 bytes gets status %d", status)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -422,8 +422,7 @@
 		return nil
 	}
 	reserved := max(j.r.ContentLength, 0)
-	if j.p.bodyBytes.Add(reserved) > j.p.cfg.MaxBodyBytes {
-		j.p.bodyBytes.Add(-reserved)
+	if !reserve(&j.p.bodyBytes, reserved, j.p.cfg.MaxBodyBytes) {
 		return newRefusal(http.StatusServiceUnavailable, judge.ReasonQueueFull, "the memory for bodies is used up")
 	}
 	readDeadline := time.Now().Add(min(bodyReadTimeout, time.Until(j.deadline)))
@@ -471,10 +470,10 @@
 // Read reads from the body, or fails if there is no memory for what arrived.
 func (r *reservingReader) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	r.reserved += int64(n)
-	if r.p.bodyBytes.Add(int64(n)) > r.p.cfg.MaxBodyBytes {
+	if !reserve(&r.p.bodyBytes, int64(n), r.p.cfg.MaxBodyBytes) {
 		return n, errBodyMemory
 	}
+	r.reserved += int64(n)
 	return n, err
 }
 
