relayer: lists of peers hold changes of saturation first

A gateway hears of the saturation of another one in exchanges with it and in lists of 8 of 26 peers, half of them random and half with the latest exchanges; nothing prefers a change. Every late gateway held a state of the owner from before the change.

TestListsHoldPeersThatHaveBecomeSaturated failed in 3 of 3 runs before the change.

Change: a peer that has become saturated or unsaturated within 3 s is listed before those with the latest exchanges. Whoever hears of the change lists it too, so that it spreads as fast as exchanges do. Lists are as long as before.

--- a/relayer/members.go
+++ b/relayer/members.go
@@ -14,6 +14,8 @@
 	at time.Time
 	// workAt is the time at which its work was stated.
 	workAt time.Time
+	// saturationAt is the time of the first state after the last change of whether it is saturated; zero means no change.
+	saturationAt time.Time
 	// Peer holds the rest of its state; its age is not used.
 	Peer
 }
@@ -92,8 +94,12 @@
 	r.members[p.Address] = old.merge(p, at)
 }
 
+// saturationNewsTime is the time after a change of whether a peer is saturated in which messages list it before others. Each
+// gateway that hears of the change counts from the state that it hears, so that the change reaches all in a few exchanges.
+const saturationNewsTime = 3 * time.Second
+
 // listPeers returns some of the live peers for a message to a gateway: half of them chosen at random, and half of them
-// those with the latest exchanges.
+// those that have become saturated or unsaturated lately, and then those with the latest exchanges.
 func (r *Relayer) listPeers(to string, now time.Time) PeerList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,7 +115,13 @@
 		}
 	}
 	listed := min(len(all), max(minListedPeers, len(all)/share))
-	slices.SortFunc(all[listed/2:], func(a, b Peer) int { return cmp.Compare(a.Age, b.Age) })
+	news := func(p Peer) int {
+		if now.Sub(r.members[p.Address].saturationAt) < saturationNewsTime {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(all[listed/2:], func(a, b Peer) int { return cmp.Or(cmp.Compare(news(a), news(b)), cmp.Compare(a.Age, b.Age)) })
 	return encodePeers(all[:listed])
 }
 
--- a/relayer/owner_test.go
+++ b/relayer/owner_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/rpc"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"clementineramp/relayer"
 )
 
 // owners counts the gateways that are up and not excepted by the owner of a service that they name.
@@ -76,3 +79,44 @@
 		require.Empty(t, f.nodes[nodeOf(third)].relayer.Owner("s", time.Now()), "it reaches no other gateway")
 	})
 }
+
+// Guards against gateways that name a saturated owner for longer than 5 s, because the lists of peers that they exchange leave
+// out for too long that it has become saturated.
+func TestListsHoldPeersThatHaveBecomeSaturated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways = 26
+		f := newFleet(t, 1, 1, 0)
+		synctest.Wait()
+		conn, err := f.dial(t.Context(), f.nodes[0], f.nodes[0].address)
+		require.NoError(t, err)
+		client := rpc.NewClient(conn)
+		defer client.Close()
+		exchange := func(i int, saturated bool) (listed map[string]bool) {
+			var reply relayer.Reply
+			require.NoError(t, client.Call("Gateways.Exchange", relayer.Request{
+				From: fmt.Sprintf("10.0.1.%d:1", i), HasEra: true, Saturated: saturated,
+			}, &reply))
+			listed = map[string]bool{}
+			for k, a := range reply.OtherPeers.Addresses {
+				listed[a.String()] = reply.OtherPeers.Saturated[k]
+			}
+			return listed
+		}
+		all := func(saturated bool) {
+			time.Sleep(time.Millisecond)
+			exchange(0, saturated)
+			time.Sleep(time.Millisecond)
+			for i := 1; i < gateways; i++ {
+				exchange(i, false)
+			}
+		}
+		for _, saturated := range []bool{false, true, false} {
+			all(saturated)
+		}
+		for i := 1; i < gateways; i++ {
+			listed := exchange(i, false)
+			require.LessOrEqual(t, len(listed), gateways/2)
+			require.Contains(t, listed, "10.0.1.0:1")
+		}
+	})
+}
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -274,7 +274,10 @@
 	} else {
 		m.workAt = at
 	}
-	return member{at: at, workAt: m.workAt, Peer: p}
+	if !m.at.IsZero() && p.Saturated != m.Saturated {
+		m.saturationAt = at
+	}
+	return member{at: at, workAt: m.workAt, saturationAt: m.saturationAt, Peer: p}
 }
 
 func isAddress(s string) bool {
