blocker: parts that crash upstreams in the middle of answers are blocked

Cause: a crash made parts suspected only up to 0.25 s after the first event, and was reported without parts later. A first event clears a part, but says nothing of crashes that come after it.

Evidence: TestPartThatCrashesInAnswersIsRefused failed before in its three cases (200 in place of 503).

Change: crashes up to 1 s after the begin of an answer are judged by a second tracker of parts, in which an answer clears its parts once it was served whole or has gone on for 1 s. Crashes within 0.2 s count as one, since upstreams that stop together end all their answers, and crashes that parts in the first tracker explain don't count. Reports have columns of their own, which gateways of the version before ignore. Answers that are no streams follow the same rules.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -54,6 +54,10 @@
 	// has none, its request was served.
 	PartCounts []uint8
 	Parts      []Part
+	// LateCounts and LateParts are the same for parts that are suspected of a crash in the middle of an answer, or, if the
+	// upstream is zero, that were in an answer that outlived LateSpan. No report has parts of both kinds.
+	LateCounts []uint8
+	LateParts  []Part
 }
 
 // valid reports whether the columns of a batch fit together and are within the bound of a log.
@@ -62,17 +66,22 @@
 	if b.Origin == 0 || n > maxSuspected || len(b.Upstreams) != n || len(b.AgesMS) != n {
 		return false
 	}
-	if len(b.PartCounts) == 0 {
-		return len(b.Parts) == 0
+	return validParts(b.PartCounts, b.Parts, n) && validParts(b.LateCounts, b.LateParts, n)
+}
+
+// validParts reports whether the columns with the parts of n reports fit together.
+func validParts(counts []uint8, parts []Part, n int) bool {
+	if len(counts) == 0 {
+		return len(parts) == 0
 	}
-	parts := 0
-	for _, c := range b.PartCounts {
+	sum := 0
+	for _, c := range counts {
 		if c > maxParts {
 			return false
 		}
-		parts += int(c)
+		sum += int(c)
 	}
-	return len(b.PartCounts) == n && len(b.Parts) == parts
+	return len(counts) == n && len(parts) == sum
 }
 
 // Blocker keeps the crash reports of suspected requests and parts of prompts; it is safe for concurrent use.
@@ -89,9 +98,10 @@
 	// logs holds the reports of each router, so that peers are sent only those that they lack.
 	logs map[uint64]*crashLog
 	// reports is the number of reports in all logs.
-	reports  int
-	parts    partTracker
-	requests requestTracker
+	reports int
+	// parts judges crashes before an answer and at its start, and late those in the middle of one.
+	parts, late partTracker
+	requests    requestTracker
 }
 
 // crashLog holds the reports of one router in the order of their numbers.
@@ -108,6 +118,8 @@
 	upstream uint32
 	at       time.Time
 	parts    []Part
+	// late is set if the parts are suspected of a crash in the middle of an answer, or have outlived LateSpan.
+	late bool
 	// depth is the place of the first part in the prompt, if an earlier report holds the parts before it.
 	depth int
 }
@@ -115,7 +127,7 @@
 // continues reports whether r holds the parts of a request that follow those of another report.
 func (r *crashReport) continues(previous *crashReport) bool {
 	return len(previous.parts) == maxParts && r.number == previous.number+1 && r.request == previous.request &&
-		r.upstream == previous.upstream && r.at.Sub(previous.at).Abs() <= maxContinuation
+		r.upstream == previous.upstream && r.late == previous.late && r.at.Sub(previous.at).Abs() <= maxContinuation
 }
 
 // ttl returns the time for which a report is kept.
@@ -136,23 +148,35 @@
 func NewWithOrigin(origin uint64) *Blocker {
 	return &Blocker{
 		origin: origin, logs: make(map[uint64]*crashLog),
-		parts: newPartTracker(origin), requests: requestTracker{suspects: make(map[Fingerprint]*suspect), served: recent[Fingerprint]{most: maxServed}},
+		parts: newPartTracker(origin, false), late: newPartTracker(origin, true), requests: requestTracker{suspects: make(map[Fingerprint]*suspect), served: recent[Fingerprint]{most: maxServed}},
 	}
 }
 
 // RecordCrash records that a request was running at an upstream when its connection broke. The parts are those of its
 // prompt that are suspected of the crash, as PartsOf returns them; there are none if the upstream had begun to write the
-// answer. It returns the number of crashes that the request is now suspected of.
+// answer, but for RetractBegin and RecordLateCrash. It returns the number of crashes that the request is now suspected of.
 func (t *Blocker) RecordCrash(f Fingerprint, upstream string, now time.Time, parts ...Part) int {
+	return t.recordCrash(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
+}
+
+func (t *Blocker) recordCrash(r crashReport) int {
 	t.mu.Lock()
-	t.appendCrash(crashReport{request: f, upstream: incarnationHash(upstream), at: now, parts: parts})
-	t.parts.computed = time.Time{} // The request may be about to be repeated, which must not reach another upstream.
-	n := 0
-	if s := t.requests.suspects[f]; s != nil {
-		n = len(s.crashes)
+	defer t.unlockAndCall(r.at)
+	t.appendCrash(r)
+	// The request may be about to be repeated, which must not reach another upstream.
+	t.parts.computed, t.late.computed = time.Time{}, time.Time{}
+	if s := t.requests.suspects[r.request]; s != nil {
+		return len(s.crashes)
 	}
-	t.unlockAndCall(now)
-	return n
+	return 0
+}
+
+// tracker returns what judges the parts of a report.
+func (t *Blocker) tracker(r crashReport) *partTracker {
+	if r.late {
+		return &t.late
+	}
+	return &t.parts
 }
 
 // incarnationHash returns the hash of an incarnation, which is never zero.
@@ -170,9 +194,10 @@
 
 // appendCrash adds the reports of a crash to the log of this router: one, or several for a request with many parts.
 func (t *Blocker) appendCrash(r crashReport) {
-	parts := t.parts.reportable(r)
+	p := t.tracker(r)
+	parts := p.reportable(r)
 	if len(parts) > 0 {
-		t.parts.reported[r.upstream] += len(parts)
+		p.reported[r.upstream] += len(parts)
 	}
 	for {
 		r.parts = parts[:min(len(parts), maxParts)]
@@ -207,7 +232,7 @@
 	}
 	l.reports = append(l.reports, r)
 	t.reports++
-	t.parts.add(r, l.origin)
+	t.tracker(r).add(r, l.origin)
 	t.requests.add(r, l.origin)
 }
 
@@ -243,12 +268,19 @@
 			b.Requests = append(b.Requests, r.request)
 			b.Upstreams = append(b.Upstreams, r.upstream)
 			b.AgesMS = append(b.AgesMS, uint32(max(now.Sub(r.at), 0).Milliseconds()))
-			b.PartCounts = append(b.PartCounts, uint8(len(r.parts)))
-			b.Parts = append(b.Parts, r.parts...)
+			early, late := r.parts, []Part(nil)
+			if r.late {
+				early, late = nil, r.parts
+			}
+			b.PartCounts, b.Parts = append(b.PartCounts, uint8(len(early))), append(b.Parts, early...)
+			b.LateCounts, b.LateParts = append(b.LateCounts, uint8(len(late))), append(b.LateParts, late...)
 		}
 		if len(b.Parts) == 0 {
 			b.PartCounts = nil
 		}
+		if len(b.LateParts) == 0 {
+			b.LateCounts = nil
+		}
 		if len(b.Requests) > 0 {
 			batches = append(batches, b)
 		}
@@ -282,13 +314,17 @@
 	l := t.log(b.Origin)
 	first := b.Last - uint64(len(b.Requests)) // Number of the report before the first; exact if none was left out.
 	known := l.last
-	parts := b.Parts
+	parts, late := b.Parts, b.LateParts
 	for i, f := range b.Requests {
 		age := time.Duration(b.AgesMS[i]) * time.Millisecond
 		r := crashReport{number: first + uint64(i) + 1, request: f, upstream: b.Upstreams[i], at: now.Add(-age)}
-		if len(b.PartCounts) > 0 {
+		if len(b.LateCounts) > 0 && b.LateCounts[i] > 0 {
+			n := int(b.LateCounts[i])
+			r.parts, r.late, late = late[:n:n], true, late[n:]
+		}
+		if len(b.PartCounts) > 0 && b.PartCounts[i] > 0 {
 			n := int(b.PartCounts[i])
-			r.parts, parts = parts[:n:n], parts[n:]
+			r.parts, r.late, parts = parts[:n:n], false, parts[n:]
 		}
 		if n := len(l.reports); n > 0 && r.continues(&l.reports[n-1]) {
 			r.depth = l.reports[n-1].depth + maxParts
@@ -314,6 +350,7 @@
 
 func (t *Blocker) expire(now time.Time) {
 	t.parts.expire(now)
+	t.late.expire(now)
 	t.requests.expire(now)
 	for origin, l := range t.logs {
 		expired := 0
--- a/blocker/fleet_test.go
+++ b/blocker/fleet_test.go
@@ -53,6 +53,10 @@
 	seconds float64
 	// crashAfter is the time after the first event in which deadly requests crash their engines; zero means before it.
 	crashAfter time.Duration
+	// answers is the length of the answers to sound requests; zero means that they end with the first event.
+	answers time.Duration
+	// kills is the number of engines a second that crash without a request at fault.
+	kills float64
 }
 
 // The fingerprints of the requests that are asked again.
@@ -70,8 +74,9 @@
 	waiting     []*fleetRequest
 	// answering holds the requests that are asked again and whose answers have begun.
 	answering []*fleetRequest
-	// begun holds the requests whose answers have begun within blocker.AnswerStart.
-	begun []*fleetRequest
+	// begun holds the requests whose answers have begun within blocker.AnswerStart, and writing those to sound requests whose
+	// answers have not ended.
+	begun, writing []*fleetRequest
 }
 
 type fleetRequest struct {
@@ -84,6 +89,8 @@
 	begunAt time.Time
 	// print is that of a request that is asked again, or zero.
 	print blocker.Fingerprint
+	// outlived is set once the answer has gone on for blocker.LateSpan.
+	outlived bool
 }
 
 type fleetResult struct {
@@ -150,6 +157,11 @@
 			}
 		}
 	}
+	if m.c.kills > 0 && m.r.Float64() < m.c.kills*fleetStep.Seconds() {
+		if i := m.r.IntN(fleetSlots); !now.Before(m.engines[i].backAt) {
+			m.crash(i, now)
+		}
+	}
 	if m.c.away > 0 && now.Equal(after(5+lostAfter)) {
 		for i := range m.engines {
 			m.crash(i, now)
@@ -249,6 +261,19 @@
 	}
 }
 
+// write goes on with the answers of an engine to sound requests.
+func (m *fleetModel) write(i int, now time.Time) {
+	e := &m.engines[i]
+	e.writing = slices.DeleteFunc(e.writing, func(req *fleetRequest) bool {
+		ended := now.Sub(req.begunAt) >= m.c.answers
+		if !req.outlived && (ended || now.Sub(req.begunAt) > blocker.LateSpan) {
+			req.outlived = true
+			m.gateways[req.gateway].RecordOutlived(req.parts, req.begunAt, now)
+		}
+		return ended
+	})
+}
+
 func (m *fleetModel) request(now time.Time) *fleetRequest {
 	req := &fleetRequest{gateway: m.r.IntN(len(m.gateways)), sentAt: now, beginAt: now.Add(time.Duration(50+m.r.IntN(350)) * time.Millisecond)}
 	// A third of the requests have the most frequent first part.
@@ -297,6 +322,9 @@
 				m.gateways[req.gateway].RecordCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts...)
 			default:
 				m.recordBegin(i, req, now)
+				if m.c.answers > 0 && req.print == 0 {
+					m.engines[i].writing = append(m.engines[i].writing, req)
+				}
 				if req.print != 0 {
 					m.engines[i].answering = append(m.engines[i].answering, req)
 				}
@@ -304,6 +332,7 @@
 		}
 		m.engines[i].waiting = waiting
 		m.answer(i, now)
+		m.write(i, now)
 		if deadly {
 			m.result.crashes = append(m.result.crashes, now)
 			m.crash(i, now)
@@ -340,7 +369,17 @@
 		}
 	}
 	for _, req := range m.engines[i].waiting {
-		m.gateways[req.gateway].RecordCrash(cmp.Or(req.print, blocker.Fingerprint(m.r.Uint64())), m.name(i), now, req.parts...)
+		print := cmp.Or(req.print, blocker.Fingerprint(m.r.Uint64()))
+		if isLate(req, now) {
+			m.gateways[req.gateway].RecordLateCrash(print, m.name(i), now, req.parts)
+			continue
+		}
+		m.gateways[req.gateway].RecordCrash(print, m.name(i), now, req.parts...)
+	}
+	for _, req := range m.engines[i].writing {
+		if isLate(req, now) {
+			m.gateways[req.gateway].RecordLateCrash(blocker.Fingerprint(m.r.Uint64()), m.name(i), now, req.parts)
+		}
 	}
 	for _, req := range m.engines[i].answering {
 		var suspected []blocker.Part
@@ -349,7 +388,13 @@
 		}
 		m.gateways[req.gateway].RecordCrash(req.print, m.name(i), now, suspected...)
 	}
-	m.engines[i].waiting, m.engines[i].answering, m.engines[i].begun = nil, nil, nil
+	m.engines[i].waiting, m.engines[i].answering, m.engines[i].begun, m.engines[i].writing = nil, nil, nil, nil
+}
+
+// isLate reports whether a crash of the engine now comes in the middle of an answer that makes its parts suspected.
+func isLate(req *fleetRequest, now time.Time) bool {
+	ran := now.Sub(req.begunAt)
+	return !req.begunAt.IsZero() && ran > blocker.AnswerStart && ran <= blocker.LateSpan
 }
 
 // exchange makes gateways pull reports from peers: each every 0.35 to 1.05 s, and at once after a suspicion, in both directions.
@@ -405,6 +450,12 @@
 		"after in large": {gateways: 100, rate: 600, share: 0.02, chats: 1000, crashAfter: 20 * time.Millisecond},
 		"after, mass":    {gateways: 10, rate: 200, share: 0.02, chats: 200, crashAfter: 20 * time.Millisecond, massCrash: 0.4},
 		"restart":        {gateways: 10, rate: 200, share: 0.02, chats: 200, restart: true},
+		"middle":         {gateways: 4, rate: 20, share: 0.05, chats: 100, crashAfter: 400 * time.Millisecond, answers: 1100 * time.Millisecond},
+		"middle, often":  {gateways: 4, rate: 100, share: 0.05, chats: 100, crashAfter: 400 * time.Millisecond, answers: 1100 * time.Millisecond},
+		"middle, later":  {gateways: 24, rate: 200, share: 0.02, chats: 200, crashAfter: 900 * time.Millisecond, answers: 4 * time.Second},
+		"middle, large":  {gateways: 100, rate: 600, share: 0.02, chats: 1000, crashAfter: 400 * time.Millisecond, answers: 2 * time.Second},
+		"middle, mass":   {gateways: 10, rate: 200, share: 0.02, chats: 200, crashAfter: 400 * time.Millisecond, answers: 2 * time.Second, massCrash: 0.4},
+		"middle, first":  {gateways: 4, rate: 100, share: 0.02, chats: 100, deadlyFirst: true, crashAfter: 400 * time.Millisecond, answers: 2 * time.Second},
 		"cut in halves":  {gateways: 10, rate: 200, share: 0.05, chats: 200, cut: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -460,6 +511,11 @@
 		"resets":              {gateways: 10, rate: 200, chats: 200, resets: true},
 		"resets, few chats":   {gateways: 10, rate: 200, chats: 5, resets: true},
 		"bad gateway":         {gateways: 10, rate: 200, chats: 200, faulty: 1},
+		"kills":               {gateways: 10, rate: 100, chats: 200, kills: 2, answers: 2 * time.Second},
+		"kills, long answers": {gateways: 10, rate: 100, chats: 200, kills: 2, answers: 8 * time.Second},
+		"kills, rare chats":   {gateways: 10, rate: 100, chats: 2000, kills: 5, answers: 2 * time.Second},
+		"kills at large":      {gateways: 100, rate: 600, chats: 1000, kills: 5, answers: 2 * time.Second, seconds: 15},
+		"mass, long answers":  {gateways: 10, rate: 200, chats: 200, massCrash: 0.4, answers: 4 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -482,6 +538,7 @@
 		"100 gateways 30 a second": {gateways: 100, rate: 600, share: 0.05, chats: 1000},
 		"4 gateways 30 a second":   {gateways: 4, rate: 600, share: 0.05, chats: 100},
 		"after event":              {gateways: 24, rate: 200, share: 0.05, chats: 200, crashAfter: 20 * time.Millisecond},
+		"middle":                   {gateways: 24, rate: 200, share: 0.01, chats: 200, crashAfter: 400 * time.Millisecond, answers: time.Second},
 	} {
 		c.soundUntil, c.seconds = 4, 60
 		t.Run(name, func(t *testing.T) {
@@ -518,6 +575,7 @@
 		"4 gateways, 8 s":   {gateways: 4, rate: 100, chats: 100, away: 8},
 		"24 gateways, 8 s":  {gateways: 24, rate: 200, chats: 200, away: 8},
 		"100 gateways, 8 s": {gateways: 100, rate: 600, chats: 1000, away: 8},
+		"long answers":      {gateways: 10, rate: 100, chats: 100, away: 8, answers: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -290,7 +290,11 @@
 // partTracker computes from the reports which parts are blocked. The mutex of its Blocker guards it.
 type partTracker struct {
 	// origin identifies the reports of this router.
-	origin   uint64
+	origin uint64
+	// late is set if the crashes came in the middle of answers. What counts as the begin of a part is then the begin of an
+	// answer that outlived LateSpan, and other holds the incarnations whose crashes are explained by other parts.
+	late     bool
+	other    map[uint32]bool
 	suspects map[Part]*suspect
 	// crashed holds the times of the last crashes of all incarnations, and reported the numbers of parts that this router has
 	// reported for each.
@@ -325,9 +329,9 @@
 	return float64(xxhash.Sum64(b[:])>>11) / (1 << 53)
 }
 
-func newPartTracker(origin uint64) partTracker {
+func newPartTracker(origin uint64, late bool) partTracker {
 	return partTracker{
-		origin:   origin,
+		origin: origin, late: late,
 		suspects: make(map[Part]*suspect), crashed: make(map[uint32]time.Time), reported: make(map[uint32]int),
 		begins:  recent[Part]{most: maxBegins},
 		blocked: make(map[Part]block),
@@ -365,7 +369,7 @@
 		}
 	}
 	if published {
-		t.publishPartBegins(now)
+		t.publishPartBegins(p, now)
 	}
 	t.unlockAndCall(now)
 }
@@ -408,49 +412,84 @@
 	}
 	t.mu.Lock()
 	defer t.unlockAndCall(now)
-	p := &t.parts
-	p.update(now)
-	if len(p.blocked) == 0 && len(p.trials) == 0 {
-		return 0, 0, false
+	t.update(now)
+	both := [...]*partTracker{&t.parts, &t.late}
+	for _, p := range both {
+		if part, left, ok := p.find(parts, now, trial); ok {
+			return part, left, true
+		}
 	}
-	for _, part := range parts {
-		if b, ok := p.blocked[part]; ok {
-			return part, b.until.Sub(now), true
+	if trial {
+		for _, p := range both {
+			p.startTrials(parts, now)
 		}
 	}
-	if !trial || len(p.trials) == 0 {
-		return 0, 0, false
+	return 0, 0, false
+}
+
+// find returns the first of the given parts that is blocked, or else of which a trial is under way if trial is set, and the
+// time for which that remains so.
+func (p *partTracker) find(parts []Part, now time.Time, trial bool) (Part, time.Duration, bool) {
+	if len(p.blocked) > 0 {
+		for _, part := range parts {
+			if b, ok := p.blocked[part]; ok {
+				return part, b.until.Sub(now), true
+			}
+		}
 	}
-	for _, part := range parts {
-		if next, ok := p.trials[part]; ok && now.Before(next) {
-			return part, next.Sub(now), true
+	if trial && len(p.trials) > 0 {
+		for _, part := range parts {
+			if next, ok := p.trials[part]; ok && now.Before(next) {
+				return part, next.Sub(now), true
+			}
 		}
 	}
+	return 0, 0, false
+}
+
+// startTrials records that a request with the given parts is let pass, which is a trial of those whose blocks have ended.
+func (p *partTracker) startTrials(parts []Part, now time.Time) {
+	if len(p.trials) == 0 {
+		return
+	}
 	for _, part := range parts {
 		if _, ok := p.trials[part]; ok {
 			p.trials[part] = now.Add(trialInterval)
 		}
 	}
-	return 0, 0, false
 }
 
 // BlockedParts returns the number of parts that are blocked.
 func (t *Blocker) BlockedParts(now time.Time) int {
 	t.mu.Lock()
 	defer t.unlockAndCall(now)
-	t.parts.update(now)
-	return len(t.parts.blocked)
+	t.update(now)
+	n := len(t.parts.blocked)
+	for part := range t.late.blocked {
+		if _, both := t.parts.blocked[part]; !both {
+			n++
+		}
+	}
+	return n
+}
+
+// update evaluates the reports again if the result may have changed.
+func (t *Blocker) update(now time.Time) {
+	if t.parts.update(now) {
+		t.late.other, t.late.changed, t.late.computed = t.parts.explained, true, time.Time{}
+	}
+	t.late.update(now)
 }
 
 // unlockAndCall unlocks t.mu and calls the functions of what has happened since it was locked.
 func (t *Blocker) unlockAndCall(now time.Time) {
 	p := &t.parts
-	suspicion := p.suspicion && now.Sub(p.suspicionTime) >= suspicionInterval
+	suspicion := (p.suspicion || t.late.suspicion) && now.Sub(p.suspicionTime) >= suspicionInterval
 	if suspicion {
-		p.suspicion, p.suspicionTime = false, now
+		p.suspicion, t.late.suspicion, p.suspicionTime = false, false, now
 	}
-	events := p.events
-	p.events = nil
+	events := slices.Concat(p.events, t.late.events)
+	p.events, t.late.events = nil, nil
 	t.mu.Unlock()
 	if suspicion && t.OnSuspicion != nil {
 		t.OnSuspicion()
@@ -486,7 +525,7 @@
 		}
 		s.depth = max(s.depth, r.depth+i)
 		s.addCrash(r.upstream, r.at, origin)
-		if len(s.crashes) >= blockThreshold-1 && len(s.uncleared(s.lastBegin(), nil)) >= blockThreshold-1 {
+		if len(s.crashes) >= blockThreshold-1 && p.count(p.uncleared(s, nil)) >= blockThreshold-1 {
 			p.suspicion = true
 		}
 	}
@@ -566,8 +605,7 @@
 }
 
 // publishPartBegins reports the begins at this router that clear parts of which other routers may still suspect.
-func (t *Blocker) publishPartBegins(now time.Time) {
-	p := &t.parts
+func (t *Blocker) publishPartBegins(p *partTracker, now time.Time) {
 	var due []Part
 	var oldest time.Time
 	for part, s := range p.suspects {
@@ -582,7 +620,7 @@
 	slices.Sort(due)
 	for parts := range slices.Chunk(due, maxParts) {
 		// An upstream of zero makes a router that does not know parts count a request that does not exist.
-		t.appendOwn(crashReport{request: Fingerprint(parts[0]), at: oldest, parts: parts})
+		t.appendOwn(crashReport{request: Fingerprint(parts[0]), at: oldest, parts: parts, late: p.late})
 	}
 	if len(due) > 0 {
 		p.suspicion = true
@@ -596,11 +634,11 @@
 	times map[uint32]time.Time
 }
 
-// update evaluates the reports again if the result may have changed.
-func (p *partTracker) update(now time.Time) {
+// update evaluates the reports again if the result may have changed, and reports whether it did.
+func (p *partTracker) update(now time.Time) bool {
 	due := !p.next.IsZero() && !now.Before(p.next)
 	if !due && (!p.changed || now.Sub(p.computed) < computeInterval) {
-		return
+		return false
 	}
 	p.changed, p.computed, p.next = false, now, time.Time{}
 	blocked, trials := make(map[Part]block), make(map[Part]time.Time)
@@ -628,6 +666,7 @@
 	}
 	slices.SortFunc(p.events, func(a, b PartEvent) int { return cmp.Compare(a.Part, b.Part) })
 	p.blocked, p.trials = blocked, trials
+	return true
 }
 
 // wake makes update evaluate the reports again at the given time.
@@ -658,8 +697,8 @@
 		if len(s.crashes) < blockThreshold {
 			continue
 		}
-		c := candidate{part: part, s: s, times: s.uncleared(s.lastBegin(), nil)}
-		if len(c.times) < blockThreshold || p.hearsay(c) {
+		c := candidate{part: part, s: s, times: p.uncleared(s, p.other)}
+		if p.count(c.times) < blockThreshold || p.hearsay(c) {
 			continue
 		}
 		if settled := p.settled(c.times); now.Before(settled) {
@@ -669,6 +708,7 @@
 		candidates = append(candidates, c)
 	}
 	explained = make(map[uint32]bool)
+	maps.Copy(explained, p.other)
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), compareBegun(a.s, b.s), cmp.Compare(a.s.depth, b.s.depth), cmp.Compare(a.part, b.part))
@@ -679,8 +719,8 @@
 		}
 		left := candidates[:0]
 		for _, c := range candidates {
-			c.times = c.s.uncleared(c.s.lastBegin(), explained)
-			if len(c.times) >= blockThreshold {
+			c.times = p.uncleared(c.s, explained)
+			if p.count(c.times) >= blockThreshold {
 				left = append(left, c)
 			}
 		}
@@ -708,6 +748,9 @@
 	sorted := values(times)
 	slices.SortFunc(sorted, time.Time.Compare)
 	first := sorted[0]
+	if p.late {
+		return first.Add(lateSettleTime)
+	}
 	fast := len(sorted) >= fastCrashes && sorted[len(sorted)-1].Sub(first) >= fastSpan
 	if !fast && sorted[blockThreshold-1].Sub(first) < massSpan {
 		return first.Add(massSettleTime)
--- a/blocker/requests.go
+++ b/blocker/requests.go
@@ -59,8 +59,8 @@
 	if s == nil || len(s.crashes) < blockThreshold {
 		return 0
 	}
-	p := &t.parts
-	p.update(now) // Crashes that a part explains do not count against the requests that ran beside it.
+	p := &t.late
+	t.update(now) // Crashes that a part explains do not count against the requests that ran beside it.
 	times := s.uncleared(s.lastBegin(), p.explained)
 	maps.DeleteFunc(times, func(_ uint32, at time.Time) bool { return now.Sub(at) >= partTTL })
 	if len(times) < blockThreshold {
@@ -86,7 +86,8 @@
 
 // publish reports the begins and the served requests at this router of which other routers should know.
 func (t *Blocker) publish(now time.Time) {
-	t.publishPartBegins(now)
+	t.publishPartBegins(&t.parts, now)
+	t.publishPartBegins(&t.late, now)
 	t.publishServed(now)
 }
 
--- a/proxier/attempt.go
+++ b/proxier/attempt.go
@@ -272,7 +272,7 @@
 	now := time.Now()
 	j.sentAt.Store(0)
 	defer j.beginWork()()
-	j.begunAt = time.Time{}
+	j.begunAt, j.outlived = time.Time{}, false
 	j.p.cfg.Health.Begin(u.ID, now)
 	accepted := false
 	defer func() {
@@ -379,6 +379,17 @@
 	}
 }
 
+// recordBrokenAnswer is recordBroken for an answer that had begun at the given time. An upstream may also crash on a part in the
+// middle of its answer.
+func (j *job) recordBrokenAnswer(u registrar.Upstream, begun, now time.Time, err error) {
+	if hostLost(err) || now.Sub(begun) > blocker.LateSpan {
+		j.recordBroken(u, now, err)
+		return
+	}
+	j.p.cfg.Health.Record(u.ID, appraiser.Broken, now)
+	j.p.cfg.Crashes.RecordLateCrash(j.print, Incarnation(u), now, j.parts)
+}
+
 // hostLost reports whether a connection that ended with err belongs to a host that has lost its power or network. The
 // connections of a process that crashes are closed or reset: one that times out or cannot be reached says nothing of what
 // ran there, and if all hosts of a service were lost, what most requests share would be blocked.
@@ -399,6 +410,22 @@
 	}
 }
 
+// recordProgress records that the upstream has sent an event of the answer.
+func (j *job) recordProgress() {
+	j.recordBegin()
+	if now := time.Now(); now.Sub(j.begunAt) > blocker.LateSpan {
+		j.recordOutlived(now)
+	}
+}
+
+// recordOutlived records, once an attempt, that the answer is whole or has gone on for longer than blocker.LateSpan.
+func (j *job) recordOutlived(now time.Time) {
+	if !j.outlived && !j.begunAt.IsZero() {
+		j.outlived = true
+		j.p.cfg.Crashes.RecordOutlived(j.parts, j.begunAt, now)
+	}
+}
+
 // recordServed records that the upstream has answered the request to the end.
 func (j *job) recordServed() {
 	j.p.cfg.Crashes.RecordServed(j.print, time.Now())
--- a/proxier/parts_test.go
+++ b/proxier/parts_test.go
@@ -35,15 +35,22 @@
 
 // crashInAnswer breaks the connection in the middle of an answer, too late for the parts of the prompt to be suspected.
 func crashInAnswer(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(imitator.HeaderSignature, "signed")
-	w.Header().Set("Content-Type", "text/event-stream")
-	_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
-	_ = http.NewResponseController(w).Flush()
-	select {
-	case <-time.After(4 * blocker.AnswerStart):
-	case <-r.Context().Done():
+	crashAfter(blocker.LateSpan+100*time.Millisecond)(w, r)
+}
+
+// crashAfter returns a handler that breaks the connection after a time from the first event.
+func crashAfter(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(imitator.HeaderSignature, "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // useUpstream makes one upstream the only one, since the choice among several depends on the prompt.
@@ -108,6 +115,54 @@
 	}
 }
 
+// Guards against a part that crashes one upstream after the other in the middle of an answer and is never refused, and against
+// sound parts in the same answers.
+func TestPartThatCrashesInAnswersIsRefused(t *testing.T) {
+	late := crashAfter(blocker.AnswerStart + 150*time.Millisecond)
+	for _, c := range []struct {
+		name, path string
+		// bad is the handler of requests with the part that crashes upstreams, and sound that of another one.
+		bad, sound http.HandlerFunc
+	}{
+		{"answer that is no stream", "/order/", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(imitator.HeaderSignature, "signed")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "a part")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(400 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}, nil},
+		{"whole answer", "/stream/", late, nil},
+		{"long answer", "/stream/", late, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(imitator.HeaderSignature, "signed")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for n := range 15 {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: a\n\n", n)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(blocker.LateSpan / 10)
+			}
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, c.bad, c.bad, c.bad, c.sound, nil)
+			for n := range 3 {
+				f.useUpstream(n)
+				f.do("POST", fmt.Sprint(c.path, n), fmt.Sprint("body", n), imitator.HeaderPrompt, fmt.Sprintf("a:100,bad:50,%d:20", n))
+			}
+			f.useUpstream(3)
+			f.do("POST", c.path+"3", "body3", imitator.HeaderPrompt, "a:100,good:50,3:20")
+			f.useUpstream(4)
+			time.Sleep(2500 * time.Millisecond)
+			runs := f.runs()
+			require.Equal(t, 503, f.do("POST", c.path+"4", "body4", imitator.HeaderPrompt, "a:100,bad:50,4:20").status)
+			require.Equal(t, runs, f.runs())
+			require.Equal(t, 200, f.do("POST", c.path+"5", "body5", imitator.HeaderPrompt, "a:100,good:50,5:20").status)
+		})
+	}
+}
+
 // Guards against parts that are suspected because hosts have lost their power or network, in which nothing crashes.
 func TestPartsOfLostHostAreNotSuspected(t *testing.T) {
 	for _, handler := range []http.HandlerFunc{imitator.ResetConnection, crashBeforeEvent} {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -161,9 +161,11 @@
 	// print is the fingerprint that identifies the request in crash reports.
 	print blocker.Fingerprint
 	// parts are the parts of the prompt that may crash upstreams, and begunAt is the time at which the upstream of the current
-	// attempt has begun to answer, which clears them; zero means that it has not.
-	parts   []blocker.Part
-	begunAt time.Time
+	// attempt has begun to answer, which clears them; zero means that it has not. outlived is set once the answer is whole or
+	// has gone on for blocker.LateSpan.
+	parts    []blocker.Part
+	begunAt  time.Time
+	outlived bool
 	// blocked is the refusal if a part became blocked between two attempts.
 	blocked error
 	header  http.Header
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -152,6 +152,7 @@
 ) (verdict, *bufferedResponse, error) {
 	held := holding{p: j.p}
 	defer held.release()
+	begun := time.Now()
 	body, err := held.read(e, maxBufferedResponse)
 	now := time.Now()
 	if errors.Is(err, errHeldMemory) || err == nil && len(body) == maxBufferedResponse {
@@ -172,7 +173,7 @@
 			if len(body) == 0 {
 				j.recordBroken(u, now, err, j.parts...)
 			} else {
-				j.recordBroken(u, now, err)
+				j.recordBrokenAnswer(u, begun, now, err)
 			}
 		}
 		return mayHaveRun, nil, err
@@ -188,6 +189,7 @@
 	if e.StatusCode < http.StatusMultipleChoices {
 		j.record(u, responded)
 		j.recordBegin()
+		j.p.cfg.Crashes.RecordOutlived(j.parts, begun, now)
 	}
 	j.writeBuffered(buffered)
 	return done, nil, nil
@@ -292,7 +294,7 @@
 			progress := id != j.stream.lastEvent
 			if progress {
 				timer.reset()
-				j.recordBegin()
+				j.recordProgress()
 			}
 			if len(whole) > 0 {
 				timer.suspend()
@@ -330,6 +332,7 @@
 		}
 		j.p.cfg.Health.Record(u.ID, appraiser.Served, now)
 		j.recordServed()
+		j.recordOutlived(now)
 		j.recordOutcome(e.StatusCode, "", "")
 		return done, nil, nil
 	case errors.Is(context.Cause(ctx), errUnresponsive):
@@ -342,13 +345,13 @@
 	case errors.Is(err, errStrayBytes):
 		j.recordBroken(u, now, err)
 	case !j.begunAt.IsZero():
-		// An upstream that crashes on a part may have written an event before.
-		var suspected []blocker.Part
 		if now.Sub(j.begunAt) <= blocker.AnswerStart && !hostLost(err) {
+			// An upstream that crashes on a part may have written an event before.
 			j.p.cfg.Crashes.RetractBegin(j.parts, j.begunAt, now)
-			suspected = j.parts
+			j.recordBroken(u, now, err, j.parts...)
+		} else {
+			j.recordBrokenAnswer(u, j.begunAt, now, err)
 		}
-		j.recordBroken(u, now, err, suspected...)
 	default:
 		// Bytes of an incomplete first event don't clear the parts: the crash may cut it off.
 		j.recordBroken(u, now, err, j.parts...)
