soaker: ports of stopped upstreams are not given to links at once

No stand-in answers 401.

Cause: a link listened on any free port, also on one that had just been closed. Six soaks run in one process; a link to a gateway of another fleet got the port of the crashed upstream, to which gateways still sent requests, and that fleet does not know the keys.

Change: links use the range of the gateways' ports in turn, as newAddress does for the whole process, so that a port comes up again after 18,000 others. The guard of the product against another server at the address of an upstream keeps its own tests.

Comments of blocker say what late crashes are.

--- a/blocker/doc.go
+++ b/blocker/doc.go
@@ -6,5 +6,6 @@
 //
 // A part of prompts may crash upstreams too, whatever else the requests with it hold. The parts of a request are suspected
 // of a crash if the upstream had not begun to answer it, and cleared when an upstream begins to answer any request with
-// them, wherever they are in its prompt. The part that explains three crashes or more is blocked.
+// them, wherever they are in its prompt. The part that explains three crashes or more is blocked. Crashes in the middle of an
+// answer are judged apart: a begin does not clear parts of them, but an answer that outlived the time of such crashes does.
 package blocker
--- a/blocker/parts.go
+++ b/blocker/parts.go
@@ -292,7 +292,8 @@
 	// origin identifies the reports of this router.
 	origin uint64
 	// late is set if the crashes came in the middle of answers. What counts as the begin of a part is then the begin of an
-	// answer that outlived LateSpan, and other holds the incarnations whose crashes are explained by other parts.
+	// answer that outlived LateSpan, and other holds the incarnations whose crashes are explained by parts in crashes of the
+	// other kind.
 	late     bool
 	other    map[uint32]bool
 	suspects map[Part]*suspect
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -371,9 +371,7 @@
 	if !ok {
 		return "spared"
 	}
-	if _, err := s.addUpstream(u.Service); err != nil {
-		s.addViolation("%v", err)
-	}
+	s.addUpstream(u.Service)
 	stop(u)
 	return u.ID
 }
@@ -441,11 +439,7 @@
 		if u.Service == plainService {
 			other = engineService
 		}
-		next, err := s.addUpstream(other)
-		if err != nil {
-			s.addViolation("%v", err)
-			return
-		}
+		next := s.addUpstream(other)
 		u.link.retarget(next.Address())
 		next.AdvertisedAddress = u.link.address()
 		s.store.PutJSON(next.Key(), next.Entry("ready"))
--- a/soaker/gateway.go
+++ b/soaker/gateway.go
@@ -17,23 +17,34 @@
 	"clementineramp/spawner"
 )
 
-// portBase is the first port of gateways; their ports lie below the ephemeral range of common systems, so that no
-// outgoing connection uses one of them.
-const portBase = 12000
+const (
+	// portBase is the first port of gateways and links; their ports lie below the ephemeral range of common systems, so that
+	// no outgoing connection uses one of them.
+	portBase = 12000
+	// ports is the number of ports that all soaks of this process use in turn. A port comes up again long after it was closed:
+	// gateways still send requests to the address of an upstream that has just crashed, and no other fleet may answer them.
+	ports = 18000
+)
 
 var nextPort atomic.Int32
 
-// newAddress returns a loopback address with a port that no process listens on.
-func newAddress() string {
+// listen listens on the next loopback address that no process listens on.
+func listen() net.Listener {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", portBase+int(nextPort.Add(1))%18000)
+		address := fmt.Sprintf("127.0.0.1:%d", portBase+int(nextPort.Add(1))%ports)
 		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
+			return l
 		}
 	}
 }
 
+// newAddress returns a loopback address with a port that no process listens on.
+func newAddress() string {
+	l := listen()
+	_ = l.Close()
+	return l.Addr().String()
+}
+
 // gateway is a gateway process with the links on its connections from callers and to the store.
 type gateway struct {
 	n             int
@@ -56,20 +67,14 @@
 	inRotation time.Time
 }
 
-func (s *soak) newGateway(n int) (*gateway, error) {
+func (s *soak) newGateway(n int) *gateway {
 	g := &gateway{n: n, listenAddress: newAddress(), readyAddress: newAddress(), peerAddress: newAddress()}
 	g.file = filepath.Join(s.cfg.Dir, fmt.Sprintf("gateway-%d.json", n))
 	g.process = spawner.Process{
 		Name: fmt.Sprintf("gateway-%d", n), Command: append(append([]string{}, s.cfg.Command...), "--settings", g.file), Env: s.cfg.Env,
 	}
-	var err error
-	if g.callerLink, err = newLink(g.listenAddress); err != nil {
-		return nil, err
-	}
-	if g.storeLink, err = newLink(s.storeAddress); err != nil {
-		return nil, err
-	}
-	return g, nil
+	g.callerLink, g.storeLink = newLink(g.listenAddress), newLink(s.storeAddress)
+	return g
 }
 
 // writeSettings writes the settings file. retries is the number of retries that the fleet allows in each window in
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -55,14 +55,10 @@
 }
 
 // newLink listens on a free loopback port and forwards connections to target.
-func newLink(target string) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	l := &link{listener: listener, target: target, pairs: make(map[*pair]struct{})}
+func newLink(target string) *link {
+	l := &link{listener: listen(), target: target, pairs: make(map[*pair]struct{})}
 	go l.serve()
-	return l, nil
+	return l
 }
 
 func (l *link) address() string {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -189,19 +189,14 @@
 	s.storeAddress = strings.TrimPrefix(s.server.URL, "http://")
 	for range s.cfg.Upstreams {
 		for _, service := range []string{plainService, engineService} {
-			if _, err := s.addUpstream(service); err != nil {
-				return err
-			}
+			s.addUpstream(service)
 		}
 	}
 	s.publishConfiguration()
 	s.firstRevision = s.store.Revision()
 	var seeds []string
 	for n := range s.cfg.Gateways {
-		g, err := s.newGateway(n)
-		if err != nil {
-			return err
-		}
+		g := s.newGateway(n)
 		s.gateways = append(s.gateways, g)
 		if n < 3 {
 			seeds = append(seeds, g.peerAddress)
@@ -261,21 +256,18 @@
 }
 
 // addUpstream starts an upstream of a service and registers it in the store.
-func (s *soak) addUpstream(service string) (*upstream, error) {
+func (s *soak) addUpstream(service string) *upstream {
 	s.mu.Lock()
 	s.upstreamCount++
 	id, domain := fmt.Sprintf("%s-%d", service, s.upstreamCount), s.failureDomainOf(s.upstreamCount)
 	s.mu.Unlock()
-	u, err := newUpstream(id, service)
-	if err != nil {
-		return nil, err
-	}
+	u := newUpstream(id, service)
 	u.FailureDomain = domain
 	s.mu.Lock()
 	s.upstreams, s.allUpstreams = append(s.upstreams, u), append(s.allUpstreams, u)
 	s.mu.Unlock()
 	s.store.PutJSON(u.Key(), u.Entry("ready"))
-	return u, nil
+	return u
 }
 
 // detachUpstream removes a random upstream from those that later faults may affect. It returns false if the upstream is
--- a/soaker/upstream.go
+++ b/soaker/upstream.go
@@ -105,7 +105,7 @@
 	stopped      bool
 }
 
-func newUpstream(id, service string) (*upstream, error) {
+func newUpstream(id, service string) *upstream {
 	u := &upstream{Upstream: imitator.Upstream{ID: id, Service: service}}
 	u.Handle = u.handle
 	u.ShouldShed = func(*http.Request) bool {
@@ -126,14 +126,9 @@
 	}
 	u.Leaving = u.leavingInResponses.Load
 	u.Start()
-	l, err := newLink(u.Address())
-	if err != nil {
-		u.Close()
-		return nil, err
-	}
-	u.link = l
-	u.AdvertisedAddress, u.Born = l.address(), time.Now().UnixMilli()
-	return u, nil
+	u.link = newLink(u.Address())
+	u.AdvertisedAddress, u.Born = u.link.address(), time.Now().UnixMilli()
+	return u
 }
 
 // markLeaving records when the upstream announced that it is leaving; later calls change nothing.
