blocker: late parts cost idle connections no list types

Cause: gob describes the type of a message to each new connection, 2,066 bytes for a request and a reply, and most connections between domains are new in this test. The two columns for late crashes made that longer.

Change: the parts of late crashes are one string of bytes in a batch, with its own check of lengths.

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -54,10 +54,10 @@
 	// has none, its request was served.
 	PartCounts []uint8
 	Parts      []Part
-	// LateCounts and LateParts are the same for parts that are suspected of a crash in the middle of an answer, or, if the
-	// upstream is zero, that were in an answer that outlived LateSpan. No report has parts of both kinds.
-	LateCounts []uint8
-	LateParts  []Part
+	// Late holds the parts that are suspected of crashes in the middle of answers, or, if the upstream is zero, that were in an
+	// answer that outlived LateSpan, as encodeLate writes them. No report has parts of both kinds. It is one string of bytes
+	// because gob describes each list to each new connection, also if it is empty.
+	Late []byte
 }
 
 // valid reports whether the columns of a batch fit together and are within the bound of a log.
@@ -66,22 +66,20 @@
 	if b.Origin == 0 || n > maxSuspected || len(b.Upstreams) != n || len(b.AgesMS) != n {
 		return false
 	}
-	return validParts(b.PartCounts, b.Parts, n) && validParts(b.LateCounts, b.LateParts, n)
-}
-
-// validParts reports whether the columns with the parts of n reports fit together.
-func validParts(counts []uint8, parts []Part, n int) bool {
-	if len(counts) == 0 {
-		return len(parts) == 0
+	if _, err := decodeLate(b.Late, n); err != nil {
+		return false
 	}
-	sum := 0
-	for _, c := range counts {
+	if len(b.PartCounts) == 0 {
+		return len(b.Parts) == 0
+	}
+	parts := 0
+	for _, c := range b.PartCounts {
 		if c > maxParts {
 			return false
 		}
-		sum += int(c)
+		parts += int(c)
 	}
-	return len(counts) == n && len(parts) == sum
+	return len(b.PartCounts) == n && len(b.Parts) == parts
 }
 
 // Blocker keeps the crash reports of suspected requests and parts of prompts; it is safe for concurrent use.
@@ -268,19 +266,16 @@
 			b.Requests = append(b.Requests, r.request)
 			b.Upstreams = append(b.Upstreams, r.upstream)
 			b.AgesMS = append(b.AgesMS, uint32(max(now.Sub(r.at), 0).Milliseconds()))
-			early, late := r.parts, []Part(nil)
-			if r.late {
-				early, late = nil, r.parts
+			var early []Part
+			if !r.late {
+				early = r.parts
 			}
 			b.PartCounts, b.Parts = append(b.PartCounts, uint8(len(early))), append(b.Parts, early...)
-			b.LateCounts, b.LateParts = append(b.LateCounts, uint8(len(late))), append(b.LateParts, late...)
 		}
 		if len(b.Parts) == 0 {
 			b.PartCounts = nil
 		}
-		if len(b.LateParts) == 0 {
-			b.LateCounts = nil
-		}
+		b.Late = encodeLate(l.reports[first:])
 		if len(b.Requests) > 0 {
 			batches = append(batches, b)
 		}
@@ -314,14 +309,12 @@
 	l := t.log(b.Origin)
 	first := b.Last - uint64(len(b.Requests)) // Number of the report before the first; exact if none was left out.
 	known := l.last
-	parts, late := b.Parts, b.LateParts
+	parts := b.Parts
+	late, _ := decodeLate(b.Late, len(b.Requests)) // The batch is valid.
 	for i, f := range b.Requests {
 		age := time.Duration(b.AgesMS[i]) * time.Millisecond
 		r := crashReport{number: first + uint64(i) + 1, request: f, upstream: b.Upstreams[i], at: now.Add(-age)}
-		if len(b.LateCounts) > 0 && b.LateCounts[i] > 0 {
-			n := int(b.LateCounts[i])
-			r.parts, r.late, late = late[:n:n], true, late[n:]
-		}
+		r.parts, r.late = late[i], len(late[i]) > 0
 		if len(b.PartCounts) > 0 && b.PartCounts[i] > 0 {
 			n := int(b.PartCounts[i])
 			r.parts, r.late, parts = parts[:n:n], false, parts[n:]
--- a/blocker/late.go
+++ b/blocker/late.go
@@ -1,6 +1,8 @@
 package blocker
 
 import (
+	"encoding/binary"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -85,3 +87,49 @@
 	}
 	return n
 }
+
+var errLateParts = errors.New("the parts of late crashes do not fit the reports")
+
+// encodeLate returns the parts of the late reports among the given ones: for each report their number in one byte, and four bytes
+// for each part. It returns nothing if no report is late.
+func encodeLate(reports []crashReport) []byte {
+	if !slices.ContainsFunc(reports, func(r crashReport) bool { return r.late }) {
+		return nil
+	}
+	var b []byte
+	for _, r := range reports {
+		if !r.late {
+			b = append(b, 0)
+			continue
+		}
+		b = append(b, uint8(len(r.parts)))
+		for _, part := range r.parts {
+			b = binary.LittleEndian.AppendUint32(b, uint32(part))
+		}
+	}
+	return b
+}
+
+// decodeLate returns the parts of each of n reports, which are none for reports that are not late, or an error if the bytes do
+// not hold them.
+func decodeLate(b []byte, n int) ([][]Part, error) {
+	all := make([][]Part, n)
+	if len(b) == 0 {
+		return all, nil
+	}
+	for i := range all {
+		if len(b) == 0 || b[0] > maxParts || len(b) < 1+4*int(b[0]) {
+			return nil, errLateParts
+		}
+		count := int(b[0])
+		b = b[1:]
+		for range count {
+			all[i] = append(all[i], Part(binary.LittleEndian.Uint32(b)))
+			b = b[4:]
+		}
+	}
+	if len(b) > 0 {
+		return nil, errLateParts
+	}
+	return all, nil
+}
