--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -64,6 +64,9 @@
 		return
 	}
 	w.mu.Lock()
+	if !w.goneAt.IsZero() { // A worker that leaves says so in its answers.
+		h.Set("Server-Leaving", "1")
+	}
 	w.arrivals = append(w.arrivals, arrival{id: id, worker: w.id, at: time.Now()})
 	w.mu.Unlock()
 	running := w.running.Add(1)
