--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -85,4 +85,5 @@
 
 var cases = map[string]func(config) int{
 	"departed": departed,
+	"cutoff":   cutoff,
 }
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -33,10 +33,12 @@
 	items    map[string]item
 	events   []item
 	changed  chan struct{}
+	// watchers holds the times of the last watch calls by the IP addresses of the callers.
+	watchers map[string]time.Time
 }
 
 func newStore() *store {
-	s := &store{items: make(map[string]item), changed: make(chan struct{}), revision: 100}
+	s := &store{items: make(map[string]item), changed: make(chan struct{}), revision: 100, watchers: make(map[string]time.Time)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fail("store: %v", err)
@@ -78,6 +80,19 @@
 
 func (s *store) remove(key string) time.Time { return s.change(item{Key: key, Deleted: true}) }
 
+// readers returns the IP addresses from which the store was watched in the last two seconds.
+func (s *store) readers() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ips := make(map[string]bool)
+	for ip, at := range s.watchers {
+		if time.Since(at) < 2*time.Second {
+			ips[ip] = true
+		}
+	}
+	return ips
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	switch r.URL.Path {
@@ -114,6 +129,11 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("After"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("WaitMs"))
+	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		s.mu.Lock()
+		s.watchers[ip] = time.Now()
+		s.mu.Unlock()
+	}
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for expired := false; ; {
 		s.mu.Lock()
