--- a/review/standin-3/cutoff.go
+++ b/review/standin-3/cutoff.go
@@ -12,12 +12,13 @@
 	propagationTime = 2 * time.Second
 	// cutTime is how long gateways are cut off from the store, and cuts how often.
 	cutTime = 5 * time.Second
-	cuts    = 7
+	cuts    = 8
 	// pauseTime is the time between the end of a cut and the next one, in which all are in touch again.
-	pauseTime = 5 * time.Second
+	pauseTime = 4 * time.Second
 )
 
-// cutoff cuts those gateways off from the store that read it for all, and takes a key and a worker away right after that. The
+// cutoff cuts those gateways off from the store that read it for all, 0.4 s after their last calls have begun, and takes a key and a
+// worker away right after that. The
 // other gateways reach the store all the time: no request with the key that was sent later than propagationTime may run there,
 // and none may reach the worker later than drainTime.
 func cutoff(cfg config) int {
@@ -66,6 +67,11 @@
 	time.Sleep(4 * time.Second)
 	revokedAt := make(map[string]time.Time)
 	for i := range cuts {
+		// Planned, as in a release: a worker joins, and another one leaves below.
+		joined := startWorker("vavrad", zones[1+i%3])
+		st.put("servers/"+joined.id, joined.entry("ready"))
+		time.Sleep(2 * time.Second)
+		st.awaitQuiet()
 		ips := st.readers()
 		var away []*gateway
 		for _, g := range gws {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -80,6 +80,24 @@
 
 func (s *store) remove(key string) time.Time { return s.change(item{Key: key, Deleted: true}) }
 
+// awaitQuiet waits until the last watch call began 0.4 s ago, but for no longer than 10 s.
+func (s *store) awaitQuiet() {
+	for range 2000 {
+		s.mu.Lock()
+		var last time.Time
+		for _, at := range s.watchers {
+			if at.After(last) {
+				last = at
+			}
+		}
+		s.mu.Unlock()
+		if since := time.Since(last); since >= 400*time.Millisecond && since < 450*time.Millisecond {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // readers returns the IP addresses from which the store was watched in the last two seconds.
 func (s *store) readers() map[string]bool {
 	s.mu.Lock()
