registrar, relayer: log which list brought an upstream

The lines upstream_joined could not tell whether the store, a whole list of a peer or late changes had brought them back, nor what the gateway knew at that time.

upstream_joined and the other lines of upstreams now state known_revision, up to which the gateway knew all changes before the merge. peer_list states the position of each whole list from a peer and that of the own list.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -548,7 +548,7 @@
 func (g *Gateway) logUpstream(e registrar.Event) {
 	u := e.Record.Upstream
 	g.log.Info("upstream_"+e.Change, "upstream", e.Record.ID, "service", u.Service, "address", u.Address,
-		"revision", e.Record.Revision, "era", e.Era, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born,
+		"revision", e.Record.Revision, "era", e.Era, "known_revision", e.Known, "leaving", u.Leaving, "slots", u.Slots, "born", u.Born,
 		"mark_age_ms", e.MarkAge.Milliseconds(), "mark_source", e.MarkSource)
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -105,8 +105,9 @@
 // Event is a change of an upstream's record.
 type Event struct {
 	Record Record
-	// Era is the era of the record's revision.
-	Era uint64
+	// Era is the era of the record's revision, and Known the revision of that era up to which the registry had all records
+	// before the merge; zero means none.
+	Era, Known uint64
 	// Change is joined, leaving, changed, removed or lapsed; lapsed means that the entry may have expired during an
 	// outage of the store, and that the upstream stays in use for the grace period.
 	Change string
@@ -154,6 +155,9 @@
 	// removalsFrom is the revision after which the registry has all removals. It lacks earlier ones: a list names no upstream
 	// that came and went before it, and old removals are deleted.
 	removalsFrom uint64
+	// known is the revision of the era of the list up to which the registry had all records before the merge in progress; zero
+	// means none.
+	known uint64
 	// restored is set if the era of the list has changed.
 	restored bool
 	view     atomic.Pointer[View]
@@ -271,6 +275,7 @@
 
 func (r *Registry) mergeAll(records []Record, now time.Time) bool {
 	changed := false
+	r.known = r.complete.Revision
 	for _, rec := range records {
 		changed = r.merge(rec, now) || changed
 	}
@@ -304,8 +309,10 @@
 // mergeList merges a complete list, which holds the evacuations, too, unless lacksEvacuations is set.
 func (r *Registry) mergeList(records []Record, at Position, restored, now time.Time) bool {
 	changed := false
+	r.known = r.complete.Revision
 	var doubts map[string]doubt
 	if r.complete.Revision > 0 && at.Era != r.complete.Era {
+		r.known = 0
 		if restored.After(r.outageEnd) {
 			r.outageEnd = restored
 		}
@@ -495,7 +502,7 @@
 	if r.cfg.OnEvent == nil {
 		return
 	}
-	event := Event{Record: e.Record, Era: r.complete.Era, Change: change, MarkAge: -time.Millisecond}
+	event := Event{Record: e.Record, Era: r.complete.Era, Known: r.known, Change: change, MarkAge: -time.Millisecond}
 	if r.isMarked(&e.Upstream) {
 		m := r.marks[e.ID]
 		event.MarkAge, event.MarkSource = now.Sub(m.at), m.source
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -66,8 +66,12 @@
 
 // mergeUpstreams merges the records of a reply to a gateway whose list was at the position since, and reports whether the
 // upstreams in use changed.
-func (r *Relayer) mergeUpstreams(reply *Reply, since, to registrar.Position, now time.Time) bool {
+func (r *Relayer) mergeUpstreams(peer string, reply *Reply, since, to registrar.Position, now time.Time) bool {
 	registry := r.cfg.State.Registry
+	if own := registry.Position(); reply.Whole {
+		r.cfg.Log.Info("peer_list", "peer", peer, "records", len(reply.Records), "revision", to.Revision, "era", to.Era,
+			"known_revision", own.Revision, "known_era", own.Era)
+	}
 	// The position of a peer that knows no eras counts as before: it is two versions older, and versions that are not adjacent do
 	// not run together.
 	if to.Era == since.Era && !reply.Whole && (reply.HasEvacuations || !reply.HasEra) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -587,7 +587,7 @@
 	r.mergeSlowdowns(peer, reply.Slowdowns, time.Now())
 	if isCurrent {
 		reply.Records = r.usableRecords(peer, reply.Records)
-		updated = r.mergeUpstreams(&reply, since, to, time.Now()) || updated
+		updated = r.mergeUpstreams(peer, &reply, since, to, time.Now()) || updated
 	}
 	if updated {
 		r.NotifyPeers()
