registrar: a peer that is behind brings back no upstreams

Cause: records were compared with the entry of the same upstream only. A gateway that had started after a removal has no entry for it, so that any record of the upstream counted as new, although the list was complete up to a later revision. The same held once the record of the removal was deleted, or was one of an earlier era, whose revision counts as zero. Such records came from whole lists of peers that were cut off from the store, and from there passed to other gateways.

What a list lacks is now gone up to its position, and only a record after that brings it back, whatever message carries it. A list that is behind also ends nothing. A list of the store that is not older decides, as peers of another version may lack entries that they could not decode. The first list and lists of another era have no earlier position and are taken as before. records_outdated and the counter outdated_records show what is ignored.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -147,7 +147,7 @@
 func (g *Gateway) assemble() {
 	s := g.cfg.Settings
 	g.upstreams = registrar.New(registrar.Config{
-		OnEvent: g.logUpstream, OnEvacuation: g.logEvacuation, OnEra: g.logEra, Expiry: expiryHeartbeats * s.Heartbeat,
+		OnEvent: g.logUpstream, OnEvacuation: g.logEvacuation, OnEra: g.logEra, OnOutdated: g.logOutdated, Expiry: expiryHeartbeats * s.Heartbeat,
 	})
 	g.health = appraiser.New(appraiser.Config{
 		OnChange: g.logHealth, OnReport: func() { g.relayer.NotifyPeers() },
@@ -588,6 +588,12 @@
 		"owner", e.Owner, "share", e.Share)
 }
 
+func (g *Gateway) logOutdated(e registrar.OutdatedEvent) {
+	metrics.GetOrRegisterCounter("outdated_records", g.registry).Inc(int64(e.Records))
+	g.log.Info("records_outdated", "records", e.Records, "first", e.First.ID, "revision", e.First.Revision, "era", e.Era,
+		"known_revision", e.Known)
+}
+
 func (g *Gateway) logEra(old, new registrar.Position) {
 	metrics.GetOrRegisterCounter("store_eras", g.registry).Inc(1)
 	g.log.Warn("store_era_changed", "old_era", old.Era, "old_revision", old.Revision, "era", new.Era, "revision", new.Revision)
--- /dev/null
+++ b/registrar/behind_test.go
@@ -0,0 +1,98 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementineramp/registrar"
+)
+
+// messages holds, by name, the ways in which records of a list at the given position reach a registry.
+var messages = map[string]func(r *registrar.Registry, records []registrar.Record, to registrar.Position){
+	"whole list": func(r *registrar.Registry, records []registrar.Record, to registrar.Position) {
+		r.MergePeerList(records, to.Era, to, start, start)
+	},
+	"list without evacuations": func(r *registrar.Registry, records []registrar.Record, to registrar.Position) {
+		r.MergePeerUpstreams(records, to.Era, to, start, start)
+	},
+	"changes": func(r *registrar.Registry, records []registrar.Record, to registrar.Position) {
+		r.MergeChanges(records, at(to.Era, 1), to, start)
+	},
+	"records": func(r *registrar.Registry, records []registrar.Record, _ registrar.Position) {
+		r.Merge(records, start)
+	},
+	"list of the store": func(r *registrar.Registry, records []registrar.Record, to registrar.Position) {
+		r.MergeList(records, to, start)
+	},
+}
+
+// Guards against requests to upstreams that are gone: a gateway whose list was complete up to their removal, but that had no
+// record of it, took them back from a peer that was behind.
+func TestUpstreamsThatOnlyAPeerBehindLists(t *testing.T) {
+	keeps := []registrar.Record{instance("kept", 1, 2, false)}
+	for name, registry := range map[string]func() *registrar.Registry{
+		"started after the removal": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergeList(keeps, at(2, 8), start)
+			return r
+		},
+		"removal forgotten": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergeList(append(keeps, instance("gone", 1, 3, false)), at(2, 3), start)
+			r.MergeChanges([]registrar.Record{removed("gone", 8)}, at(2, 3), at(2, 8), start)
+			r.Refresh(start.Add(time.Hour))
+			return r
+		},
+		"removed in an earlier era": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergeList([]registrar.Record{instance("gone", 1, 3, false)}, at(1, 90), start)
+			r.MergeChanges([]registrar.Record{removed("gone", 91)}, at(1, 90), at(1, 91), start)
+			r.MergeList(keeps, at(2, 8), start)
+			return r
+		},
+		"first list from a peer": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{Expiry: expiry})
+			r.MergePeerList(keeps, 0, at(2, 8), start, start)
+			return r
+		},
+	} {
+		for message, merge := range messages {
+			t.Run(name+", "+message, func(t *testing.T) {
+				r := registry()
+				merge(r, append(keeps, instance("gone", 1, 3, false), instance("new", 1, 9, false)), at(2, 7))
+				require.Equal(t, []string{"kept", "new"}, ids(r))
+				require.Equal(t, at(2, 8), r.Position())
+				merge(r, append(keeps, instance("gone", 1, 10, false), instance("new", 1, 9, false)), at(2, 10))
+				require.Equal(t, []string{"gone", "kept", "new"}, ids(r), "it has registered again")
+			})
+		}
+		t.Run(name+", list of another era", func(t *testing.T) {
+			r := registry()
+			require.True(t, r.MergePeerList(append(keeps, instance("restored", 1, 3, false)), 2, at(3, 4), start, start))
+			require.Contains(t, ids(r), "restored")
+		})
+	}
+}
+
+// Guards against a first list that is refused: before it, nothing is known.
+func TestFirstListFromAPeerBehind(t *testing.T) {
+	r := registrar.New(registrar.Config{})
+	require.True(t, r.MergePeerList([]registrar.Record{instance("a", 1, 3, false)}, 0, at(2, 7), start, start))
+	require.Equal(t, []string{"a"}, ids(r))
+	// What a list says beyond its position is news of its own.
+	r.MergePeerList([]registrar.Record{instance("a", 1, 3, false), instance("b", 1, 9, false)}, 2, at(2, 7), start, start)
+	require.Equal(t, []string{"a", "b"}, ids(r))
+}
+
+// Guards against an upstream that is never used because peers of another version could not decode its entry, so that their list
+// lacks it: the store decides.
+func TestStoreListsWhatPeersLack(t *testing.T) {
+	r := registrar.New(registrar.Config{})
+	r.MergePeerList(nil, 0, at(2, 7), start, start)
+	r.MergeList([]registrar.Record{instance("a", 1, 3, false)}, at(2, 7), start)
+	require.Equal(t, []string{"a"}, ids(r))
+	r.MergePeerList([]registrar.Record{instance("gone", 1, 4, false)}, 2, at(2, 6), start, start)
+	require.Equal(t, []string{"a"}, ids(r), "a list of a peer that is behind")
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -117,6 +117,15 @@
 	MarkSource string
 }
 
+// OutdatedEvent describes records that were ignored because the list knew already that what they are about is gone.
+type OutdatedEvent struct {
+	// Records is the number of them, and First the first one.
+	Records int
+	First   Record
+	// Era is the era of the list, and Known the revision up to which the registry had all records.
+	Era, Known uint64
+}
+
 // Config sets up a Registry. Its functions are called in the order of the changes, after these have been made. No lock is held
 // during a call.
 type Config struct {
@@ -126,6 +135,8 @@
 	OnEvacuation func(EvacuationEvent)
 	// OnEra is called when a list of another era replaces that of the old one; it may be nil.
 	OnEra func(old, new Position)
+	// OnOutdated is called when a merge ignored outdated records; it may be nil.
+	OnOutdated func(OutdatedEvent)
 	// Expiry is the time after which the store has removed an entry that is no longer renewed. An upstream that had been
 	// removed in an earlier era and is listed again is not used for this time unless its entry is written again.
 	Expiry time.Duration
@@ -156,8 +167,11 @@
 	// that came and went before it, and old removals are deleted.
 	removalsFrom uint64
 	// known is the revision of the era of the list up to which the registry had all records before the merge in progress; zero
-	// means none.
-	known uint64
+	// means none. decides is set if the merge is of a list of the store that is not older, and outdated holds the records that it
+	// ignored.
+	known    uint64
+	decides  bool
+	outdated []Record
 	// restored is set if the era of the list has changed.
 	restored bool
 	view     atomic.Pointer[View]
@@ -279,10 +293,26 @@
 	for _, rec := range records {
 		changed = r.merge(rec, now) || changed
 	}
+	r.endMerge(changed, now)
+	return changed
+}
+
+// endMerge makes the changes of a merge visible, and reports the records that it ignored.
+func (r *Registry) endMerge(changed bool, now time.Time) {
 	if changed || r.renewed {
 		r.rebuild(now)
 	}
-	return changed
+	if n := len(r.outdated); n > 0 && r.cfg.OnOutdated != nil {
+		event := OutdatedEvent{Records: n, First: r.outdated[0], Era: r.complete.Era, Known: r.known}
+		r.calls.Add(func() { r.cfg.OnOutdated(event) })
+	}
+	r.decides, r.outdated = false, nil
+}
+
+// isOutdated reports whether a record is about something that the registry knows to be gone: it has all records up to known, so
+// that what is not listed was removed by then, even if no record of the removal is left. Only a later record can say otherwise.
+func (r *Registry) isOutdated(rec Record, listed bool) bool {
+	return !listed && !rec.Removed && rec.Revision <= r.known && !r.decides
 }
 
 // MergeList adds the records of a complete list that was read from the store at a position, and removes upstreams that are not
@@ -291,6 +321,8 @@
 	r.mu.Lock()
 	defer r.calls.Unlock(&r.mu)
 	r.lacksEvacuations = false
+	// It may list what peers of another version could not decode.
+	r.decides = at.Revision >= r.complete.Revision
 	return r.mergeList(records, at, now, now)
 }
 
@@ -320,6 +352,8 @@
 		changed = true
 	}
 	r.complete.Era = at.Era
+	// What a list lacks is gone, unless the list is behind this registry.
+	ends := at.Revision >= r.known
 	listed, evacuated := make(map[string]bool, len(records)), make(map[string]bool)
 	for _, rec := range records {
 		if !rec.Evacuation {
@@ -337,7 +371,7 @@
 		changed = r.endUnlisted(evacuated, at, now) || changed
 	}
 	for id, e := range r.entries {
-		if !listed[id] && !e.Removed && e.Revision <= at.Revision {
+		if ends && !listed[id] && !e.Removed && e.Revision <= at.Revision {
 			changed = r.merge(Record{ID: id, Revision: at.Revision, Removed: true}, now) || changed
 		}
 	}
@@ -347,9 +381,7 @@
 		e := r.entries[id]
 		e.doubtedUntil, e.unused, e.listed = now.Add(r.cfg.Expiry), d.unused, d.listed
 	}
-	if changed || r.renewed {
-		r.rebuild(now)
-	}
+	r.endMerge(changed, now)
 	return changed
 }
 
@@ -437,6 +469,10 @@
 	if old != nil && isKnown(rec, old) {
 		return false
 	}
+	if r.isOutdated(rec, old != nil && !old.Removed) {
+		r.outdated = append(r.outdated, rec)
+		return false
+	}
 	if old != nil && old.Upstream.Born > 0 && rec.Upstream.Born == 0 {
 		// An upstream states its start in all its entries, so that this one comes from another writer.
 		rec = Record{ID: rec.ID, Revision: rec.Revision, Removed: true}
