registrar: a peer that is behind brings back no evacuations

Callers would have seen a failure domain without service for good: its upstreams were sent nothing, and with all of them in that domain every request was refused, after the evacuation had ended.

Cause: as for upstreams, a gateway that had started after the end of an evacuation took it back from the whole list of a peer that had missed the end, and no change ends it a second time. Beside it, a gateway whose first list came from a peer without evacuations took the list of any other peer as complete with them, also one from before its own position, and never asked for those between.

Evacuations that are gone up to the position of the list come back with later records only. As long as the evacuations before the position are not known, all of them are taken, and only a list that reaches the position ends that state; the follower pauses between its reads of a store that is behind it.

TestEvacuationStaysEndedBesideAGatewayBehind plays it with gateways and a store.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -204,7 +204,7 @@
 		f.callSucceeded(started)
 		f.lastRead = started
 		at = registrar.Position{Era: changes.Era, Revision: changes.Revision}
-		if changed {
+		if changed || f.cfg.Registry.LacksEvacuations() { // The list that lacks them may be ahead of the store's.
 			pause(ctx, batchTime)
 		}
 	}
--- a/registrar/behind_test.go
+++ b/registrar/behind_test.go
@@ -96,3 +96,70 @@
 	r.MergePeerList([]registrar.Record{instance("gone", 1, 4, false)}, 2, at(2, 6), start, start)
 	require.Equal(t, []string{"a"}, ids(r), "a list of a peer that is behind")
 }
+
+// Guards against a failure domain that no request goes to any more: a gateway whose list was complete up to the end of an
+// evacuation took it back from a peer that was behind, and nothing ended it again.
+func TestEvacuationsThatOnlyAPeerBehindLists(t *testing.T) {
+	upstreams := []registrar.Record{in("x", "a", 2), in("y", "b", 2)}
+	for name, registry := range map[string]func() *registrar.Registry{
+		"started after the end": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{})
+			r.MergeList(upstreams, at(2, 8), start)
+			return r
+		},
+		"end forgotten": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{})
+			r.MergeList(append(upstreams, evacuates("x", 3)), at(2, 3), start)
+			r.MergeChanges([]registrar.Record{withdraws("x", 8)}, at(2, 3), at(2, 8), start)
+			r.Refresh(start.Add(time.Hour))
+			return r
+		},
+		"ended in an earlier era": func() *registrar.Registry {
+			r := registrar.New(registrar.Config{})
+			r.MergeList(append(upstreams, evacuates("x", 3)), at(1, 90), start)
+			r.MergeChanges([]registrar.Record{withdraws("x", 91)}, at(1, 90), at(1, 91), start)
+			r.MergeList(upstreams, at(2, 8), start)
+			return r
+		},
+	} {
+		for message, merge := range messages {
+			if message == "list without evacuations" {
+				continue
+			}
+			t.Run(name+", "+message, func(t *testing.T) {
+				r := registry()
+				merge(r, append(upstreams, evacuates("x", 3), evacuates("y", 9)), at(2, 7))
+				require.Equal(t, []string{"a"}, ids(r))
+				merge(r, append(upstreams, evacuates("x", 10), evacuates("y", 9)), at(2, 10))
+				require.Empty(t, ids(r), "it has been evacuated again")
+			})
+		}
+		t.Run(name+", list of another era", func(t *testing.T) {
+			r := registry()
+			r.MergePeerList(append(upstreams, evacuates("x", 3)), 2, at(3, 4), start, start)
+			require.Equal(t, []string{"b"}, ids(r))
+		})
+	}
+}
+
+// Guards against evacuations that a gateway never asks for: its list came from a peer that knows none, and the list of another
+// one, which was behind that, counted as complete.
+func TestEvacuationsAfterAListWithout(t *testing.T) {
+	upstreams := []registrar.Record{in("x", "a", 2), in("y", "b", 2)}
+	for name, list := range map[string]func(r *registrar.Registry, records []registrar.Record, to registrar.Position){
+		"peer": messages["whole list"], "store": messages["list of the store"],
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.Config{})
+			r.MergePeerUpstreams(upstreams, 0, at(2, 8), start, start)
+			list(r, append(upstreams, evacuates("x", 3)), at(2, 4))
+			require.Equal(t, []string{"b"}, ids(r), "no evacuation was known")
+			require.True(t, r.LacksEvacuations(), "there may be others up to 8")
+			list(r, append(upstreams, evacuates("y", 5)), at(2, 8))
+			require.Equal(t, []string{"a"}, ids(r))
+			require.False(t, r.LacksEvacuations())
+			list(r, append(upstreams, evacuates("x", 3)), at(2, 4))
+			require.Equal(t, []string{"a"}, ids(r))
+		})
+	}
+}
--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -31,6 +31,10 @@
 	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && (old.Removed || !rec.Removed)) {
 		return false
 	}
+	if r.isOutdated(rec, old != nil && !old.Removed) {
+		r.outdated = append(r.outdated, rec)
+		return false
+	}
 	rec.Upstream = Upstream{}
 	e := &evacuation{Record: rec}
 	wasActive := old != nil && !old.Removed
@@ -93,8 +97,7 @@
 	if r.complete.Revision > 0 && r.complete.Era == at.Era {
 		return r.mergeAll(records, now)
 	}
-	r.lacksEvacuations = true
-	return r.mergeList(records, at, restored, now)
+	return r.mergeList(records, at, false, restored, now)
 }
 
 // LacksEvacuations reports whether there may be evacuations before the position of the list that this gateway does not know.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -166,12 +166,12 @@
 	// removalsFrom is the revision after which the registry has all removals. It lacks earlier ones: a list names no upstream
 	// that came and went before it, and old removals are deleted.
 	removalsFrom uint64
-	// known is the revision of the era of the list up to which the registry had all records before the merge in progress; zero
-	// means none. decides is set if the merge is of a list of the store that is not older, and outdated holds the records that it
+	// known is the revision of the era of the list up to which the registry had all records of upstreams before the merge in
+	// progress, and knownEvacuations that for evacuations; zero means none. decides is set if the merge is of a list of the store that is not older, and outdated holds the records that it
 	// ignored.
-	known    uint64
-	decides  bool
-	outdated []Record
+	known, knownEvacuations uint64
+	decides                 bool
+	outdated                []Record
 	// restored is set if the era of the list has changed.
 	restored bool
 	view     atomic.Pointer[View]
@@ -288,8 +288,8 @@
 }
 
 func (r *Registry) mergeAll(records []Record, now time.Time) bool {
+	r.beginMerge()
 	changed := false
-	r.known = r.complete.Revision
 	for _, rec := range records {
 		changed = r.merge(rec, now) || changed
 	}
@@ -297,6 +297,14 @@
 	return changed
 }
 
+// beginMerge sets what is known before a merge.
+func (r *Registry) beginMerge() {
+	r.known, r.knownEvacuations = r.complete.Revision, r.complete.Revision
+	if r.lacksEvacuations {
+		r.knownEvacuations = 0
+	}
+}
+
 // endMerge makes the changes of a merge visible, and reports the records that it ignored.
 func (r *Registry) endMerge(changed bool, now time.Time) {
 	if changed || r.renewed {
@@ -312,7 +320,11 @@
 // isOutdated reports whether a record is about something that the registry knows to be gone: it has all records up to known, so
 // that what is not listed was removed by then, even if no record of the removal is left. Only a later record can say otherwise.
 func (r *Registry) isOutdated(rec Record, listed bool) bool {
-	return !listed && !rec.Removed && rec.Revision <= r.known && !r.decides
+	known := r.known
+	if rec.Evacuation {
+		known = r.knownEvacuations
+	}
+	return !listed && !rec.Removed && rec.Revision <= known && !r.decides
 }
 
 // MergeList adds the records of a complete list that was read from the store at a position, and removes upstreams that are not
@@ -320,10 +332,9 @@
 func (r *Registry) MergeList(records []Record, at Position, now time.Time) bool {
 	r.mu.Lock()
 	defer r.calls.Unlock(&r.mu)
-	r.lacksEvacuations = false
 	// It may list what peers of another version could not decode.
 	r.decides = at.Revision >= r.complete.Revision
-	return r.mergeList(records, at, now, now)
+	return r.mergeList(records, at, true, now, now)
 }
 
 // MergePeerList is MergeList for the complete list of a peer, which replaces one of the era since only: the list may have
@@ -334,21 +345,20 @@
 	if at.Revision == 0 || r.complete.Era != since && r.complete.Era != at.Era {
 		return false
 	}
-	r.lacksEvacuations = false
-	return r.mergeList(records, at, restored, now)
+	return r.mergeList(records, at, true, restored, now)
 }
 
-// mergeList merges a complete list, which holds the evacuations, too, unless lacksEvacuations is set.
-func (r *Registry) mergeList(records []Record, at Position, restored, now time.Time) bool {
+// mergeList merges a complete list, which holds the evacuations, too, if hasEvacuations is set.
+func (r *Registry) mergeList(records []Record, at Position, hasEvacuations bool, restored, now time.Time) bool {
+	r.beginMerge()
 	changed := false
-	r.known = r.complete.Revision
 	var doubts map[string]doubt
 	if r.complete.Revision > 0 && at.Era != r.complete.Era {
-		r.known = 0
 		if restored.After(r.outageEnd) {
 			r.outageEnd = restored
 		}
 		records, doubts = r.beginEra(records, at, now)
+		r.known, r.knownEvacuations = 0, 0
 		changed = true
 	}
 	r.complete.Era = at.Era
@@ -367,9 +377,11 @@
 			changed = r.merge(rec, now) || changed
 		}
 	}
-	if !r.lacksEvacuations {
+	if hasEvacuations && at.Revision >= r.knownEvacuations {
 		changed = r.endUnlisted(evacuated, at, now) || changed
 	}
+	// After a list without evacuations, one that is behind it may still lack some.
+	r.lacksEvacuations = !hasEvacuations || r.lacksEvacuations && at.Revision < r.known
 	for id, e := range r.entries {
 		if ends && !listed[id] && !e.Removed && e.Revision <= at.Revision {
 			changed = r.merge(Record{ID: id, Revision: at.Revision, Removed: true}, now) || changed
--- a/relayer/behind_test.go
+++ b/relayer/behind_test.go
@@ -89,3 +89,18 @@
 		})
 	})
 }
+
+// Guards against a failure domain that no request goes to any more: gateways that had started and read the store took the
+// evacuation that had ended from the list of a peer that was cut off from the store, and kept it.
+func TestEvacuationStaysEndedBesideAGatewayBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newEraStore("a")
+		store.evacuate("ended", false)
+		change := func() { store.evacuate("ended", true); store.evacuate("begun", false) }
+		startBeside(t, store, change, func(n *node) {
+			evacuations := n.registry.View().Evacuations
+			require.Len(t, evacuations, 1, n.address)
+			require.Contains(t, evacuations, "begun")
+		})
+	})
+}
