relayer, timekeeper: what waited during a pause counts as old

Callers would have waited longer: after a pause of a gateway (a frozen host), loads of seconds ago counted as the newest in the whole fleet, and requests went to upstreams that were full by then. Likewise, reports on unreachable upstreams and crashes, hot chats, peers that are gone and the end of an outage came back younger than they were.

Cause: messages state ages, and ages were counted back from the moment at which a message was handled. A gateway that is paused handles what has waited for it, as new, and passes it on with ages that are too small by the length of the pause; its peers take it in place of what they have heard since. A reply that took long had the same effect.

Ages in a reply now count from the begin of the exchange, before which the peer cannot have replied; the confirmation of the configuration was counted so before. A load that is older than the known one no longer replaces it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -338,12 +338,12 @@
 	}
 }
 
-// PeerReachedStore records that the store answered a peer at the given time. outageAge is the time since the end of the
-// last outage that the peer recorded; negative means none. The outage is recorded here only if this process had no
-// confirmation of the configuration during it either. A lack of messages from peers alone does not count as an outage.
-func (f *Follower) PeerReachedStore(at time.Time, outageAge time.Duration) {
-	if outageAge >= 0 && f.sinceConfirmation(at) > f.minOutage() {
-		f.outageEnded(at, time.Now().Add(-outageAge))
+// PeerReachedStore records that the store answered a peer at the given time. outageEnd is the end of the last outage that the
+// peer recorded; zero means none. The outage is recorded here only if this process had no confirmation of the configuration
+// during it either. A lack of messages from peers alone does not count as an outage.
+func (f *Follower) PeerReachedStore(at, outageEnd time.Time) {
+	if !outageEnd.IsZero() && f.sinceConfirmation(at) > f.minOutage() {
+		f.outageEnded(at, outageEnd)
 	}
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -219,7 +219,7 @@
 		s.set(func(s *state) { s.err = platform.ErrRefused })
 		for range 50 { // Meanwhile, peers that reach the store confirm the configuration.
 			time.Sleep(100 * time.Millisecond)
-			f.PeerReachedStore(time.Now(), -1)
+			f.PeerReachedStore(time.Now(), time.Time{})
 			f.Confirm(time.Now())
 		}
 		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
@@ -234,7 +234,7 @@
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
 		s.set(func(s *state) { s.err = platform.ErrRefused })
 		time.Sleep(4 * time.Second)
-		f.PeerReachedStore(time.Now(), -1)
+		f.PeerReachedStore(time.Now(), time.Time{})
 		f.Confirm(time.Now())
 		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
 		require.Empty(t, r.View().ByService["s"])
@@ -246,7 +246,7 @@
 	run(t, s, nil, func(f *follower.Follower, r *registrar.Registry) {
 		s.set(func(s *state) { s.err = errors.New("down") })
 		time.Sleep(4 * time.Second)
-		f.PeerReachedStore(time.Now(), 100*time.Millisecond)
+		f.PeerReachedStore(time.Now(), time.Now().Add(-100*time.Millisecond))
 		f.Confirm(time.Now())
 		r.MergeChanges([]registrar.Record{{ID: "a", Revision: 9, Removed: true}}, registrar.Position{Revision: 5}, registrar.Position{Revision: 9}, time.Now())
 		require.Len(t, r.View().ByService["s"], 1)
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -39,6 +39,7 @@
 	"clementineramp/relayer"
 	"clementineramp/shedder"
 	"clementineramp/throttler"
+	"clementineramp/timekeeper"
 )
 
 const (
@@ -113,6 +114,7 @@
 	proxier                *proxier.Proxier
 	callers                *CallerConns
 	saturation             Saturation
+	pulse                  timekeeper.Pulse
 	// estimator and work are nil unless limits of plain services are learnt; loggedLimits belongs to the housekeeping.
 	estimator    *estimator.Estimator
 	work         *estimator.Meter
@@ -197,6 +199,7 @@
 	g.relayer = relayer.New(relayer.Config{
 		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
 		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
+		Arrived:    g.pulse.Arrived,
 		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
 		// One that is stopping owns no service, as one that lacks processor time.
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated || g.stopping.Load() },
@@ -217,8 +220,8 @@
 		MarkLeaving:  func(u registrar.Upstream) bool { return g.upstreams.MarkLeaving(u, "response", time.Now()) },
 		CallerLeft:   func(ctx context.Context) bool { return g.callers.Disconnected(ctx) },
 		MaxBodyBytes: int64(bodyShare * float64(s.Memory)), MaxHeldBytes: int64(heldShare * float64(s.Memory)),
-		StaleAfter: s.Propagation,
-		Log:        g.log.Named("proxier"), Metrics: g.registry,
+		StaleAfter: s.Propagation, Arrived: g.pulse.Arrived,
+		Log: g.log.Named("proxier"), Metrics: g.registry,
 	}
 	if g.estimator != nil {
 		proxying.Record, proxying.Work, proxying.Acquire = g.recordSample, g.work, g.arbiter.Acquire
--- a/gatekeeper/saturation.go
+++ b/gatekeeper/saturation.go
@@ -74,6 +74,7 @@
 				"unsaturated_peers", g.relayer.Unsaturated())
 		}
 		due = now.Add(probeInterval)
+		g.pulse.Beat(now, due)
 		t.Reset(probeInterval)
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -589,13 +589,17 @@
 	}
 }
 
-// RecordLoad stores the load that an upstream reported with a response; the request it responds to may still be running.
-func (p *Placer) RecordLoad(upstream string, load Load, now time.Time) {
+// RecordLoad stores the load that an upstream reported with a response that arrived at the given time, unless a later one is
+// known; the request it responds to may still be running.
+func (p *Placer) RecordLoad(upstream string, load Load, at time.Time) {
 	p.mu.Lock()
 	defer p.calls.Unlock(&p.mu)
 	l := p.loadOf(upstream)
-	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, now, true
-	p.detectHigh(l, now)
+	if at.Before(l.reportedAt) {
+		return
+	}
+	l.reported, l.localAtReport, l.reportedAt, l.heardHere = load.Running+load.Waiting, l.local, at, true
+	p.detectHigh(l, at)
 }
 
 // detectHigh compares a new report with the load limit, and calls OnHigh if the load has risen above it.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -186,6 +186,21 @@
 	require.Less(t, load(2*time.Second), 14.0, "no request of this process waits at the upstream")
 }
 
+// Guards against the load in a response that waited during a pause of this process and that replaces what other gateways have
+// heard since, here and then everywhere.
+func TestLoadReportThatWaited(t *testing.T) {
+	v := engines(1)
+	p := newPlacer(v, good)
+	id := v.ByService["pool"][0].ID
+	p.Merge([]placer.LoadReport{{Upstream: id, Load: 40, Age: time.Second}}, start)
+	p.RecordLoad(id, placer.Load{Running: 1}, start.Add(-2*time.Second))
+	reports := p.Reports(start)
+	require.Len(t, reports, 1)
+	require.Equal(t, 40, reports[0].Load)
+	p.RecordLoad(id, placer.Load{Running: 2}, start)
+	require.Equal(t, 2, p.Reports(start)[0].Load)
+}
+
 func TestLoadReportedByPeer(t *testing.T) {
 	v := engines(2)
 	a, b := newPlacer(v, good), newPlacer(v, good)
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -97,8 +97,10 @@
 	// StaleAfter is the time since the last confirmation after which an unknown route or key may belong to a newer
 	// configuration that this process has not read yet.
 	StaleAfter time.Duration
-	Log        hclog.Logger
-	Metrics    metrics.Registry
+	// Arrived returns the earliest time at which a response that is read now may have arrived; nil means now.
+	Arrived func(now time.Time) time.Time
+	Log     hclog.Logger
+	Metrics metrics.Registry
 }
 
 // Proxier is an http.Handler that serves callers; it is safe for concurrent use.
@@ -124,6 +126,9 @@
 
 // New returns a Proxier and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Proxier {
+	if cfg.Arrived == nil {
+		cfg.Arrived = func(now time.Time) time.Time { return now }
+	}
 	p := &Proxier{cfg: cfg, instruments: newInstruments(cfg.Metrics)}
 	if cfg.Acquire != nil {
 		p.instruments.addWaits()
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -37,6 +37,8 @@
 
 // fixture is a Proxier with simulated upstreams.
 type fixture struct {
+	// arrived is the seam of the Proxier; nil means that responses arrive when they are read.
+	arrived   func(time.Time) time.Time
 	dialDelay func(address string) time.Duration
 	// readErr is the error that replaces those of connections to upstreams; nil means none.
 	readErr error
@@ -141,7 +143,7 @@
 		CountRequest: func(string) {}, Routers: func() int { return 1 },
 		Closing:      func() bool { return false },
 		CallerLeft:   func(context.Context) bool { return f.callerLeft.Load() },
-		MaxBodyBytes: 4 << 20, MaxHeldBytes: f.maxHeld, StaleAfter: time.Minute,
+		MaxBodyBytes: 4 << 20, MaxHeldBytes: f.maxHeld, StaleAfter: time.Minute, Arrived: f.arrived,
 		MarkLeaving: func(u registrar.Upstream) bool {
 			return f.registry != nil && f.registry.MarkLeaving(u, "response", time.Now())
 		},
--- a/proxier/relay.go
+++ b/proxier/relay.go
@@ -64,7 +64,7 @@
 		return mayHaveRun, nil, errors.New("upstream response does not name the request")
 	}
 	if reply.HasLoad {
-		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), now)
+		j.p.cfg.Placer.RecordLoad(u.ID, placer.Load(reply.Load), j.p.cfg.Arrived(now))
 	}
 	e.SetIdleTimeout(reply.IdleTimeout)
 	if reply.Leaving && j.isReplyOf(e.StatusCode, reply) {
--- a/relayer/era.go
+++ b/relayer/era.go
@@ -64,10 +64,18 @@
 	return to.Era > own.Era && r.cfg.State.Confirmed().Sub(confirmed) <= maxConfirmationLag
 }
 
-// mergeUpstreams merges the records of a reply to a gateway whose list was at the position since, and reports whether the
-// upstreams in use changed.
-func (r *Relayer) mergeUpstreams(peer string, reply *Reply, since, to registrar.Position, now time.Time) bool {
-	registry := r.cfg.State.Registry
+// outageEnd returns the end of the last outage that the peer recorded, if it replied at the given time; zero means none.
+func (reply *Reply) outageEnd(at time.Time) time.Time {
+	if reply.OutageAge < 0 {
+		return time.Time{}
+	}
+	return at.Add(-reply.OutageAge)
+}
+
+// mergeUpstreams merges the records of a reply to a gateway whose list was at the position since when it began the exchange, and
+// reports whether the upstreams in use changed.
+func (r *Relayer) mergeUpstreams(peer string, reply *Reply, since, to registrar.Position, began time.Time) bool {
+	registry, now := r.cfg.State.Registry, time.Now()
 	if own := registry.Position(); reply.Whole {
 		r.cfg.Log.Info("peer_list", "peer", peer, "records", len(reply.Records), "revision", to.Revision, "era", to.Era,
 			"known_revision", own.Revision, "known_era", own.Era)
@@ -77,9 +85,9 @@
 	if to.Era == since.Era && !reply.Whole && (reply.HasEvacuations || !reply.HasEra) {
 		return registry.MergeChanges(reply.Records, since, to, now)
 	}
-	restored := now
-	if reply.OutageAge > 0 {
-		restored = now.Add(-reply.OutageAge)
+	restored := began
+	if end := reply.outageEnd(began); !end.IsZero() {
+		restored = end
 	}
 	if !reply.HasEvacuations {
 		return registry.MergePeerUpstreams(reply.Records, since.Era, to, restored, now)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -185,9 +185,9 @@
 	Adopt func(d platform.Document, at time.Time, source string) bool
 	// Confirm records that the current configuration was the newest at the given time.
 	Confirm func(at time.Time)
-	// PeerReachedStore records that the store answered a peer at the given time, and the time since the last outage
-	// that the peer recorded. It is called before records are merged.
-	PeerReachedStore func(at time.Time, outageAge time.Duration)
+	// PeerReachedStore records that the store answered a peer at the given time, and the end of the last outage that the
+	// peer recorded, which is zero if there was none. It is called before records are merged.
+	PeerReachedStore func(at, outageEnd time.Time)
 
 	Registry *registrar.Registry
 	Crashes  *blocker.Blocker
@@ -227,6 +227,8 @@
 	Services map[string]any
 	// CountBytes is called with the bytes that were sent to or received from peers; nil means no call.
 	CountBytes func(n int)
+	// Arrived returns the earliest time at which a message that is read now may have arrived; nil means now.
+	Arrived func(now time.Time) time.Time
 	// Dial opens connections to peers; nil means the system's network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  hclog.Logger
@@ -276,6 +278,9 @@
 		d := &net.Dialer{}
 		cfg.Dial = d.DialContext
 	}
+	if cfg.Arrived == nil {
+		cfg.Arrived = func(now time.Time) time.Time { return now }
+	}
 	if cfg.CountBytes == nil {
 		cfg.CountBytes = func(int) {}
 	}
@@ -296,23 +301,25 @@
 func (g *Gateways) Exchange(req Request, reply *Reply) error {
 	r := g.r
 	now := time.Now()
+	// What the peer states as the age of something was its age when it sent the request.
+	arrived := r.cfg.Arrived(now)
 	r.recordPeers(Peer{
 		Address: req.From, FailureDomain: req.FailureDomain, Link: req.Link, Saturated: req.Saturated, Work: decodeWork(req.Work, 1)[0],
-	}, req.OtherPeers, now)
+	}, req.OtherPeers, arrived)
 	state := r.cfg.State
 	if req.WithLoads {
 		own := state.Loads(now)
 		reply.LoadColumns = encodeLoads(newerLoads(own, req.LoadColumns))
-		state.MergeLoads(r.upstreams.decodeLoads(req.LoadColumns), now)
+		state.MergeLoads(r.upstreams.decodeLoads(req.LoadColumns), arrived)
 	}
 	reply.HighLoads = encodeLoads(newerLoads(state.HighLoads(now), req.HighLoads))
-	state.MergeLoads(r.upstreams.decodeLoads(req.HighLoads), now)
+	state.MergeLoads(r.upstreams.decodeLoads(req.HighLoads), arrived)
 	reply.Unreachable = encodeUnreachable(newerUnreachable(state.Health.Reports(now), req.Unreachable))
-	state.Health.MergeReports(r.upstreams.decodeUnreachable(req.Unreachable), now)
+	state.Health.MergeReports(r.upstreams.decodeUnreachable(req.Unreachable), arrived)
 	reply.HotChats = encodeHotChats(newerHotChats(state.HotChats(now), req.HotChats))
-	state.MergeHotChats(req.HotChats.decode(), now)
+	state.MergeHotChats(req.HotChats.decode(), arrived)
 	reply.Slowdowns, reply.Work = r.ownSlowdowns(req.From, now), encodeWork(r.ownWork(now))
-	r.mergeSlowdowns(req.From, req.Slowdowns, now)
+	r.mergeSlowdowns(req.From, req.Slowdowns, arrived)
 	// The configuration is read after the records, so that the reply never contains an older configuration than the one
 	// at its complete revision.
 	own := state.Registry.Position()
@@ -563,7 +570,7 @@
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
 	isCurrent := r.isCurrent(&reply, to, own, confirmed)
 	if reply.Reached && isCurrent {
-		state.PeerReachedStore(confirmed, reply.OutageAge)
+		state.PeerReachedStore(confirmed, reply.outageEnd(now))
 	}
 	updated := false
 	if reply.Configuration != nil {
@@ -580,19 +587,20 @@
 	if reply.Reached && isCurrent {
 		state.Confirm(confirmed)
 	}
-	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), time.Now())
-	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), time.Now())
-	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), time.Now())
-	state.MergeHotChats(reply.HotChats.decode(), time.Now())
-	r.mergeSlowdowns(peer, reply.Slowdowns, time.Now())
+	// Ages are those at the peer, which replied at any time since the begin: the message may have waited here since.
+	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), now)
+	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), now)
+	state.Health.MergeReports(r.upstreams.decodeUnreachable(reply.Unreachable), now)
+	state.MergeHotChats(reply.HotChats.decode(), now)
+	r.mergeSlowdowns(peer, reply.Slowdowns, now)
 	if isCurrent {
 		reply.Records = r.usableRecords(peer, reply.Records)
-		updated = r.mergeUpstreams(peer, &reply, since, to, time.Now()) || updated
+		updated = r.mergeUpstreams(peer, &reply, since, to, now) || updated
 	}
 	if updated {
 		r.NotifyPeers()
 	}
-	if err := state.Crashes.Merge(reply.CrashBatches, time.Now()); err != nil {
+	if err := state.Crashes.Merge(reply.CrashBatches, now); err != nil {
 		r.cfg.Log.Warn("peer_crash_reports_malformed", "peer", peer, "error", err.Error())
 	}
 	r.recordPeers(Peer{
