blocker: that a request was served is kept as long as its crashes

Callers of a gateway that had started would have been refused a sound request for up to minutes: one that had been in three crashes and was served since.

Cause: gateways that start get all reports of their peers. The report of a crash is kept for 10 minutes if the prompt has parts, that the request was served for 2 minutes. After that, peers pass on the crashes alone, which they themselves know to be cleared.

The report that a request was served is kept for 10 minutes, too, and so is what a gateway remembers of it.

Evidence: TestServedIsKeptAsLongAsItsCrashes failed before (a gateway that starts 130 s after the crashes refuses the request for another 112 s).

--- a/blocker/blocker.go
+++ b/blocker/blocker.go
@@ -128,9 +128,9 @@
 		r.upstream == previous.upstream && r.late == previous.late && r.at.Sub(previous.at).Abs() <= maxContinuation
 }
 
-// ttl returns the time for which a report is kept.
+// ttl returns the time for which a report is kept. That a request was served is kept for as long as any of its crashes.
 func (r *crashReport) ttl() time.Duration {
-	if len(r.parts) > 0 {
+	if len(r.parts) > 0 || r.upstream == 0 {
 		return partTTL
 	}
 	return reportTTL
--- a/blocker/requests.go
+++ b/blocker/requests.go
@@ -140,7 +140,7 @@
 			ttl = partTTL
 		}
 		s.expire(now, ttl)
-		if len(s.crashes) == 0 && now.Sub(s.lastBegin()) >= reportTTL {
+		if len(s.crashes) == 0 && now.Sub(s.lastBegin()) >= partTTL {
 			delete(q.suspects, f)
 		}
 	}
--- a/blocker/requests_test.go
+++ b/blocker/requests_test.go
@@ -177,3 +177,19 @@
 	}
 	require.Positive(t, b.BlockedFor(asked, after(3)))
 }
+
+// Guards against a request that was served and that a router which starts later refuses: the reports of crashes with parts of its
+// prompt are kept for longer than that it was served.
+func TestServedIsKeptAsLongAsItsCrashes(t *testing.T) {
+	for _, age := range []float64{10, 130, 300, 590} {
+		b, started := blocker.New(), blocker.New()
+		for n := range 3 {
+			b.RecordCrash(asked, fmt.Sprint("u", n), after(float64(n)), blocker.PartOf("part"))
+		}
+		b.RecordServed(asked, after(5))
+		require.NoError(t, started.Merge(b.ReportsSince(nil, after(age)), after(age)))
+		for range 2 { // The first request after a block passes as a trial.
+			require.Zero(t, started.BlockedFor(asked, after(age+0.1)), "after %v s", age)
+		}
+	}
+}
