follower: an older configuration of a peer changes nothing

Callers with a route or key that only the newest configuration allows would have got 401 or 404 in place of 503.

Cause: while the newest configuration of the store cannot be decoded, a gateway answers 503 to what its own does not allow. Any older configuration ended that state, also one of an earlier era that a peer which is behind had sent before the change, and one that could not be decoded began it.

Peers state the version of what they send. It is kept when it is decompressed, and Adopt ignores an older one, or the same of an earlier era, before it decodes it. Configurations of the store and of versions that state none are judged as before.

--- a/follower/behind_test.go
+++ b/follower/behind_test.go
@@ -26,3 +26,32 @@
 		require.False(t, r.LacksEvacuations())
 	})
 }
+
+// Guards against a refusal of routes and keys that the configuration in the store may allow: it could not be decoded, and an older
+// one of a peer that was behind made that forgotten. Nor does one that a peer holds from an earlier era and that cannot be decoded
+// make the current one count as replaced.
+func TestConfigurationOfAPeerBehind(t *testing.T) {
+	unreadable := func(era, revision, version uint64) platform.Document {
+		return platform.Document{Era: era, Revision: revision, Version: version}
+	}
+	older := inEra(1, 60, 8)
+	older.Version = 8
+	f := newFollower(t)
+	require.True(t, f.Adopt(inEra(2, 17, 9), time.Now(), "store"))
+	require.False(t, f.Adopt(unreadable(1, 60, 8), time.Now(), "peer"))
+	require.False(t, f.Current().Superseded, "an older one of a peer")
+	require.False(t, f.Adopt(unreadable(2, 18, 0), time.Now(), "store"))
+	require.True(t, f.Current().Superseded)
+	require.False(t, f.Adopt(older, time.Now(), "peer"))
+	require.True(t, f.Current().Superseded, "an older one of a peer")
+	require.False(t, f.Adopt(inEra(3, 10, 8), time.Now(), "store"))
+	require.False(t, f.Current().Superseded, "the store was restored from a copy with an older one")
+	newer := inEra(3, 11, 10)
+	newer.Version = 10
+	require.True(t, f.Adopt(newer, time.Now(), "peer"))
+	same := inEra(4, 9, 10)
+	same.Version = 10
+	require.True(t, f.Adopt(same, time.Now(), "peer"), "the same version, written again in a later era")
+	require.False(t, f.Adopt(unreadable(4, 10, 11), time.Now(), "peer"))
+	require.True(t, f.Current().Superseded, "a newer one of a peer that cannot be decoded here")
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -376,6 +376,10 @@
 	if d.Era == f.document.Era && d.Revision <= f.document.Revision {
 		return false
 	}
+	// A peer states the version. An older one says nothing about the store, which may have replaced it long ago.
+	if d.Version > 0 && (d.Version < f.document.Version || d.Version == f.document.Version && d.Era < f.document.Era) {
+		return false
+	}
 	table, err := f.cfg.Decode(d.Data)
 	if err != nil {
 		f.cfg.Log.Error("configuration_refused", "revision", d.Revision, "era", d.Era, "source", source, "error", err.Error())
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -395,7 +395,7 @@
 	if len(data) > maxDocumentBytes {
 		return platform.Document{}, errDocumentTooLong
 	}
-	return platform.Document{Era: p.Era, Revision: p.Revision, Data: data}, nil
+	return platform.Document{Era: p.Era, Revision: p.Revision, Version: p.Version, Data: data}, nil
 }
 
 // requestExchange makes Run exchange state with a peer without delay. It never blocks: the request is dropped when the
