registrar: test replies that arrive in any order

TestNothingComesBack plays changes of the store, reads, restarts, and replies of peers that are behind or of an older version and arrive at any later time, and checks after each step that no gateway lists what its list knows to be gone.

--- a/registrar/behind_test.go
+++ b/registrar/behind_test.go
@@ -1,10 +1,12 @@
 package registrar_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"clementineramp/registrar"
 )
@@ -163,3 +165,94 @@
 		})
 	}
 }
+
+// delayed is a reply of a peer that has not arrived yet.
+type delayed struct {
+	r           *registrar.Registry
+	records     []registrar.Record
+	since, to   registrar.Position
+	whole, lack bool
+}
+
+func (d *delayed) arrive() {
+	switch {
+	case d.lack:
+		d.r.MergePeerUpstreams(d.records, d.since.Era, d.to, start, start)
+	case d.whole:
+		d.r.MergePeerList(d.records, d.since.Era, d.to, start, start)
+	default:
+		d.r.MergeChanges(d.records, d.since, d.to, start)
+	}
+}
+
+// TestNothingComesBack checks that after any series of changes, reads, restarts, and replies of peers of this and of an older
+// version that arrive in any order, no gateway uses an upstream or keeps an evacuation that its list knows to be gone.
+func TestNothingComesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &eraStore{at: registrar.Position{Era: 1}, left: make(map[registrar.Incarnation]bool)}
+		s.write(instance("a", 1, 0, false))
+		fresh := func() *registrar.Registry { return registrar.New(registrar.Config{Expiry: expiry}) }
+		fleet := []*registrar.Registry{fresh(), fresh(), fresh()}
+		var replies []delayed
+		one := func() int { return rapid.IntRange(0, len(fleet)-1).Draw(t, "gateway") }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id")
+			switch rapid.SampledFrom([]string{"write", "remove", "evacuate", "withdraw", "read", "watch", "ask", "arrive", "restart", "forget"}).Draw(t, "step") {
+			case "write":
+				s.write(instance(id, int64(rapid.IntRange(1, 2).Draw(t, "born")), 0, false))
+			case "remove":
+				s.write(removed(id, 0))
+			case "evacuate":
+				s.write(evacuates("x", 0))
+			case "withdraw":
+				s.write(withdraws("x", 0))
+			case "read":
+				s.read(fleet[one()], start)
+			case "watch":
+				s.watch(fleet[one()], start)
+			case "ask":
+				r, peer := fleet[one()], fleet[one()]
+				d := delayed{r: r, since: r.Position(), lack: peer.LacksEvacuations() || rapid.Bool().Draw(t, "older")}
+				if r.LacksEvacuations() || rapid.Bool().Draw(t, "all") {
+					d.since.Revision = 0
+				}
+				d.records, d.to, d.whole = peer.RecordsSince(d.since)
+				if d.lack {
+					d.records = slices.DeleteFunc(d.records, func(rec registrar.Record) bool { return rec.Evacuation })
+				}
+				replies = append(replies, d)
+			case "arrive":
+				if len(replies) > 0 {
+					replies[rapid.IntRange(0, len(replies)-1).Draw(t, "reply")].arrive()
+				}
+			case "restart":
+				fleet[one()] = fresh()
+			case "forget":
+				fleet[one()].Refresh(start.Add(time.Hour))
+			}
+			for i, r := range fleet {
+				v := r.View()
+				for _, u := range append(v.ByService["s"], v.Evacuated["s"]...) {
+					checkListed(t, s, r, i, u.ID, false)
+				}
+				if _, ok := v.Evacuations["x"]; ok && !r.LacksEvacuations() {
+					checkListed(t, s, r, i, "x", true)
+				}
+			}
+		}
+	})
+}
+
+// checkListed checks that what a registry lists is in the store at the position of the registry, or has come later.
+func checkListed(t *rapid.T, s *eraStore, r *registrar.Registry, i int, id string, evacuation bool) {
+	at := r.Position().Revision
+	listed := false
+	for _, rec := range s.changes {
+		if rec.ID == id && rec.Evacuation == evacuation {
+			listed = !rec.Removed || rec.Revision > at && listed
+		}
+	}
+	if !listed {
+		t.Fatalf("gateway %d lists %s at %d, the changes are %v", i, id, at, s.changes)
+	}
+}
