follower: each gateway renews its confirmation in time

Cause: the others read the store themselves 2.2 s after the last confirmation and a random time, or once they had heard that the readers were lost, which takes as long. Nothing tied that to the 2 s in which a change must take effect.

A gateway that no peer has sent a newer confirmation now reads the store 0.25 s before the confirmation is as old as a change may take: a watch that returns at once. It depends on no news of the readers. Three tries belong to each confirmation; then the reads are spread over the fleet as before. A confirmation is passed on after what was confirmed, and whether or not the peer that has it reaches the store itself.

--- a/follower/behind_test.go
+++ b/follower/behind_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -55,3 +56,26 @@
 	require.False(t, f.Adopt(unreadable(4, 10, 11), time.Now(), "peer"))
 	require.True(t, f.Current().Superseded, "a newer one of a peer that cannot be decoded here")
 }
+
+// Guards against a change that takes effect too late because the processes that read the store are gone, and against calls without
+// end while the store is down.
+func TestRenewalOfAConfirmation(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}}
+	run(t, s, func() bool { return false }, func(f *follower.Follower, _ *registrar.Registry) {
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			f.Confirm(time.Now())
+		}
+		s.set(func(s *state) { s.next = []platform.Changes{{Revision: 9, Configuration: document(8, 2)}} })
+		time.Sleep(follower.DefaultPropagation - 100*time.Millisecond)
+		require.EqualValues(t, 2, f.Current().Table.Version, "the change has not taken effect in time")
+
+		s.set(func(s *state) { s.err = errors.New("down") })
+		time.Sleep(follower.DefaultPropagation)
+		before := s.count()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, s.count()-before, 60)
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -27,6 +27,15 @@
 	// backoffHeartbeats is the number of heartbeats that the backoff may last. An outage that is noticed to have ended
 	// later by more than a part of a heartbeat would seem long enough for entries to have expired.
 	backoffHeartbeats = 0.25
+	// DefaultPropagation is the default time within which a change in the store must take effect.
+	DefaultPropagation = 2 * time.Second
+	// renewalMargin is the time before the end of the propagation time at which a process that no peer has sent a newer
+	// confirmation reads the store itself: for one that opens a connection first and is short of processor time.
+	renewalMargin = 250 * time.Millisecond
+	// renewalWait is the duration of the watch of such a read, which returns at once, and maxRenewals the number of tries: after a
+	// gap in the history, the next one reads the list. While the store is down, further reads are spread over the fleet.
+	renewalWait = time.Millisecond
+	maxRenewals = 3
 	// DefaultHeartbeat is the default interval at which upstreams renew their entries.
 	DefaultHeartbeat = 1200 * time.Millisecond
 	// outageHeartbeats is the number of heartbeats without a confirmation from the store to any known process after which
@@ -65,6 +74,9 @@
 	Registry *registrar.Registry
 	// Wait is the maximum duration of a watch without changes; zero means DefaultWait.
 	Wait time.Duration
+	// Propagation is the time within which a change must take effect; zero means DefaultPropagation. A process that does not read
+	// the store on behalf of its peers reads it before its latest confirmation is as old, whatever has become of the others.
+	Propagation time.Duration
 	// Heartbeat is the interval at which upstreams renew their entries; zero means DefaultHeartbeat.
 	Heartbeat time.Duration
 	// Reader reports whether this process reads the store on behalf of its peers; nil means always.
@@ -87,6 +99,10 @@
 	// fallbackUntil the end of a fallback in progress. Only Run uses them.
 	fallbackAt    time.Time
 	fallbackUntil time.Time
+	// renewed is the confirmation that was last to be renewed by reads of this process, and renewals their number. Only Run uses
+	// them.
+	renewed  time.Time
+	renewals int
 	// unreadable holds the revisions of the items of the store that were logged as unreadable, by key. Only Run uses it.
 	unreadable map[string]uint64
 	// lastRead is the start of the last successful call of this process. Only Run uses it.
@@ -108,6 +124,9 @@
 	if cfg.Wait == 0 {
 		cfg.Wait = DefaultWait
 	}
+	if cfg.Propagation == 0 {
+		cfg.Propagation = DefaultPropagation
+	}
 	if cfg.Heartbeat == 0 {
 		cfg.Heartbeat = DefaultHeartbeat
 	}
@@ -164,7 +183,8 @@
 	}
 	for ctx.Err() == nil {
 		known := f.cfg.Registry.Position()
-		if !f.shouldRead(time.Now()) {
+		wait, read := f.shouldRead(time.Now())
+		if !read {
 			at = known
 			pause(ctx, readerPollInterval)
 			continue
@@ -176,14 +196,16 @@
 			at.Revision = 0 // A watch would not return those before the position of the list.
 		}
 		started := time.Now()
-		changes, err := f.call(ctx, at.Revision)
+		changes, err := f.call(ctx, at.Revision, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			f.callFailed(err)
 			gap := at.Revision != 0 && errors.Is(err, platform.ErrCompacted)
-			at.Revision = 0
+			if gap || wait != renewalWait {
+				at.Revision = 0
+			}
 			if !gap { // After a gap, the store is reachable, so do a full read at once.
 				retry()
 			}
@@ -197,6 +219,9 @@
 				retry()
 			}
 			at.Revision = 0
+			if wait == renewalWait { // The whole fleet would read the list of the new era, which spreads from peer to peer.
+				f.renewals = maxRenewals
+			}
 			continue
 		}
 		backoff = minBackoff
@@ -216,11 +241,11 @@
 	return at.Revision > 0 && (at.Era != known.Era || at.Revision > known.Revision)
 }
 
-func (f *Follower) call(ctx context.Context, revision uint64) (platform.Changes, error) {
+func (f *Follower) call(ctx context.Context, revision uint64, wait time.Duration) (platform.Changes, error) {
 	if revision == 0 {
 		return f.cfg.Store.ReadAll(ctx)
 	}
-	return f.cfg.Store.Watch(ctx, revision, f.cfg.Wait)
+	return f.cfg.Store.Watch(ctx, revision, wait)
 }
 
 // settleEra reports whether a response may be applied, and sets its era if it does not state one. A response of another era
@@ -247,33 +272,46 @@
 	return false
 }
 
-// shouldRead reports whether this process should call the store now: because it reads on behalf of its peers, because
-// it has no list of upstreams yet or one without evacuations, because the configuration has not been confirmed for too long, or
-// because a fallback read is in progress.
-func (f *Follower) shouldRead(now time.Time) bool {
+// shouldRead reports whether this process should call the store now, and how long a watch may take: because it reads on behalf of
+// its peers, because it has no list of upstreams yet or one without evacuations, because the configuration has not been confirmed
+// for too long, or because a fallback read is in progress.
+func (f *Follower) shouldRead(now time.Time) (wait time.Duration, read bool) {
 	if f.cfg.Reader == nil || f.cfg.Reader() || f.cfg.Registry.LacksEvacuations() {
-		return true
+		return f.cfg.Wait, true
 	}
 	confirmed := f.Current().Confirmed
 	if f.lastRead.After(confirmed) {
 		confirmed = f.lastRead // There is no configuration yet, or it has been read by this process only.
 	}
-	if now.Sub(confirmed) < f.cfg.Wait+spreadTime {
+	age := now.Sub(confirmed)
+	switch {
+	case age >= f.cfg.Propagation-renewalMargin && f.Ready() && f.startRenewal(confirmed):
+		return renewalWait, true
+	case age < f.cfg.Wait+spreadTime:
 		f.fallbackAt = time.Time{}
-		return now.Before(f.fallbackUntil)
-	}
-	if !f.cfg.Registry.Synced() {
-		return true
+		return f.cfg.Wait, now.Before(f.fallbackUntil)
+	case !f.cfg.Registry.Synced():
+		return f.cfg.Wait, true
 	}
 	if f.fallbackAt.IsZero() {
 		f.fallbackAt = now.Add(rand.N(time.Duration(f.cfg.Gateways()) * fallbackInterval))
 	}
 	if now.Before(f.fallbackAt) {
-		return false
+		return 0, false
 	}
 	f.fallbackAt = time.Time{}
 	f.fallbackUntil = now.Add(fallbackReadTime)
-	return true
+	return f.cfg.Wait, true
+}
+
+// startRenewal reports whether this process should read the store to renew a confirmation, and counts the read. The readers that
+// the confirmation came from may be cut off from the store or gone, which it may not hear in time, or not at all.
+func (f *Follower) startRenewal(confirmed time.Time) bool {
+	if !f.renewed.Equal(confirmed) {
+		f.renewed, f.renewals = confirmed, 0
+	}
+	f.renewals++
+	return f.renewals <= maxRenewals
 }
 
 // apply applies the changes that the store returned, and reports whether there were any; revision is the one that was
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -173,7 +173,8 @@
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
 	g.follower = follower.New(follower.Config{
-		Store: follower.Store{ReadAll: store.ReadAll, Watch: store.Watch}, Wait: watchTime(s.Propagation), Heartbeat: s.Heartbeat,
+		Store: follower.Store{ReadAll: store.ReadAll, Watch: store.Watch}, Wait: watchTime(s.Propagation),
+		Propagation: s.Propagation, Heartbeat: s.Heartbeat,
 		Reader: func() bool { return g.relayer.Reader() }, Gateways: func() int { return g.relayer.Gateways() },
 		OnUpdate: func() { g.relayer.NotifyPeers() },
 		Registry: g.upstreams, Decode: platform.DecodeConfiguration, Log: g.log.Named("follower"),
@@ -198,9 +199,10 @@
 	}
 	g.relayer = relayer.New(relayer.Config{
 		Address: s.PeerListen.String(), FailureDomain: s.FailureDomain, Seeds: seeds, Link: s.Link, Readers: storeReaders,
-		CountBytes: func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
-		Arrived:    g.pulse.Arrived,
-		Dial:       g.cfg.Dial, Log: g.log.Named("relayer"),
+		Propagation: s.Propagation,
+		CountBytes:  func(n int) { metrics.GetOrRegisterCounter("peer_bytes", g.registry).Inc(int64(n)) },
+		Arrived:     g.pulse.Arrived,
+		Dial:        g.cfg.Dial, Log: g.log.Named("relayer"),
 		// One that is stopping owns no service, as one that lacks processor time.
 		Saturated: func() bool { saturated, _ := g.saturation.Saturated(); return saturated || g.stopping.Load() },
 		State:     state, Services: services,
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -35,6 +35,9 @@
 	// gateway with a hub of its failure domain. Loads, which change within a few hundred milliseconds, spread this way.
 	hubInterval    = 200 * time.Millisecond
 	memberInterval = 600 * time.Millisecond
+	// lateShare is the share of the propagation time after which a confirmation of the configuration is late: most reach all
+	// gateways within half of it.
+	lateShare = 0.65
 	// peerInterval is the mean pause between exchanges with peers of any kind, which carry no loads unless one of the two
 	// is a hub. Together with immediate exchanges after an update they spread the configuration, the upstreams and the
 	// members even if all hubs are slow or cut off.
@@ -220,6 +223,9 @@
 	Link float64
 	// Readers is the number of gateways that read the store on behalf of all.
 	Readers int
+	// Propagation is the time within which a change in the store must take effect; zero means 2 s. A gateway whose confirmation
+	// is late within it exchanges with hubs as often as a hub does, so that few gateways must read the store themselves.
+	Propagation time.Duration
 	// Saturated reports whether this gateway gets less processor time than it needs; nil means never.
 	Saturated func() bool
 	State     State
@@ -278,6 +284,9 @@
 		d := &net.Dialer{}
 		cfg.Dial = d.DialContext
 	}
+	if cfg.Propagation == 0 {
+		cfg.Propagation = 2 * time.Second
+	}
 	if cfg.Arrived == nil {
 		cfg.Arrived = func(now time.Time) time.Time { return now }
 	}
@@ -320,8 +329,9 @@
 	state.MergeHotChats(req.HotChats.decode(), arrived)
 	reply.Slowdowns, reply.Work = r.ownSlowdowns(req.From, now), encodeWork(r.ownWork(now))
 	r.mergeSlowdowns(req.From, req.Slowdowns, arrived)
-	// The configuration is read after the records, so that the reply never contains an older configuration than the one
-	// at its complete revision.
+	// The time of the confirmation is read before what was confirmed. The configuration is read after the records, so that the
+	// reply never contains an older configuration than the one at its complete revision.
+	reply.Reached, reply.ConfirmedAge = state.Reached(), now.Sub(state.Confirmed())
 	own := state.Registry.Position()
 	since := req.position(own.Era)
 	reply.HasEvacuations = !state.Registry.LacksEvacuations() // Before the records, which may come to hold them.
@@ -348,7 +358,6 @@
 	if req.CrashNews && state.Crashes.Lacks(req.KnownCrashes) {
 		r.requestExchange(req.From)
 	}
-	reply.Reached, reply.ConfirmedAge = state.Reached(), now.Sub(state.Confirmed())
 	reply.OutageAge = state.Registry.TimeSinceOutage(now)
 	reply.CrashBatches = state.Crashes.ReportsSince(req.KnownCrashes, now)
 	reply.OtherPeers = r.listPeers(req.From, now)
@@ -490,7 +499,27 @@
 		if hub != "" {
 			r.exchange(ctx, hub)
 		}
-		pause(ctx, interval)
+		r.pauseHubExchanges(ctx, interval)
+	}
+}
+
+// pauseHubExchanges pauses around the mean interval, but only for that of hubs once the confirmation of the configuration is late.
+func (r *Relayer) pauseHubExchanges(ctx context.Context, interval time.Duration) {
+	next := time.Now().Add(interval/2 + rand.N(interval))
+	if confirmed := r.cfg.State.Confirmed(); !confirmed.IsZero() && interval > hubInterval {
+		late := confirmed.Add(time.Duration(lateShare * float64(r.cfg.Propagation)))
+		if soon := time.Now().Add(hubInterval/2 + rand.N(hubInterval)); late.Before(soon) {
+			late = soon
+		}
+		if late.Before(next) {
+			next = late
+		}
+	}
+	t := time.NewTimer(time.Until(next))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
 
@@ -522,16 +551,6 @@
 	}
 }
 
-// pause waits for a random time around the mean d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // exchange sends the state of this gateway to a peer and merges the reply.
 func (r *Relayer) exchange(ctx context.Context, peer string) {
 	state := r.cfg.State
@@ -569,7 +588,7 @@
 	r.listsAsked.Add(1)
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
 	isCurrent := r.isCurrent(&reply, to, own, confirmed)
-	if reply.Reached && isCurrent {
+	if isCurrent {
 		state.PeerReachedStore(confirmed, reply.outageEnd(now))
 	}
 	updated := false
@@ -584,9 +603,6 @@
 		}
 		updated = state.Adopt(d, confirmed, "peer "+peer)
 	}
-	if reply.Reached && isCurrent {
-		state.Confirm(confirmed)
-	}
 	// Ages are those at the peer, which replied at any time since the begin: the message may have waited here since.
 	state.MergeLoads(r.upstreams.decodeLoads(reply.LoadColumns), now)
 	state.MergeLoads(r.upstreams.decodeLoads(reply.HighLoads), now)
@@ -596,6 +612,9 @@
 	if isCurrent {
 		reply.Records = r.usableRecords(peer, reply.Records)
 		updated = r.mergeUpstreams(peer, &reply, since, to, now) || updated
+		// After the merge, so that a peer that is told of the confirmation gets all that was confirmed. Whether the peer that
+		// replied reaches the store itself does not matter.
+		state.Confirm(confirmed)
 	}
 	if updated {
 		r.NotifyPeers()
--- a/relayer/store_test.go
+++ b/relayer/store_test.go
@@ -25,15 +25,17 @@
 	// down is set while no call succeeds; the calls of the gateway refused never do.
 	down    bool
 	refused string
-	// lists counts the full reads.
-	lists int
+	// lists counts the full reads, and calls all calls.
+	lists, calls int
+	// silent holds the gateways whose calls get no response.
+	silent map[string]bool
 }
 
 var errAway = errors.New("the store is away")
 
 // client returns the store's functions for a gateway; those of a nil store are not called.
 func (s *eraStore) client(address string) follower.Store {
-	return follower.Store{
+	return s.silence(address, follower.Store{
 		ReadAll: func(context.Context) (platform.Changes, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -43,7 +45,7 @@
 		Watch: func(ctx context.Context, after uint64, wait time.Duration) (platform.Changes, error) {
 			return s.watch(ctx, address, after, wait)
 		},
-	}
+	})
 }
 
 func (s *eraStore) watch(ctx context.Context, address string, after uint64, wait time.Duration) (platform.Changes, error) {
