relayer: readers that do not reach the store give up their place

Cause: the role of a reader went to the gateways with the fastest links, whether or not they reach the store. They say in replies whether they do, which nothing used for this.

Of the first eight gateways in the order of readers, those that do not reach the store come last, so that four that do read it. No others take a place: if the store is down, all gateways would in turn. A gateway whose last call failed while peers confirm the configuration calls the store again at a random time, at most five calls a second in the whole fleet; it would otherwise say for good that it does not reach it.

Evidence: TestReadersThatDoNotReachTheStoreAreReplaced and TestProcessWhoseLastCallFailedCallsAgain failed before.

--- a/follower/behind_test.go
+++ b/follower/behind_test.go
@@ -79,3 +79,30 @@
 		require.LessOrEqual(t, s.count()-before, 60)
 	})
 }
+
+// Guards against a process that never learns that it reaches the store again, and so takes the place of no reader: its last call
+// failed, and peers have confirmed the configuration since.
+func TestProcessWhoseLastCallFailedCallsAgain(t *testing.T) {
+	s := &fakeStore{state: state{revision: 5, all: platform.Changes{Configuration: document(3, 1)}}}
+	run(t, s, func() bool { return false }, func(f *follower.Follower, _ *registrar.Registry) {
+		s.set(func(s *state) { s.err = errors.New("cut off") })
+		time.Sleep(2 * time.Second)
+		require.False(t, f.Reached())
+		before := s.count()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			f.Confirm(time.Now())
+		}
+		require.LessOrEqual(t, s.count()-before, 50)
+		s.set(func(s *state) { s.err = nil })
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			f.Confirm(time.Now())
+		}
+		require.True(t, f.Reached())
+		before = s.count()
+		f.Confirm(time.Now())
+		time.Sleep(time.Second)
+		require.Equal(t, before, s.count())
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -103,6 +103,9 @@
 	// them.
 	renewed  time.Time
 	renewals int
+	// probeAt is the time of the next call of a process that does not normally read the store and whose last call failed. Only Run
+	// uses it.
+	probeAt time.Time
 	// unreadable holds the revisions of the items of the store that were logged as unreadable, by key. Only Run uses it.
 	unreadable map[string]uint64
 	// lastRead is the start of the last successful call of this process. Only Run uses it.
@@ -289,6 +292,9 @@
 		return renewalWait, true
 	case age < f.cfg.Wait+spreadTime:
 		f.fallbackAt = time.Time{}
+		if f.Ready() && f.isProbeDue(now) {
+			return renewalWait, true
+		}
 		return f.cfg.Wait, now.Before(f.fallbackUntil)
 	case !f.cfg.Registry.Synced():
 		return f.cfg.Wait, true
@@ -304,6 +310,23 @@
 	return f.cfg.Wait, true
 }
 
+// isProbeDue reports whether this process, whose last call failed while peers reach the store, should call it again. Otherwise it
+// would never learn that it reaches the store, too, and could not take the place of a reader. The calls are spread over the fleet.
+func (f *Follower) isProbeDue(now time.Time) bool {
+	if f.Reached() {
+		f.probeAt = time.Time{}
+		return false
+	}
+	if f.probeAt.IsZero() {
+		f.probeAt = now.Add(rand.N(2 * time.Duration(f.cfg.Gateways()) * fallbackInterval))
+	}
+	if now.Before(f.probeAt) {
+		return false
+	}
+	f.probeAt = time.Time{}
+	return true
+}
+
 // startRenewal reports whether this process should read the store to renew a confirmation, and counts the read. The readers that
 // the confirmation came from may be cut off from the store or gone, which it may not hear in time, or not at all.
 func (f *Follower) startRenewal(confirmed time.Time) bool {
--- a/relayer/arrangement.go
+++ b/relayer/arrangement.go
@@ -29,7 +29,7 @@
 type arrangement struct {
 	at time.Time
 	// readers are the gateways that read the store on behalf of all. isNextReader is set if this gateway takes the place
-	// of one when some of them are gone.
+	// of one when some of them are gone or do not reach the store.
 	readers      []string
 	isNextReader bool
 	// hubs are the hubs of all failure domains, and domainHubs those of this gateway's; both leave out this gateway.
@@ -49,6 +49,9 @@
 	reached := slices.DeleteFunc(slices.Clone(members), func(m Peer) bool { return r.isUnreachable(m.Address) })
 	readers := Readers(reached, 2*r.cfg.Readers)
 	n := min(len(readers), r.cfg.Readers)
+	// Those that do not reach the store come last, but no gateway beyond these takes a place: if the store is down, all would.
+	away := slices.DeleteFunc(slices.Clone(readers), func(a string) bool { return !r.isAway(a, now) })
+	readers = append(slices.DeleteFunc(readers, func(a string) bool { return r.isAway(a, now) }), away...)
 	f := &arrangement{at: now, readers: readers[:n], isNextReader: slices.Contains(readers[n:], r.cfg.Address)}
 	hubs := make(map[string]int)
 	for _, m := range members {
@@ -76,6 +79,16 @@
 	return f
 }
 
+// isAway reports whether a peer replied lately that it does not reach the store, or whether this gateway does not. The caller
+// holds r.mu.
+func (r *Relayer) isAway(peer string, now time.Time) bool {
+	if peer == r.cfg.Address {
+		return !r.cfg.State.Reached()
+	}
+	at, ok := r.away[peer]
+	return ok && now.Sub(at) < peerTTL
+}
+
 // isUnreachable reports whether the last exchange with a peer failed. The caller holds r.mu.
 func (r *Relayer) isUnreachable(peer string) bool {
 	_, failed := r.unreachable[peer]
--- a/relayer/members.go
+++ b/relayer/members.go
@@ -71,6 +71,7 @@
 	for a, m := range r.members {
 		if now.Sub(m.at) >= peerTTL {
 			delete(r.members, a)
+			delete(r.away, a)
 			r.fleet = nil
 		}
 	}
--- a/relayer/readers_test.go
+++ b/relayer/readers_test.go
@@ -133,3 +133,40 @@
 	}
 	return readers
 }
+
+// Guards against a fleet whose readers are cut off from the store and stay its readers, and against ever more gateways that take
+// the place of others while the store is down.
+func TestReadersThatDoNotReachTheStoreAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newEraStore("a")
+		f := newFleetWithStore(t, 30, 3, 0, store)
+		time.Sleep(10 * time.Second)
+		set := f.readers()
+		require.Len(t, set, 4)
+		store.setSilent(set...)
+		time.Sleep(5 * time.Second)
+		for _, a := range f.readers() {
+			require.NotContains(t, set, a)
+		}
+		require.NotEmpty(t, f.readers())
+		store.setSilent()
+		time.Sleep(30 * time.Second)
+		require.ElementsMatch(t, set, f.readers(), "the readers after the cut")
+
+		before := store.countCalls()
+		store.setDown(true)
+		time.Sleep(20 * time.Second)
+		require.LessOrEqual(t, len(f.readers()), 8)
+		require.Less(t, store.countCalls()-before, 600, "calls in 20 s without the store")
+		store.setDown(false)
+		time.Sleep(30 * time.Second)
+		require.ElementsMatch(t, set, f.readers(), "the readers after the outage")
+	})
+}
+
+// setDown makes all calls fail, or none.
+func (s *eraStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -156,7 +156,7 @@
 	// HasEvacuations is set if Records holds evacuations, too. It is not set by versions that do not know them, or by a gateway
 	// whose list came from such a version.
 	HasEvacuations bool
-	// Reached is set if the peer reaches the store. ConfirmedAge is the time since its configuration was last confirmed.
+	// Reached is set if the peer reaches the store, as far as its last call shows. ConfirmedAge is the time since its configuration was last confirmed.
 	Reached      bool
 	ConfirmedAge time.Duration
 	// OutageAge is the time since the end of the last outage of the store that the peer recorded; negative means none.
@@ -272,6 +272,8 @@
 	// unreachable holds the time of the last exchange with a peer that this gateway began, if it failed and the peer has
 	// not been reached since.
 	unreachable map[string]time.Time
+	// away holds the time at which a peer last replied that it does not reach the store, unless it has replied since that it does.
+	away map[string]time.Time
 	// known holds the time at which some gateway last heard of each peer, as far as is known, also of those that are gone.
 	known map[string]time.Time
 	// learntAt is the time at which a peer was added to known, and contactAt that of the last exchange of this gateway.
@@ -297,7 +299,7 @@
 		cfg: cfg, started: time.Now(), wake: make(chan string, wakeQueueSize),
 		notified: make(chan struct{}, 1), members: make(map[string]member),
 		upstreams: upstreamCodec{view: cfg.State.Registry.View},
-		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]time.Time), known: make(map[string]time.Time),
+		clients:   make(map[string]*rpc.Client), unreachable: make(map[string]time.Time), away: make(map[string]time.Time), known: make(map[string]time.Time),
 	}
 }
 
@@ -584,7 +586,7 @@
 		others.Wait()
 		return
 	}
-	r.exchangeSucceeded(peer)
+	r.exchangeSucceeded(peer, reply.Reached)
 	r.listsAsked.Add(1)
 	confirmed, to := now.Add(-reply.ConfirmedAge), reply.position(since.Era)
 	isCurrent := r.isCurrent(&reply, to, own, confirmed)
@@ -721,12 +723,21 @@
 	return doubtful
 }
 
-func (r *Relayer) exchangeSucceeded(peer string) {
+// exchangeSucceeded counts a peer as reachable, and records whether it reaches the store.
+func (r *Relayer) exchangeSucceeded(peer string, reachesStore bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isUnreachable(peer) {
 		r.forgetFailure(peer)
 	}
+	now := time.Now()
+	if wasAway := r.isAway(peer, now); wasAway == reachesStore {
+		r.fleet = nil
+	}
+	delete(r.away, peer)
+	if !reachesStore {
+		r.away[peer] = now
+	}
 }
 
 // forgetFailure counts a peer as reachable again. The caller holds r.mu.
