proxier: TestWhatIsLearntDuringTheWait waits until a request is sent

The test failed at times under load, with 503 in place of 200: 6 of 18,000 runs in 12 processes at the same time. It recorded that the upstream wants no requests once the first request held its place, and expected that one to be served. A request that holds a place but is not sent yet is refused as well, and must be: it would be refused by the upstream.

The test now waits until the upstream runs the request before it records the pause, and expects the same outcomes as before.

--- a/proxier/place_test.go
+++ b/proxier/place_test.go
@@ -65,6 +65,12 @@
 
 func (p *placeFixture) status() dispatcher.Status { return p.dispatcher.Status("s", time.Now()) }
 
+// awaitRuns waits until the upstream has begun to run n requests in all.
+func (p *placeFixture) awaitRuns(n int) {
+	p.t.Helper()
+	require.Eventually(p.t, func() bool { return p.runs() == n }, 5*time.Second, time.Millisecond, p.log.String())
+}
+
 // requireIdle checks that all places are free in the end.
 func (p *placeFixture) requireIdle() {
 	p.t.Helper()
@@ -223,17 +229,18 @@
 		p.crashes.RecordCrash(print, fmt.Sprint("other ", i), time.Now())
 	}
 	p.gate <- struct{}{}
-	require.ElementsMatch(t, []int{200, 503}, []int{(<-p.ended).status, (<-p.ended).status})
+	require.ElementsMatch(t, []int{200, 503}, []int{(<-p.ended).status, (<-p.ended).status}, p.log.String())
 	require.Contains(t, p.log.String(), "reason=crashes_upstream")
 	require.Equal(t, 503, p.do("POST", "/order/", "crashes").status)
 	require.Equal(t, 1, p.runs())
 
 	p.start("/order/", "first")
+	p.awaitRuns(2) // A request that holds a place is not sent either once the upstream is known to want none.
 	p.start("/order/", "waits")
 	p.placer.Pause(p.view.ByService["s"][0], time.Now().Add(time.Minute))
 	require.Equal(t, 503, (<-p.ended).status)
 	require.Contains(t, p.log.String(), "reason=upstreams_paused")
 	p.gate <- struct{}{}
-	require.Equal(t, 200, (<-p.ended).status)
+	require.Equal(t, 200, (<-p.ended).status, p.log.String())
 	p.requireIdle()
 }
