follower, registrar, gatekeeper: split long functions

Follower.mode returns how the process uses the store; what follows a failed call, and which record is news, have functions of their own.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -62,6 +62,18 @@
 	readerPollInterval = 50 * time.Millisecond
 )
 
+// reading is how a process uses the store at the moment.
+type reading int
+
+const (
+	// idle: it makes no calls.
+	idle reading = iota
+	// watching: it reads changes as they come.
+	watching
+	// renewing: it asks once for changes, with a watch that returns at once.
+	renewing
+)
+
 // Store holds the functions of the platform's store that a Follower uses.
 type Store struct {
 	ReadAll func(ctx context.Context) (platform.Changes, error)
@@ -186,8 +198,8 @@
 	}
 	for ctx.Err() == nil {
 		known := f.cfg.Registry.Position()
-		wait, read := f.shouldRead(time.Now())
-		if !read {
+		mode := f.mode(time.Now())
+		if mode == idle {
 			at = known
 			pause(ctx, readerPollInterval)
 			continue
@@ -199,17 +211,14 @@
 			at.Revision = 0 // A watch would not return those before the position of the list.
 		}
 		started := time.Now()
-		changes, err := f.call(ctx, at.Revision, wait)
+		changes, err := f.call(ctx, at.Revision, mode)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			f.callFailed(err)
 			gap := at.Revision != 0 && errors.Is(err, platform.ErrCompacted)
-			if gap || wait != renewalWait {
-				at.Revision = 0
-			}
-			if !gap { // After a gap, the store is reachable, so do a full read at once.
+			if at = afterFailure(at, mode, gap); !gap {
 				retry()
 			}
 			continue
@@ -222,9 +231,7 @@
 				retry()
 			}
 			at.Revision = 0
-			if wait == renewalWait { // The whole fleet would read the list of the new era, which spreads from peer to peer.
-				f.renewals = maxRenewals
-			}
+			f.endRenewal(mode)
 			continue
 		}
 		backoff = minBackoff
@@ -238,13 +245,27 @@
 	}
 }
 
+// afterFailure returns the position from which to continue after a failed call from the position at. After a gap in the history,
+// the store is reachable, so that a full read follows at once. Otherwise, a process that reads for its peers reads the list again;
+// with all others, that would be many reads.
+func afterFailure(at registrar.Position, mode reading, gap bool) registrar.Position {
+	if gap || mode == watching {
+		at.Revision = 0
+	}
+	return at
+}
+
 // overtaken reports whether a watch from the position at cannot continue the list at the position known, because a peer has
 // passed on the list of another era. A full read has a revision of zero, and is never overtaken.
 func overtaken(at, known registrar.Position) bool {
 	return at.Revision > 0 && (at.Era != known.Era || at.Revision > known.Revision)
 }
 
-func (f *Follower) call(ctx context.Context, revision uint64, wait time.Duration) (platform.Changes, error) {
+func (f *Follower) call(ctx context.Context, revision uint64, mode reading) (platform.Changes, error) {
+	wait := f.cfg.Wait
+	if mode == renewing {
+		wait = renewalWait
+	}
 	if revision == 0 {
 		return f.cfg.Store.ReadAll(ctx)
 	}
@@ -275,12 +296,12 @@
 	return false
 }
 
-// shouldRead reports whether this process should call the store now, and how long a watch may take: because it reads on behalf of
-// its peers, because it has no list of upstreams yet or one without evacuations, because the configuration has not been confirmed
-// for too long, or because a fallback read is in progress.
-func (f *Follower) shouldRead(now time.Time) (wait time.Duration, read bool) {
+// mode returns how this process should use the store now. It watches because it reads on behalf of its peers, because it has no
+// list of upstreams yet or one without evacuations, or because a fallback read is in progress; and it renews a confirmation that is
+// about to be too old.
+func (f *Follower) mode(now time.Time) reading {
 	if f.cfg.Reader == nil || f.cfg.Reader() || f.cfg.Registry.LacksEvacuations() {
-		return f.cfg.Wait, true
+		return watching
 	}
 	confirmed := f.Current().Confirmed
 	if f.lastRead.After(confirmed) {
@@ -289,25 +310,28 @@
 	age := now.Sub(confirmed)
 	switch {
 	case age >= f.cfg.Propagation-renewalMargin && f.Ready() && f.startRenewal(confirmed):
-		return renewalWait, true
+		return renewing
 	case age < f.cfg.Wait+spreadTime:
 		f.fallbackAt = time.Time{}
-		if f.Ready() && f.isProbeDue(now) {
-			return renewalWait, true
+		switch {
+		case f.Ready() && f.isProbeDue(now):
+			return renewing
+		case now.Before(f.fallbackUntil):
+			return watching
 		}
-		return f.cfg.Wait, now.Before(f.fallbackUntil)
+		return idle
 	case !f.cfg.Registry.Synced():
-		return f.cfg.Wait, true
+		return watching
 	}
 	if f.fallbackAt.IsZero() {
 		f.fallbackAt = now.Add(rand.N(time.Duration(f.cfg.Gateways()) * fallbackInterval))
 	}
 	if now.Before(f.fallbackAt) {
-		return 0, false
+		return idle
 	}
 	f.fallbackAt = time.Time{}
 	f.fallbackUntil = now.Add(fallbackReadTime)
-	return f.cfg.Wait, true
+	return watching
 }
 
 // isProbeDue reports whether this process, whose last call failed while peers reach the store, should call it again. Otherwise it
@@ -337,6 +361,14 @@
 	return f.renewals <= maxRenewals
 }
 
+// endRenewal ends the tries to renew a confirmation when the store has turned out to be in another era: the whole fleet would read
+// the list, which spreads from peer to peer.
+func (f *Follower) endRenewal(mode reading) {
+	if mode == renewing {
+		f.renewals = maxRenewals
+	}
+}
+
 // apply applies the changes that the store returned, and reports whether there were any; revision is the one that was
 // watched from, or zero after a full read.
 func (f *Follower) apply(c platform.Changes, revision uint64, started time.Time) (changed bool) {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -171,14 +171,7 @@
 	}
 	g.placer = placer.New(placing)
 	g.pool = connector.New(connector.Config{Dial: g.cfg.Dial, OnDial: g.countDial})
-	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
-	g.follower = follower.New(follower.Config{
-		Store: follower.Store{ReadAll: store.ReadAll, Watch: store.Watch}, Wait: watchTime(s.Propagation),
-		Propagation: s.Propagation, Heartbeat: s.Heartbeat,
-		Reader: func() bool { return g.relayer.Reader() }, Gateways: func() int { return g.relayer.Gateways() },
-		OnUpdate: func() { g.relayer.NotifyPeers() },
-		Registry: g.upstreams, Decode: platform.DecodeConfiguration, Log: g.log.Named("follower"),
-	})
+	g.assembleFollower()
 	var seeds []string
 	for _, a := range s.Peers {
 		seeds = append(seeds, a.String())
@@ -232,6 +225,19 @@
 	g.callers = NewCallerConns(s.Connections)
 }
 
+// assembleFollower creates the follower of the store.
+func (g *Gateway) assembleFollower() {
+	s := g.cfg.Settings
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store.String(), Dial: g.cfg.Dial, OnCall: g.countCall})
+	g.follower = follower.New(follower.Config{
+		Store: follower.Store{ReadAll: store.ReadAll, Watch: store.Watch}, Wait: watchTime(s.Propagation),
+		Propagation: s.Propagation, Heartbeat: s.Heartbeat,
+		Reader: func() bool { return g.relayer.Reader() }, Gateways: func() int { return g.relayer.Gateways() },
+		OnUpdate: func() { g.relayer.NotifyPeers() },
+		Registry: g.upstreams, Decode: platform.DecodeConfiguration, Log: g.log.Named("follower"),
+	})
+}
+
 // listCurrent reports whether the list of upstreams has been confirmed lately, and no entry is left of those that went away
 // during an outage of the store.
 func (g *Gateway) listCurrent(now time.Time) bool {
--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -31,8 +31,7 @@
 	if old != nil && (rec.Revision < old.Revision || rec.Revision == old.Revision && (old.Removed || !rec.Removed)) {
 		return false
 	}
-	if r.isOutdated(rec, old != nil && !old.Removed) {
-		r.outdated = append(r.outdated, rec)
+	if r.ignoreOutdated(rec, old != nil && !old.Removed) {
 		return false
 	}
 	rec.Upstream = Upstream{}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -317,14 +317,19 @@
 	r.decides, r.outdated = false, nil
 }
 
-// isOutdated reports whether a record is about something that the registry knows to be gone: it has all records up to known, so
-// that what is not listed was removed by then, even if no record of the removal is left. Only a later record can say otherwise.
-func (r *Registry) isOutdated(rec Record, listed bool) bool {
+// ignoreOutdated reports whether a record is about something that the registry knows to be gone, and notes it if so. The registry
+// has all records up to known, so that what is not listed was removed by then, even if no record of the removal is left. Only a
+// later record can say otherwise.
+func (r *Registry) ignoreOutdated(rec Record, listed bool) bool {
 	known := r.known
 	if rec.Evacuation {
 		known = r.knownEvacuations
 	}
-	return !listed && !rec.Removed && rec.Revision <= known && !r.decides
+	if listed || rec.Removed || rec.Revision > known || r.decides {
+		return false
+	}
+	r.outdated = append(r.outdated, rec)
+	return true
 }
 
 // MergeList adds the records of a complete list that was read from the store at a position, and removes upstreams that are not
@@ -459,6 +464,14 @@
 	return changed
 }
 
+// isNews reports whether a record says anything new about an upstream whose entry is old, which may be nil.
+func (r *Registry) isNews(rec Record, old *entry) bool {
+	if old != nil && isKnown(rec, old) {
+		return false
+	}
+	return !r.ignoreOutdated(rec, old != nil && !old.Removed)
+}
+
 // isKnown reports whether a record says nothing new.
 func isKnown(rec Record, old *entry) bool {
 	if rec.Revision != old.Revision {
@@ -478,11 +491,7 @@
 		return r.mergeEvacuation(rec, now)
 	}
 	old := r.entries[rec.ID]
-	if old != nil && isKnown(rec, old) {
-		return false
-	}
-	if r.isOutdated(rec, old != nil && !old.Removed) {
-		r.outdated = append(r.outdated, rec)
+	if !r.isNews(rec, old) {
 		return false
 	}
 	if old != nil && old.Upstream.Born > 0 && rec.Upstream.Born == 0 {
--- a/relayer/readers_test.go
+++ b/relayer/readers_test.go
@@ -78,8 +78,14 @@
 		gateways, rounds int
 		dark             bool
 	}{
-		{gateways: 5, rounds: 8}, {gateways: 7, rounds: 8}, {gateways: 30, rounds: 8}, {gateways: 300, rounds: 1},
-		{gateways: 5, rounds: 8, dark: true}, {gateways: 7, rounds: 8, dark: true}, {gateways: 30, rounds: 8, dark: true}, {gateways: 100, rounds: 1, dark: true},
+		{gateways: 5, rounds: 8},
+		{gateways: 7, rounds: 8},
+		{gateways: 30, rounds: 8},
+		{gateways: 300, rounds: 1},
+		{gateways: 5, rounds: 8, dark: true},
+		{gateways: 7, rounds: 8, dark: true},
+		{gateways: 30, rounds: 8, dark: true},
+		{gateways: 100, rounds: 1, dark: true},
 	} {
 		t.Run(fmt.Sprintf("%d gateways, without power: %v", c.gateways, c.dark), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -38,6 +38,8 @@
 	// lateShare is the share of the propagation time after which a confirmation of the configuration is late: most reach all
 	// gateways within half of it.
 	lateShare = 0.65
+	// defaultPropagation is the default of Config.Propagation.
+	defaultPropagation = 2 * time.Second
 	// peerInterval is the mean pause between exchanges with peers of any kind, which carry no loads unless one of the two
 	// is a hub. Together with immediate exchanges after an update they spread the configuration, the upstreams and the
 	// members even if all hubs are slow or cut off.
@@ -156,7 +158,8 @@
 	// HasEvacuations is set if Records holds evacuations, too. It is not set by versions that do not know them, or by a gateway
 	// whose list came from such a version.
 	HasEvacuations bool
-	// Reached is set if the peer reaches the store, as far as its last call shows. ConfirmedAge is the time since its configuration was last confirmed.
+	// Reached is set if the peer reaches the store, as far as its last call shows. ConfirmedAge is the time since its
+	// configuration was last confirmed.
 	Reached      bool
 	ConfirmedAge time.Duration
 	// OutageAge is the time since the end of the last outage of the store that the peer recorded; negative means none.
@@ -287,7 +290,7 @@
 		cfg.Dial = d.DialContext
 	}
 	if cfg.Propagation == 0 {
-		cfg.Propagation = 2 * time.Second
+		cfg.Propagation = defaultPropagation
 	}
 	if cfg.Arrived == nil {
 		cfg.Arrived = func(now time.Time) time.Time { return now }
