--- a/relayer/readers_test.go
+++ b/relayer/readers_test.go
@@ -88,6 +88,7 @@
 		{gateways: 100, rounds: 1, dark: true},
 	} {
 		t.Run(fmt.Sprintf("%d gateways, without power: %v", c.gateways, c.dark), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				store := newEraStore("a")
 				f := newFleetWithStore(t, c.gateways, 3, 0, store)
